Lay out the packages and the contracts between them

Cause: several parts are built side by side and need fixed interfaces first. Conclusion: no behaviour yet; nothing measured.

--- /dev/null
+++ b/link/link.go
@@ -0,0 +1,57 @@
+// Package link carries calls between the system's own hosts over drpc. Every
+// call is a typed request and a typed answer in CBOR; a package that serves
+// calls registers them on a Mux, and one that makes calls uses a Caller.
+package link
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of every error this package returns.
+var Error = errs.Class("link")
+
+// ErrNotSent says that the peer surely never saw the call. Any other failure
+// of a call leaves open whether the peer acted on it.
+var ErrNotSent = errs.New("call not sent")
+
+// Method names a call, for example "claim.Claim".
+type Method string
+
+// Handler serves one method. It decodes its request with decode and returns
+// the answer, which is encoded as CBOR.
+type Handler func(ctx context.Context, decode func(into any) error) (any, error)
+
+// Registrar is where a package registers the calls it serves.
+type Registrar interface {
+	// Handle registers a method. Registering one twice panics.
+	Handle(method Method, handler Handler)
+}
+
+// Caller makes calls to other hosts. Implementations are safe for concurrent
+// use and pool their connections.
+type Caller interface {
+	// Call sends in to the peer and decodes its answer into out. It returns
+	// ErrNotSent when the peer surely never saw the call.
+	Call(ctx context.Context, peer netip.AddrPort, method Method, in, out any) error
+}
+
+// HandleTyped registers a handler with typed request and answer.
+func HandleTyped[Req, Resp any](r Registrar, method Method, handle func(context.Context, Req) (Resp, error)) {
+	r.Handle(method, func(ctx context.Context, decode func(any) error) (any, error) {
+		var req Req
+		if err := decode(&req); err != nil {
+			return nil, err
+		}
+		return handle(ctx, req)
+	})
+}
+
+// CallTyped makes a call with typed request and answer.
+func CallTyped[Req, Resp any](ctx context.Context, c Caller, peer netip.AddrPort, method Method, req Req) (Resp, error) {
+	var resp Resp
+	err := c.Call(ctx, peer, method, req, &resp)
+	return resp, err
+}
