Add the decision core and the runtime around it

Requests need one place that decides on admission, queue order, upstream, retries and hedges. Package policy holds the decisions without I/O or clock; package dispatch holds the lock, the waiting calls and the metrics.

The contract's data types move to policy and keep their names in dispatch by alias. NotSent is retried without budget, as it put no load on the pool.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,109 +7,52 @@
 	"context"
 	"time"
 
-	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/policy"
 	"github.com/galenaseam/galenaseam/upstream"
 )
 
-// StageNeed is one stage that a request will go through.
-type StageNeed struct {
-	Name      string
-	Pool      string
-	Kind      document.Kind
-	Model     string
-	Typical   time.Duration
-	MaxTokens int
-	Fallback  *document.Fallback
-}
-
-// Arrival is a request as it stands at a host's door.
-type Arrival struct {
-	RequestID  string
-	Workspace  string
-	Class      document.Class
-	Pipeline   string
-	Service    string
-	Stages     []StageNeed
-	Idempotent bool
-	// InputTokens is an estimate from the length of the input.
-	InputTokens int
-	// Prefix is the digests of growing prefixes of the prompt, longest last.
-	Prefix   []uint64
-	Deadline time.Time
-	// Document is the generation that the whole request sees.
-	Document *document.Document
-}
-
-// Cause is why the policy refused, in a word that metrics and callers see.
-type Cause string
+// The terms that the policy and its callers share.
+type (
+	// StageNeed is one stage that a request will go through.
+	StageNeed = policy.StageNeed
+	// Arrival is a request as it stands at a host's door.
+	Arrival = policy.Arrival
+	// Cause is why the policy refused, in a word that metrics and callers see.
+	Cause = policy.Cause
+	// Refusal is the error that Admit and Acquire return when the policy says no.
+	Refusal = policy.Refusal
+	// Failure is how an attempt failed.
+	Failure = policy.Failure
+	// Outcome is what one attempt told.
+	Outcome = policy.Outcome
+	// Final is how a whole request ended.
+	Final = policy.Final
+)
 
 // The causes of a refusal.
 const (
-	CauseLimit       Cause = "limit"        // the workspace's limit is used up
-	CauseInfeasible  Cause = "infeasible"   // the deadline can't be met
-	CauseOverload    Cause = "overload"     // the queue is full
-	CauseNoUpstream  Cause = "no_upstream"  // no live upstream in a pool
-	CauseDeadline    Cause = "deadline"     // the deadline passed in the queue
-	CauseRetryBudget Cause = "retry_budget" // no budget for another attempt
-	CauseDraining    Cause = "draining"     // the host is shutting down
+	CauseLimit       = policy.CauseLimit
+	CauseInfeasible  = policy.CauseInfeasible
+	CauseOverload    = policy.CauseOverload
+	CauseNoUpstream  = policy.CauseNoUpstream
+	CauseDeadline    = policy.CauseDeadline
+	CauseRetryBudget = policy.CauseRetryBudget
+	CauseDraining    = policy.CauseDraining
 )
 
-// Refusal is the error that Admit and Acquire return when the policy says no.
-type Refusal struct {
-	Cause Cause
-	// Stage is the stage it happened at; empty at admission.
-	Stage string
-	// RetryAfter tells the caller when to come back; zero means not known.
-	RetryAfter time.Duration
-}
-
-// Error makes a Refusal an error.
-func (r *Refusal) Error() string { return "dispatch: refused: " + string(r.Cause) }
-
-// Failure is how an attempt failed.
-type Failure uint8
-
 // The ways an attempt can end.
 const (
-	// Succeeded: the whole answer came and was checked.
-	Succeeded Failure = iota
-	// NotSent: the connection was refused; nothing ran.
-	NotSent
-	// RefusedByUpstream: the upstream said that it did not run the call.
-	RefusedByUpstream
-	// UpstreamError: the upstream ran the call and failed.
-	UpstreamError
-	// BrokenOff: the connection broke after sending; unknown whether it ran.
-	BrokenOff
-	// TimedOut: no whole answer in time.
-	TimedOut
-	// WrongAnswer: the answer was late, crossed, truncated or foreign.
-	WrongAnswer
-	// Cancelled: the host gave the attempt up, as a losing hedge for example.
-	Cancelled
-	// CallerFault: the upstream refused the request as malformed.
-	CallerFault
+	Succeeded         = policy.Succeeded
+	NotSent           = policy.NotSent
+	RefusedByUpstream = policy.RefusedByUpstream
+	UpstreamError     = policy.UpstreamError
+	BrokenOff         = policy.BrokenOff
+	TimedOut          = policy.TimedOut
+	WrongAnswer       = policy.WrongAnswer
+	Cancelled         = policy.Cancelled
+	CallerFault       = policy.CallerFault
 )
 
-// Outcome is what one attempt told.
-type Outcome struct {
-	Failure      Failure
-	InputTokens  int
-	OutputTokens int
-	// CachedTokens is how much of the prompt the engine had cached.
-	CachedTokens int
-	// FirstToken is the time to the first token; zero for other stages.
-	FirstToken time.Duration
-}
-
-// Final is how a whole request ended.
-type Final struct {
-	// Whole says that the caller got its whole answer.
-	Whole bool
-	// InTime says that this was before the deadline.
-	InTime bool
-}
-
 // Dispatcher admits requests. Implementations are safe for concurrent use.
 type Dispatcher interface {
 	// Admit decides on a request before anything runs. The error is a
@@ -129,7 +72,9 @@
 	MayRetry(stage int, failure Failure) (wait time.Duration, ok bool)
 	// HedgeDelay is how long to wait for an attempt before doubling it.
 	HedgeDelay(stage int) (delay time.Duration, ok bool)
-	// Fallback says whether to take the stage's declared fallback now.
+	// Fallback says whether to take the stage's declared fallback now. After a
+	// yes to a fallback that names a stage, the calls under this index go to
+	// that stage's pool.
 	Fallback(stage int) bool
 	// Finish ends the ticket.
 	Finish(f Final)
--- /dev/null
+++ b/dispatch/runtime_test.go
@@ -0,0 +1,199 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/galenaseam/galenaseam/dispatch"
+	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/upstream"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+)
+
+const poolName = "engines"
+
+// fakeView is a fixed list of upstreams.
+type fakeView struct {
+	mu   sync.Mutex
+	live []upstream.Upstream
+}
+
+func newFakeView(n int) *fakeView {
+	v := &fakeView{}
+	for i := range n {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80)
+		v.live = append(v.live, upstream.Upstream{ID: upstream.ID(addr.String()), Addr: addr, Pool: poolName})
+	}
+	return v
+}
+
+func (v *fakeView) Pool(name string) []upstream.Upstream {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if name != poolName {
+		return nil
+	}
+	return v.live
+}
+
+func (v *fakeView) set(live []upstream.Upstream) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.live = live
+}
+
+func (v *fakeView) Lookup(upstream.ID) (upstream.Upstream, bool) { return upstream.Upstream{}, false }
+func (v *fakeView) LoadOf(upstream.ID) (upstream.Load, bool)     { return upstream.Load{}, false }
+func (v *fakeView) Report(upstream.ID, upstream.Evidence)        {}
+
+func testDocument(concurrency int) *document.Document {
+	return &document.Document{
+		Pools: []document.Pool{{Name: poolName, Kind: document.KindGenerate, Concurrency: concurrency}},
+	}
+}
+
+func arrival(doc *document.Document, id string, priority int, deadline time.Duration) dispatch.Arrival {
+	return dispatch.Arrival{
+		RequestID: id, Workspace: "w", Pipeline: "p", Idempotent: true, InputTokens: 100,
+		Class:    document.Class{Name: fmt.Sprint("class", priority), Priority: priority, Hedge: true},
+		Stages:   []dispatch.StageNeed{{Name: "s", Pool: poolName, Kind: document.KindGenerate, Typical: 100 * time.Millisecond}},
+		Deadline: time.Now().Add(deadline),
+		Document: doc,
+	}
+}
+
+// start runs a Runtime until the test's bubble ends.
+func start(t *testing.T, view upstream.View) *dispatch.Runtime {
+	rt, err := dispatch.New(dispatch.Config{Upstreams: view, Seed: 1, Registerer: prometheus.NewRegistry()})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- rt.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return rt
+}
+
+func admit(t *testing.T, rt *dispatch.Runtime, a dispatch.Arrival) dispatch.Ticket {
+	ticket, err := rt.Admit(t.Context(), a)
+	require.NoError(t, err)
+	return ticket
+}
+
+func causeOf(t *testing.T, err error) dispatch.Cause {
+	var refusal *dispatch.Refusal
+	require.ErrorAs(t, err, &refusal)
+	return refusal.Cause
+}
+
+// A freed slot goes to the waiting call of the highest class, whatever the
+// order of arrival, and never more calls run than the pool has slots.
+func TestFreedSlotGoesToHighestClass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		doc := testDocument(1)
+		rt := start(t, newFakeView(1))
+		busy, err := admit(t, rt, arrival(doc, "busy", 1, time.Minute)).Acquire(t.Context(), 0, nil, nil)
+		require.NoError(t, err)
+
+		var mu sync.Mutex
+		var order []int
+		var group sync.WaitGroup
+		for _, priority := range []int{1, 2, 3} {
+			ticket := admit(t, rt, arrival(doc, fmt.Sprint(priority), priority, time.Minute))
+			group.Go(func() {
+				slot, err := ticket.Acquire(t.Context(), 0, nil, nil)
+				require.NoError(t, err)
+				mu.Lock()
+				order = append(order, priority)
+				mu.Unlock()
+				time.Sleep(100 * time.Millisecond)
+				slot.Done(dispatch.Outcome{Failure: dispatch.Succeeded})
+				ticket.Finish(dispatch.Final{Whole: true, InTime: true})
+			})
+			synctest.Wait()
+		}
+		require.Empty(t, order)
+		busy.Done(dispatch.Outcome{Failure: dispatch.Succeeded})
+		busy.Done(dispatch.Outcome{Failure: dispatch.Succeeded})
+		group.Wait()
+		require.Equal(t, []int{3, 2, 1}, order)
+		require.Zero(t, rt.Status()[0].InFlight)
+	})
+}
+
+// A call that ran may only be repeated when it is idempotent; one that never
+// started may always be.
+func TestOnlyIdempotentCallsAreRetriedAfterRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		doc := testDocument(4)
+		rt := start(t, newFakeView(2))
+		for _, idempotent := range []bool{false, true} {
+			a := arrival(doc, "r", 1, time.Minute)
+			a.Idempotent = idempotent
+			ticket := admit(t, rt, a)
+			slot, err := ticket.Acquire(t.Context(), 0, nil, nil)
+			require.NoError(t, err)
+			_, again := ticket.MayRetry(0, dispatch.BrokenOff)
+			require.Equal(t, idempotent, again)
+			_, again = ticket.MayRetry(0, dispatch.NotSent)
+			require.True(t, again)
+			_, again = ticket.HedgeDelay(0)
+			require.Equal(t, idempotent, again)
+			if !idempotent {
+				_, err = ticket.Acquire(t.Context(), 0, nil, slot)
+				require.Equal(t, dispatch.CauseRetryBudget, causeOf(t, err))
+			}
+			slot.Done(dispatch.Outcome{Failure: dispatch.Succeeded})
+			ticket.Finish(dispatch.Final{})
+		}
+	})
+}
+
+// What can't finish is refused at the door; a wait that became useless ends
+// when it does; a caller who leaves frees its place.
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		doc := testDocument(1)
+		view := newFakeView(1)
+		rt := start(t, view)
+		ticket := admit(t, rt, arrival(doc, "first", 1, time.Minute))
+		slot, err := ticket.Acquire(t.Context(), 0, nil, nil)
+		require.NoError(t, err)
+
+		waiting := admit(t, rt, arrival(doc, "second", 1, time.Second))
+		began := time.Now()
+		_, err = waiting.Acquire(t.Context(), 0, nil, nil)
+		require.Equal(t, dispatch.CauseDeadline, causeOf(t, err))
+		require.Less(t, time.Since(began), time.Second)
+		waiting.Finish(dispatch.Final{})
+
+		gone, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		leaver := admit(t, rt, arrival(doc, "third", 1, time.Minute))
+		_, err = leaver.Acquire(gone, 0, nil, nil)
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		require.Zero(t, rt.Status()[0].Queued)
+
+		view.set(nil)
+		time.Sleep(time.Second)
+		_, err = rt.Admit(t.Context(), arrival(doc, "fourth", 1, time.Minute))
+		require.Equal(t, dispatch.CauseNoUpstream, causeOf(t, err))
+		slot.Done(dispatch.Outcome{})
+		rt.Drain()
+		_, err = rt.Admit(t.Context(), arrival(doc, "fifth", 1, time.Minute))
+		require.Equal(t, dispatch.CauseDraining, causeOf(t, err))
+		require.False(t, errors.Is(err, context.Canceled))
+		explained, ok := rt.Explain("second")
+		require.True(t, ok)
+		require.Equal(t, "deadline", explained.Decisions[len(explained.Decisions)-2].Verdict)
+	})
+}
--- /dev/null
+++ b/policy/choose.go
@@ -0,0 +1,213 @@
+package policy
+
+import (
+	"slices"
+	"time"
+
+	"github.com/galenaseam/galenaseam/document"
+)
+
+const (
+	// sampled is how many upstreams one decision compares. Drawing them keeps
+	// hosts with the same lagged reports from all going to one upstream.
+	sampled = 4
+	// maxDraws bounds the draws for that many usable ones.
+	maxDraws = 24
+	// sameRegionCost and otherRegionCost are the added load, in shares of an
+	// upstream's slots, at which a nearer upstream is as good.
+	sameRegionCost  = 0.1
+	otherRegionCost = 0.6
+	// cachedBound and cachedBoundCost bound the load, over the mean, that an
+	// engine with the prefix may have and still be preferred; the second is
+	// for classes that put cost first.
+	cachedBound     = 1.25
+	cachedBoundCost = 1.75
+)
+
+// choose picks the upstream for a call, or nil. probe says that the upstream
+// is set aside and the call tests it.
+func (c *Core) choose(now time.Time, p *pool, call *Call) (s *server, probe bool) {
+	switch c.settings.Choice {
+	case ChoiceRandom:
+		return c.draw(p, call), false
+	case ChoiceRoundRobin:
+		return p.nextInTurn(call), false
+	case ChoiceLeastInFlight:
+		return c.leastInFlight(p, call), false
+	case ChoiceTwoChoices:
+		return c.twoChoices(p, call), false
+	case ChoiceScore:
+	}
+	if s := c.probeDue(now, p, call); s != nil {
+		return s, true
+	}
+	if s := c.cached(now, p, call); s != nil {
+		return s, false
+	}
+	return c.bestOfSample(now, p, call), false
+}
+
+// usable reports whether a call may go to the upstream at all.
+func (p *pool) usable(s *server, call *Call) bool {
+	return !slices.Contains(call.avoid, s.ID) && s.serves(call.Request.Stages[call.Stage].Model)
+}
+
+// open reports whether the scored choice may use the upstream.
+func (c *Core) open(p *pool, s *server, call *Call) bool {
+	if !p.usable(s, call) || s.setAside(call.Request.Class.Name) {
+		return false
+	}
+	return !c.settings.Queueing || s.inFlight() < p.terms.Concurrency
+}
+
+func (c *Core) draw(p *pool, call *Call) *server {
+	start := c.rand.IntN(len(p.order))
+	for i := range p.order {
+		if s := p.order[(start+i)%len(p.order)]; p.usable(s, call) {
+			return s
+		}
+	}
+	return nil
+}
+
+func (p *pool) nextInTurn(call *Call) *server {
+	for range p.order {
+		p.roundRobin++
+		if s := p.order[p.roundRobin%len(p.order)]; p.usable(s, call) {
+			return s
+		}
+	}
+	return nil
+}
+
+func (c *Core) leastInFlight(p *pool, call *Call) *server {
+	var best *server
+	start := c.rand.IntN(len(p.order))
+	for i := range p.order {
+		s := p.order[(start+i)%len(p.order)]
+		if p.usable(s, call) && (best == nil || s.inFlight() < best.inFlight()) {
+			best = s
+		}
+	}
+	return best
+}
+
+func (c *Core) twoChoices(p *pool, call *Call) *server {
+	a := c.draw(p, call)
+	b := c.draw(p, call)
+	if a == nil || b.inFlight() >= a.inFlight() {
+		return a
+	}
+	return b
+}
+
+// score is the load that a call would meet, as a share of the upstream's
+// slots, plus the cost of distance. Less is better.
+func (c *Core) score(now time.Time, p *pool, s *server) float64 {
+	load := float64(s.inFlight())
+	if c.settings.LoadReports {
+		load += p.othersOn(now, s)
+	}
+	score := load / float64(p.terms.Concurrency)
+	if c.settings.Outliers && s.all.samples >= minSamples {
+		score += s.excess(p)
+	}
+	if c.settings.Nearness {
+		score += c.distance(s)
+	}
+	return score
+}
+
+func (c *Core) distance(s *server) float64 {
+	switch {
+	case s.Place.DataCentre == c.place.DataCentre:
+		return 0
+	case s.Place.Region == c.place.Region:
+		return sameRegionCost
+	}
+	return otherRegionCost
+}
+
+// bestOfSample compares a few upstreams drawn at random. When the draws find
+// none, it scans the pool.
+func (c *Core) bestOfSample(now time.Time, p *pool, call *Call) *server {
+	var best *server
+	var bestScore float64
+	consider := func(s *server) {
+		score := c.score(now, p, s)
+		if best == nil || score < bestScore {
+			best, bestScore = s, score
+		}
+	}
+	n := len(p.order)
+	found := 0
+	for draw := 0; draw < maxDraws && found < sampled; draw++ {
+		if s := p.order[c.rand.IntN(n)]; c.open(p, s, call) {
+			consider(s)
+			found++
+		}
+	}
+	if best != nil {
+		return best
+	}
+	start := c.rand.IntN(n)
+	for i := range p.order {
+		if s := p.order[(start+i)%n]; c.open(p, s, call) {
+			return s
+		}
+	}
+	return nil
+}
+
+// cached returns the engine that has the call's longest known prefix, unless
+// it is much busier than the mean.
+func (c *Core) cached(now time.Time, p *pool, call *Call) *server {
+	r := call.Request
+	if !c.settings.Affinity || r.Stages[call.Stage].Kind != document.KindGenerate {
+		return nil
+	}
+	s := p.holder(r.Prefix)
+	if s == nil || !c.open(p, s, call) || s.excess(p) > 0 {
+		return nil
+	}
+	bound := cachedBound
+	if r.Class.Weigh == document.WeighCost {
+		bound = cachedBoundCost
+	}
+	load := float64(s.inFlight()) + p.othersOn(now, s)
+	if load > bound*(p.meanLoad()+1) || load >= float64(p.terms.Concurrency) {
+		return nil
+	}
+	return s
+}
+
+// meanLoad is the mean load of the pool's upstreams, with that of other hosts.
+func (p *pool) meanLoad() float64 {
+	return float64(p.inFlight)/float64(len(p.order)) + p.meanOthers
+}
+
+func (p *pool) holder(prefix []uint64) *server {
+	for i := len(prefix) - 1; i >= 0; i-- {
+		if id, ok := p.prefixes.Get(prefix[i]); ok {
+			return p.byID[id]
+		}
+	}
+	return nil
+}
+
+// rememberPrefix notes where a prompt's prefixes are cached now. An answer
+// without cached tokens from the remembered engine shows that it evicted the
+// prefix; the call has filled it again.
+func (c *Core) rememberPrefix(a *Attempt, o Outcome) {
+	r := a.Call.Request
+	if !c.settings.Affinity || r.Stages[a.Call.Stage].Kind != document.KindGenerate {
+		return
+	}
+	p := a.Call.pool
+	for _, digest := range r.Prefix {
+		held, ok := p.prefixes.Get(digest)
+		if !ok || o.CachedTokens > 0 || p.byID[held] == nil {
+			p.prefixes.Add(digest, a.Upstream.ID)
+		}
+	}
+}
--- /dev/null
+++ b/policy/explain.go
@@ -0,0 +1,189 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/galenaseam/galenaseam/upstream"
+)
+
+const (
+	// explainedRequests bounds the requests that can be explained.
+	explainedRequests = 2048
+	// explainedDecisions bounds the decisions kept of one request.
+	explainedDecisions = 32
+)
+
+// DecisionKind names one kind of decision.
+type DecisionKind string
+
+// The kinds of decision.
+const (
+	DecisionAdmit    DecisionKind = "admit"
+	DecisionRefuse   DecisionKind = "refuse"
+	DecisionEstimate DecisionKind = "estimate"
+	DecisionChoose   DecisionKind = "choose"
+	DecisionOutcome  DecisionKind = "outcome"
+	DecisionRetry    DecisionKind = "retry"
+	DecisionFallback DecisionKind = "fallback"
+	DecisionFinish   DecisionKind = "finish"
+)
+
+// Decision is one decision and its inputs. Fields that don't apply are zero.
+type Decision struct {
+	At       time.Time    `json:"at"`
+	Kind     DecisionKind `json:"kind"`
+	Stage    string       `json:"stage,omitempty"`
+	Upstream upstream.ID  `json:"upstream,omitempty"`
+	// Verdict is the answer, in a word.
+	Verdict string `json:"verdict,omitempty"`
+	// Waited is the time in the queue.
+	Waited time.Duration `json:"waited_ns,omitempty"`
+	// Expected is the learned time that the decision counted with.
+	Expected time.Duration `json:"expected_ns,omitempty"`
+	// Elapsed is how long an attempt took.
+	Elapsed time.Duration `json:"elapsed_ns,omitempty"`
+	// Left is the time to the deadline.
+	Left time.Duration `json:"left_ns,omitempty"`
+	// InFlight, Others and Queued are the load on the upstream from this
+	// host, the estimate of that from others, and the pool's queue.
+	InFlight int     `json:"in_flight,omitempty"`
+	Others   float64 `json:"others,omitempty"`
+	Queued   int     `json:"queued,omitempty"`
+	// Limit is how many calls the host may keep on the pool.
+	Limit int  `json:"limit,omitempty"`
+	Hedge bool `json:"hedge,omitempty"`
+	Probe bool `json:"probe,omitempty"`
+}
+
+// Explanation is what the policy decided on one request, in order.
+type Explanation struct {
+	RequestID string     `json:"request_id"`
+	Workspace string     `json:"workspace"`
+	Class     string     `json:"class"`
+	Pipeline  string     `json:"pipeline"`
+	Deadline  time.Time  `json:"deadline"`
+	Decisions []Decision `json:"decisions"`
+	// Dropped counts the decisions that were over the bound.
+	Dropped int `json:"dropped,omitempty"`
+}
+
+// explanations keeps those of the newest requests.
+type explanations struct {
+	ring []*Explanation
+	next int
+	byID map[string]*Explanation
+}
+
+func newExplanations() *explanations {
+	return &explanations{
+		ring: make([]*Explanation, explainedRequests),
+		byID: make(map[string]*Explanation, explainedRequests),
+	}
+}
+
+func (e *explanations) open(now time.Time, r *Request) {
+	old := e.ring[e.next]
+	if old != nil && e.byID[old.RequestID] == old {
+		delete(e.byID, old.RequestID)
+	}
+	x := &Explanation{
+		RequestID: r.RequestID, Workspace: r.Workspace, Class: r.Class.Name,
+		Pipeline: r.name(), Deadline: r.Deadline,
+		Decisions: make([]Decision, 0, 2+2*len(r.Stages)),
+	}
+	e.ring[e.next] = x
+	e.next = (e.next + 1) % explainedRequests
+	e.byID[r.RequestID] = x
+	e.note(r, Decision{At: now, Kind: DecisionAdmit, Left: r.Deadline.Sub(now)})
+}
+
+func (e *explanations) note(r *Request, d Decision) {
+	x := e.byID[r.RequestID]
+	if x == nil {
+		return
+	}
+	if len(x.Decisions) >= explainedDecisions {
+		x.Dropped++
+		return
+	}
+	x.Decisions = append(x.Decisions, d)
+}
+
+func (e *explanations) refusal(now time.Time, r *Request, refusal *Refusal) {
+	e.note(r, Decision{
+		At: now, Kind: DecisionRefuse, Stage: refusal.Stage,
+		Verdict: string(refusal.Cause), Left: r.Deadline.Sub(now),
+	})
+}
+
+func (e *explanations) estimate(now time.Time, r *Request, wait, need, left time.Duration) {
+	e.note(r, Decision{At: now, Kind: DecisionEstimate, Waited: wait, Expected: need, Left: left})
+}
+
+func (e *explanations) choice(now time.Time, a *Attempt) {
+	call := a.Call
+	p := call.pool
+	e.note(call.Request, Decision{
+		At: now, Kind: DecisionChoose, Stage: call.Request.Stages[call.Stage].Name,
+		Upstream: a.Upstream.ID, Waited: now.Sub(call.enqueued), Expected: a.expected,
+		Left: call.Request.Deadline.Sub(now), InFlight: a.server.inFlight(),
+		Others: p.othersOn(now, a.server), Queued: p.queue.size, Limit: p.limit.value(),
+		Hedge: a.Hedge, Probe: a.Probe,
+	})
+}
+
+func (e *explanations) outcome(now time.Time, a *Attempt, o Outcome, elapsed time.Duration) {
+	call := a.Call
+	e.note(call.Request, Decision{
+		At: now, Kind: DecisionOutcome, Stage: call.Request.Stages[call.Stage].Name,
+		Upstream: a.Upstream.ID, Verdict: o.Failure.String(), Expected: a.expected,
+		Elapsed: elapsed, Left: call.Request.Deadline.Sub(now), Hedge: a.Hedge, Probe: a.Probe,
+	})
+}
+
+func (e *explanations) retry(now time.Time, r *Request, stage int, f Failure, granted bool) {
+	verdict := "no_budget after " + f.String()
+	if granted {
+		verdict = "again after " + f.String()
+	}
+	e.note(r, Decision{
+		At: now, Kind: DecisionRetry, Stage: r.Stages[stage].Name, Verdict: verdict,
+		Left: r.Deadline.Sub(now),
+	})
+}
+
+func (e *explanations) fallback(now time.Time, r *Request, stage int, need, left time.Duration, take bool) {
+	verdict := "keep"
+	if take {
+		verdict = "take"
+	}
+	e.note(r, Decision{
+		At: now, Kind: DecisionFallback, Stage: r.Stages[stage].Name, Verdict: verdict,
+		Expected: need, Left: left,
+	})
+}
+
+func (e *explanations) final(now time.Time, r *Request, f Final) {
+	verdict := "failed"
+	switch {
+	case f.Whole && f.InTime:
+		verdict = "whole, in time"
+	case f.Whole:
+		verdict = "whole, late"
+	}
+	e.note(r, Decision{
+		At: now, Kind: DecisionFinish, Verdict: verdict,
+		Elapsed: now.Sub(r.admitted), Left: r.Deadline.Sub(now),
+	})
+}
+
+// Explain returns a copy of what was decided on a request.
+func (c *Core) Explain(requestID string) (Explanation, bool) {
+	x := c.log.byID[requestID]
+	if x == nil {
+		return Explanation{}, false
+	}
+	copied := *x
+	copied.Decisions = append([]Decision(nil), x.Decisions...)
+	return copied, true
+}
--- /dev/null
+++ b/policy/load.go
@@ -0,0 +1,54 @@
+package policy
+
+import (
+	"math"
+	"time"
+
+	"github.com/galenaseam/galenaseam/upstream"
+)
+
+// reportHalfLife is the age at which a load report counts half; the rest is
+// the mean over the pool.
+const reportHalfLife = time.Second
+
+// readLoads takes in the reports that are new, without the host's own part.
+func (p *pool) readLoads(now time.Time, loadOf func(upstream.ID) (upstream.Load, bool)) {
+	var sum float64
+	var known int
+	var congested int
+	for _, s := range p.order {
+		load, ok := loadOf(s.ID)
+		if !ok {
+			continue
+		}
+		if load.AtUnixNano != s.reported {
+			s.reported = load.AtUnixNano
+			s.othersAt = time.Unix(0, load.AtUnixNano)
+			own := s.inFlightAt(s.othersAt)
+			s.others = float64(max(0, load.InFlight+load.Queued-own))
+			s.queued = load.Queued
+		}
+		sum += s.others
+		known++
+		if s.queued > 0 && now.Sub(s.othersAt) < reportHalfLife {
+			congested++
+		}
+	}
+	p.meanOthers = 0
+	p.congested = 0
+	if known > 0 {
+		p.meanOthers = sum / float64(known)
+		p.congested = float64(congested) / float64(known)
+	}
+}
+
+// othersOn estimates the load that other hosts put on s now. An old report
+// fades into the mean of the pool, so that hosts don't all follow it.
+func (p *pool) othersOn(now time.Time, s *server) float64 {
+	if s.othersAt.IsZero() {
+		return p.meanOthers
+	}
+	age := max(now.Sub(s.othersAt), 0)
+	trust := math.Exp2(-float64(age) / float64(reportHalfLife))
+	return trust*s.others + (1-trust)*p.meanOthers
+}
