Measure the policy over a grid, and mend what it showed

Cause: against 12 hosts and in-process upstreams the first policy lost to least in-flight at full load, as each host's share of the engines was too small, and it admitted summaries that then missed.

Change: engines are told priorities and the higher classes may wait in their queues; the host's limit follows the reported backlog; old load reports fade within 300 ms so that hosts don't herd; queued calls that would hardly end in time give way; admission counts with what the class really gets, and tests of learned times are no longer let into an overload.

--- /dev/null
+++ b/cmd/seamload/main.go
@@ -0,0 +1,128 @@
+// Command seamload measures the policy over a grid of loads and faults, and
+// writes tables and plots.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"strconv"
+	"strings"
+
+	"github.com/galenaseam/galenaseam/experiment"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// maxProcs bounds the processors that a grid uses.
+const maxProcs = 3
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	runtime.GOMAXPROCS(maxProcs)
+	if err := command().ParseAndRun(ctx, os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "seamload:", err)
+		os.Exit(1)
+	}
+}
+
+// options narrow the grid; an empty one leaves it as it is.
+type options struct {
+	deployments, faults, variants, loads string
+	out                                  string
+	real                                 bool
+}
+
+func command() *ffcli.Command {
+	grid := experiment.DefaultGrid()
+	var o options
+	fs := flag.NewFlagSet("seamload", flag.ContinueOnError)
+	fs.StringVar(&o.deployments, "deployments", "", "only these, separated by commas")
+	fs.StringVar(&o.faults, "faults", "", "only these, separated by commas")
+	fs.StringVar(&o.variants, "variants", "", "only these, separated by commas")
+	fs.StringVar(&o.loads, "loads", "", "loads in shares of capacity, separated by commas")
+	fs.StringVar(&o.out, "out", "", "directory for the tables and plots; without it only lines are printed")
+	fs.BoolVar(&o.real, "real", false, "run on the real clock, not on a virtual one")
+	fs.Uint64Var(&grid.Seed, "seed", grid.Seed, "seed of the arrivals and of the policy")
+	fs.DurationVar(&grid.Warmup, "warmup", grid.Warmup, "time before measuring")
+	fs.DurationVar(&grid.Measure, "measure", grid.Measure, "time of measuring")
+	fs.IntVar(&grid.Parallel, "parallel", grid.Parallel, "cells that run side by side")
+	return &ffcli.Command{
+		Name:       "seamload",
+		ShortUsage: "seamload [flags]",
+		FlagSet:    fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			if err := o.narrow(&grid); err != nil {
+				return err
+			}
+			return run(ctx, &grid, &o)
+		},
+	}
+}
+
+func (o *options) narrow(g *experiment.Grid) error {
+	g.Deployments = keep(g.Deployments, o.deployments, func(d experiment.Deployment) string { return d.Name })
+	g.Faults = keep(g.Faults, o.faults, func(f experiment.Fault) string { return string(f) })
+	g.Variants = keep(g.Variants, o.variants, func(v experiment.Variant) string { return v.Name })
+	g.Ablations = keep(g.Ablations, o.variants, func(v experiment.Variant) string { return v.Name })
+	if o.loads == "" {
+		return nil
+	}
+	g.Loads = nil
+	for _, text := range strings.Split(o.loads, ",") {
+		load, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return err
+		}
+		g.Loads = append(g.Loads, load)
+	}
+	g.AblationLoads = g.Loads
+	return nil
+}
+
+func keep[T any](all []T, names string, name func(T) string) []T {
+	if names == "" {
+		return all
+	}
+	wanted := strings.Split(names, ",")
+	var kept []T
+	for _, v := range all {
+		for _, w := range wanted {
+			if name(v) == w {
+				kept = append(kept, v)
+			}
+		}
+	}
+	return kept
+}
+
+func run(ctx context.Context, g *experiment.Grid, o *options) error {
+	print := func(r *experiment.Result) {
+		c := r.Cell
+		fmt.Printf("%-9s %.2f %-22s %-18s all %.3f", c.Deployment, c.Load, c.Fault, c.Variant.Name, r.Attainment())
+		for _, class := range []string{"lookup", "order", "draft", "summary"} {
+			if cr := r.Classes[class]; cr != nil {
+				fmt.Printf(" %s %.3f(e%d l%d p99 %.2f)", class, cr.Attainment(), cr.Early, cr.Late, cr.P99.Seconds())
+			}
+		}
+		fmt.Printf(" good %.3f waste %.3f fair %.3f money %.3f rec %.1f\n",
+			r.Goodput, r.Wasted, r.Fairness, r.Money(), r.Recovery.Seconds())
+	}
+	finish := func(results []*experiment.Result) error {
+		if o.out == "" {
+			return nil
+		}
+		return experiment.Write(o.out, g, results)
+	}
+	if !o.real {
+		return g.MainVirtual(print, finish)
+	}
+	results, err := g.Run(ctx, print)
+	if err != nil {
+		return err
+	}
+	return finish(results)
+}
--- a/dispatch/runtime.go
+++ b/dispatch/runtime.go
@@ -145,11 +145,20 @@
 
 // grant hands out the slots that are free. It needs coreMu.
 func (rt *Runtime) grant(now time.Time, pool string) {
-	for _, attempt := range rt.core.Grant(now, pool) {
-		waiter := rt.waiters[attempt.Call]
-		delete(rt.waiters, attempt.Call)
-		waiter <- attempt
+	grants := rt.core.Grant(now, pool)
+	for _, attempt := range grants.Started {
+		rt.answer(attempt.Call, attempt)
 	}
+	for _, call := range grants.Dropped {
+		rt.answer(call, nil)
+	}
+}
+
+// answer ends a call's wait; a nil attempt refuses it. It needs coreMu.
+func (rt *Runtime) answer(call *policy.Call, attempt *policy.Attempt) {
+	waiter := rt.waiters[call]
+	delete(rt.waiters, call)
+	waiter <- attempt
 }
 
 // Costs returns what work has cost so far, ordered by stage, class, pipeline
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -34,6 +34,9 @@
 	defer expiry.Stop()
 	select {
 	case attempt := <-waiter:
+		if attempt == nil {
+			return t.dropped(call)
+		}
 		return t.slot(attempt), nil
 	case <-expiry.C:
 		return t.expire(call, waiter)
@@ -60,18 +63,24 @@
 	return call, waiter, nil
 }
 
+// dropped refuses a call that gave way to others.
+func (t *ticket) dropped(call *policy.Call) (Slot, error) {
+	rt := t.rt
+	now := rt.config.Now()
+	rt.coreMu.Lock()
+	defer rt.coreMu.Unlock()
+	return nil, t.refused(rt.core.Abandon(now, call, CauseDeadline))
+}
+
 // expire ends a wait that has become useless, unless a slot came just now.
 func (t *ticket) expire(call *policy.Call, waiter chan *policy.Attempt) (Slot, error) {
 	rt := t.rt
 	now := rt.config.Now()
 	rt.coreMu.Lock()
 	defer rt.coreMu.Unlock()
-	select {
-	case attempt := <-waiter:
+	if attempt := t.lastMoment(call, waiter); attempt != nil {
 		return t.slot(attempt), nil
-	default:
 	}
-	delete(rt.waiters, call)
 	return nil, t.refused(rt.core.Abandon(now, call, CauseDeadline))
 }
 
@@ -81,14 +90,24 @@
 	now := rt.config.Now()
 	rt.coreMu.Lock()
 	defer rt.coreMu.Unlock()
+	if attempt := t.lastMoment(call, waiter); attempt != nil {
+		rt.core.Complete(now, attempt, Outcome{Failure: Cancelled})
+		rt.grant(now, call.Pool())
+		return
+	}
+	_ = rt.core.Abandon(now, call, policy.CauseGone) // the caller gets ctx's error
+}
+
+// lastMoment returns the attempt that came just as the wait ended, or nil. It
+// needs coreMu.
+func (t *ticket) lastMoment(call *policy.Call, waiter chan *policy.Attempt) *policy.Attempt {
 	select {
 	case attempt := <-waiter:
-		rt.core.Complete(now, attempt, Outcome{Failure: Cancelled})
-		rt.grant(now, attempt.Call.Pool())
+		return attempt
 	default:
-		delete(rt.waiters, call)
-		_ = rt.core.Abandon(now, call, policy.CauseGone) // the caller gets ctx's error
 	}
+	delete(t.rt.waiters, call)
+	return nil
 }
 
 func (t *ticket) hedge(stage int, avoid []upstream.ID, of Slot) (Slot, error) {
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -11,6 +11,9 @@
 // higher classes fill the rest.
 const leastPart = floorShare
 
+// waitMargin stretches the expected wait over its spread.
+const waitMargin = 1.25
+
 // Admit decides on a request before anything runs.
 func (c *Core) Admit(now time.Time, a Arrival) (*Request, *Refusal) {
 	r := c.newRequest(now, a)
@@ -22,7 +25,7 @@
 		}
 	}
 	if c.settings.Admission {
-		if refusal := c.feasible(now, r); refusal != nil && !c.probePipeline(now, r) {
+		if refusal := c.feasible(now, r); refusal != nil {
 			return nil, refusal
 		}
 	}
@@ -50,14 +53,14 @@
 func (c *Core) feasible(now time.Time, r *Request) *Refusal {
 	left := r.Deadline.Sub(now)
 	least := c.restOrFallback(r, leastQuantile)
-	if least > left {
+	if least > left && !c.probePipeline(now, r) {
 		return c.refuse(now, r, 0, CauseInfeasible)
 	}
 	wait, stage := c.expectedWait(r)
 	if wait == 0 {
 		return nil
 	}
-	need := wait + c.restOrFallback(r, carefulQuantile)
+	need := time.Duration(waitMargin*float64(wait)) + c.restOrFallback(r, carefulQuantile)
 	c.log.estimate(now, r, wait, need, left)
 	if need <= left {
 		return nil
@@ -101,7 +104,12 @@
 func (c *Core) waitAt(p *pool, r *Request, mean time.Duration) time.Duration {
 	slots := float64(p.limit.value())
 	free := max(slots-float64(p.inFlight), 0)
-	part := max(slots-p.demand.above(r.Class.Priority), leastPart*slots)
+	part := slots - p.demand.above(r.Class.Priority)
+	if p.queue.size > 0 {
+		// While calls wait, what the class really gets is what counts.
+		part = min(part, p.demand.servedUpTo(r.Class.Priority))
+	}
+	part = max(part, leastPart*slots)
 	ahead := p.committed.ahead(r.Class.Priority) - time.Duration(free*float64(mean))
 	wait := time.Duration(float64(max(ahead, 0)) / part)
 	if !c.settings.Fairness {
--- a/policy/budget.go
+++ b/policy/budget.go
@@ -7,9 +7,12 @@
 	typicalQuantile = 0.5
 	// leastQuantile is the learned time under which a stage hardly ends.
 	leastQuantile = 0.1
+	// likelyQuantile is the learned time that calls must have left while
+	// others wait behind them.
+	likelyQuantile = 0.7
 	// carefulQuantile is the learned time that plans count with when a
 	// request will have to wait.
-	carefulQuantile = 0.8
+	carefulQuantile = 0.9
 )
 
 // latestStart is when starting a stage is no longer of use: what is left
@@ -21,6 +24,14 @@
 	return r.Deadline.Add(-c.timings.rest(&r.Arrival, stage, leastQuantile))
 }
 
+// doubtfulStart is when starting a stage would miss more often than not.
+func (c *Core) doubtfulStart(r *Request, stage int) time.Time {
+	if !c.settings.Budgets {
+		return r.Deadline
+	}
+	return r.Deadline.Add(-c.timings.rest(&r.Arrival, stage, likelyQuantile))
+}
+
 // attemptDeadline is when an attempt is no longer of use. A stage that ended
 // early leaves its time to the later ones, as only what they need is kept.
 func (c *Core) attemptDeadline(r *Request, stage int) time.Time {
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -53,11 +53,21 @@
 }
 
 // open reports whether the scored choice may use the upstream.
-func (c *Core) open(p *pool, s *server, call *Call) bool {
+func (c *Core) open(now time.Time, p *pool, s *server, call *Call) bool {
 	if !p.usable(s, call) || s.setAside(call.Request.Class.Name) {
 		return false
 	}
-	return !c.settings.Queueing || s.inFlight() < p.terms.Concurrency
+	if !c.settings.Queueing {
+		return true
+	}
+	if p.overdrafts(call.Request.Class.Priority, c.settings) {
+		return s.inFlight() < p.terms.Concurrency+overdraftSlots
+	}
+	load := float64(s.inFlight())
+	if c.settings.LoadReports {
+		load += p.othersOn(now, s)
+	}
+	return load < float64(p.terms.Concurrency)
 }
 
 func (c *Core) draw(p *pool, call *Call) *server {
@@ -142,7 +152,7 @@
 	n := len(p.order)
 	found := 0
 	for draw := 0; draw < maxDraws && found < sampled; draw++ {
-		if s := p.order[c.rand.IntN(n)]; c.open(p, s, call) {
+		if s := p.order[c.rand.IntN(n)]; c.open(now, p, s, call) {
 			consider(s)
 			found++
 		}
@@ -152,7 +162,7 @@
 	}
 	start := c.rand.IntN(n)
 	for i := range p.order {
-		if s := p.order[(start+i)%n]; c.open(p, s, call) {
+		if s := p.order[(start+i)%n]; c.open(now, p, s, call) {
 			return s
 		}
 	}
@@ -167,7 +177,7 @@
 		return nil
 	}
 	s := p.holder(r.Prefix)
-	if s == nil || !c.open(p, s, call) || s.excess(p) > 0 {
+	if s == nil || !c.open(now, p, s, call) || s.excess(p) > 0 {
 		return nil
 	}
 	bound := cachedBound
--- a/policy/core.go
+++ b/policy/core.go
@@ -61,8 +61,11 @@
 	Stage   int
 	// Expires is when starting the call is no longer of use.
 	Expires time.Time
-	avoid   []upstream.ID
-	pool    *pool
+	// doubtful is when the call would rather miss than not; from then on it
+	// gives way while others wait.
+	doubtful time.Time
+	avoid    []upstream.ID
+	pool     *pool
 	// cost is the expected time on an upstream.
 	cost     time.Duration
 	enqueued time.Time
@@ -165,6 +168,7 @@
 		Request:  r,
 		Stage:    stage,
 		Expires:  c.latestStart(r, stage),
+		doubtful: c.doubtfulStart(r, stage),
 		avoid:    avoid,
 		pool:     p,
 		cost:     c.timings.of(&r.Arrival, stage).mean(),
@@ -180,20 +184,25 @@
 	return c.refuse(now, call.Request, call.Stage, cause)
 }
 
+// Grants is what Grant decided.
+type Grants struct {
+	Started []*Attempt
+	// Dropped are calls that were taken out because others, which can still
+	// make their deadlines, wait behind them.
+	Dropped []*Call
+}
+
 // Grant gives queued calls of a pool to upstreams, as far as there is room.
-func (c *Core) Grant(now time.Time, name string) []*Attempt {
+func (c *Core) Grant(now time.Time, name string) Grants {
 	p := c.pools[name]
 	if p == nil {
-		return nil
+		return Grants{}
 	}
 	var granted []*Attempt
 	for p.queue.size > 0 {
-		if c.settings.Queueing && !p.hasRoom() {
-			p.limit.markFull()
-			break
-		}
 		call := p.queue.next(now, p, c.settings)
 		if call == nil {
+			p.limit.markFull()
 			break
 		}
 		s, probe := c.choose(now, p, call)
@@ -204,7 +213,9 @@
 		granted = append(granted, c.start(now, call, s, probe, false))
 	}
 	p.queue.restoreAside(c.settings)
-	return granted
+	dropped := p.queue.dropped
+	p.queue.dropped = nil
+	return Grants{Started: granted, Dropped: dropped}
 }
 
 // Hedge starts a second copy of a running attempt, or returns nil when no
--- a/policy/demand.go
+++ b/policy/demand.go
@@ -18,17 +18,36 @@
 type arrivalRate struct {
 	pending time.Duration
 	slots   float64
+	// started and served are the same for the work that got a slot.
+	started time.Duration
+	served  float64
 }
 
 func newDemand() *demand { return &demand{byPriority: make(map[int]*arrivalRate)} }
 
-func (d *demand) arrive(priority int, cost time.Duration) {
+func (d *demand) of(priority int) *arrivalRate {
 	r := d.byPriority[priority]
 	if r == nil {
 		r = &arrivalRate{}
 		d.byPriority[priority] = r
 	}
-	r.pending += cost
+	return r
+}
+
+func (d *demand) arrive(priority int, cost time.Duration) { d.of(priority).pending += cost }
+
+func (d *demand) serve(priority int, cost time.Duration) { d.of(priority).started += cost }
+
+// servedUpTo returns the slots that the priority and those under it were
+// given.
+func (d *demand) servedUpTo(priority int) float64 {
+	var slots float64
+	for other, r := range d.byPriority {
+		if other <= priority {
+			slots += r.served
+		}
+	}
+	return slots
 }
 
 func (d *demand) tick(now time.Time) {
@@ -43,6 +62,8 @@
 		current := float64(r.pending) / float64(elapsed)
 		r.slots = keep*r.slots + (1-keep)*current
 		r.pending = 0
+		r.served = keep*r.served + (1-keep)*float64(r.started)/float64(elapsed)
+		r.started = 0
 	}
 }
 
@@ -56,3 +77,12 @@
 	}
 	return slots
 }
+
+// lowest returns the least priority that the pool has seen.
+func (d *demand) lowest() int {
+	lowest := math.MaxInt
+	for priority := range d.byPriority {
+		lowest = min(lowest, priority)
+	}
+	return lowest
+}
--- a/policy/hedge.go
+++ b/policy/hedge.go
@@ -32,14 +32,18 @@
 // mayHedge reports whether the pool has slots to spare for second copies.
 func (c *Core) mayHedge(call *Call) bool {
 	p := call.pool
-	if !c.settings.Hedges || !call.Request.Idempotent || p.queue.size > 0 {
+	r := call.Request
+	if !c.settings.Hedges || !r.Idempotent || r.attempts[call.Stage] >= c.settings.MaxAttempts {
 		return false
 	}
-	if call.Request.attempts[call.Stage] >= c.settings.MaxAttempts {
-		return false
+	if !c.settings.Queueing {
+		return true
 	}
 	slots := float64(p.limit.value())
-	return float64(p.inFlight)+1 <= slots*(1-hedgeRoom) || !c.settings.Queueing
+	if p.overdrafts(r.Class.Priority, c.settings) {
+		return float64(p.inFlight) < slots*(1+overdraftShare)
+	}
+	return p.queue.size == 0 && float64(p.inFlight)+1 <= slots*(1-hedgeRoom)
 }
 
 // Fallback says whether to take a stage's declared fallback now: when the
--- a/policy/load.go
+++ b/policy/load.go
@@ -9,37 +9,47 @@
 
 // reportHalfLife is the age at which a load report counts half; the rest is
 // the mean over the pool.
-const reportHalfLife = time.Second
+const reportHalfLife = 300 * time.Millisecond
+
+// staleReport is the age from which a report tells nothing about queues.
+const staleReport = 3 * time.Second
 
 // readLoads takes in the reports that are new, without the host's own part.
 func (p *pool) readLoads(now time.Time, loadOf func(upstream.ID) (upstream.Load, bool)) {
-	var sum float64
-	var known int
-	var congested int
+	var others float64
+	var known, fresh, queued int
 	for _, s := range p.order {
 		load, ok := loadOf(s.ID)
 		if !ok {
 			continue
 		}
-		if load.AtUnixNano != s.reported {
-			s.reported = load.AtUnixNano
-			s.othersAt = time.Unix(0, load.AtUnixNano)
-			own := s.inFlightAt(s.othersAt)
-			s.others = float64(max(0, load.InFlight+load.Queued-own))
-			s.queued = load.Queued
-		}
-		sum += s.others
+		s.takeReport(load)
+		others += s.others
 		known++
-		if s.queued > 0 && now.Sub(s.othersAt) < reportHalfLife {
-			congested++
+		if now.Sub(s.othersAt) < staleReport {
+			queued += s.queued
+			fresh++
 		}
 	}
 	p.meanOthers = 0
-	p.congested = 0
+	p.backlog = unknownBacklog
 	if known > 0 {
-		p.meanOthers = sum / float64(known)
-		p.congested = float64(congested) / float64(known)
+		p.meanOthers = others / float64(known)
+	}
+	if fresh > 0 {
+		p.backlog = float64(queued) / float64(fresh*p.terms.Concurrency)
+	}
+}
+
+func (s *server) takeReport(load upstream.Load) {
+	if load.AtUnixNano == s.reported {
+		return
 	}
+	s.reported = load.AtUnixNano
+	s.othersAt = time.Unix(0, load.AtUnixNano)
+	own := s.inFlightAt(s.othersAt)
+	s.others = float64(max(0, load.InFlight+load.Queued-own))
+	s.queued = load.Queued
 }
 
 // othersOn estimates the load that other hosts put on s now. An old report
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -30,7 +30,8 @@
 	// ahead, in time on an upstream.
 	committed  work
 	meanOthers float64
-	congested  float64
+	// backlog is the upstreams' queues in shares of their slots.
+	backlog float64
 	// medianRatio is the median of the upstreams' slowness.
 	medianRatio float64
 	roundRobin  int
@@ -50,6 +51,7 @@
 		byID:       make(map[upstream.ID]*server),
 		queue:      newQueue(),
 		limit:      &limit{},
+		backlog:    unknownBacklog,
 		inFlightOf: make(map[string]int),
 		committed:  newWork(),
 		prefixes:   prefixes,
@@ -85,26 +87,49 @@
 // slots is how many calls the pool runs at once without delay.
 func (p *pool) slots() int { return p.terms.Concurrency * len(p.order) }
 
-// mayTake reports whether a class may take a slot: the slots that the higher
-// classes are about to need are kept for them.
-func (p *pool) mayTake(c *classQueue) bool {
+// overdraftShare and overdraftSlots are what classes over the lowest may use
+// beyond the host's limit where engines honour priorities: there they wait in
+// the engine's queue, ahead of the lower ones.
+const (
+	overdraftShare = 1.0
+	overdraftSlots = 1
+)
+
+// overdrafts reports whether calls of the priority may wait in the upstreams'
+// own queues.
+func (p *pool) overdrafts(priority int, settings Settings) bool {
+	honours := settings.Priorities && p.terms.Kind == document.KindGenerate
+	return honours && priority > p.demand.lowest()
+}
+
+// mayTake reports whether a class may take a slot.
+func (p *pool) mayTake(c *classQueue, settings Settings) bool {
+	used := float64(p.inFlight)
+	limit := float64(p.limit.value())
+	if p.overdrafts(c.priority, settings) {
+		return used < limit*(1+overdraftShare)+overdraftSlots
+	}
+	if settings.Priorities && p.terms.Kind == document.KindGenerate {
+		return used < limit
+	}
+	return used+p.keptFrom(c) < limit
+}
+
+// keptFrom is how many slots the higher classes are about to need.
+func (p *pool) keptFrom(c *classQueue) float64 {
 	var higher int
 	for _, other := range p.queue.classes {
 		if other.priority > c.priority {
 			higher += p.inFlightOf[other.name]
 		}
 	}
-	kept := p.demand.above(c.priority) - float64(higher)
-	return float64(p.inFlight)+max(kept, 0) < float64(p.limit.value())
+	return max(p.demand.above(c.priority)-float64(higher), 0)
 }
 
-// hasRoom reports whether this host may send the pool another call.
-func (p *pool) hasRoom() bool { return p.inFlight < p.limit.value() }
-
 func (p *pool) tick(now time.Time, settings Settings) {
 	p.limit.resize(p.slots(), p.hosts)
 	if settings.AdaptiveLimits {
-		p.limit.adapt(now, p.congested, p.queue.size > 0)
+		p.limit.adapt(now, p.backlog, p.queue.size > 0)
 	}
 	p.demand.tick(now)
 	if settings.Outliers {
@@ -115,6 +140,7 @@
 func (p *pool) begin(call *Call) {
 	p.inFlight++
 	p.inFlightOf[call.Request.Class.Name]++
+	p.demand.serve(call.Request.Class.Priority, call.cost)
 }
 
 func (p *pool) end(call *Call) {
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -25,6 +25,7 @@
 	classes []*classQueue
 	size    int
 	aside   []*Call
+	dropped []*Call
 }
 
 func newQueue() *queue { return &queue{} }
@@ -118,7 +119,8 @@
 	}
 }
 
-// next takes out the call that should run next, or returns nil.
+// next takes out the call that should run next, or returns nil. Calls that
+// would hardly end in time are dropped for those behind them.
 func (q *queue) next(now time.Time, p *pool, settings Settings) *Call {
 	for {
 		c := q.pick(now, p, settings)
@@ -127,9 +129,10 @@
 		}
 		call := q.take(c)
 		c.lastGrant = now
-		if now.Before(call.Expires) {
+		if now.Before(call.doubtful) || (c.size == 0 && now.Before(call.Expires)) {
 			return call
 		}
+		q.dropped = append(q.dropped, call)
 	}
 }
 
@@ -139,12 +142,12 @@
 		return q.first()
 	}
 	for i := len(q.classes) - 1; i > 0; i-- {
-		if c := q.classes[i]; c.size > 0 && c.starving(now, p) {
+		if c := q.classes[i]; c.size > 0 && c.starving(now, p) && p.inFlight < p.limit.value()+overdraftSlots {
 			return c
 		}
 	}
 	for _, c := range q.classes {
-		if c.size > 0 && p.mayTake(c) {
+		if c.size > 0 && p.mayTake(c, settings) {
 			return c
 		}
 	}
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -39,6 +39,10 @@
 	Outliers bool `yaml:"outliers"`
 	// RetryBudgets bounds retries; without them only attempts are counted.
 	RetryBudgets bool `yaml:"retry_budgets"`
+	// Priorities tells engines each call's class priority, which they honour
+	// in their own queues, and lets the higher classes exceed the host's limit
+	// there.
+	Priorities bool `yaml:"priorities"`
 	// Hedges allows second copies of slow idempotent calls.
 	Hedges bool `yaml:"hedges"`
 	// Fallbacks takes a stage's declared fallback when time runs short.
@@ -70,6 +74,7 @@
 		Affinity:       true,
 		Outliers:       true,
 		RetryBudgets:   true,
+		Priorities:     true,
 		Hedges:         true,
 		Fallbacks:      true,
 		MaxAttempts:    3,
