--- /dev/null
+++ b/claim/chaos_test.go
@@ -0,0 +1,214 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/link"
+)
+
+// action is one call in a claim history.
+type action struct {
+	key     string
+	settle  bool
+	verdict Verdict
+	body    string
+	ran     bool
+}
+
+// keyState is what the model knows of one key.
+type keyState struct {
+	state state
+	body  string
+}
+
+// claimModel is the sequential specification of one key's claims.
+var claimModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			k := op.Input.(action).key
+			byKey[k] = append(byKey[k], op)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byKey {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return keyState{state: stateReleased} },
+	Step: func(current, input, _ any) (bool, any) {
+		return stepModel(current.(keyState), input.(action))
+	},
+}
+
+func stepModel(s keyState, a action) (bool, keyState) {
+	switch {
+	case a.settle && a.ran:
+		return s.state == stateClaimed, keyState{stateDone, a.body}
+	case a.settle:
+		return s.state == stateClaimed, keyState{state: stateReleased}
+	case a.verdict == Run:
+		return s.state == stateReleased, keyState{state: stateClaimed}
+	case a.verdict == Replay:
+		return s.state == stateDone && s.body == a.body, s
+	case a.verdict == AlreadyRan:
+		return s.state == stateDone, s
+	case a.verdict == Unknown, a.verdict == Unavailable:
+		return true, s
+	}
+	return false, s
+}
+
+// chaos is one run of clients against a fleet under faults.
+type chaos struct {
+	fleet *fleet
+	start time.Time
+
+	mu      sync.Mutex // guards all below
+	history []porcupine.Operation
+	runs    map[string]int
+	foreign int
+	counts  map[Verdict]int
+}
+
+func (c *chaos) now() int64 { return int64(time.Since(c.start)) }
+
+func (c *chaos) add(client int, a action, call, done int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.history = append(c.history, porcupine.Operation{ClientId: client, Input: a, Call: call, Return: done})
+}
+
+// request sends one key through one host and, when granted, runs it.
+func (c *chaos) request(client int, rng *rand.Rand, n *node, name string) {
+	ctx, cancel := within(2 * time.Second)
+	defer cancel()
+	call := c.now()
+	d, err := n.Begin(ctx, key(name), Digest{1}, "r")
+	if err != nil {
+		return
+	}
+	c.add(client, action{key: name, verdict: d.Verdict, body: string(d.Outcome.Body)}, call, c.now())
+	c.mu.Lock()
+	c.counts[d.Verdict]++
+	if d.Verdict == Replay && string(d.Outcome.Body[:len(name)]) != name {
+		c.foreign++
+	}
+	c.mu.Unlock()
+	if d.Verdict != Run {
+		return
+	}
+	ran := rng.Float64() < 0.8
+	answer := fmt.Sprintf("%s by %s", name, n.info.ID)
+	if ran {
+		c.mu.Lock()
+		c.runs[name]++
+		c.mu.Unlock()
+		time.Sleep(time.Duration(rng.IntN(8)) * time.Millisecond)
+	}
+	call = c.now()
+	if ran {
+		_ = d.Grant.Finish(context.Background(), body(answer))
+	} else {
+		_ = d.Grant.Release(context.Background())
+	}
+	// The end is durable some time later, or never if the host dies.
+	c.add(client, action{key: name, settle: true, ran: ran, body: answer}, call, math.MaxInt64)
+}
+
+// stir causes faults until ctx ends: store faults, outages, pauses of hosts.
+func (c *chaos) stir(ctx context.Context, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		c.fleet.store.setFaults(storeFaults{
+			lost: rng.Float64() / 4, unsent: rng.Float64() / 10, late: rng.Float64() / 10,
+			failed: rng.Float64() / 20, down: rng.IntN(8) == 0,
+		})
+		paused := c.fleet.nodes[rng.IntN(len(c.fleet.nodes))]
+		paused.store.gate.Lock()
+		time.Sleep(time.Duration(20+rng.IntN(150)) * time.Millisecond)
+		paused.store.gate.Unlock()
+	}
+	c.fleet.store.setFaults(storeFaults{})
+}
+
+// TestClaimHistoriesUnderFaults sends each key through several hosts, twice and
+// more, while the store loses answers and goes down, calls between hosts lose
+// theirs, hosts pause, are cut off from each other and die.
+func TestClaimHistoriesUnderFaults(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { chaosRun(t, seed) })
+	}
+}
+
+func chaosRun(t *testing.T, seed uint64) {
+	const (
+		hosts   = 5
+		clients = 12
+		keys    = 60
+		rounds  = 25
+	)
+	settings := testSettings()
+	settings.ClaimTimeout = 400 * time.Millisecond
+	f := newFleet(t, hosts, seed, settings)
+	f.network.loseReply = lossy(seed)
+	c := &chaos{fleet: f, start: time.Now(), runs: map[string]int{}, counts: map[Verdict]int{}}
+	stirCtx, stopStir := context.WithCancel(context.Background())
+	var stirred, done sync.WaitGroup
+	stirred.Go(func() { c.stir(stirCtx, rand.New(rand.NewPCG(seed, 2))) })
+	for client := range clients {
+		done.Go(func() {
+			rng := rand.New(rand.NewPCG(seed, uint64(100+client)))
+			for range rounds {
+				n := f.nodes[rng.IntN(hosts)]
+				c.request(client, rng, n, fmt.Sprintf("key-%03d", rng.IntN(keys)))
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	f.network.setCut(func(from, to netip.AddrPort) bool { return from == infoOf(1).LinkAddr && to == infoOf(2).LinkAddr })
+	time.Sleep(300 * time.Millisecond)
+	f.kill(f.nodes[hosts-1])
+	done.Wait()
+	stopStir()
+	stirred.Wait()
+	c.check(t, hosts-1)
+}
+
+func lossy(seed uint64) func(link.Method) bool {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	return func(link.Method) bool { return rng.Float64() < 0.05 }
+}
+
+func (n *network) setCut(cut func(from, to netip.AddrPort) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+}
+
+// check counts runs and checks the history. Hosts that live must settle.
+func (c *chaos) check(t *testing.T, living int) {
+	ctx, cancel := within(20 * time.Second)
+	defer cancel()
+	for _, n := range c.fleet.nodes[:living] {
+		require.NoError(t, n.waitIdle(ctx))
+	}
+	for name, runs := range c.runs {
+		require.LessOrEqual(t, runs, 1, "key %s ran %d times", name, runs)
+	}
+	require.Zero(t, c.foreign)
+	require.Positive(t, c.counts[Run])
+	require.Positive(t, c.counts[Replay])
+	result := porcupine.CheckOperationsTimeout(claimModel, c.history, 30*time.Second)
+	require.Equal(t, porcupine.Ok, result)
+	t.Logf("verdicts %v, keys run %d, operations %d", c.counts, len(c.runs), len(c.history))
+}
