Add stand-ins for the platform's services and the upstreams

Answers follow from their own request, so that a caller can tell its own.

Seen: net/http by itself sends a POST again that carries an Idempotency-Key when a reused connection breaks before the answer. The lost_answer fault showed a second run.

--- /dev/null
+++ b/internal/standin/model/pools.go
@@ -0,0 +1,199 @@
+package model
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/galenaseam/galenaseam/internal/standin/server"
+)
+
+// embeddingSize is how many numbers an embedding has.
+const embeddingSize = 8
+
+// defaultTopK is how many documents a retriever gives when not told.
+const defaultTopK = 10
+
+// PoolConfig is the settings of an encoder, retriever or reranker.
+type PoolConfig struct {
+	server.UpstreamConfig
+	// Duration is how long a call runs.
+	Duration time.Duration
+}
+
+// EmbeddingRequest asks for the embedding of a text.
+type EmbeddingRequest struct {
+	Model string `json:"model"`
+	Input string `json:"input"`
+}
+
+// EmbeddingResponse is the embedding of a text.
+type EmbeddingResponse struct {
+	Object string      `json:"object"`
+	Model  string      `json:"model"`
+	Data   []Embedding `json:"data"`
+	Usage  Usage       `json:"usage"`
+}
+
+// Embedding is one vector.
+type Embedding struct {
+	Object    string    `json:"object"`
+	Index     int       `json:"index"`
+	Embedding []float64 `json:"embedding"`
+}
+
+// RetrieveRequest asks for the documents nearest to a query.
+type RetrieveRequest struct {
+	Query     string    `json:"query"`
+	Embedding []float64 `json:"embedding"`
+	TopK      int       `json:"top_k"`
+	Workspace string    `json:"workspace"`
+}
+
+// RetrieveResponse is the documents found, best first.
+type RetrieveResponse struct {
+	Documents []RetrievedDocument `json:"documents"`
+}
+
+// RetrievedDocument is one document of a workspace.
+type RetrievedDocument struct {
+	ID    string  `json:"id"`
+	Text  string  `json:"text"`
+	Score float64 `json:"score"`
+}
+
+// RerankRequest asks for an order of documents.
+type RerankRequest struct {
+	Model     string   `json:"model,omitempty"`
+	Query     string   `json:"query"`
+	Documents []string `json:"documents"`
+	TopN      int      `json:"top_n,omitempty"`
+}
+
+// RerankResponse is the best documents, best first.
+type RerankResponse struct {
+	Results []RerankResult `json:"results"`
+}
+
+// RerankResult points to one of the documents asked about.
+type RerankResult struct {
+	Index          int     `json:"index"`
+	RelevanceScore float64 `json:"relevance_score"`
+}
+
+// StartEncoder serves POST /v1/embeddings.
+func StartEncoder(cfg PoolConfig) (*server.Upstream, error) {
+	return startPool(cfg, "/v1/embeddings", func(req EmbeddingRequest) (any, string) {
+		if req.Input == "" {
+			return nil, "no input"
+		}
+		tokens := len(Tokens(req.Input))
+		vector := Embedding{Object: "embedding", Embedding: Embed(req.Input)}
+		return EmbeddingResponse{
+			Object: "list", Model: req.Model, Data: []Embedding{vector},
+			Usage: Usage{PromptTokens: tokens, TotalTokens: tokens},
+		}, ""
+	})
+}
+
+// StartRetriever serves POST /v1/retrieve.
+func StartRetriever(cfg PoolConfig) (*server.Upstream, error) {
+	return startPool(cfg, "/v1/retrieve", func(req RetrieveRequest) (any, string) {
+		if req.Workspace == "" {
+			return nil, "no workspace"
+		}
+		return RetrieveResponse{Documents: Retrieve(req.Workspace, req.Query, req.TopK)}, ""
+	})
+}
+
+// StartReranker serves POST /v1/rerank.
+func StartReranker(cfg PoolConfig) (*server.Upstream, error) {
+	return startPool(cfg, "/v1/rerank", func(req RerankRequest) (any, string) {
+		return RerankResponse{Results: Rerank(req.Query, req.Documents, req.TopN)}, ""
+	})
+}
+
+// startPool serves one path with a typed request. The answer function returns
+// a complaint in place of an answer when the request is malformed.
+func startPool[Req any](cfg PoolConfig, path string, answer func(Req) (any, string)) (*server.Upstream, error) {
+	work := func(w http.ResponseWriter, call *server.Call) {
+		if call.Request.URL.Path != path || call.Request.Method != http.MethodPost {
+			server.Refuse(w, http.StatusNotFound, "no such path")
+			return
+		}
+		var req Req
+		if err := json.Unmarshal(call.Body, &req); err != nil {
+			server.Refuse(w, http.StatusBadRequest, "malformed request")
+			return
+		}
+		result, complaint := answer(req)
+		if complaint != "" {
+			server.Refuse(w, http.StatusBadRequest, complaint)
+			return
+		}
+		if call.Slots.Acquire(call.Request.Context(), 0) != nil {
+			return
+		}
+		defer call.Slots.Release()
+		if call.Wait(cfg.Duration) != nil {
+			return
+		}
+		w.Header().Set(server.HeaderRan, "yes")
+		server.WriteJSON(w, http.StatusOK, result)
+	}
+	return server.StartUpstream(cfg.UpstreamConfig, work, nil, nil)
+}
+
+// Embed returns the embedding of a text, which follows from the text alone.
+func Embed(text string) []float64 {
+	vector := make([]float64, embeddingSize)
+	for i := range vector {
+		digest := xxh3.HashStringSeed(text, uint64(i))
+		vector[i] = float64(digest)/float64(math.MaxUint64)*2 - 1
+	}
+	return vector
+}
+
+// Retrieve returns the documents that a workspace has for a query.
+func Retrieve(workspace, query string, topK int) []RetrievedDocument {
+	if topK <= 0 {
+		topK = defaultTopK
+	}
+	documents := make([]RetrievedDocument, topK)
+	for i := range documents {
+		digest := xxh3.HashStringSeed(workspace+"\n"+query, uint64(i))
+		documents[i] = RetrievedDocument{
+			ID:    fmt.Sprintf("%s-doc-%08x", workspace, uint32(digest)),
+			Text:  fmt.Sprintf("Document %08x of workspace %s.", uint32(digest), workspace),
+			Score: 1 / float64(i+1),
+		}
+	}
+	return documents
+}
+
+// Rerank orders documents by a score that follows from query and document.
+func Rerank(query string, documents []string, topN int) []RerankResult {
+	results := make([]RerankResult, len(documents))
+	for i, text := range documents {
+		digest := xxh3.HashString(query + "\n" + text)
+		results[i] = RerankResult{Index: i, RelevanceScore: float64(digest) / float64(math.MaxUint64)}
+	}
+	slices.SortStableFunc(results, func(a, b RerankResult) int {
+		switch {
+		case a.RelevanceScore > b.RelevanceScore:
+			return -1
+		case a.RelevanceScore < b.RelevanceScore:
+			return 1
+		}
+		return 0
+	})
+	if topN > 0 && topN < len(results) {
+		results = results[:topN]
+	}
+	return results
+}
--- /dev/null
+++ b/internal/standin/server/upstream.go
@@ -0,0 +1,346 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/galenaseam/galenaseam/internal/standin/fault"
+)
+
+// Headers that upstreams and hosts exchange.
+const (
+	HeaderRequestID     = "Seam-Request-Id"
+	HeaderStage         = "Seam-Stage"
+	HeaderAttempt       = "Seam-Attempt"
+	HeaderRan           = "Seam-Ran"
+	HeaderUpstreamState = "Seam-Upstream-State"
+	HeaderLoad          = "Seam-Load"
+)
+
+// maxBodyBytes bounds the body of a call.
+const maxBodyBytes = 16 << 20
+
+// UpstreamConfig is the settings of the part that all upstreams share.
+type UpstreamConfig struct {
+	// Addr is where to listen; empty means a free loopback port.
+	Addr string
+	// Concurrency is how many calls run at once; the others queue.
+	Concurrency int
+	// ReportsLoad adds a load header to each answer.
+	ReportsLoad bool
+	// LoadInterval is the age up to which a load report is repeated.
+	LoadInterval time.Duration
+	// Seed decides which calls a fault's share hits.
+	Seed uint64
+}
+
+// Call is what the shared part hands to an upstream's own work.
+type Call struct {
+	Request *http.Request
+	Body    []byte
+	// Slots bounds the calls that run at once.
+	Slots *Slots
+	// Factor stretches the time that work takes; 1 is normal.
+	Factor float64
+}
+
+// Wait lets d, stretched by the call's factor, pass. It returns early with an
+// error when the caller has gone.
+func (c *Call) Wait(d time.Duration) error {
+	return sleep(c.Request.Context(), time.Duration(float64(d)*c.Factor))
+}
+
+// Work is an upstream's own part. It writes the answer to w.
+type Work func(w http.ResponseWriter, call *Call)
+
+// Upstream is a stand-in for one server behind the hosts.
+type Upstream struct {
+	*Listener
+	cfg    UpstreamConfig
+	faults *fault.Set
+	slots  *Slots
+	work   Work
+	mux    *http.ServeMux
+	ctx    context.Context
+	cancel context.CancelFunc
+	timers sync.WaitGroup
+
+	mu       sync.Mutex
+	answer   *answer // the newest whole answer, for crossing
+	load     Load
+	loadTime time.Time
+	kvShare  func() float64
+	crashes  int
+	calls    int
+}
+
+// Load is an upstream's own report of its load.
+type Load struct {
+	InFlight   int     `json:"in_flight"`
+	Queued     int     `json:"queued"`
+	KVUseShare float64 `json:"kv_use_share"`
+}
+
+// Stats counts what an upstream saw.
+type Stats struct {
+	Calls   int  `json:"calls"`
+	Crashes int  `json:"crashes"`
+	Leaving bool `json:"leaving"`
+	Load    Load `json:"load"`
+}
+
+// StartUpstream serves work on every path but the shared ones: POST /fault,
+// GET /admin/load, GET /admin/stats and what admin adds.
+func StartUpstream(cfg UpstreamConfig, work Work, admin map[string]http.HandlerFunc, kvShare func() float64) (*Upstream, error) {
+	if cfg.Concurrency <= 0 {
+		cfg.Concurrency = 8
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	u := &Upstream{
+		cfg: cfg, faults: fault.NewSet(cfg.Seed), slots: NewSlots(cfg.Concurrency), work: work,
+		mux: http.NewServeMux(), ctx: ctx, cancel: cancel, kvShare: kvShare,
+	}
+	u.mux.Handle("/fault", fault.Handler(u.Fault))
+	u.mux.HandleFunc("GET /admin/load", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, http.StatusOK, u.Load()) })
+	u.mux.HandleFunc("GET /admin/stats", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, http.StatusOK, u.Stats()) })
+	for pattern, handler := range admin {
+		u.mux.HandleFunc(pattern, handler)
+	}
+	u.mux.HandleFunc("/", u.serve)
+	listener, err := Listen(cfg.Addr, u.mux)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	u.Listener = listener
+	return u, nil
+}
+
+// Stop ends the upstream and cuts every connection.
+func (u *Upstream) Stop() {
+	u.cancel()
+	u.Listener.Stop()
+	u.timers.Wait()
+}
+
+// Fault puts a failure in force.
+func (u *Upstream) Fault(f fault.Fault) {
+	switch f.Kind {
+	case fault.Clear:
+		u.faults.Add(f)
+		_ = u.Up()
+	case fault.Down:
+		u.goDown(f.Length())
+	default:
+		u.faults.Add(f)
+	}
+}
+
+// goDown takes the upstream down, for a time if length is not zero.
+func (u *Upstream) goDown(length time.Duration) {
+	u.Down()
+	if length == 0 {
+		return
+	}
+	u.timers.Add(1)
+	go func() {
+		defer u.timers.Done()
+		if sleep(u.ctx, length) == nil {
+			_ = u.Up()
+		}
+	}()
+}
+
+// Load returns the newest load report, which lags by up to the load interval.
+func (u *Upstream) Load() Load {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if now := time.Now(); u.loadTime.IsZero() || now.Sub(u.loadTime) >= u.cfg.LoadInterval {
+		u.loadTime = now
+		running, queued := u.slots.Counts()
+		u.load = Load{InFlight: running, Queued: queued}
+		if u.kvShare != nil {
+			u.load.KVUseShare = u.kvShare()
+		}
+	}
+	return u.load
+}
+
+// Stats returns the counters.
+func (u *Upstream) Stats() Stats {
+	load := u.Load()
+	_, leaving := u.faults.Active(fault.Leaving)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return Stats{Calls: u.calls, Crashes: u.crashes, Leaving: leaving, Load: load}
+}
+
+// serve runs one call under the failures in force.
+func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		Refuse(w, http.StatusBadRequest, "body too long or cut off")
+		return
+	}
+	u.echo(w.Header(), r.Header)
+	if u.refused(w) {
+		return
+	}
+	u.mu.Lock()
+	u.calls++
+	u.mu.Unlock()
+	call := &Call{Request: r, Body: body, Slots: u.slots, Factor: 1}
+	if f, ok := u.faults.Take(fault.Slow); ok {
+		if f.Factor > 0 {
+			call.Factor = f.Factor
+		}
+		if sleep(r.Context(), f.Delay()) != nil {
+			return
+		}
+	}
+	if f, ok := u.faults.Active(fault.Crash); ok && f.Marker != "" && bytes.Contains(body, []byte(f.Marker)) {
+		u.crash(call, f)
+	}
+	u.answerCall(w, call)
+}
+
+// echo copies the call's identity into the answer's headers.
+func (u *Upstream) echo(to, from http.Header) {
+	for _, name := range []string{HeaderRequestID, HeaderStage, HeaderAttempt} {
+		if value := from.Get(name); value != "" {
+			to.Set(name, value)
+		}
+	}
+	if u.cfg.ReportsLoad {
+		load := u.Load()
+		to.Set(HeaderLoad, fmt.Sprintf("inflight=%d,queued=%d,kv=%.3f", load.InFlight, load.Queued, load.KVUseShare))
+	}
+}
+
+// refused answers new work while the upstream is leaving or refuses it.
+func (u *Upstream) refused(w http.ResponseWriter) bool {
+	if _, ok := u.faults.Active(fault.Leaving); ok {
+		w.Header().Set(HeaderUpstreamState, "leaving")
+		Refuse(w, http.StatusServiceUnavailable, "leaving")
+		return true
+	}
+	if _, ok := u.faults.Take(fault.Refuse); ok {
+		Refuse(w, http.StatusServiceUnavailable, "refused")
+		return true
+	}
+	return false
+}
+
+// crash runs the call without an answer and takes the upstream down.
+func (u *Upstream) crash(call *Call, f fault.Fault) {
+	u.mu.Lock()
+	u.crashes++
+	u.mu.Unlock()
+	u.work(newDiscard(), call)
+	u.goDown(f.Length())
+	panic(http.ErrAbortHandler)
+}
+
+// answerCall runs the call and spoils its answer as the failures say.
+func (u *Upstream) answerCall(w http.ResponseWriter, call *Call) {
+	if _, ok := u.faults.Take(fault.LostAnswer); ok {
+		u.work(newDiscard(), call)
+		panic(http.ErrAbortHandler)
+	}
+	if _, ok := u.faults.Take(fault.ErrorAfterRun); ok {
+		u.work(newDiscard(), call)
+		w.Header().Set(HeaderRan, "yes")
+		WriteJSON(w, http.StatusInternalServerError, NewErrorBody("failed after running"))
+		return
+	}
+	if f, ok := u.faults.Take(fault.Late); ok && u.give(w, call, f.Delay()) {
+		return
+	}
+	if _, ok := u.faults.Take(fault.Crossed); ok && u.give(w, call, 0) {
+		return
+	}
+	u.work(u.spoiled(w, call.Request), call)
+}
+
+// give answers with the newest answer to another call, if there is one.
+func (u *Upstream) give(w http.ResponseWriter, call *Call, delay time.Duration) bool {
+	u.mu.Lock()
+	other := u.answer
+	u.mu.Unlock()
+	own := call.Request.Header.Get(HeaderRequestID)
+	if other == nil || other.header.Get(HeaderRequestID) == own {
+		return false
+	}
+	discarded := newDiscard()
+	u.work(discarded, call)
+	if sleep(call.Request.Context(), delay) != nil {
+		return true
+	}
+	other.send(w)
+	return true
+}
+
+// keep remembers a whole answer so that another call can be given it.
+func (u *Upstream) keep(a *answer) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.answer = a
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// ErrorBody is the JSON of an error answer, in the OpenAI shape.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail says what went wrong.
+type ErrorDetail struct {
+	Message string `json:"message"`
+}
+
+// NewErrorBody returns the body for a message.
+func NewErrorBody(message string) ErrorBody { return ErrorBody{Error: ErrorDetail{Message: message}} }
+
+// Refuse answers that nothing ran.
+func Refuse(w http.ResponseWriter, status int, message string) {
+	w.Header().Set(HeaderRan, "no")
+	WriteJSON(w, status, NewErrorBody(message))
+}
+
+// WriteJSON answers with one JSON value.
+func WriteJSON(w http.ResponseWriter, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(data, '\n')) // a caller that has gone needs no answer
+}
+
+// isStream says whether an answer is server-sent events.
+func isStream(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,133 @@
+// Package service is a stand-in for the plain services beside the engines:
+// JSON over HTTP on any path. It counts how often each Idempotency-Key ran.
+package service
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/galenaseam/galenaseam/internal/standin/server"
+)
+
+// HeaderIdempotencyKey names a call that must run at most once.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// Ledger counts executions for all servers that share it.
+type Ledger struct {
+	mu    sync.Mutex
+	runs  map[string]int
+	total int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{runs: map[string]int{}} }
+
+// Executions returns how many times each Idempotency-Key ran.
+func (l *Ledger) Executions() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	runs := make(map[string]int, len(l.runs))
+	for key, count := range l.runs {
+		runs[key] = count
+	}
+	return runs
+}
+
+// Total returns how many calls ran, with and without a key.
+func (l *Ledger) Total() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.total
+}
+
+// run counts one execution and returns the key's count.
+func (l *Ledger) run(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.total++
+	if key == "" {
+		return 1
+	}
+	l.runs[key]++
+	return l.runs[key]
+}
+
+// ServeHTTP answers with a JSON object from Idempotency-Key to count.
+func (l *Ledger) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	server.WriteJSON(w, http.StatusOK, l.Executions())
+}
+
+// Config is the settings of a service.
+type Config struct {
+	server.UpstreamConfig
+	// Name is the service's name, which its answers carry.
+	Name string
+	// Duration is how long a call runs.
+	Duration time.Duration
+	// Ledger counts executions; nil means one of its own.
+	Ledger *Ledger
+}
+
+// Answer is what a service answers. It repeats the call's own content.
+type Answer struct {
+	Service        string          `json:"service"`
+	Method         string          `json:"method"`
+	Path           string          `json:"path"`
+	Query          string          `json:"query,omitempty"`
+	IdempotencyKey string          `json:"idempotency_key,omitempty"`
+	Execution      int             `json:"execution"`
+	Request        json.RawMessage `json:"request,omitempty"`
+}
+
+// Service is a running stand-in.
+type Service struct {
+	*server.Upstream
+	Ledger *Ledger
+}
+
+// Start serves any path, and GET /executions.
+func Start(cfg Config) (*Service, error) {
+	if cfg.Ledger == nil {
+		cfg.Ledger = NewLedger()
+	}
+	admin := map[string]http.HandlerFunc{"GET /executions": cfg.Ledger.ServeHTTP}
+	u, err := server.StartUpstream(cfg.UpstreamConfig, cfg.work, admin, nil)
+	if err != nil {
+		return nil, err
+	}
+	return &Service{Upstream: u, Ledger: cfg.Ledger}, nil
+}
+
+// work runs one call. A call that has a slot runs on when its caller goes.
+func (c Config) work(w http.ResponseWriter, call *server.Call) {
+	r := call.Request
+	if call.Slots.Acquire(r.Context(), 0) != nil {
+		return
+	}
+	defer call.Slots.Release()
+	key := r.Header.Get(HeaderIdempotencyKey)
+	count := c.Ledger.run(key)
+	time.Sleep(time.Duration(float64(c.Duration) * call.Factor))
+	w.Header().Set(server.HeaderRan, "yes")
+	server.WriteJSON(w, http.StatusOK, Answer{
+		Service: c.Name, Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery,
+		IdempotencyKey: key, Execution: count, Request: rawBody(call.Body),
+	})
+}
+
+// rawBody returns a body that is JSON as it is, and any other as a string.
+func rawBody(body []byte) json.RawMessage {
+	if len(body) == 0 {
+		return nil
+	}
+	if json.Valid(body) {
+		return body
+	}
+	text, err := json.Marshal(string(body))
+	if err != nil {
+		return nil
+	}
+	return text
+}
--- /dev/null
+++ b/internal/standin/weights/weights.go
@@ -0,0 +1,109 @@
+// Package weights is a stand-in for the platform's weight store. It serves a
+// model's weights over HTTP at a limited rate that all callers share.
+package weights
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+
+	"golang.org/x/time/rate"
+
+	"github.com/galenaseam/galenaseam/internal/standin/fault"
+	"github.com/galenaseam/galenaseam/internal/standin/server"
+)
+
+// chunkBytes is how much is sent at a time.
+const chunkBytes = 16 << 10
+
+// retryAfterSeconds is what a refused caller is told to wait.
+const retryAfterSeconds = "1"
+
+// Config is the settings of a weight store.
+type Config struct {
+	// Addr is where to listen; empty means a free loopback port.
+	Addr string
+	// ModelBytes is the size of each model's weights.
+	ModelBytes int
+	// BytesPerSecond is the rate that all callers share.
+	BytesPerSecond int
+	// Downloads is how many callers are served at once; others get 429.
+	Downloads int
+}
+
+// Weights is a running stand-in.
+type Weights struct {
+	*server.Listener
+	cfg     Config
+	faults  *fault.Set
+	limiter *rate.Limiter
+	active  atomic.Int64
+	served  atomic.Int64
+}
+
+// Start serves weights on GET /weights/{model}/{version}.
+func Start(cfg Config) (*Weights, error) {
+	limiter := rate.NewLimiter(rate.Limit(cfg.BytesPerSecond), max(cfg.BytesPerSecond, chunkBytes))
+	w := &Weights{cfg: cfg, faults: fault.NewSet(1), limiter: limiter}
+	mux := http.NewServeMux()
+	mux.Handle("/fault", fault.Handler(w.Fault))
+	mux.HandleFunc("GET /weights/{model}/{version}", w.serve)
+	listener, err := server.Listen(cfg.Addr, mux)
+	if err != nil {
+		return nil, err
+	}
+	w.Listener = listener
+	return w, nil
+}
+
+// Fault puts a failure in force.
+func (s *Weights) Fault(f fault.Fault) {
+	s.faults.Add(f)
+	switch f.Kind {
+	case fault.Down:
+		s.Down()
+	case fault.Clear:
+		_ = s.Up()
+	}
+}
+
+// Served returns how many downloads ended whole.
+func (s *Weights) Served() int64 { return s.served.Load() }
+
+func (s *Weights) serve(w http.ResponseWriter, r *http.Request) {
+	if _, ok := s.faults.Take(fault.Refuse); ok {
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Length", fmt.Sprint(s.cfg.ModelBytes))
+	if r.Method == http.MethodHead {
+		return
+	}
+	defer s.active.Add(-1)
+	if s.active.Add(1) > int64(s.cfg.Downloads) {
+		w.Header().Del("Content-Length")
+		w.Header().Set("Retry-After", retryAfterSeconds)
+		http.Error(w, "too many downloads", http.StatusTooManyRequests)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	if s.send(r.Context(), w) == nil {
+		s.served.Add(1)
+	}
+}
+
+func (s *Weights) send(ctx context.Context, w http.ResponseWriter) error {
+	chunk := make([]byte, chunkBytes)
+	for left := s.cfg.ModelBytes; left > 0; {
+		n := min(left, chunkBytes)
+		if err := s.limiter.WaitN(ctx, n); err != nil {
+			return err
+		}
+		if _, err := w.Write(chunk[:n]); err != nil {
+			return err
+		}
+		left -= n
+	}
+	return nil
+}
