--- a/document/document.go
+++ b/document/document.go
@@ -91,6 +91,9 @@
 	ChecksFencing bool `yaml:"checks_fencing,omitempty"`
 	// ReportsLoad says whether the upstreams report their load.
 	ReportsLoad bool `yaml:"reports_load,omitempty"`
+	// NoEcho says that the upstreams do not repeat a call's identity headers,
+	// so that answers are matched to calls by their connection alone.
+	NoEcho bool `yaml:"no_echo,omitempty"`
 }
 
 // Stage is one step of a pipeline.
