--- /dev/null
+++ b/frontend/service.go
@@ -0,0 +1,149 @@
+package frontend
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/problem"
+	"github.com/galenaseam/galenaseam/request"
+)
+
+// The header a service gets with the name of the calling workspace.
+const headerWorkspace = "Seam-Workspace"
+
+// Only these headers pass between callers and services, so that nothing that
+// a caller sends changes how a connection or a path is read.
+var (
+	toService   = []string{"Accept", "Accept-Language", "Content-Type", "If-Match", "If-None-Match"}
+	fromService = []string{"Content-Type", "Content-Language", "Content-Disposition", "Etag", "Last-Modified", "Location", "Retry-After"}
+)
+
+// service serves /v1/services/{service}/{path...}.
+func (f *Frontend) service(w http.ResponseWriter, r *http.Request, c caller) *problem.Problem {
+	service, ok := c.current.Document.Service(r.PathValue("service"))
+	if !ok {
+		return problem.New(http.StatusNotFound, "unknown_service", "no such service", problem.No)
+	}
+	operation, ok := findOperation(service, r.Method, "/"+r.PathValue("path"))
+	if !ok {
+		return problem.New(http.StatusNotFound, "unknown_operation", "the service has no such operation", problem.No)
+	}
+	key, p := f.idempotencyKey(r, operation)
+	if p != nil {
+		return p
+	}
+	body, p := readBody(r)
+	if p != nil {
+		return p
+	}
+	class, _ := c.current.Document.Class(service.Class)
+	deadline, p := deadlineOf(r, c.arrived, class.Deadline.Std())
+	if p != nil {
+		return p
+	}
+	answer, err := f.cfg.Runner.RunService(r.Context(), request.ServiceJob{
+		ID:             c.id,
+		Workspace:      c.workspace.Name,
+		Service:        service,
+		Operation:      operation,
+		Document:       c.current.Document,
+		Generation:     c.current.Generation,
+		Method:         r.Method,
+		Path:           servicePath(r, service.Name),
+		Header:         serviceHeader(r, c, key),
+		Body:           body,
+		IdempotencyKey: key,
+		Deadline:       deadline,
+	})
+	if err != nil {
+		return problemOf(err)
+	}
+	writeServiceAnswer(w, c, answer)
+	return nil
+}
+
+// idempotencyKey checks the caller's key against what the operation needs.
+func (f *Frontend) idempotencyKey(r *http.Request, op document.Operation) (string, *problem.Problem) {
+	values := r.Header.Values(HeaderIdempotencyKey)
+	if len(values) > 1 {
+		return "", malformed("more than one " + HeaderIdempotencyKey)
+	}
+	key := r.Header.Get(HeaderIdempotencyKey)
+	if key == "" && !op.Idempotent {
+		return "", problem.New(http.StatusBadRequest, "key_required",
+			"this operation may run only once and needs the header "+HeaderIdempotencyKey, problem.No)
+	}
+	if len(key) > f.cfg.Limits.MaxKeyBytes || hasControl(key) {
+		return "", malformed("the header " + HeaderIdempotencyKey + " is too long or has control characters")
+	}
+	return key, nil
+}
+
+// findOperation finds the declared operation for a method and path. A path
+// segment in braces stands for any one segment.
+func findOperation(s document.Service, method, path string) (document.Operation, bool) {
+	for _, op := range s.Operations {
+		if op.Method == method && matchPath(op.Path, path) {
+			return op, true
+		}
+	}
+	return document.Operation{}, false
+}
+
+// matchPath compares a path with a pattern segment by segment.
+func matchPath(pattern, path string) bool {
+	want := strings.Split(pattern, "/")
+	got := strings.Split(path, "/")
+	return slices.EqualFunc(want, got, func(w, g string) bool {
+		isVariable := strings.HasPrefix(w, "{") && strings.HasSuffix(w, "}")
+		return w == g || isVariable && g != ""
+	})
+}
+
+// servicePath is the path within the service and the query, as the caller
+// escaped them.
+func servicePath(r *http.Request, service string) string {
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"+service)
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+// serviceHeader picks the headers that a service gets.
+func serviceHeader(r *http.Request, c caller, key string) http.Header {
+	out := http.Header{}
+	copyHeaders(out, r.Header, toService)
+	out.Set(headerWorkspace, c.workspace.Name)
+	if key != "" {
+		out.Set(HeaderIdempotencyKey, key)
+	}
+	return out
+}
+
+// copyHeaders copies the named headers.
+func copyHeaders(to, from http.Header, names []string) {
+	for _, name := range names {
+		if values, ok := from[name]; ok {
+			to[name] = values
+		}
+	}
+}
+
+// writeServiceAnswer passes a service's whole answer on.
+func writeServiceAnswer(w http.ResponseWriter, c caller, answer request.ServiceAnswer) {
+	header := w.Header()
+	copyHeaders(header, answer.Header, fromService)
+	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	header.Set(HeaderGeneration, strconv.FormatUint(c.current.Generation, 10))
+	header.Set(problem.RanHeader, string(problem.Yes))
+	if answer.Replayed {
+		header.Set(HeaderReplayed, "true")
+	}
+	w.WriteHeader(answer.Status)
+	// A write error means that the caller has gone.
+	_, _ = w.Write(answer.Body)
+}
--- /dev/null
+++ b/frontend/stream.go
@@ -0,0 +1,103 @@
+package frontend
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/galenaseam/galenaseam/problem"
+	"github.com/galenaseam/galenaseam/request"
+)
+
+// The names of the events in a pipeline's stream. A stream is whole only when
+// its last event is eventDone.
+const (
+	eventToken = "token"
+	eventDone  = "done"
+	eventError = "error"
+)
+
+// eventStream writes server-sent events. The header goes out with the first
+// event, so that a failure before it can still be a plain problem.
+type eventStream struct {
+	w       http.ResponseWriter
+	started bool
+}
+
+// send writes one event; an empty name writes the data alone.
+func (s *eventStream) send(name string, data []byte) error {
+	s.start()
+	out := make([]byte, 0, len(data)+32)
+	if name != "" {
+		out = append(out, "event: "+name+"\n"...)
+	}
+	out = append(out, "data: "...)
+	out = append(out, data...)
+	out = append(out, "\n\n"...)
+	if _, err := s.w.Write(out); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.w).Flush()
+}
+
+// start sends the header once.
+func (s *eventStream) start() {
+	if s.started {
+		return
+	}
+	s.started = true
+	header := s.w.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-store")
+	s.w.WriteHeader(http.StatusOK)
+}
+
+// sendJSON writes one event whose data is JSON.
+func (s *eventStream) sendJSON(name string, data any) error {
+	body, err := json.Marshal(data)
+	if err != nil {
+		return err
+	}
+	return s.send(name, body)
+}
+
+// tokenEvent is the data of one token event.
+type tokenEvent struct {
+	Text string `json:"text"`
+}
+
+// pipelineSink writes generated text as token events.
+type pipelineSink struct {
+	stream *eventStream
+}
+
+// Token writes one piece of text.
+func (s *pipelineSink) Token(text string) error {
+	return s.stream.sendJSON(eventToken, tokenEvent{Text: text})
+}
+
+// streamPipeline runs a job and writes its answer as events.
+func (f *Frontend) streamPipeline(w http.ResponseWriter, r *http.Request, job request.Job) *problem.Problem {
+	stream := &eventStream{w: w}
+	job.Sink = &pipelineSink{stream: stream}
+	result, err := f.cfg.Runner.RunPipeline(r.Context(), job)
+	if err != nil {
+		return f.endBroken(stream, problemOf(err), job.ID, eventError)
+	}
+	answer := answerOf(job, result)
+	// A write error means that the caller has gone.
+	_ = stream.sendJSON(eventDone, answer)
+	return nil
+}
+
+// endBroken ends a stream that can't go on: as a plain problem when nothing
+// was sent yet, as an error event otherwise.
+func (f *Frontend) endBroken(stream *eventStream, p *problem.Problem, id, event string) *problem.Problem {
+	if !stream.started {
+		return p
+	}
+	f.cfg.Refused(p.Cause)
+	out := *p
+	out.RequestID = id
+	_ = stream.sendJSON(event, out)
+	return nil
+}
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,143 @@
+// Package metrics is the process's own measures of requests: histograms for
+// each class and tenant, refusals by cause, and the state of the host.
+package metrics
+
+import (
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/request"
+)
+
+// OtherTenant is the label of every workspace that has no histograms of its
+// own. Only workspaces marked large in the document have them, so that the
+// number of series stays bounded at any number of workspaces.
+const OtherTenant = "other"
+
+// maxTenants bounds the workspaces that have series of their own.
+const maxTenants = 100
+
+// requestBuckets are the upper bounds of the time histograms, in seconds.
+var requestBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, .75, 1, 1.5, 2, 3, 4, 5, 7.5, 10, 30, 60}
+
+// Metrics holds the collectors. It is safe for concurrent use.
+type Metrics struct {
+	registry *prometheus.Registry
+	tenants  atomic.Pointer[tenants]
+	requests *prometheus.HistogramVec
+	stages   *prometheus.HistogramVec
+	ended    *prometheus.CounterVec
+	inTime   *prometheus.CounterVec
+	refused  *prometheus.CounterVec
+	tokens   *prometheus.CounterVec
+	inFlight prometheus.Gauge
+	ready    prometheus.Gauge
+	config   prometheus.Gauge
+}
+
+// tenants is the workspaces that have series of their own.
+type tenants struct {
+	named map[string]struct{}
+}
+
+// New makes the collectors and registers them with those of the Go runtime.
+func New() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		requests: newHistogram("request_seconds", "Time from arrival to the end of a request.", "class", "tenant", "target"),
+		stages:   newHistogram("stage_seconds", "Time of one stage with its attempts.", "stage", "class"),
+		ended:    newCounter("requests_total", "Requests that ended, by cause; ok is a whole answer.", "class", "tenant", "cause"),
+		inTime:   newCounter("requests_in_time_total", "Requests answered whole before their deadline.", "class", "tenant"),
+		refused:  newCounter("refusals_total", "Requests refused before any stage, by cause.", "cause"),
+		tokens:   newCounter("tokens_total", "Tokens, by direction.", "class", "direction"),
+		inFlight: newGauge("requests_in_flight", "Callers' requests that are being served."),
+		ready:    newGauge("ready", "1 when the host takes new work."),
+		config:   newGauge("config_generation", "Configuration generation in force."),
+	}
+	m.tenants.Store(&tenants{})
+	m.registry.MustRegister(
+		m.requests, m.stages, m.ended, m.inTime, m.refused, m.tokens, m.inFlight, m.ready, m.config,
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return m
+}
+
+// namespace begins the name of every metric of the system.
+const namespace = "galenaseam"
+
+func newHistogram(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: requestBuckets,
+	}, labels)
+}
+
+func newCounter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func newGauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+// Registry is where other packages register their collectors, and where the
+// operators' interface gathers from.
+func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
+
+// Configure takes the tenants that have series of their own from a document.
+func (m *Metrics) Configure(generation uint64, doc *document.Document) {
+	next := &tenants{named: make(map[string]struct{})}
+	for _, w := range doc.Workspaces {
+		if w.Large && len(next.named) < maxTenants {
+			next.named[w.Name] = struct{}{}
+		}
+	}
+	m.tenants.Store(next)
+	m.config.Set(float64(generation))
+}
+
+// Tenant returns the label of a workspace.
+func (m *Metrics) Tenant(workspace string) string {
+	if _, ok := m.tenants.Load().named[workspace]; ok {
+		return workspace
+	}
+	return OtherTenant
+}
+
+// Observe records how a request ended.
+func (m *Metrics) Observe(o request.Observation) {
+	tenant := m.Tenant(o.Workspace)
+	m.requests.WithLabelValues(o.Class, tenant, o.Target).Observe(o.Took.Seconds())
+	m.ended.WithLabelValues(o.Class, tenant, o.Cause).Inc()
+	if o.InTime {
+		m.inTime.WithLabelValues(o.Class, tenant).Inc()
+	}
+	for _, s := range o.Stages {
+		if !s.Skipped {
+			m.stages.WithLabelValues(s.Stage, o.Class).Observe(s.Took.Seconds())
+		}
+	}
+	m.tokens.WithLabelValues(o.Class, "input").Add(float64(o.Usage.InputTokens))
+	m.tokens.WithLabelValues(o.Class, "output").Add(float64(o.Usage.OutputTokens))
+}
+
+// Refused counts a refusal before any stage.
+func (m *Metrics) Refused(cause string) { m.refused.WithLabelValues(cause).Inc() }
+
+// Ready records whether the host takes new work.
+func (m *Metrics) Ready(ready bool) {
+	value := 0.0
+	if ready {
+		value = 1
+	}
+	m.ready.Set(value)
+}
+
+// Began counts a request in and returns the function that counts it out.
+func (m *Metrics) Began() func() {
+	m.inFlight.Inc()
+	return m.inFlight.Dec
+}
--- /dev/null
+++ b/operator/types.go
@@ -0,0 +1,105 @@
+// Package operator is the operators' HTTP interface of a host: health, metrics,
+// profiles, what the host knows of the fleet, and the operators' document. It
+// listens at an address of its own.
+package operator
+
+import "time"
+
+// HostRow is one host as this host sees it.
+type HostRow struct {
+	ID          string `json:"id"`
+	DataCentre  string `json:"data_centre"`
+	Region      string `json:"region"`
+	HTTP        string `json:"http"`
+	Link        string `json:"link"`
+	State       string `json:"state"`
+	Incarnation uint64 `json:"incarnation"`
+	Generation  uint64 `json:"generation"`
+	Self        bool   `json:"self,omitempty"`
+}
+
+// UpstreamRow is one upstream as this host sees it.
+type UpstreamRow struct {
+	ID         string   `json:"id"`
+	Pool       string   `json:"pool"`
+	DataCentre string   `json:"data_centre"`
+	State      string   `json:"state"`
+	Models     []string `json:"models,omitempty"`
+	InFlight   int      `json:"in_flight"`
+	Queued     int      `json:"queued"`
+	// LoadAge is how old the load report is; zero when there is none.
+	LoadAge time.Duration `json:"load_age_ns"`
+}
+
+// PipelineRow is one pipeline of the document in force.
+type PipelineRow struct {
+	Name       string   `json:"name"`
+	Class      string   `json:"class"`
+	Deadline   string   `json:"deadline"`
+	Stages     []string `json:"stages"`
+	Workspaces []string `json:"workspaces,omitempty"`
+	ChatModel  string   `json:"chat_model,omitempty"`
+}
+
+// WorkspaceRow is one workspace of the document in force.
+type WorkspaceRow struct {
+	Name   string  `json:"name"`
+	Share  float64 `json:"share"`
+	Large  bool    `json:"large"`
+	Limits int     `json:"limits"`
+}
+
+// Status is the host's own state.
+type Status struct {
+	ID         string `json:"id"`
+	Version    string `json:"version"`
+	Ready      bool   `json:"ready"`
+	Reason     string `json:"reason,omitempty"`
+	Draining   bool   `json:"draining"`
+	Generation uint64 `json:"generation"`
+}
+
+// ConfigText is the whole document in force.
+type ConfigText struct {
+	Generation uint64 `json:"generation"`
+	Text       string `json:"text"`
+}
+
+// SectionBody is one section as text.
+type SectionBody struct {
+	Name string `json:"name"`
+	Body string `json:"body"`
+}
+
+// ApplyRequest asks to accept changed sections.
+type ApplyRequest struct {
+	// OperationID makes the request repeatable: asked again, it is accepted
+	// once.
+	OperationID string        `json:"operation_id"`
+	Base        uint64        `json:"base"`
+	Sections    []SectionBody `json:"sections"`
+	Reason      string        `json:"reason"`
+}
+
+// ApplyAnswer says that a change was accepted.
+type ApplyAnswer struct {
+	Generation uint64 `json:"generation"`
+	// Repeated says that the operation had been accepted before.
+	Repeated bool `json:"repeated,omitempty"`
+}
+
+// RollbackRequest asks to accept an earlier generation's sections as a new one.
+type RollbackRequest struct {
+	OperationID string `json:"operation_id"`
+	Generation  uint64 `json:"generation"`
+	Reason      string `json:"reason"`
+}
+
+// HistoryRow is one accepted generation.
+type HistoryRow struct {
+	Generation uint64    `json:"generation"`
+	Time       time.Time `json:"time"`
+	Team       string    `json:"team"`
+	Sections   []string  `json:"sections"`
+	Reason     string    `json:"reason"`
+}
--- a/request/generate.go
+++ b/request/generate.go
@@ -15,7 +15,7 @@
 // was passed on, the next attempt asks another engine to go on from that text.
 type generateStep struct {
 	run       *pipelineRun
-	stage     *document.Stage
+	stage     document.Stage
 	maxTokens int
 	// text and pieces are what was passed on so far. Only the attempt that
 	// committed touches them, and attempts that committed never overlap.
--- a/request/job.go
+++ b/request/job.go
@@ -19,7 +19,7 @@
 type Job struct {
 	ID        string
 	Workspace string
-	Pipeline  *document.Pipeline
+	Pipeline  document.Pipeline
 	// Document is the generation that the whole request sees.
 	Document *document.Document
 	// Generation is that generation's number.
--- a/request/runner.go
+++ b/request/runner.go
@@ -174,7 +174,7 @@
 	arrival := dispatch.Arrival{
 		RequestID:   p.job.ID,
 		Workspace:   p.job.Workspace,
-		Class:       *class,
+		Class:       class,
 		Pipeline:    p.job.Pipeline.Name,
 		Idempotent:  true,
 		InputTokens: estimateTokens(p.job.Input, p.job.History),
@@ -195,7 +195,7 @@
 }
 
 // stageNeed turns a declared stage into what the dispatcher sees.
-func stageNeed(stage *document.Stage, maxTokens int) dispatch.StageNeed {
+func stageNeed(stage document.Stage, maxTokens int) dispatch.StageNeed {
 	need := dispatch.StageNeed{
 		Name:      stage.Name,
 		Pool:      stage.Pool,
--- a/request/service.go
+++ b/request/service.go
@@ -17,8 +17,8 @@
 type ServiceJob struct {
 	ID         string
 	Workspace  string
-	Service    *document.Service
-	Operation  *document.Operation
+	Service    document.Service
+	Operation  document.Operation
 	Document   *document.Document
 	Generation uint64
 	Method     string
@@ -222,7 +222,7 @@
 	return dispatch.Arrival{
 		RequestID:   s.job.ID,
 		Workspace:   s.job.Workspace,
-		Class:       *class,
+		Class:       class,
 		Service:     s.job.Service.Name,
 		Idempotent:  s.job.Operation.Idempotent,
 		InputTokens: len(s.job.Body)/bytesPerToken + 1,
--- a/request/steps.go
+++ b/request/steps.go
@@ -67,7 +67,7 @@
 // encodeStep turns the input into an embedding.
 type encodeStep struct {
 	run   *pipelineRun
-	stage *document.Stage
+	stage document.Stage
 }
 
 type embeddingsRequest struct {
@@ -102,7 +102,7 @@
 // retrieveStep finds the workspace's documents near the embedding.
 type retrieveStep struct {
 	run   *pipelineRun
-	stage *document.Stage
+	stage document.Stage
 }
 
 type retrieveRequest struct {
@@ -138,7 +138,7 @@
 // rerankStep orders the passages by relevance and keeps the best.
 type rerankStep struct {
 	run   *pipelineRun
-	stage *document.Stage
+	stage document.Stage
 }
 
 type rerankRequest struct {
--- a/request/tries.go
+++ b/request/tries.go
@@ -14,13 +14,13 @@
 // tries runs the attempts of one stage: one after another when they fail, and
 // at most two at a time when one is slow.
 type tries struct {
-	pipeline   *pipelineRun
-	index  int
-	need   dispatch.StageNeed
-	step   step
-	avoid  []upstream.ID
-	count  int
-	winner upstream.ID
+	pipeline *pipelineRun
+	index    int
+	need     dispatch.StageNeed
+	step     step
+	avoid    []upstream.ID
+	count    int
+	winner   upstream.ID
 }
 
 // step is what a kind of stage does in one attempt.
