Carry calls between hosts over drpc in CBOR

Cause: hosts need calls to each other that say whether the peer surely never saw them. Change: a Mux, Server and Client over drpc with pooled connections, mutual TLS or a challenge with the fleet key in both directions, message limits, and a drain that cuts no call.

--- /dev/null
+++ b/link/server.go
@@ -0,0 +1,230 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/zeebo/errs"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcerr"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
+)
+
+// Defaults of a Server and a Client.
+const (
+	DefaultHandshakeTimeout = 3 * time.Second
+	DefaultDrainTimeout     = 30 * time.Second
+	DefaultMaxConnections   = 8192
+	acceptRetryDelay        = 50 * time.Millisecond
+	frameOverheadBytes      = 64 << 10
+	keptBufferBytes         = 64 << 10
+)
+
+// ServerConfig configures a Server. Mux, and one of TLS and Key, must be set.
+type ServerConfig struct {
+	Mux *Mux
+	// TLS, when set, demands a certificate of each client.
+	TLS *tls.Config
+	// Key is the fleet's shared secret.
+	Key []byte
+	// MaxMessageBytes bounds one request or answer.
+	MaxMessageBytes int
+	// MaxConnections bounds the open connections.
+	MaxConnections int
+	// HandshakeTimeout bounds the opening of a connection.
+	HandshakeTimeout time.Duration
+	// DrainTimeout bounds how long Serve waits for running calls at the end.
+	DrainTimeout time.Duration
+	Logger       *slog.Logger
+	Registerer   prometheus.Registerer
+}
+
+// Server serves the calls of other hosts.
+type Server struct {
+	config  ServerConfig
+	auth    authenticator
+	codec   *codec
+	rpc     *drpcserver.Server
+	metrics *serverMetrics
+	slots   chan struct{}
+
+	callsMu  sync.Mutex
+	draining bool
+	running  int
+	idle     chan struct{} // closed when draining and no call is running
+}
+
+// NewServer returns a server that is not yet serving.
+func NewServer(config ServerConfig) *Server {
+	setDefault(&config.MaxMessageBytes, DefaultMaxMessageBytes)
+	setDefault(&config.MaxConnections, DefaultMaxConnections)
+	setDefault(&config.HandshakeTimeout, DefaultHandshakeTimeout)
+	setDefault(&config.DrainTimeout, DefaultDrainTimeout)
+	if config.Logger == nil {
+		config.Logger = slog.New(slog.DiscardHandler)
+	}
+	s := &Server{
+		config:  config,
+		auth:    authenticator{tls: config.TLS, key: config.Key, timeout: config.HandshakeTimeout},
+		codec:   newCodec(config.MaxMessageBytes),
+		metrics: newServerMetrics(config.Registerer),
+		slots:   make(chan struct{}, config.MaxConnections),
+		idle:    make(chan struct{}),
+	}
+	s.rpc = drpcserver.NewWithOptions(s, drpcserver.Options{Manager: managerOptions(config.MaxMessageBytes)})
+	return s
+}
+
+func setDefault[T comparable](value *T, standard T) {
+	var zero T
+	if *value == zero {
+		*value = standard
+	}
+}
+
+func managerOptions(maxMessageBytes int) drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes + frameOverheadBytes},
+		Stream: drpcstream.Options{MaximumBufferSize: keptBufferBytes},
+	}
+}
+
+// Serve accepts connections until ctx ends. Then it refuses new calls, lets
+// the running ones end within the drain timeout, and closes the connections.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	if err := s.auth.usable(); err != nil {
+		return errs.Combine(err, listener.Close())
+	}
+	connCtx, closeConns := context.WithCancel(context.WithoutCancel(ctx))
+	defer closeConns()
+	stopAccepting := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stopAccepting()
+
+	var conns sync.WaitGroup
+	err := s.accept(ctx, listener, func(conn net.Conn) {
+		conns.Go(func() { s.serveConn(connCtx, conn) })
+	})
+	s.drain()
+	closeConns()
+	conns.Wait()
+	return err
+}
+
+// accept hands each connection to start until ctx ends or the listener fails.
+func (s *Server) accept(ctx context.Context, listener net.Listener, start func(net.Conn)) error {
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case err == nil:
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return Error.Wrap(err)
+		default:
+			s.config.Logger.Warn("accept failed", "error", err)
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		select {
+		case s.slots <- struct{}{}:
+			start(conn)
+		default:
+			s.metrics.refused.WithLabelValues(refusedFull).Inc()
+			_ = conn.Close()
+		}
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	defer func() { <-s.slots }()
+	stopClosing := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stopClosing()
+	defer conn.Close()
+	secure, err := s.auth.server(conn)
+	if err != nil {
+		s.refuse(conn, err)
+		return
+	}
+	s.metrics.connections.Inc()
+	defer s.metrics.connections.Dec()
+	err = s.rpc.ServeOne(ctx, secure)
+	s.config.Logger.Debug("link connection ended", "peer", conn.RemoteAddr().String(), "error", err)
+}
+
+func (s *Server) refuse(conn net.Conn, err error) {
+	cause := refusedBroken
+	if errors.Is(err, ErrUnauthenticated) {
+		cause = refusedUnauthenticated
+	}
+	s.metrics.refused.WithLabelValues(cause).Inc()
+	s.config.Logger.Warn("link connection refused", "peer", conn.RemoteAddr().String(), "error", err)
+}
+
+// HandleRPC serves one call. It is for drpc and not to be called otherwise.
+func (s *Server) HandleRPC(stream drpc.Stream, name string) error {
+	if !s.begin() {
+		return drpcerr.WithCode(errs.New("draining"), codeDraining)
+	}
+	defer s.end()
+	started := time.Now()
+	err := s.config.Mux.serve(stream, Method(name), s.codec)
+	s.metrics.observe(err, time.Since(started))
+	if err != nil {
+		return err
+	}
+	return stream.CloseSend()
+}
+
+// begin counts a call as running unless the server drains.
+func (s *Server) begin() bool {
+	s.callsMu.Lock()
+	defer s.callsMu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.running++
+	return true
+}
+
+func (s *Server) end() {
+	s.callsMu.Lock()
+	defer s.callsMu.Unlock()
+	s.running--
+	s.signalIdle()
+}
+
+// signalIdle must be called with callsMu held.
+func (s *Server) signalIdle() {
+	if !s.draining || s.running > 0 {
+		return
+	}
+	select {
+	case <-s.idle:
+	default:
+		close(s.idle)
+	}
+}
+
+func (s *Server) drain() {
+	s.callsMu.Lock()
+	s.draining = true
+	s.signalIdle()
+	s.callsMu.Unlock()
+
+	limit := time.NewTimer(s.config.DrainTimeout)
+	defer limit.Stop()
+	select {
+	case <-s.idle:
+	case <-limit.C:
+		s.config.Logger.Warn("link drain timed out, calls are cut off")
+	}
+}
