Parse the operators' document strictly and look its parts up

Cause: every other package needs the document, and operators need all faults of a change at once, with their places.

--- a/document/document.go
+++ b/document/document.go
@@ -43,6 +43,9 @@
 	Limits     []Limit     `yaml:"limits"`
 	Prices     []Price     `yaml:"prices"`
 	Owners     []Owner     `yaml:"owners"`
+
+	index  index
+	bodies Bodies
 }
 
 // Site is one data centre and the region it stands in.
--- /dev/null
+++ b/document/parse.go
@@ -0,0 +1,122 @@
+package document
+
+import (
+	"bytes"
+	"reflect"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Parse reads a whole document strictly, fills defaults and checks it. The
+// error holds an *InvalidError with all faults together.
+func Parse(data []byte) (*Document, error) {
+	p := newParser(false)
+	p.document.bodies = cut(data, p.readWhole(data))
+	return p.finish()
+}
+
+// ParseBodies reads a document from its sections. Long sections whose text is
+// the same as when previous was made are taken from it without reading them
+// again; previous may be nil. Errors are those of Parse, with places counted
+// in each section's body.
+func ParseBodies(bodies Bodies, previous *Document) (*Document, error) {
+	p := newParser(true)
+	p.document.bodies = bodies
+	for _, body := range bodies {
+		if !p.reuse(body, previous) {
+			p.readBody(body)
+		}
+	}
+	document, err := p.finish()
+	if err != nil && previous != nil {
+		return ParseBodies(bodies, nil)
+	}
+	return document, err
+}
+
+// Bodies returns the texts that the document was made from.
+func (d *Document) Bodies() Bodies { return d.bodies }
+
+// sectionFields gives the field of Document that holds a section.
+var sectionFields = func() map[Section]int {
+	indexes := make(map[Section]int)
+	for key, i := range fieldsOf(reflect.TypeFor[Document]()).byKey {
+		indexes[Section(key)] = i
+	}
+	return indexes
+}()
+
+// parser puts a document together from sections.
+type parser struct {
+	document *Document
+	faults   problems
+	// byBody says that places count within each section's body.
+	byBody bool
+	nodes  map[Section]*yaml.Node
+}
+
+func newParser(byBody bool) *parser {
+	return &parser{document: &Document{}, byBody: byBody, nodes: make(map[Section]*yaml.Node)}
+}
+
+// readWhole reads every section of one text.
+func (p *parser) readWhole(data []byte) []topLevel {
+	found := readRoot(data, "", &p.faults)
+	for _, entry := range found {
+		p.readSection(entry)
+	}
+	return found
+}
+
+// readBody reads the text of one section.
+func (p *parser) readBody(body Body) {
+	for _, entry := range readRoot(body.Text, body.Section, &p.faults) {
+		p.readSection(entry)
+	}
+}
+
+// readSection decodes one section.
+func (p *parser) readSection(entry topLevel) {
+	p.nodes[entry.section] = entry.value
+	d := decoder{section: p.placeSection(entry.section), problems: &p.faults}
+	d.decode(entry.value, reflect.ValueOf(p.document).Elem().Field(sectionFields[entry.section]))
+}
+
+// reuse takes a long section over from the previous document when its text is
+// the same. These sections have no defaults that depend on others.
+func (p *parser) reuse(body Body, previous *Document) bool {
+	if previous == nil || !bytes.Equal(previous.bodies.Get(body.Section), body.Text) {
+		return false
+	}
+	switch body.Section {
+	case SectionWorkspaces:
+		p.document.Workspaces = previous.Workspaces
+		p.document.index.workspaces = previous.index.workspaces
+		p.document.index.keyHashes = previous.index.keyHashes
+		return true
+	case SectionLimits:
+		p.document.Limits = previous.Limits
+		return true
+	}
+	return false
+}
+
+// placeSection is the section to name in a place.
+func (p *parser) placeSection(section Section) Section {
+	if p.byBody {
+		return section
+	}
+	return ""
+}
+
+// finish derives defaults, checks the whole and returns the document.
+func (p *parser) finish() (*Document, error) {
+	c := &checker{parser: p, document: p.document}
+	c.indexNames()
+	p.document.fillDerived()
+	c.checkAll()
+	if err := p.faults.err(); err != nil {
+		return nil, err
+	}
+	return p.document, nil
+}
