Refuse line breaks that YAML counts but the section cutter doesn't

Cause: the fuzzer's input with lone carriage returns made Split index past the text: YAML counts them as lines.

Change: such texts are refused with a fault.

--- a/document/bodies.go
+++ b/document/bodies.go
@@ -81,6 +81,10 @@
 // readRoot reads a text and returns its sections in the order of the text.
 // When only is set, no other section may stand in the text.
 func readRoot(data []byte, only Section, faults *problems) []topLevel {
+	if hasOddBreak(data) {
+		faults.add(place{only, 1, 1}, "lines must end in a line feed, alone or after a carriage return")
+		return nil
+	}
 	decoder := yaml.NewDecoder(bytes.NewReader(data))
 	var root yaml.Node
 	if err := decoder.Decode(&root); err != nil {
@@ -133,6 +137,13 @@
 	return false
 }
 
+// hasOddBreak says whether the text has line breaks that YAML counts but
+// editors and this package don't.
+func hasOddBreak(data []byte) bool {
+	rest := bytes.ReplaceAll(data, []byte("\r\n"), []byte("\n"))
+	return bytes.ContainsAny(rest, "\r\u0085\u2028\u2029")
+}
+
 // cut divides the text at the sections' keys.
 func cut(data []byte, found []topLevel) Bodies {
 	lines := slices.Collect(bytes.Lines(data))
