--- a/document/defaults.go
+++ b/document/defaults.go
@@ -12,22 +12,26 @@
 	defaultShare       = 1.0
 )
 
-func (m *Model) setDefaults() {
+// SetDefaults fills in what a Model has when its keys are absent.
+func (m *Model) SetDefaults() {
 	m.Group = defaultGroup
 	m.MinCopies = defaultMinCopies
 }
 
-func (p *Pool) setDefaults() {
+// SetDefaults fills in what a Pool has when its keys are absent.
+func (p *Pool) SetDefaults() {
 	p.Concurrency = defaultConcurrency
 	p.MaxSetAside = defaultMaxSetAside
 }
 
-func (c *Class) setDefaults() {
+// SetDefaults fills in what a Class has when its keys are absent.
+func (c *Class) SetDefaults() {
 	c.Weigh = WeighAttainment
 	c.RetryBudget = defaultRetryBudget
 }
 
-func (w *Workspace) setDefaults() {
+// SetDefaults fills in what a Workspace has when its keys are absent.
+func (w *Workspace) SetDefaults() {
 	w.Share = defaultShare
 }
 
--- a/document/document.go
+++ b/document/document.go
@@ -3,6 +3,11 @@
 // and checks the whole; it does no I/O.
 package document
 
+import "github.com/galenaseam/galenaseam/internal/strictyaml"
+
+// Duration is a time.Duration written as text, for example "250ms".
+type Duration = strictyaml.Duration
+
 // Section names a top-level part of the document.
 type Section string
 
--- a/document/parse.go
+++ b/document/parse.go
@@ -5,6 +5,8 @@
 	"reflect"
 
 	"go.yaml.in/yaml/v3"
+
+	"github.com/galenaseam/galenaseam/internal/strictyaml"
 )
 
 // Parse reads a whole document strictly, fills defaults and checks it. The
@@ -40,7 +42,7 @@
 // sectionFields gives the field of Document that holds a section.
 var sectionFields = func() map[Section]int {
 	indexes := make(map[Section]int)
-	for key, i := range fieldsOf(reflect.TypeFor[Document]()).byKey {
+	for key, i := range strictyaml.Keys(reflect.TypeFor[Document]()) {
 		indexes[Section(key)] = i
 	}
 	return indexes
@@ -78,8 +80,11 @@
 // readSection decodes one section.
 func (p *parser) readSection(entry topLevel) {
 	p.nodes[entry.section] = entry.value
-	d := decoder{section: p.placeSection(entry.section), problems: &p.faults}
-	d.decode(entry.value, reflect.ValueOf(p.document).Elem().Field(sectionFields[entry.section]))
+	section := p.placeSection(entry.section)
+	d := strictyaml.Decoder{Fault: func(node *yaml.Node, message string) {
+		p.faults.add(place{section, node.Line, node.Column}, "%s", message)
+	}}
+	d.Decode(entry.value, reflect.ValueOf(p.document).Elem().Field(sectionFields[entry.section]))
 }
 
 // reuse takes a long section over from the previous document when its text is
--- a/document/decode.go
+++ b/internal/strictyaml/decode.go
@@ -1,6 +1,9 @@
-package document
+// Package strictyaml decodes YAML nodes into Go values and reports everything
+// that is wrong, each with its place, instead of stopping at the first fault.
+package strictyaml
 
 import (
+	"fmt"
 	"math"
 	"reflect"
 	"strconv"
@@ -10,29 +13,34 @@
 	"go.yaml.in/yaml/v3"
 )
 
-// defaulter is a type that has values of its own for keys that are absent.
-type defaulter interface {
-	setDefaults()
+// Defaulter is a type that has values of its own for keys that are absent.
+type Defaulter interface {
+	SetDefaults()
 }
 
 var durationType = reflect.TypeFor[Duration]()
 
-// decoder turns the nodes of one section into Go values. It goes on after a
+// Decoder turns nodes into Go values by their yaml tags. It goes on after a
 // fault, so that all are reported together.
-type decoder struct {
-	section  Section
-	problems *problems
+type Decoder struct {
+	// Fault is told what is wrong at a node.
+	Fault func(node *yaml.Node, message string)
 }
 
 // fault records a fault at a node.
-func (d *decoder) fault(node *yaml.Node, format string, args ...any) {
-	d.problems.add(place{d.section, node.Line, node.Column}, format, args...)
+func (d *Decoder) fault(node *yaml.Node, format string, args ...any) {
+	d.Fault(node, fmt.Sprintf(format, args...))
+}
+
+// Decode sets into from node. What can't be read keeps its former value.
+func (d *Decoder) Decode(node *yaml.Node, into reflect.Value) {
+	d.decode(node, into)
 }
 
 // decode sets into from node. What can't be read keeps its former value.
-func (d *decoder) decode(node *yaml.Node, into reflect.Value) {
+func (d *Decoder) decode(node *yaml.Node, into reflect.Value) {
 	if node.Kind == yaml.AliasNode || node.Anchor != "" {
-		d.fault(node, "anchors and aliases are not allowed: sections are edited apart")
+		d.fault(node, "anchors and aliases are not allowed")
 		return
 	}
 	if into.Type() == durationType {
@@ -53,13 +61,13 @@
 }
 
 // decodeStruct reads a mapping whose keys must all be fields.
-func (d *decoder) decodeStruct(node *yaml.Node, into reflect.Value) {
+func (d *Decoder) decodeStruct(node *yaml.Node, into reflect.Value) {
 	if node.Kind != yaml.MappingNode {
 		d.fault(node, "expected keys and values, found %s", describe(node))
 		return
 	}
-	if value, ok := into.Addr().Interface().(defaulter); ok {
-		value.setDefaults()
+	if value, ok := into.Addr().Interface().(Defaulter); ok {
+		value.SetDefaults()
 	}
 	fields := fieldsOf(into.Type())
 	seen := make(map[string]bool, len(node.Content)/2)
@@ -79,7 +87,7 @@
 }
 
 // decodeSlice reads a list.
-func (d *decoder) decodeSlice(node *yaml.Node, into reflect.Value) {
+func (d *Decoder) decodeSlice(node *yaml.Node, into reflect.Value) {
 	if isNull(node) {
 		return
 	}
@@ -95,7 +103,7 @@
 }
 
 // decodeDuration reads a duration with its unit.
-func (d *decoder) decodeDuration(node *yaml.Node, into reflect.Value) {
+func (d *Decoder) decodeDuration(node *yaml.Node, into reflect.Value) {
 	parsed, err := time.ParseDuration(node.Value)
 	if node.Kind != yaml.ScalarNode || err != nil {
 		d.fault(node, "%s is not a duration with a unit, such as 250ms", describe(node))
@@ -105,7 +113,7 @@
 }
 
 // decodeScalar reads a string, number or truth value.
-func (d *decoder) decodeScalar(node *yaml.Node, into reflect.Value) {
+func (d *Decoder) decodeScalar(node *yaml.Node, into reflect.Value) {
 	if node.Kind != yaml.ScalarNode || isNull(node) {
 		d.fault(node, "expected %s, found %s", wanted(into.Kind()), describe(node))
 		return
--- a/document/fields.go
+++ b/internal/strictyaml/fields.go
@@ -1,4 +1,4 @@
-package document
+package strictyaml
 
 import (
 	"reflect"
@@ -31,3 +31,7 @@
 	fieldCache.Store(t, found)
 	return found
 }
+
+// Keys returns the YAML keys of a struct type and the index of the field that
+// each stands for.
+func Keys(t reflect.Type) map[string]int { return fieldsOf(t).byKey }
--- /dev/null
+++ b/settings/flags.go
@@ -0,0 +1,83 @@
+package settings
+
+import (
+	"errors"
+	"flag"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3"
+)
+
+// envPrefix begins the environment variables that stand in for flags, such as
+// SEAMD_LISTEN_HTTP.
+const envPrefix = "SEAMD"
+
+// override is one setting that a flag or the environment can change.
+type override struct {
+	name  string
+	usage string
+	set   func(*Settings, string)
+}
+
+// overrides lists the settings that differ from host to host.
+var overrides = []override{
+	{"id", "name of this process; a new one when empty", func(s *Settings, v string) { s.Host.ID = v }},
+	{"data-centre", "data centre the host stands in", func(s *Settings, v string) { s.Host.DataCentre = v }},
+	{"region", "region the host stands in", func(s *Settings, v string) { s.Host.Region = v }},
+	{"listen-http", "callers' address", func(s *Settings, v string) { s.Listen.HTTP = v }},
+	{"listen-link", "address for the other hosts", func(s *Settings, v string) { s.Listen.Link = v }},
+	{"listen-operator", "operators' address", func(s *Settings, v string) { s.Listen.Operator = v }},
+	{"store", "base URLs of the key-value service, comma-separated", func(s *Settings, v string) { s.Platform.Store = strings.Split(v, ",") }},
+	{"host-list", "URL of the host list", func(s *Settings, v string) { s.Platform.HostList = v }},
+	{"weights", "base URL of the weight store", func(s *Settings, v string) { s.Platform.Weights = v }},
+	{"fleet-key-file", "file with the key that hosts share", func(s *Settings, v string) { s.Fleet.KeyFile = v }},
+	{"operator-token-file", "file with the operators' token", func(s *Settings, v string) { s.Operator.TokenFile = v }},
+	{"log-level", "debug, info, warn or error", func(s *Settings, v string) { s.Log.Level = v }},
+}
+
+// Load reads the command line, the environment and the settings file that they
+// name. Flags go before the environment, and both before the file. It returns
+// flag.ErrHelp when help was asked for and printed.
+func Load(args []string, errOut io.Writer) (Settings, error) {
+	fs := flag.NewFlagSet("seamd", flag.ContinueOnError)
+	fs.SetOutput(errOut)
+	path := fs.String("settings", "", "settings file in YAML")
+	values := make([]*string, len(overrides))
+	for i, o := range overrides {
+		values[i] = fs.String(o.name, "", o.usage)
+	}
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(envPrefix)); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return Settings{}, flag.ErrHelp
+		}
+		return Settings{}, Error.Wrap(err)
+	}
+	if fs.NArg() > 0 {
+		return Settings{}, Error.New("unexpected argument %q", fs.Arg(0))
+	}
+	data, err := readFile(*path)
+	if err != nil {
+		return Settings{}, err
+	}
+	return Parse(data, func(s *Settings) { apply(s, values) })
+}
+
+// readFile reads the settings file; without one the defaults stand.
+func readFile(path string) ([]byte, error) {
+	if path == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(path)
+	return data, Error.Wrap(err)
+}
+
+// apply sets each setting whose flag has a value.
+func apply(s *Settings, values []*string) {
+	for i, o := range overrides {
+		if *values[i] != "" {
+			o.set(s, *values[i])
+		}
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,6 +6,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/galenaseam/galenaseam/internal/strictyaml"
 )
 
 // Settings is the settings of one host's process. Parse returns it checked.
@@ -114,10 +116,7 @@
 }
 
 // Duration is a time.Duration written as text with its unit.
-type Duration time.Duration
-
-// Std returns the standard library's form.
-func (d Duration) Std() time.Duration { return time.Duration(d) }
+type Duration = strictyaml.Duration
 
 // Default returns the settings that Parse starts from.
 func Default() Settings {
