Match the stand-ins to the calls that the path makes

Cause: the path sends continue_from as text and token count, a list of texts to encoders, and checks the workspace that a retriever names.

Change: engines check that the text is the beginning of their own answer and refuse with Seam-Ran: no otherwise; encoders take one text or a list; retrievers repeat the workspace.

--- a/internal/standin/deployment_test.go
+++ b/internal/standin/deployment_test.go
@@ -81,11 +81,12 @@
 	return reply{status: resp.StatusCode, header: resp.Header, body: data, err: err}
 }
 
-func chat(question string, stream bool, from int) model.ChatRequest {
-	return model.ChatRequest{
-		Model: "small", Stream: stream, ContinueFrom: from,
-		Messages: []model.Message{{Role: "user", Content: question}},
+func chat(question string, stream bool, had []string) model.ChatRequest {
+	req := model.ChatRequest{Model: "small", Stream: stream, Messages: []model.Message{{Role: "user", Content: question}}}
+	if len(had) > 0 {
+		req.ContinueFrom = &model.ContinueFrom{Text: strings.Join(had, ""), Tokens: len(had)}
 	}
+	return req
 }
 
 func TestAnswersAreTheirOwn(t *testing.T) {
@@ -93,7 +94,7 @@
 	engine := d.Pool("engines")[0].URLPath("/v1/chat/completions")
 	question := "ref-41 where is argon " + strings.Repeat("bottle ", 40)
 	for round := range 2 {
-		got := post(t, engine, "r1", "", chat(question, false, 0))
+		got := post(t, engine, "r1", "", chat(question, false, nil))
 		require.NoError(t, got.err)
 		require.Equal(t, "r1", got.header.Get(server.HeaderRequestID))
 		var answer model.ChatResponse
@@ -113,20 +114,20 @@
 	d := start(t)
 	first, second := d.Pool("engines")[0], d.Pool("engines")[1]
 	first.Fault(fault.Fault{Kind: fault.Cut, AfterEvents: 5, Count: 1})
-	cut := post(t, first.URLPath("/v1/chat/completions"), "r1", "", chat("ref-7", true, 0))
+	cut := post(t, first.URLPath("/v1/chat/completions"), "r1", "", chat("ref-7", true, nil))
 	require.Error(t, cut.err, "a cut stream must not look whole")
 	head, whole := streamText(t, cut.body)
 	require.False(t, whole)
 	require.Len(t, head, 5)
-	rest := post(t, second.URLPath("/v1/chat/completions"), "r1", "", chat("ref-7", true, len(head)))
+	rest := post(t, second.URLPath("/v1/chat/completions"), "r1", "", chat("ref-7", true, head))
 	require.NoError(t, rest.err)
 	tail, whole := streamText(t, rest.body)
 	require.True(t, whole)
-	want, _ := model.Answer("small", model.Prompt(chat("ref-7", true, 0).Messages), 0)
+	want, _ := model.Answer("small", model.Prompt(chat("ref-7", true, nil).Messages), 0)
 	require.Equal(t, want, append(head, tail...))
 
 	second.Fault(fault.Fault{Kind: fault.Truncate, AfterEvents: 2, Count: 1})
-	short := post(t, second.URLPath("/v1/chat/completions"), "r1", "", chat("ref-7", true, 0))
+	short := post(t, second.URLPath("/v1/chat/completions"), "r1", "", chat("ref-7", true, nil))
 	require.NoError(t, short.err, "a truncated stream ends like a whole one")
 	_, whole = streamText(t, short.body)
 	require.False(t, whole)
--- a/internal/standin/model/chat.go
+++ b/internal/standin/model/chat.go
@@ -19,8 +19,14 @@
 	Stream    bool      `json:"stream,omitempty"`
 	MaxTokens int       `json:"max_tokens,omitempty"`
 	Priority  int       `json:"priority,omitempty"`
-	// ContinueFrom is how many tokens of this answer the caller already has.
-	ContinueFrom int `json:"continue_from,omitempty"`
+	// ContinueFrom is the part of this answer that the caller already has.
+	ContinueFrom *ContinueFrom `json:"continue_from,omitempty"`
+}
+
+// ContinueFrom is the beginning of an answer.
+type ContinueFrom struct {
+	Text   string `json:"text"`
+	Tokens int    `json:"tokens"`
 }
 
 // Usage counts the tokens of one call.
@@ -96,11 +102,17 @@
 		server.Refuse(w, http.StatusNotFound, "model not loaded: "+req.Model)
 		return
 	}
+	prompt := Prompt(req.Messages)
+	tokens, cut := Answer(req.Model, prompt, req.MaxTokens)
+	if !continues(tokens, req.ContinueFrom) {
+		server.Refuse(w, http.StatusBadRequest, "continue_from is not the beginning of this answer")
+		return
+	}
 	if call.Slots.Acquire(call.Request.Context(), req.Priority) != nil {
 		return
 	}
 	defer call.Slots.Release()
-	g := e.begin(req)
+	g := e.begin(req, prompt, tokens, cut)
 	w.Header().Set(server.HeaderRan, "yes")
 	uncached := g.usage.PromptTokens - g.usage.PromptTokensDetails.CachedTokens
 	if call.Wait(e.cfg.FirstToken+time.Duration(uncached)*e.cfg.PerPromptToken) != nil {
@@ -116,13 +128,24 @@
 	server.WriteJSON(w, http.StatusOK, g.response())
 }
 
-// begin works out the answer and brings the prompt into the cache.
-func (e *Engine) begin(req ChatRequest) *generation {
-	prompt := Prompt(req.Messages)
-	tokens, cut := Answer(req.Model, prompt, req.MaxTokens)
-	from := min(max(req.ContinueFrom, 0), len(tokens))
+// continues says whether an answer begins with what the caller already has.
+func continues(tokens []string, from *ContinueFrom) bool {
+	if from == nil {
+		return true
+	}
+	if from.Tokens < 0 || from.Tokens > len(tokens) {
+		return false
+	}
+	return strings.Join(tokens[:from.Tokens], "") == from.Text
+}
+
+// begin brings the prompt into the cache and counts tokens.
+func (e *Engine) begin(req ChatRequest, prompt string, tokens []string, cut bool) *generation {
+	if req.ContinueFrom != nil {
+		tokens = tokens[req.ContinueFrom.Tokens:]
+	}
 	hits := e.cache.use(Blocks(req.Model, prompt))
-	g := &generation{request: req, prompt: prompt, tokens: tokens[from:], finish: "stop"}
+	g := &generation{request: req, prompt: prompt, tokens: tokens, finish: "stop"}
 	if cut {
 		g.finish = "length"
 	}
--- a/internal/standin/model/engine.go
+++ b/internal/standin/model/engine.go
@@ -2,9 +2,9 @@
 // that generate text, encoders, retrievers and rerankers. Each answer follows
 // from its own request alone, so that a caller can tell it from any other.
 //
-// Beyond the OpenAI shape, a chat request may carry continue_from, a number of
-// tokens that an earlier stream of the same request already gave: the answer
-// starts after them. An engine also serves:
+// Beyond the OpenAI shape, a chat request may carry continue_from, the text and
+// the number of tokens that an earlier stream of the same request already gave:
+// the answer starts after them. An engine also serves:
 //
 //	POST /v1/kv/export    a chat request; answers the digests of its cached blocks
 //	POST /v1/kv/import    {"blocks": [...]}; takes blocks into the cache
--- a/internal/standin/model/pools.go
+++ b/internal/standin/model/pools.go
@@ -26,13 +26,26 @@
 	Duration time.Duration
 }
 
-// EmbeddingRequest asks for the embedding of a text.
+// EmbeddingRequest asks for the embeddings of texts.
 type EmbeddingRequest struct {
 	Model string `json:"model"`
-	Input string `json:"input"`
+	Input Inputs `json:"input"`
 }
 
-// EmbeddingResponse is the embedding of a text.
+// Inputs is texts to embed. One alone may be written without brackets.
+type Inputs []string
+
+// UnmarshalJSON reads a text or a list of texts.
+func (in *Inputs) UnmarshalJSON(data []byte) error {
+	var one string
+	if json.Unmarshal(data, &one) == nil {
+		*in = Inputs{one}
+		return nil
+	}
+	return json.Unmarshal(data, (*[]string)(in))
+}
+
+// EmbeddingResponse is the embeddings of texts, in their order.
 type EmbeddingResponse struct {
 	Object string      `json:"object"`
 	Model  string      `json:"model"`
@@ -57,6 +70,7 @@
 
 // RetrieveResponse is the documents found, best first.
 type RetrieveResponse struct {
+	Workspace string              `json:"workspace"`
 	Documents []RetrievedDocument `json:"documents"`
 }
 
@@ -89,15 +103,16 @@
 // StartEncoder serves POST /v1/embeddings.
 func StartEncoder(cfg PoolConfig) (*server.Upstream, error) {
 	return startPool(cfg, "/v1/embeddings", func(req EmbeddingRequest) (any, string) {
-		if req.Input == "" {
+		if len(req.Input) == 0 {
 			return nil, "no input"
 		}
-		tokens := len(Tokens(req.Input))
-		vector := Embedding{Object: "embedding", Embedding: Embed(req.Input)}
-		return EmbeddingResponse{
-			Object: "list", Model: req.Model, Data: []Embedding{vector},
-			Usage: Usage{PromptTokens: tokens, TotalTokens: tokens},
-		}, ""
+		resp := EmbeddingResponse{Object: "list", Model: req.Model}
+		for i, text := range req.Input {
+			resp.Data = append(resp.Data, Embedding{Object: "embedding", Index: i, Embedding: Embed(text)})
+			resp.Usage.PromptTokens += len(Tokens(text))
+		}
+		resp.Usage.TotalTokens = resp.Usage.PromptTokens
+		return resp, ""
 	})
 }
 
@@ -107,7 +122,7 @@
 		if req.Workspace == "" {
 			return nil, "no workspace"
 		}
-		return RetrieveResponse{Documents: Retrieve(req.Workspace, req.Query, req.TopK)}, ""
+		return RetrieveResponse{Workspace: req.Workspace, Documents: Retrieve(req.Workspace, req.Query, req.TopK)}, ""
 	})
 }
 
