--- a/internal/standin/server/upstream.go
+++ b/internal/standin/server/upstream.go
@@ -3,11 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -293,54 +291,3 @@
 	defer u.mu.Unlock()
 	u.answer = a
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// ErrorBody is the JSON of an error answer, in the OpenAI shape.
-type ErrorBody struct {
-	Error ErrorDetail `json:"error"`
-}
-
-// ErrorDetail says what went wrong.
-type ErrorDetail struct {
-	Message string `json:"message"`
-}
-
-// NewErrorBody returns the body for a message.
-func NewErrorBody(message string) ErrorBody { return ErrorBody{Error: ErrorDetail{Message: message}} }
-
-// Refuse answers that nothing ran.
-func Refuse(w http.ResponseWriter, status int, message string) {
-	w.Header().Set(HeaderRan, "no")
-	WriteJSON(w, status, NewErrorBody(message))
-}
-
-// WriteJSON answers with one JSON value.
-func WriteJSON(w http.ResponseWriter, status int, value any) {
-	data, err := json.Marshal(value)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_, _ = w.Write(append(data, '\n')) // a caller that has gone needs no answer
-}
-
-// isStream says whether an answer is server-sent events.
-func isStream(h http.Header) bool {
-	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
-}
