--- a/document/document.go
+++ b/document/document.go
@@ -3,6 +3,11 @@
 // and checks the whole; it does no I/O.
 package document
 
+import "github.com/galenaseam/galenaseam/internal/strictyaml"
+
+// Duration is a time.Duration written as text, for example "250ms".
+type Duration = strictyaml.Duration
+
 // Section names a top-level part of the document.
 type Section string
 
@@ -43,6 +48,9 @@
 	Limits     []Limit     `yaml:"limits"`
 	Prices     []Price     `yaml:"prices"`
 	Owners     []Owner     `yaml:"owners"`
+
+	index  index
+	bodies Bodies
 }
 
 // Site is one data centre and the region it stands in.
@@ -91,6 +99,9 @@
 	ChecksFencing bool `yaml:"checks_fencing,omitempty"`
 	// ReportsLoad says whether the upstreams report their load.
 	ReportsLoad bool `yaml:"reports_load,omitempty"`
+	// NoEcho says that the upstreams do not repeat a call's identity headers,
+	// so that answers are matched to calls by their connection alone.
+	NoEcho bool `yaml:"no_echo,omitempty"`
 }
 
 // Stage is one step of a pipeline.
