--- a/cmd/seamload/main.go
+++ b/cmd/seamload/main.go
@@ -108,8 +108,8 @@
 				fmt.Printf(" %s %.3f(e%d l%d p99 %.2f)", class, cr.Attainment(), cr.Early, cr.Late, cr.P99.Seconds())
 			}
 		}
-		fmt.Printf(" good %.3f waste %.3f fair %.3f money %.3f rec %.1f\n",
-			r.Goodput, r.Wasted, r.Fairness, r.Money(), r.Recovery.Seconds())
+		fmt.Printf(" good %.3f waste %.3f fair %.3f money %.3f hits %.3f rec %.1f\n",
+			r.Goodput, r.Wasted, r.Fairness, r.Money(), r.CacheHits(), r.Recovery.Seconds())
 	}
 	finish := func(results []*experiment.Result) error {
 		if o.out == "" {
--- a/experiment/result.go
+++ b/experiment/result.go
@@ -76,6 +76,16 @@
 	return float64(n) / float64(max(offered, 1))
 }
 
+// CacheHits is the share of the prompts' tokens that engines had cached.
+func (r *Result) CacheHits() float64 {
+	var input, cached int64
+	for _, s := range r.Stages {
+		cached += s.CachedTokens
+		input += s.InputTokens
+	}
+	return float64(cached) / float64(max(input, 1))
+}
+
 // Money is the priced cost for each request in time.
 func (r *Result) Money() float64 {
 	var money float64
--- a/experiment/server.go
+++ b/experiment/server.go
@@ -135,8 +135,9 @@
 
 func (s *server) run(ctx context.Context, j job) dispatch.Outcome {
 	took := j.service
-	out := dispatch.Outcome{InputTokens: j.tokens}
+	var out dispatch.Outcome
 	if j.prefix != 0 {
+		out.InputTokens = j.tokens
 		if s.cache.Contains(j.prefix) {
 			took -= time.Duration(prefillShare * float64(took))
 			out.CachedTokens = j.tokens
--- a/experiment/table.go
+++ b/experiment/table.go
@@ -10,16 +10,16 @@
 // WriteCSV writes one line for each cell.
 func WriteCSV(w io.Writer, results []*Result) error {
 	_, err := fmt.Fprintln(w, "deployment,load,fault,variant,attainment,"+
-		"lookup,order,draft,summary,goodput,early,late,wasted,money,fairness,recovery_s")
+		"lookup,order,draft,summary,goodput,early,late,wasted,money,fairness,cache_hits,recovery_s")
 	if err != nil {
 		return err
 	}
 	for _, r := range results {
 		c := r.Cell
-		_, err := fmt.Fprintf(w, "%s,%.2f,%s,%s,%.4f,%s,%s,%s,%s,%.3f,%.4f,%.4f,%.4f,%.4f,%.3f,%.1f\n",
+		_, err := fmt.Fprintf(w, "%s,%.2f,%s,%s,%.4f,%s,%s,%s,%s,%.3f,%.4f,%.4f,%.4f,%.4f,%.3f,%.3f,%.1f\n",
 			c.Deployment, c.Load, c.Fault, c.Variant.Name, r.Attainment(),
 			r.class(ClassLookup), r.class(ClassOrder), r.class(ClassDraft), r.class(ClassSummary),
-			r.Goodput, r.Early(), r.Late(), r.Wasted, r.Money(), r.Fairness, r.Recovery.Seconds())
+			r.Goodput, r.Early(), r.Late(), r.Wasted, r.Money(), r.Fairness, r.CacheHits(), r.Recovery.Seconds())
 		if err != nil {
 			return err
 		}
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/galenaseam/galenaseam/document"
 )
 
 const (
@@ -17,11 +15,6 @@
 	// upstream's slots, at which a nearer upstream is as good.
 	sameRegionCost  = 0.1
 	otherRegionCost = 0.6
-	// cachedBound and cachedBoundCost bound the load, over the mean, that an
-	// engine with the prefix may have and still be preferred; the second is
-	// for classes that put cost first.
-	cachedBound     = 1.25
-	cachedBoundCost = 1.75
 )
 
 // choose picks the upstream for a call, or nil. probe says that the upstream
@@ -168,56 +161,3 @@
 	}
 	return nil
 }
-
-// cached returns the engine that has the call's longest known prefix, unless
-// it is much busier than the mean.
-func (c *Core) cached(now time.Time, p *pool, call *Call) *server {
-	r := call.Request
-	if !c.settings.Affinity || r.Stages[call.Stage].Kind != document.KindGenerate {
-		return nil
-	}
-	s := p.holder(r.Prefix)
-	if s == nil || !c.open(now, p, s, call) || s.excess(p) > 0 {
-		return nil
-	}
-	bound := cachedBound
-	if r.Class.Weigh == document.WeighCost {
-		bound = cachedBoundCost
-	}
-	load := float64(s.inFlight()) + p.othersOn(now, s)
-	if load > bound*(p.meanLoad()+1) || load >= float64(p.terms.Concurrency) {
-		return nil
-	}
-	return s
-}
-
-// meanLoad is the mean load of the pool's upstreams, with that of other hosts.
-func (p *pool) meanLoad() float64 {
-	return float64(p.inFlight)/float64(len(p.order)) + p.meanOthers
-}
-
-func (p *pool) holder(prefix []uint64) *server {
-	for i := len(prefix) - 1; i >= 0; i-- {
-		if id, ok := p.prefixes.Get(prefix[i]); ok {
-			return p.byID[id]
-		}
-	}
-	return nil
-}
-
-// rememberPrefix notes where a prompt's prefixes are cached now. An answer
-// without cached tokens from the remembered engine shows that it evicted the
-// prefix; the call has filled it again.
-func (c *Core) rememberPrefix(a *Attempt, o Outcome) {
-	r := a.Call.Request
-	if !c.settings.Affinity || r.Stages[a.Call.Stage].Kind != document.KindGenerate {
-		return
-	}
-	p := a.Call.pool
-	for _, digest := range r.Prefix {
-		held, ok := p.prefixes.Get(digest)
-		if !ok || o.CachedTokens > 0 || p.byID[held] == nil {
-			p.prefixes.Add(digest, a.Upstream.ID)
-		}
-	}
-}
--- a/policy/core.go
+++ b/policy/core.go
@@ -286,7 +286,6 @@
 		ratio := a.ratio(elapsed)
 		a.server.learn(class, ratio, false)
 		call.pool.limit.sample(h.slowdown(elapsed))
-		c.rememberPrefix(a, o)
 	case o.Failure.blamesUpstream():
 		a.server.learn(class, a.ratio(elapsed), true)
 	case o.Failure == Cancelled && elapsed > a.expected:
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -35,12 +35,12 @@
 	// medianRatio is the median of the upstreams' slowness.
 	medianRatio float64
 	roundRobin  int
-	prefixes    *lru.Cache[uint64, upstream.ID]
+	prefixes    *lru.Cache[uint64, struct{}]
 	demand      *demand
 }
 
 func newPool(name string) *pool {
-	prefixes, err := lru.New[uint64, upstream.ID](maxPrefixes)
+	prefixes, err := lru.New[uint64, struct{}](maxPrefixes)
 	if err != nil {
 		panic(err) // only a size under one fails
 	}
