--- a/experiment/caller.go
+++ b/experiment/caller.go
@@ -181,7 +181,7 @@
 func (r *runner) call(ctx context.Context, i int, kind document.Kind, slot dispatch.Slot) dispatch.Failure {
 	ctx, cancel := context.WithDeadline(ctx, slot.Deadline())
 	defer cancel()
-	j := job{service: r.plan.services[i], tokens: r.plan.flow.InputTokens}
+	j := job{service: r.plan.services[i], tokens: r.plan.flow.InputTokens, class: r.plan.flow.Class}
 	if kind == document.KindGenerate {
 		j.prefix = prefixOf(r.plan)
 		j.priority = r.priority
--- a/experiment/cell.go
+++ b/experiment/cell.go
@@ -41,7 +41,7 @@
 // Run measures one cell in real time, until its last request has ended.
 func (c *Cell) Run(ctx context.Context, d *Deployment) (*Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	run := &cellRun{Cell: c, deployment: d, fleet: newFleet(d), plans: draw(c, d), tally: newTally()}
+	run := &cellRun{Cell: c, deployment: d, fleet: newFleet(d, c.Fault), plans: draw(c, d), tally: newTally()}
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer cancel()
--- a/experiment/fault.go
+++ b/experiment/fault.go
@@ -24,12 +24,18 @@
 	FaultDataCentre      Fault = "data centre lost"
 	FaultHostsDie        Fault = "hosts die"
 	FaultHeavy           Fault = "heavy workspace"
+	FaultGrey            Fault = "engines fail lookups"
+	FaultSmaller         Fault = "engines smaller than declared"
+	FaultLarger          Fault = "engines larger than declared"
 	slowFactor                 = 10
 	burstStart                 = 2 * time.Second
 	burstLength                = 2 * time.Second
 	longLag                    = 2 * time.Second
 	flushEvery                 = time.Second
 	deadHosts                  = 3
+	greyEngines                = 2
+	smallerSlots               = 5
+	largerSlots                = 12
 	balancerNoticesAfter       = 500 * time.Millisecond
 )
 
@@ -38,6 +44,7 @@
 	return []Fault{
 		FaultNone, FaultSlowEncoder, FaultSlowRetriever, FaultSlowReranker, FaultSlowEngine,
 		FaultHalfEngines, FaultBurst, FaultLag, FaultFlush, FaultDataCentre, FaultHostsDie, FaultHeavy,
+		FaultGrey, FaultSmaller, FaultLarger,
 	}
 }
 
@@ -50,8 +57,20 @@
 	return false
 }
 
+// engineSlots is how many calls an engine really runs at once, where that
+// differs from what the document declares; zero where it doesn't.
+func (f Fault) engineSlots() int {
+	switch f {
+	case FaultSmaller:
+		return smallerSlots
+	case FaultLarger:
+		return largerSlots
+	}
+	return 0
+}
+
 // inject makes the fault happen. Bursts, dead hosts and heavy workspaces are
-// in the arrivals.
+// in the arrivals, and wrong sizes in the engines from the start.
 func (c *cellRun) inject(ctx context.Context) {
 	if !sleep(ctx, c.Warmup) {
 		return
@@ -70,6 +89,8 @@
 		f.kill(ctx, func(u upstream.Upstream) bool { return u.Pool == PoolEngines && lastByte(u)%2 == 0 })
 	case FaultDataCentre:
 		f.kill(ctx, func(u upstream.Upstream) bool { return u.Place.DataCentre == c.deployment.Places[0].DataCentre })
+	case FaultGrey:
+		f.failLookups()
 	case FaultLag:
 		f.setLag(longLag)
 	case FaultFlush:
--- a/experiment/fleet.go
+++ b/experiment/fleet.go
@@ -28,16 +28,21 @@
 	pools   map[string][]upstream.Upstream
 	reports map[upstream.ID][]upstream.Load
 	lag     time.Duration
+	// engineSlots is the real size of engines that the document declares
+	// wrongly; zero when it is right.
+	engineSlots int
 }
 
 var _ upstream.View = (*fleet)(nil)
 
-func newFleet(d *Deployment) *fleet {
+func newFleet(d *Deployment, fault Fault) *fleet {
 	f := &fleet{
 		servers: make(map[upstream.ID]*server),
 		pools:   make(map[string][]upstream.Upstream),
 		reports: make(map[upstream.ID][]upstream.Load),
 		lag:     usualLag,
+
+		engineSlots: fault.engineSlots(),
 	}
 	for number, size := range d.Pools {
 		for i := range size.Upstreams {
@@ -53,7 +58,11 @@
 		ID: upstream.ID(addr.String()), Addr: addr, Pool: pool,
 		Place: d.Places[i%len(d.Places)],
 	}
-	f.servers[u.ID] = newServer(u, d.concurrency(pool))
+	slots := d.concurrency(pool)
+	if real := f.engineSlots; real > 0 && pool == PoolEngines {
+		slots = real
+	}
+	f.servers[u.ID] = newServer(u, slots)
 	f.pools[pool] = append(f.pools[pool], u)
 	slices.SortFunc(f.pools[pool], func(a, b upstream.Upstream) int { return a.Addr.Compare(b.Addr) })
 }
@@ -147,6 +156,14 @@
 	f.servers[f.Pool(pool)[0].ID].slow.Store(1000 * slowFactor)
 }
 
+// failLookups makes two engines fail the calls of one class, while they serve
+// the others: a grey failure.
+func (f *fleet) failLookups() {
+	for _, u := range f.Pool(PoolEngines)[:greyEngines] {
+		f.servers[u.ID].failing.Store(true)
+	}
+}
+
 func (f *fleet) flushCaches() {
 	for _, s := range f.servers {
 		s.cache.Purge()
--- a/experiment/server.go
+++ b/experiment/server.go
@@ -17,6 +17,8 @@
 	cachedPrefixes = 10
 	// prefillShare is the part of an engine call that a cached prefix saves.
 	prefillShare = 0.25
+	// greyDelay is how long a grey failure takes to show.
+	greyDelay = 600 * time.Millisecond
 )
 
 // job is one call as an upstream sees it.
@@ -27,6 +29,7 @@
 	tokens  int
 	// priority orders the engine's own queue; larger goes first.
 	priority int
+	class    string
 }
 
 // server is one in-process upstream: it runs some calls at once, and the
@@ -34,10 +37,12 @@
 type server struct {
 	upstream.Upstream
 	// slow multiplies the time of every call; it holds thousandths.
-	slow  atomic.Int64
-	died  chan struct{}
-	once  sync.Once
-	cache *lru.Cache[uint64, struct{}]
+	slow atomic.Int64
+	died chan struct{}
+	// failing says that lookups fail.
+	failing atomic.Bool
+	once    sync.Once
+	cache   *lru.Cache[uint64, struct{}]
 
 	// queueMu guards free and waiting.
 	queueMu sync.Mutex
@@ -119,6 +124,9 @@
 		return answer{Outcome: dispatch.Outcome{Failure: dispatch.NotSent}}
 	default:
 	}
+	if s.failing.Load() && j.class == ClassLookup {
+		return failLate(ctx)
+	}
 	w := s.enter(j.priority)
 	defer s.leave(w)
 	select {
@@ -133,6 +141,14 @@
 	return answer{Outcome: out, busy: time.Since(began)}
 }
 
+// failLate is a grey failure: an error after a while.
+func failLate(ctx context.Context) answer {
+	if !sleep(ctx, greyDelay) {
+		return answer{Outcome: dispatch.Outcome{Failure: endOf(ctx)}}
+	}
+	return answer{Outcome: dispatch.Outcome{Failure: dispatch.UpstreamError}, busy: greyDelay}
+}
+
 func (s *server) run(ctx context.Context, j job) dispatch.Outcome {
 	took := j.service
 	var out dispatch.Outcome
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -60,7 +60,7 @@
 	if c.settings.LoadReports {
 		load += p.othersOn(now, s)
 	}
-	return load < float64(p.terms.Concurrency)
+	return load < float64(p.terms.Concurrency)*p.limit.growth()
 }
 
 func (c *Core) draw(p *pool, call *Call) *server {
--- a/policy/limit.go
+++ b/policy/limit.go
@@ -68,6 +68,16 @@
 	return min(fair*spareShare+spareSlots, float64(l.slots))
 }
 
+// growth is how far the limit has grown over its start, which tells that the
+// upstreams run more calls at once than declared; it is never under 1.
+func (l *limit) growth() float64 {
+	start := l.start(l.fair)
+	if start <= 0 {
+		return 1
+	}
+	return max(l.current/start, 1)
+}
+
 // sample takes in how long a call took against its kind's floor; a zero
 // says that the floor isn't known yet.
 func (l *limit) sample(ratio float64) {
