Share what speaks against an upstream between hosts

Hosts now tell each other on the membership datagrams which calls failed or were slow, and judge by the sum.

--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -6,6 +6,7 @@
 
 	"github.com/galenaseam/galenaseam/document"
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/member"
 	"github.com/galenaseam/galenaseam/policy"
 	"github.com/galenaseam/galenaseam/upstream"
 	"github.com/prometheus/client_golang/prometheus"
@@ -38,6 +39,9 @@
 	Logger *slog.Logger
 	// Registerer takes the metrics; nil means none.
 	Registerer prometheus.Registerer
+	// Gossip tells other hosts of upstreams that do badly, and hears of them;
+	// nil means that the host judges by itself.
+	Gossip member.Gossip
 	// Limiter bounds workspaces; nil means no limit.
 	Limiter Limiter
 }
--- a/dispatch/runtime.go
+++ b/dispatch/runtime.go
@@ -29,6 +29,9 @@
 	waiters  map[*policy.Call]chan *policy.Attempt
 	observed map[string]time.Time
 	draining bool
+
+	// told is when suspicions were last told; only Run uses it.
+	told time.Time
 }
 
 var _ Dispatcher = (*Runtime)(nil)
@@ -48,6 +51,7 @@
 	if err := rt.metrics.register(config.Registerer); err != nil {
 		return nil, Error.Wrap(err)
 	}
+	rt.listen()
 	return rt, nil
 }
 
@@ -61,6 +65,7 @@
 			return nil
 		case <-ticker.C:
 			rt.tick()
+			rt.tell(rt.config.Now())
 		}
 	}
 }
--- a/experiment/cell.go
+++ b/experiment/cell.go
@@ -57,6 +57,7 @@
 
 func (c *cellRun) startHosts(ctx context.Context, group *sync.WaitGroup) error {
 	d := c.deployment
+	gossip := newGossipNet()
 	for i := range d.Hosts {
 		rt, err := dispatch.New(dispatch.Config{
 			Upstreams: c.fleet,
@@ -64,6 +65,7 @@
 			Place:     d.Places[i%len(d.Places)],
 			HostCount: func() int { return c.aliveHosts() },
 			Seed:      c.Seed*1000 + uint64(i),
+			Gossip:    gossip.host(i),
 		})
 		if err != nil {
 			return err
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -112,7 +112,7 @@
 		load += p.othersOn(now, s)
 	}
 	score := load / float64(p.terms.Concurrency)
-	if c.settings.Outliers && s.all.samples >= minSamples {
+	if c.settings.Outliers {
 		score += s.excess(p)
 	}
 	if c.settings.Nearness {
--- a/policy/core.go
+++ b/policy/core.go
@@ -248,9 +248,8 @@
 		server:   s,
 		expected: h.quantile(0.5),
 	}
-	if probe {
-		s.lastProbe = now
-	}
+	// An upstream that is set aside waits for its first probe from now on.
+	s.lastProbe = now
 	r.settle(call.Stage, p)
 	s.begin(now, a)
 	p.begin(call)
@@ -269,13 +268,13 @@
 	elapsed := now.Sub(a.Started)
 	a.server.end(now, a)
 	call.pool.end(call)
-	c.learn(a, o, elapsed)
+	c.learn(now, a, o, elapsed)
 	c.charge(a, o, elapsed)
 	c.log.outcome(now, a, o, elapsed)
 	return true
 }
 
-func (c *Core) learn(a *Attempt, o Outcome, elapsed time.Duration) {
+func (c *Core) learn(now time.Time, a *Attempt, o Outcome, elapsed time.Duration) {
 	call := a.Call
 	r := call.Request
 	class := r.Class.Name
@@ -284,13 +283,13 @@
 		h := c.timings.of(&r.Arrival, call.Stage)
 		h.add(elapsed)
 		ratio := a.ratio(elapsed)
-		a.server.learn(class, ratio, false)
+		a.server.learn(now, call.pool, class, ratio, false)
 		call.pool.limit.sample(h.slowdown(elapsed))
 	case o.Failure.blamesUpstream():
-		a.server.learn(class, a.ratio(elapsed), true)
+		a.server.learn(now, call.pool, class, a.ratio(elapsed), true)
 	case o.Failure == Cancelled && elapsed > a.expected:
 		// A hedge that lost took at least this long.
-		a.server.learn(class, a.ratio(elapsed), false)
+		a.server.learn(now, call.pool, class, a.ratio(elapsed), false)
 	}
 }
 
--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -7,16 +7,21 @@
 )
 
 const (
-	// slowFactor is how much slower than its peers an upstream may be before
-	// it is set aside.
-	slowFactor = 2.0
-	// restoreFactor is how near to its peers it must come back.
-	restoreFactor = 1.5
-	// errorShare is the share of errors, over that of its peers, at which an
-	// upstream is set aside.
-	errorShare = 0.4
+	// slowFactor is how much longer than on its peers a call must take to
+	// count as slow.
+	slowFactor = 2.5
+	// restoreFactor is how much slower than its peers an upstream may be
+	// before the score counts it.
+	restoreFactor = 2.0
+	// badShare is the share of slow or failed calls, over that of its peers,
+	// at which an upstream is set aside.
+	badShare = 0.5
+	// minEvidence is how many calls must speak before that.
+	minEvidence = 4.0
 	// goodProbesNeeded is how many probes in a row must go well.
-	goodProbesNeeded = 3
+	goodProbesNeeded = 2
+	// mostProbeWait bounds the doubling wait between failed probes.
+	mostProbeWait = 10 * time.Second
 	// allClasses stands for every class in the set-aside list.
 	allClasses = ""
 	// minPeers is the least size of a pool whose members can be compared.
@@ -28,64 +33,75 @@
 	return len(s.out) > 0 && (s.out[allClasses] || s.out[class])
 }
 
-// slowness is the moving mean ratio, raised by calls that run for long.
-func (s *server) slowness(now time.Time) float64 {
-	worst := s.all.ratio
-	if s.all.samples == 0 {
-		worst = 1
-	}
-	for _, a := range s.running {
-		pending := a.ratio(now.Sub(a.Started))
-		worst = max(worst, s.all.ratio+learnRate*(pending-s.all.ratio))
-	}
-	return worst
-}
-
-// excess is how much slower than its peers the upstream is, over one half.
+// excess is how much slower than its peers the upstream is, beyond what the
+// factor allows.
 func (s *server) excess(p *pool) float64 {
 	if p.medianRatio <= 0 {
 		return 0
 	}
-	return max(s.all.ratio/p.medianRatio-restoreFactor, 0)
+	return max(s.ratio/p.medianRatio-restoreFactor, 0)
 }
 
 // judge compares the upstreams of a pool with each other, and sets aside
-// those that are much slower or fail much more than the median, up to the
-// pool's bound.
+// those that are slow or fail much more than the rest, up to the pool's bound.
 func (p *pool) judge(now time.Time) {
+	p.fade(now)
 	if len(p.order) < minPeers {
 		return
 	}
-	slowness := make([]float64, 0, len(p.order))
+	ratios := make([]float64, 0, len(p.order))
+	evidence := make([]map[string]Evidence, 0, len(p.order))
 	for _, s := range p.order {
-		slowness = append(slowness, s.slowness(now))
+		ratios = append(ratios, s.ratio)
+		evidence = append(evidence, s.evidenceOf(now, p))
 	}
-	p.medianRatio = median(slices.Clone(slowness))
+	p.medianRatio = median(ratios)
+	usual := usualShares(evidence)
 	room := p.maxOut() - p.countOut()
 	for i, s := range p.order {
-		room -= p.judgeOne(s, slowness[i], room)
+		if room <= 0 {
+			break
+		}
+		if len(s.out) == 0 && s.judgeOne(evidence[i], usual) {
+			room--
+		}
 	}
 	p.bringBack()
 }
 
-// judgeOne returns how many upstreams it newly set aside, 0 or 1.
-func (p *pool) judgeOne(s *server, slowness float64, room int) int {
-	if room <= 0 || len(s.out) > 0 {
-		return 0
+// usualShares returns the median share of bad calls by class. It is nothing to
+// hold against one upstream.
+func usualShares(evidence []map[string]Evidence) map[string]float64 {
+	shares := make(map[string][]float64)
+	for _, byClass := range evidence {
+		for class, e := range byClass {
+			shares[class] = append(shares[class], (e.Failed+e.Slow)/max(e.Calls, 1))
+		}
 	}
-	if s.all.samples >= minSamples && slowness > slowFactor*max(p.medianRatio, 0.5) {
-		s.out[allClasses] = true
+	usual := make(map[string]float64, len(shares))
+	for class, all := range shares {
+		usual[class] = median(all)
 	}
-	for class, h := range s.byClass {
-		if h.samples >= minSamples && h.errors > errorShare+p.medianErrors(class) {
+	return usual
+}
+
+// judgeOne sets the upstream aside for the classes that do badly on it, or
+// for all when it is slow for all together.
+func (s *server) judgeOne(byClass map[string]Evidence, usual map[string]float64) bool {
+	var total Evidence
+	var most float64
+	for class, e := range byClass {
+		total.add(e)
+		most = max(most, usual[class])
+		if e.Calls >= minEvidence && (e.Failed+e.Slow)/e.Calls > badShare+usual[class] {
 			s.out[class] = true
 		}
 	}
-	if len(s.out) == 0 {
-		return 0
+	if total.Calls >= minEvidence && total.Slow/total.Calls > badShare+most {
+		s.out[allClasses] = true
 	}
 	s.goodProbes = 0
-	return 1
+	return len(s.out) > 0
 }
 
 func (p *pool) countOut() int {
@@ -98,16 +114,6 @@
 	return n
 }
 
-func (p *pool) medianErrors(class string) float64 {
-	shares := make([]float64, 0, len(p.order))
-	for _, s := range p.order {
-		if h := s.byClass[class]; h != nil {
-			shares = append(shares, h.errors)
-		}
-	}
-	return median(shares)
-}
-
 // maxOut is how many upstreams of the pool may be set aside.
 func (p *pool) maxOut() int {
 	return int(math.Floor(p.terms.MaxSetAside * float64(len(p.order))))
@@ -129,30 +135,34 @@
 }
 
 // probeDue returns an upstream that is set aside and due for a test call. Only
-// idempotent first attempts test.
+// idempotent first attempts test. Hosts take turns by waiting longer the more
+// they are.
 func (c *Core) probeDue(now time.Time, p *pool, call *Call) *server {
 	r := call.Request
 	if !c.settings.Outliers || !r.Idempotent || r.attempts[call.Stage] > 0 {
 		return nil
 	}
 	for _, s := range p.order {
-		if !s.setAside(r.Class.Name) || now.Sub(s.lastProbe) < c.settings.ProbeEvery {
+		if !s.setAside(r.Class.Name) || s.inFlight() > 0 || !p.usable(s, call) {
 			continue
 		}
-		if s.inFlight() == 0 && p.usable(s, call) {
+		s.probeWait = max(s.probeWait, c.settings.ProbeEvery)
+		if now.Sub(s.lastProbe) >= s.probeWait*time.Duration(p.hosts) {
 			return s
 		}
 	}
 	return nil
 }
 
-// judgeProbe brings an upstream back after enough good calls in a row.
-func (s *server) judgeProbe(ratio float64, failed bool) {
+// judgeProbe brings an upstream back after enough good calls in a row, and
+// waits longer after a bad one.
+func (s *server) judgeProbe(now time.Time, ratio float64, failed bool) {
 	if len(s.out) == 0 {
 		return
 	}
 	if failed || ratio > slowFactor {
 		s.goodProbes = 0
+		s.probeWait = min(2*s.probeWait, mostProbeWait)
 		return
 	}
 	s.goodProbes++
@@ -161,7 +171,9 @@
 	}
 	clear(s.out)
 	clear(s.byClass)
-	s.all = health{}
+	s.ratio = 1
+	s.probeWait = 0
+	s.restored = now
 }
 
 func median(values []float64) float64 {
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -34,9 +34,11 @@
 	backlog float64
 	// medianRatio is the median of the upstreams' slowness.
 	medianRatio float64
-	roundRobin  int
-	prefixes    *lru.Cache[uint64, struct{}]
-	demand      *demand
+	// faded is when the evidence was last aged.
+	faded      time.Time
+	roundRobin int
+	prefixes   *lru.Cache[uint64, struct{}]
+	demand     *demand
 }
 
 func newPool(name string) *pool {
--- a/policy/server.go
+++ b/policy/server.go
@@ -3,15 +3,13 @@
 import (
 	"time"
 
+	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/upstream"
 )
 
 const (
 	// learnRate weighs a new sample in an upstream's moving averages.
 	learnRate = 0.2
-	// minSamples is how many calls an upstream must have ended before it is
-	// compared with its peers.
-	minSamples = 6
 	// historySteps is how many changes of the in-flight count are kept.
 	historySteps = 32
 )
@@ -22,29 +20,6 @@
 	inFlight int
 }
 
-// health is what the calls of one class told about an upstream.
-type health struct {
-	samples int
-	// ratio is the moving average of elapsed over expected time.
-	ratio float64
-	// errors is the moving share of failed calls.
-	errors float64
-}
-
-func (h *health) learn(ratio float64, failed bool) {
-	rate := learnRate
-	if h.samples == 0 {
-		h.ratio = 1
-	}
-	h.samples++
-	if failed {
-		h.errors += rate * (1 - h.errors)
-		return
-	}
-	h.errors -= rate * h.errors
-	h.ratio += rate * (ratio - h.ratio)
-}
-
 // server is what a host knows of one upstream.
 type server struct {
 	upstream.Upstream
@@ -56,16 +31,28 @@
 	othersAt time.Time
 	reported int64
 	queued   int
-	byClass  map[string]*health
-	all      health
+	// ratio is the moving average of elapsed over expected time.
+	ratio float64
+	// byClass is what the own calls told, lately, and told what the other
+	// hosts said.
+	byClass map[string]*Evidence
+	told    map[host.ID]hearsay
 	// out holds the classes it is set aside for; "" stands for all.
 	out        map[string]bool
 	lastProbe  time.Time
+	probeWait  time.Duration
 	goodProbes int
+	restored   time.Time
 }
 
 func newServer(u upstream.Upstream) *server {
-	return &server{Upstream: u, byClass: make(map[string]*health), out: make(map[string]bool)}
+	return &server{
+		Upstream: u,
+		ratio:    1,
+		byClass:  make(map[string]*Evidence),
+		told:     make(map[host.ID]hearsay),
+		out:      make(map[string]bool),
+	}
 }
 
 func (s *server) inFlight() int { return len(s.running) }
@@ -104,17 +91,6 @@
 	return s.history[oldest%historySteps].inFlight
 }
 
-func (s *server) learn(class string, ratio float64, failed bool) {
-	h := s.byClass[class]
-	if h == nil {
-		h = &health{}
-		s.byClass[class] = h
-	}
-	h.learn(ratio, failed)
-	s.all.learn(ratio, failed)
-	s.judgeProbe(ratio, failed)
-}
-
 // serves reports whether the upstream has the model, as far as is known.
 func (s *server) serves(model string) bool {
 	if model == "" || s.Models == nil {
