Test the decision core; compare an upstream with all its peers

A test showed that with hearsay about few upstreams the comparison had only suspects to compare with, and set none aside. The other members of the pool now count as peers with nothing against them.

--- a/policy/budget.go
+++ b/policy/budget.go
@@ -9,7 +9,7 @@
 	leastQuantile = 0.1
 	// likelyQuantile is the learned time that calls must have left while
 	// others wait behind them.
-	likelyQuantile = 0.7
+	likelyQuantile = 0.85
 	// carefulQuantile is the learned time that plans count with when a
 	// request will have to wait.
 	carefulQuantile = 0.9
--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -80,7 +80,9 @@
 	}
 	usual := make(map[string]float64, len(shares))
 	for class, all := range shares {
-		usual[class] = median(all)
+		// Nothing is known against the upstreams that are not in the list.
+		innocent := make([]float64, len(evidence)-len(all))
+		usual[class] = median(append(all, innocent...))
 	}
 	return usual
 }
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,302 @@
+package policy
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/upstream"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const testPool = "engines"
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func upstreams(n int) []upstream.Upstream {
+	all := make([]upstream.Upstream, n)
+	for i := range all {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80)
+		all[i] = upstream.Upstream{ID: upstream.ID(addr.String()), Addr: addr, Pool: testPool}
+	}
+	return all
+}
+
+func newTestCore(s Settings, doc *document.Document, n int, seed uint64) *Core {
+	c := New(s, host.Place{}, seed)
+	c.Adopt(doc)
+	c.Observe(epoch, testPool, Observation{Upstreams: upstreams(n), Hosts: 1})
+	return c
+}
+
+func testDoc(kind document.Kind, concurrency int) *document.Document {
+	return &document.Document{
+		Pools:      []document.Pool{{Name: testPool, Kind: kind, Concurrency: concurrency, MaxSetAside: 0.34}},
+		Prices:     []document.Price{{Pool: testPool, PerSecond: 2, PerOutputToken: 0.5}},
+		Workspaces: []document.Workspace{{Name: "big", Large: true, Share: 2}},
+	}
+}
+
+func testArrival(doc *document.Document, id, workspace string, class document.Class) Arrival {
+	return Arrival{
+		RequestID: id, Workspace: workspace, Class: class, Pipeline: "p", Idempotent: true, InputTokens: 100,
+		Stages:   []StageNeed{{Name: "s", Pool: testPool, Kind: document.KindGenerate, Typical: 100 * time.Millisecond}},
+		Deadline: epoch.Add(time.Hour), Document: doc,
+	}
+}
+
+// A core replays: the same observations from the same seed give the same
+// decisions, and never more calls run than the limit allows, whatever the
+// order of arrivals and ends.
+func TestReplayAndLimits(t *testing.T) {
+	doc := testDoc(document.KindRerank, 2)
+	type event struct{ priority, workspace, finish int }
+	play := func(t *rapid.T, seed uint64, events []event) []upstream.ID {
+		c := newTestCore(Defaults(), doc, 4, seed)
+		now := epoch
+		var running []*Attempt
+		var chosen []upstream.ID
+		for i, e := range events {
+			now = now.Add(10 * time.Millisecond)
+			class := document.Class{Name: fmt.Sprint(e.priority), Priority: e.priority}
+			r, refusal := c.Admit(now, testArrival(doc, fmt.Sprint(i), fmt.Sprint(e.workspace), class))
+			if refusal == nil {
+				_, refusal = c.Enqueue(now, r, 0, nil)
+				require.Nil(t, refusal)
+			}
+			if e.finish > 0 && len(running) > 0 {
+				last := running[e.finish%len(running)]
+				c.Complete(now, last, Outcome{})
+			}
+			for _, a := range c.Grant(now, testPool).Started {
+				running = append(running, a)
+				chosen = append(chosen, a.Upstream.ID)
+			}
+			for _, s := range c.pools[testPool].order {
+				require.LessOrEqual(t, s.inFlight(), 2)
+			}
+			status := c.Status()[0]
+			require.LessOrEqual(t, status.InFlight, status.Limit)
+		}
+		return chosen
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		events := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
+			return event{
+				priority:  rapid.IntRange(1, 3).Draw(t, "priority"),
+				workspace: rapid.IntRange(1, 4).Draw(t, "workspace"),
+				finish:    rapid.IntRange(0, 8).Draw(t, "finish"),
+			}
+		}), 1, 60).Draw(t, "events")
+		require.Equal(t, play(t, seed, events), play(t, seed, events))
+	})
+}
+
+// A heavy workspace that queued first does not hold up the others: grants are
+// shared by weight, here two to one.
+func TestQueueIsFairBetweenWorkspaces(t *testing.T) {
+	doc := testDoc(document.KindRerank, 1)
+	c := newTestCore(Defaults(), doc, 1, 1)
+	class := document.Class{Name: "c", Priority: 1}
+	add := func(workspace string, n int) {
+		for i := range n {
+			r, refusal := c.Admit(epoch, testArrival(doc, fmt.Sprint(workspace, i), workspace, class))
+			require.Nil(t, refusal)
+			_, refusal = c.Enqueue(epoch, r, 0, nil)
+			require.Nil(t, refusal)
+		}
+	}
+	add("big", 300)
+	add("small", 30)
+	got := make(map[string]int)
+	now := epoch
+	for range 60 {
+		now = now.Add(time.Millisecond)
+		started := c.Grant(now, testPool).Started
+		require.Len(t, started, 1)
+		got[started[0].Call.Request.Workspace]++
+		c.Complete(now, started[0], Outcome{})
+	}
+	require.InDelta(t, 40, got["big"], 2)
+	require.InDelta(t, 20, got["small"], 2)
+}
+
+// Hearsay and own calls together set an upstream aside, only for the class
+// that fails on it, and never more of the pool than the bound; good probes
+// bring it back.
+func TestGreyFailureIsSetAsideWithinBound(t *testing.T) {
+	doc := testDoc(document.KindRerank, 4)
+	c := newTestCore(Defaults(), doc, 6, 1)
+	p := c.pools[testPool]
+	said := []Evidence{{Class: "bad", Calls: 5, Failed: 5}}
+	for _, s := range p.order[:4] {
+		c.Hear(epoch, "other", Suspicion{Pool: testPool, Upstream: s.ID, Evidence: said})
+	}
+	p.tick(epoch.Add(time.Second), c.settings)
+	require.Empty(t, c.Status()[0].SetAside, "most of the pool failing is not one upstream's fault")
+
+	for _, s := range p.order[2:4] {
+		c.Hear(epoch, "other", Suspicion{Pool: testPool, Upstream: s.ID})
+	}
+	now := epoch.Add(1200 * time.Millisecond)
+	p.tick(now, c.settings)
+	require.Len(t, c.Status()[0].SetAside, 2)
+	bad := p.order[0]
+	require.True(t, bad.setAside("bad"))
+	require.False(t, bad.setAside("good"))
+
+	class := document.Class{Name: "bad", Priority: 1}
+	probed := 0
+	for i := 0; i < 200 && bad.setAside("bad"); i++ {
+		now = now.Add(100 * time.Millisecond)
+		r, refusal := c.Admit(now, testArrival(doc, fmt.Sprint(i), "w", class))
+		require.Nil(t, refusal)
+		_, refusal = c.Enqueue(now, r, 0, nil)
+		require.Nil(t, refusal)
+		for _, a := range c.Grant(now, testPool).Started {
+			if a.Upstream.ID == bad.ID {
+				require.True(t, a.Probe)
+				probed++
+			}
+			c.Complete(now.Add(100*time.Millisecond), a, Outcome{})
+		}
+	}
+	require.False(t, bad.setAside("bad"))
+	require.Equal(t, goodProbesNeeded, probed)
+}
+
+// However many calls fail, retries and hedges stay within the set share of
+// the pool's first attempts.
+func TestRetriesStayWithinBudget(t *testing.T) {
+	doc := testDoc(document.KindRerank, 4)
+	c := newTestCore(Defaults(), doc, 4, 1)
+	const firsts = 1000
+	retries := 0
+	now := epoch
+	for i := range firsts {
+		now = now.Add(5 * time.Millisecond)
+		class := document.Class{Name: fmt.Sprint(i % 3), Priority: 1, RetryBudget: 0.5}
+		r, refusal := c.Admit(now, testArrival(doc, fmt.Sprint(i), "w", class))
+		require.Nil(t, refusal)
+		_, refusal = c.Enqueue(now, r, 0, nil)
+		require.Nil(t, refusal)
+		for _, a := range c.Grant(now, testPool).Started {
+			c.Complete(now, a, Outcome{Failure: UpstreamError})
+		}
+		for {
+			if _, again := c.MayRetry(now, r, 0, UpstreamError); !again {
+				break
+			}
+			retries++
+			r.attempts[0]++
+		}
+	}
+	require.LessOrEqual(t, float64(retries), c.settings.PoolRetryShare*firsts+budgetFloor)
+	require.Greater(t, retries, firsts/10)
+}
+
+// Costs are priced from the document; a missed request's work and a failed
+// attempt are wasted; only large workspaces are named.
+func TestCosts(t *testing.T) {
+	doc := testDoc(document.KindRerank, 4)
+	c := newTestCore(Defaults(), doc, 4, 1)
+	run := func(workspace string, f Failure, final Final) {
+		r, refusal := c.Admit(epoch, testArrival(doc, workspace, workspace, document.Class{Name: "c"}))
+		require.Nil(t, refusal)
+		_, refusal = c.Enqueue(epoch, r, 0, nil)
+		require.Nil(t, refusal)
+		a := c.Grant(epoch, testPool).Started[0]
+		require.True(t, c.Complete(epoch.Add(time.Second), a, Outcome{Failure: f, OutputTokens: 4}))
+		require.False(t, c.Complete(epoch.Add(time.Second), a, Outcome{Failure: f}))
+		c.Finish(epoch.Add(time.Second), r, final)
+	}
+	run("big", Succeeded, Final{Whole: true, InTime: true})
+	run("a", Succeeded, Final{Whole: true})
+	run("b", UpstreamError, Final{})
+	rows := c.Costs()
+	require.Len(t, rows, 2)
+	require.Equal(t, "big", rows[0].Workspace)
+	require.InDelta(t, 2+4*0.5, rows[0].Money, 1e-9)
+	require.Zero(t, rows[0].WastedSeconds)
+	require.Equal(t, otherWorkspaces, rows[1].Workspace)
+	require.InDelta(t, 2, rows[1].WastedSeconds, 1e-9)
+	require.InDelta(t, rows[1].Money, rows[1].WastedMoney, 1e-9)
+}
+
+// Every host finds the same engines for a prefix, and a busy one is passed
+// over.
+func TestPrefixHomesAgreeAndSpill(t *testing.T) {
+	doc := testDoc(document.KindGenerate, 8)
+	chosen := make(map[upstream.ID]int)
+	for seed := range uint64(20) {
+		c := newTestCore(Defaults(), doc, 30, seed)
+		for i := range 12 {
+			a := testArrival(doc, fmt.Sprint(i), "w", document.Class{Name: "c"})
+			a.Prefix = []uint64{42}
+			r, refusal := c.Admit(epoch, a)
+			require.Nil(t, refusal)
+			_, refusal = c.Enqueue(epoch, r, 0, nil)
+			require.Nil(t, refusal)
+			started := c.Grant(epoch, testPool).Started
+			require.Len(t, started, 1)
+			if i == 0 {
+				chosen[started[0].Upstream.ID]++
+			}
+		}
+		for _, s := range c.pools[testPool].order {
+			require.LessOrEqual(t, s.inFlight(), 3)
+		}
+	}
+	require.Len(t, chosen, 1)
+}
+
+// What a class's contract puts first changes what is done: cost forgoes
+// hedges, and stays with the cached engine for longer.
+func TestWeighChangesChoices(t *testing.T) {
+	doc := testDoc(document.KindGenerate, 8)
+	onHome := func(weigh document.Weigh) int {
+		c := newTestCore(Defaults(), doc, 30, 1)
+		n := 0
+		for i := range 8 {
+			a := testArrival(doc, fmt.Sprint(i), "w", document.Class{Name: "c", Weigh: weigh, Hedge: true})
+			a.Prefix = []uint64{42}
+			r, _ := c.Admit(epoch, a)
+			_, hedges := c.HedgeDelay(epoch, r, 0)
+			require.Equal(t, weigh == document.WeighAttainment, hedges)
+			_, refusal := c.Enqueue(epoch, r, 0, nil)
+			require.Nil(t, refusal)
+			home := c.pools[testPool].homes(42)[0].ID
+			if c.Grant(epoch, testPool).Started[0].Upstream.ID == home {
+				n++
+			}
+		}
+		return n
+	}
+	require.Greater(t, onHome(document.WeighCost), onHome(document.WeighAttainment))
+}
+
+// Old load reports fade into the pool's mean, and the host's own calls are
+// not counted twice.
+func TestLoadReportsAreCorrected(t *testing.T) {
+	doc := testDoc(document.KindRerank, 8)
+	c := newTestCore(Defaults(), doc, 2, 1)
+	p := c.pools[testPool]
+	s := p.order[0]
+	now := epoch.Add(time.Second)
+	for range 3 {
+		s.running = append(s.running, &Attempt{})
+		s.record(epoch)
+	}
+	loads := map[upstream.ID]upstream.Load{
+		s.ID:          {InFlight: 7, AtUnixNano: now.UnixNano()},
+		p.order[1].ID: {InFlight: 0, AtUnixNano: now.UnixNano()},
+	}
+	p.readLoads(now, func(id upstream.ID) (upstream.Load, bool) { return loads[id], true })
+	require.InDelta(t, 4, p.othersOn(now, s), 1e-9)
+	require.InDelta(t, 2, p.othersOn(now.Add(time.Minute), s), 0.01)
+}
