Keep the document in the store and in force on every host

Change: package config. A Writer checks a whole new document against the newest head and moves that head by compare-and-swap; it tries again when another team's section won, answers a conflict with its difference, settles lost answers by operation ID, checks owners, and keeps a chain of records for history, differences and going back. Sections are cut where lines' hashes say, so that an edit moves few bytes. A Syncer on each host learns of heads from a few watchers in each data centre, from facts and from peers, follows only heads that continue its own line, and becomes ready once enough peers answered. Package internal/fakestore is a store with faults, for tests.

Unchanged sections are no longer read again, except pipelines after classes.

--- /dev/null
+++ b/config/fleet_test.go
@@ -0,0 +1,234 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/internal/fakestore"
+	"github.com/galenaseam/galenaseam/link"
+	"github.com/galenaseam/galenaseam/member"
+)
+
+// fleet is hosts in one process, joined by a fake network.
+type fleet struct {
+	t     testing.TB
+	store *fakestore.Store
+	first []byte
+
+	mu     sync.Mutex
+	hosts  map[netip.AddrPort]*testHost
+	gossip bool
+	seed   uint64
+	// started counts hosts ever started, reversals how often any went back.
+	started   int
+	reversals int
+}
+
+// testHost is one host with its syncer.
+type testHost struct {
+	fleet  *fleet
+	info   host.Info
+	syncer *Syncer
+	calls  map[link.Method]link.Handler
+	facts  func(member.Fact)
+	cancel context.CancelFunc
+	done   chan struct{}
+	cut    bool
+	paused bool
+	served Generation
+}
+
+func newFleet(t testing.TB, seed uint64) *fleet {
+	data, err := os.ReadFile("../examples/cylinder.yaml")
+	require.NoError(t, err)
+	return &fleet{t: t, store: fakestore.New(seed), first: data, gossip: true, seed: seed,
+		hosts: make(map[netip.AddrPort]*testHost)}
+}
+
+func (f *fleet) start(n, dataCentres int) []*testHost {
+	var started []*testHost
+	for i := range n {
+		started = append(started, f.startOne(fmt.Sprintf("host-%d", i), i%dataCentres))
+	}
+	return started
+}
+
+func (f *fleet) startOne(id string, dataCentre int) *testHost {
+	f.mu.Lock()
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(f.started >> 8), byte(f.started)}), 1)
+	h := &testHost{fleet: f, calls: make(map[link.Method]link.Handler), done: make(chan struct{}), info: host.Info{
+		ID: host.ID(id), LinkAddr: addr, Place: host.Place{DataCentre: host.DataCentre(fmt.Sprint("dc-", dataCentre))},
+	}}
+	f.started++
+	seed := f.seed + uint64(f.started)
+	f.mu.Unlock()
+	cfg := SyncerConfig{Store: f.store, View: h, Caller: h, Registrar: h, FirstDocument: f.first,
+		Rand: rand.New(rand.NewPCG(seed, 2)), Logger: slog.New(slog.DiscardHandler)}
+	if f.gossip {
+		cfg.Gossip = h
+	}
+	var err error
+	h.syncer, err = NewSyncer(cfg)
+	require.NoError(f.t, err)
+	h.syncer.Subscribe(h.applied)
+	f.set(h, func(*testHost) { f.hosts[addr] = h })
+	var ctx context.Context
+	ctx, h.cancel = context.WithCancel(context.Background())
+	go func() {
+		defer close(h.done)
+		_ = h.syncer.Run(ctx)
+	}()
+	return h
+}
+
+// applied records every generation and whether it went back.
+func (h *testHost) applied(s *Snapshot) {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	if s.Generation <= h.served {
+		h.fleet.reversals++
+	}
+	h.served = s.Generation
+}
+
+func (h *testHost) stop() {
+	h.cancel()
+	<-h.done
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	delete(h.fleet.hosts, h.info.LinkAddr)
+}
+
+func (f *fleet) stop() {
+	for _, h := range f.all() {
+		h.stop()
+	}
+}
+
+func (f *fleet) all() []*testHost {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []*testHost
+	for _, h := range f.hosts {
+		all = append(all, h)
+	}
+	slices.SortFunc(all, func(a, b *testHost) int { return strings.Compare(string(a.info.ID), string(b.info.ID)) })
+	return all
+}
+
+// The host.View of a host.
+
+func (h *testHost) Self() host.Info { return h.info }
+
+func (h *testHost) Members() []host.Member {
+	var members []host.Member
+	for _, other := range h.fleet.all() {
+		h.fleet.mu.Lock()
+		m := host.Member{Info: other.info, Generation: uint64(other.served)}
+		hidden := other != h && (other.cut || h.cut)
+		h.fleet.mu.Unlock()
+		if !hidden {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+func (h *testHost) Lookup(id host.ID) (host.Member, bool) {
+	for _, m := range h.Members() {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return host.Member{}, false
+}
+
+// The network of a host: link and gossip.
+
+func (h *testHost) Handle(method link.Method, handler link.Handler) { h.calls[method] = handler }
+
+func (h *testHost) Call(ctx context.Context, peer netip.AddrPort, method link.Method, in, out any) error {
+	h.fleet.mu.Lock()
+	other := h.fleet.hosts[peer]
+	if other == nil || other.cut || h.cut {
+		h.fleet.mu.Unlock()
+		return link.ErrNotSent
+	}
+	handler, paused := other.calls[method], other.paused
+	h.fleet.mu.Unlock()
+	if paused {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	request := encode(in)
+	answer, err := handler(ctx, func(into any) error { return cbor.Unmarshal(request, into) })
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(encode(answer), out)
+}
+
+func (h *testHost) Publish(topic member.Topic, key string, payload []byte) error {
+	for _, other := range h.fleet.all() {
+		h.fleet.mu.Lock()
+		reached := other != h && !other.cut && !h.cut && !other.paused
+		deliver := other.facts
+		h.fleet.mu.Unlock()
+		if reached && deliver != nil {
+			time.AfterFunc(100*time.Millisecond, func() {
+				deliver(member.Fact{From: h.info.ID, Topic: topic, Key: key, Payload: payload})
+			})
+		}
+	}
+	return nil
+}
+
+func (h *testHost) Subscribe(_ member.Topic, deliver func(member.Fact)) { h.facts = deliver }
+
+func (f *fleet) set(h *testHost, change func(*testHost)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(h)
+}
+
+// waitAll waits until every given host serves at least a generation and says
+// how long that took.
+func (f *fleet) waitAll(hosts []*testHost, generation Generation) time.Duration {
+	started := time.Now()
+	for time.Since(started) < time.Minute {
+		late := slices.ContainsFunc(hosts, func(h *testHost) bool {
+			return headOf(h.syncer.Current()).generation() < generation || !h.syncer.Ready()
+		})
+		if !late {
+			return time.Since(started)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatalf("generation %d not in force everywhere within a minute", generation)
+	return 0
+}
+
+func (f *fleet) writerOn(h *testHost) *Writer {
+	return NewWriter(WriterConfig{Store: f.store, InForce: h.syncer})
+}
+
+// edit changes one section of what a host serves by adding a comment.
+func editOf(id string, from *Snapshot, section document.Section, team, note string) Edit {
+	text := append(slices.Clone(from.Bodies.Get(section)), "# "+note+"\n"...)
+	return Edit{OperationID: id, OperatorKey: "demo-operator-" + team, Base: from.Generation,
+		Sections: document.Bodies{{Section: section, Text: text}}, Reason: note}
+}
--- /dev/null
+++ b/config/hash.go
@@ -0,0 +1,19 @@
+package config
+
+import (
+	"encoding/hex"
+
+	"github.com/zeebo/blake3"
+)
+
+// hashBytes is the length of a content hash.
+const hashBytes = 32
+
+// Hash is the BLAKE3 hash of an object's content.
+type Hash [hashBytes]byte
+
+// String gives the hash in hex.
+func (h Hash) String() string { return hex.EncodeToString(h[:]) }
+
+// hashOf hashes an object's content.
+func hashOf(content []byte) Hash { return blake3.Sum256(content) }
--- /dev/null
+++ b/config/metric_test.go
@@ -0,0 +1,15 @@
+package config
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
+)
+
+// testutilValue reads a gauge or counter.
+func testutilValue(metric prometheus.Metric) float64 {
+	var read dto.Metric
+	if err := metric.Write(&read); err != nil {
+		return -1
+	}
+	return read.GetGauge().GetValue() + read.GetCounter().GetValue()
+}
--- /dev/null
+++ b/config/restore.go
@@ -0,0 +1,45 @@
+package config
+
+import (
+	"context"
+	"errors"
+
+	"github.com/galenaseam/galenaseam/platform"
+)
+
+// Restore writes what is in force on the writer's host into a store that came
+// back with an older head or none. It makes no new generation. It returns
+// ErrStaleStore when another host is known to hold a newer generation: restore
+// from that one.
+func (w *Writer) Restore(ctx context.Context) (Result, error) {
+	floor := w.floor()
+	served := w.inForce()
+	if served == nil || served.Generation < floor {
+		return Result{}, Error.Wrap(ErrStaleStore)
+	}
+	result := Result{Generation: served.Generation, Hash: served.Hash}
+	h, version, err := w.readHead(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	if h != nil {
+		seen := judge(served.head, h)
+		if seen == verdictSame || seen == verdictFollow {
+			result.Already = true
+			return result, nil
+		}
+	}
+	if err := putObjects(ctx, w.cfg.Store, append(newObjects(served.sections, Record{}), served.records...)); err != nil {
+		return Result{}, err
+	}
+	_, err = w.cfg.Store.CompareAndSwap(ctx, headKey, version, encode(served.head), platform.NoLease)
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		return Result{}, Error.Wrap(err)
+	}
+	if err != nil {
+		return Result{}, Error.Wrap(ErrBusy)
+	}
+	w.cfg.Logger.Warn("configuration store restored from this host",
+		"generation", uint64(result.Generation), "found", uint64(h.generation()))
+	return result, nil
+}
--- /dev/null
+++ b/config/writer_test.go
@@ -0,0 +1,275 @@
+package config
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/internal/fakestore"
+	"github.com/galenaseam/galenaseam/platform"
+)
+
+var teamSections = map[string]document.Section{
+	"platform": document.SectionPools, "models": document.SectionStages, "assistant": document.SectionClasses,
+	"customers": document.SectionWorkspaces, "billing": document.SectionPrices,
+}
+
+var teamNames = []string{"platform", "models", "assistant", "customers", "billing"}
+
+// newStoreWithFirst makes a store that holds generation 1.
+func newStoreWithFirst(t testing.TB, seed uint64) (*fakestore.Store, *Writer) {
+	store := fakestore.New(seed)
+	data, err := os.ReadFile("../examples/cylinder.yaml")
+	require.NoError(t, err)
+	bodies, err := document.Split(data)
+	require.NoError(t, err)
+	writer := NewWriter(WriterConfig{Store: store})
+	_, err = writer.Create(context.Background(), "first", bodies, "test")
+	require.NoError(t, err)
+	return store, writer
+}
+
+// newest is what a writer's store holds, as a base for edits.
+func newest(w *Writer) (*Snapshot, error) {
+	bodies, record, err := w.Bodies(context.Background(), 0)
+	return &Snapshot{Generation: record.Generation, Bodies: bodies}, err
+}
+
+// persist applies one team's note until it is accepted, editing anew after
+// each conflict. It returns how many conflicts there were.
+func persist(w *Writer, team, id string) (int, error) {
+	for conflicts := 0; ; conflicts++ {
+		base, err := newest(w)
+		if err != nil {
+			return conflicts, err
+		}
+		edit := editOf(fmt.Sprintf("%s-%d", id, conflicts), base, teamSections[team], team, id)
+		for {
+			_, err = w.Apply(context.Background(), edit)
+			if !errors.Is(err, ErrUncertain) && !errors.Is(err, ErrBusy) {
+				break
+			}
+		}
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) {
+			return conflicts, err
+		}
+		if conflict.Diff == "" || len(conflict.Sections) != 1 {
+			return conflicts, errors.New("a conflict without its difference")
+		}
+	}
+}
+
+func TestRacingEditorsLoseNothing(t *testing.T) {
+	const rounds, editors = 100, 2
+	for _, faults := range []fakestore.Faults{
+		{Delay: 20 * time.Millisecond},
+		{Delay: 20 * time.Millisecond, LoseAnswer: 0.2, DropWrite: 0.1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			store, writer := newStoreWithFirst(t, 11)
+			store.SetFaults(faults)
+			hosts := []*Writer{NewWriter(WriterConfig{Store: store}), NewWriter(WriterConfig{Store: store})}
+			conflicts, wanted := 0, 0
+			for round := range rounds {
+				var mu sync.Mutex
+				var racing sync.WaitGroup
+				for _, team := range []string{teamNames[round%5], teamNames[(round+1)%5]} {
+					for editor := range editors {
+						wanted++
+						racing.Go(func() {
+							id := fmt.Sprintf("%s-%d-%d", team, round, editor)
+							seen, err := persist(hosts[editor], team, id)
+							mu.Lock()
+							defer mu.Unlock()
+							conflicts += seen
+							require.NoError(t, err)
+						})
+					}
+				}
+				racing.Wait()
+			}
+			store.SetFaults(fakestore.Faults{})
+			requireAllOnce(t, writer, wanted)
+			require.NotZero(t, conflicts, "the race on the same section never happened")
+		})
+	}
+}
+
+// requireAllOnce checks that every accepted change stands in the newest
+// document and in the history exactly once.
+func requireAllOnce(t *testing.T, w *Writer, wanted int) {
+	history, err := w.History(context.Background(), 10*wanted)
+	require.NoError(t, err)
+	require.Len(t, history, wanted+1)
+	base, err := newest(w)
+	require.NoError(t, err)
+	whole := document.Join(base.Bodies)
+	seen := make(map[string]bool)
+	for i, record := range history {
+		require.EqualValues(t, wanted+1-i, record.Generation)
+		require.False(t, seen[record.Operation.ID], record.Operation.ID)
+		seen[record.Operation.ID] = true
+		if record.Generation > 1 {
+			require.Equal(t, 1, bytes.Count(whole, []byte("# "+record.Operation.Reason+"\n")), record.Operation.Reason)
+		}
+	}
+}
+
+func TestALostAnswerIsSettledByTheOperationID(t *testing.T) {
+	store, writer := newStoreWithFirst(t, 12)
+	base, err := newest(writer)
+	require.NoError(t, err)
+	edit := editOf("op", base, document.SectionPrices, "billing", "note")
+	store.SetFaults(fakestore.Faults{LoseAnswer: 1})
+	result, err := writer.Apply(context.Background(), edit)
+	require.NoError(t, err)
+	require.True(t, result.Already)
+	store.SetFaults(fakestore.Faults{})
+	for i := range recentLimit + 10 { // push the operation out of the head's list
+		_, err := persist(writer, "models", fmt.Sprint("later-", i))
+		require.NoError(t, err)
+	}
+	again, err := writer.Apply(context.Background(), edit)
+	require.NoError(t, err)
+	require.Equal(t, result, again)
+}
+
+// cutAfterHead is a store that goes down right after a write of the head,
+// whose answer is lost.
+type cutAfterHead struct {
+	*fakestore.Store
+}
+
+func (s cutAfterHead) CompareAndSwap(
+	ctx context.Context, key string, expect platform.Version, value []byte, lease platform.LeaseID,
+) (platform.Version, error) {
+	version, err := s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+	if key == headKey {
+		s.SetFaults(fakestore.Faults{Down: true})
+		return 0, platform.ErrUncertain
+	}
+	return version, err
+}
+
+func TestAnOutageIsToldApartFromALostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, writer := newStoreWithFirst(t, 13)
+		base, err := newest(writer)
+		require.NoError(t, err)
+		edit := editOf("op", base, document.SectionPrices, "billing", "note")
+		store.SetFaults(fakestore.Faults{Down: true})
+		_, err = writer.Apply(context.Background(), edit)
+		require.ErrorIs(t, err, ErrUnavailable)
+		store.SetFaults(fakestore.Faults{})
+		cut := NewWriter(WriterConfig{Store: cutAfterHead{store}})
+		_, err = cut.Apply(context.Background(), edit)
+		require.ErrorIs(t, err, ErrUncertain)
+		store.SetFaults(fakestore.Faults{})
+		result, err := writer.Apply(context.Background(), edit)
+		require.NoError(t, err)
+		require.Equal(t, Result{Generation: 2, Hash: result.Hash, Already: true}, result)
+	})
+}
+
+func TestWhoMayChangeWhat(t *testing.T) {
+	var logged bytes.Buffer
+	store, _ := newStoreWithFirst(t, 14)
+	writer := NewWriter(WriterConfig{Store: store, Logger: slog.New(slog.NewJSONHandler(&logged, nil))})
+	base, err := newest(writer)
+	require.NoError(t, err)
+	edit := editOf("a", base, document.SectionPrices, "models", "note")
+	_, err = writer.Apply(context.Background(), edit)
+	var forbidden *ForbiddenError
+	require.ErrorAs(t, err, &forbidden)
+	require.Equal(t, "models", forbidden.Team)
+	edit.OperatorKey = "nobody's"
+	_, err = writer.Apply(context.Background(), edit)
+	require.ErrorAs(t, err, &forbidden)
+	require.Empty(t, forbidden.Team)
+	edit.OperatorKey, edit.VerifiedTeam = "", "billing"
+	_, err = writer.Apply(context.Background(), edit)
+	require.NoError(t, err)
+	bad := editOf("b", base, document.SectionStages, "models", "note")
+	bad.Sections[0].Text = []byte("stages: []\n")
+	_, err = writer.Apply(context.Background(), bad)
+	var invalid *InvalidError
+	require.ErrorAs(t, err, &invalid)
+	require.NotEmpty(t, invalid.Cause.Problems)
+	for _, word := range []string{`"cause":"forbidden"`, `"cause":"invalid"`, `"operation":"a"`, `"team":"billing"`} {
+		require.Contains(t, logged.String(), word)
+	}
+	require.NotContains(t, logged.String(), "demo-operator")
+	require.NotContains(t, logged.String(), "nobody's")
+}
+
+func TestGoingBackIsANewGeneration(t *testing.T) {
+	_, writer := newStoreWithFirst(t, 15)
+	for i := range 3 {
+		_, err := persist(writer, "billing", fmt.Sprint("b-", i))
+		require.NoError(t, err)
+		_, err = persist(writer, "models", fmt.Sprint("m-", i))
+		require.NoError(t, err)
+	}
+	diff, err := writer.Diff(context.Background(), 1, 7)
+	require.NoError(t, err)
+	require.Contains(t, diff, "+# b-2")
+	request := RollbackRequest{OperationID: "back", OperatorKey: "demo-operator-billing", To: 1,
+		Sections: []document.Section{document.SectionPrices}, Reason: "wrong prices"}
+	result, err := writer.Rollback(context.Background(), request)
+	require.NoError(t, err)
+	require.EqualValues(t, 8, result.Generation)
+	again, err := writer.Rollback(context.Background(), request)
+	require.NoError(t, err)
+	require.EqualValues(t, 8, again.Generation)
+	diff, err = writer.Diff(context.Background(), 1, 8)
+	require.NoError(t, err)
+	require.NotContains(t, diff, "# b-")
+	require.Contains(t, diff, "+# m-2")
+}
+
+// longSection returns a workspaces section of many entries.
+func longSection(count int) []byte {
+	var text strings.Builder
+	text.WriteString("workspaces:\n")
+	for i := range count {
+		fmt.Fprintf(&text, "  - name: workspace-%05d\n    key_hashes:\n      - %s\n", i, newObject(fmt.Append(nil, i)).hash)
+	}
+	return []byte(text.String())
+}
+
+func TestALongSectionIsSplitAndAnEditTouchesFewChunks(t *testing.T) {
+	text := longSection(50_000)
+	before := makeSection(document.Body{Section: document.SectionWorkspaces, Text: text})
+	edited := bytes.Replace(text, []byte("workspace-25000"), []byte("workspace-other"), 1)
+	after := makeSection(document.Body{Section: document.SectionWorkspaces, Text: edited})
+	known := make(map[Hash]bool)
+	var whole []byte
+	for _, chunk := range before.chunks {
+		require.LessOrEqual(t, len(chunk.content), maxChunkBytes)
+		known[chunk.hash] = true
+		whole = append(whole, chunk.content...)
+	}
+	require.Equal(t, text, whole)
+	changed := 0
+	for _, chunk := range after.chunks {
+		if !known[chunk.hash] {
+			changed += len(chunk.content)
+		}
+	}
+	require.NotZero(t, changed)
+	require.Less(t, changed+len(after.manifest.content), 200<<10)
+	t.Logf("%d bytes in %d chunks; one edit moves %d bytes of chunks and a manifest of %d bytes",
+		len(text), len(before.chunks), changed, len(after.manifest.content))
+}
--- a/document/defaults.go
+++ b/document/defaults.go
@@ -31,7 +31,8 @@
 	w.Share = defaultShare
 }
 
-// fillDerived sets the defaults that depend on other keys or sections.
+// fillDerived sets the defaults that depend on other keys or sections. It
+// writes nothing to sections that were filled before: others may read them.
 func (d *Document) fillDerived() {
 	for i := range d.Stages {
 		stage := &d.Stages[i]
--- a/document/parse.go
+++ b/document/parse.go
@@ -15,9 +15,9 @@
 	return p.finish()
 }
 
-// ParseBodies reads a document from its sections. Long sections whose text is
-// the same as when previous was made are taken from it without reading them
-// again; previous may be nil. Errors are those of Parse, with places counted
+// ParseBodies reads a document from its sections. Sections whose text is the
+// same as when previous was made are taken from it without reading them again;
+// previous may be nil. Errors are those of Parse, with places counted
 // in each section's body.
 func ParseBodies(bodies Bodies, previous *Document) (*Document, error) {
 	p := newParser(true)
@@ -82,23 +82,28 @@
 	d.decode(entry.value, reflect.ValueOf(p.document).Elem().Field(sectionFields[entry.section]))
 }
 
-// reuse takes a long section over from the previous document when its text is
-// the same. These sections have no defaults that depend on others.
+// reuse takes a section over from the previous document when its text is the
+// same.
 func (p *parser) reuse(body Body, previous *Document) bool {
-	if previous == nil || !bytes.Equal(previous.bodies.Get(body.Section), body.Text) {
+	if previous == nil || !p.same(body.Section, previous) {
 		return false
 	}
-	switch body.Section {
-	case SectionWorkspaces:
-		p.document.Workspaces = previous.Workspaces
+	// A pipeline's default deadline is its class's.
+	if body.Section == SectionPipelines && !p.same(SectionClasses, previous) {
+		return false
+	}
+	field := sectionFields[body.Section]
+	reflect.ValueOf(p.document).Elem().Field(field).Set(reflect.ValueOf(previous).Elem().Field(field))
+	if body.Section == SectionWorkspaces {
 		p.document.index.workspaces = previous.index.workspaces
 		p.document.index.keyHashes = previous.index.keyHashes
-		return true
-	case SectionLimits:
-		p.document.Limits = previous.Limits
-		return true
 	}
-	return false
+	return true
+}
+
+// same says whether a section's text is the same in the previous document.
+func (p *parser) same(section Section, previous *Document) bool {
+	return bytes.Equal(previous.bodies.Get(section), p.document.bodies.Get(section))
 }
 
 // placeSection is the section to name in a place.
