Let no hanging peer hold up news of a generation

Cause: trials of broken rules showed the paused-watchers test to be near its bound: a poll that hung on a paused watcher held back the facts that came meanwhile. Two of the trials (ready without enough answers, no floor) weren't caught by any test.

Change: facts have their own worker and the newest replaces one that waits; polls have two workers and go to any host half of the time.

--- a/config/learn.go
+++ b/config/learn.go
@@ -28,7 +28,9 @@
 	// considerTimeout bounds the fetching of one generation.
 	considerTimeout = 5 * time.Second
 	otherHolders    = 2
-	storeFallback   = 300 * time.Millisecond
+	// pollWorkers is how many polls may hang at once.
+	pollWorkers   = 2
+	storeFallback = 300 * time.Millisecond
 )
 
 // spread returns a time around d.
@@ -158,40 +160,51 @@
 	return peerSource{s.cfg.Caller, m.LinkAddr, func() { s.metrics.peerCalls.WithLabelValues("objects").Inc() }}
 }
 
-// runPolls asks a peer for its head from time to time, in case no fact came.
+// runPolls has a peer asked for its head from time to time, in case no fact
+// came.
 func (s *Syncer) runPolls(ctx context.Context) error {
 	for s.wait(ctx, pollInterval) {
 		s.mu.Lock()
 		peer, found := choosePoll(s.cfg.View, s.random)
 		s.mu.Unlock()
 		if found {
-			s.askSoon(peer)
+			replace(s.polls, peer)
 		}
 	}
 	return ctx.Err()
 }
 
-// askSoon has a peer asked for its head. While another peer is being asked, at
-// most one more waits.
-func (s *Syncer) askSoon(peer host.Member) {
-	select {
-	case s.asks <- peer:
-	default:
-	}
-}
+// runFacts asks the peers that facts came from, apart from the polls, so that
+// a peer that doesn't answer a poll holds no fact up.
+func (s *Syncer) runFacts(ctx context.Context) error { return s.askAll(ctx, s.facts) }
 
-// runAsks asks peers one after the other.
-func (s *Syncer) runAsks(ctx context.Context) error {
+// askAll asks the peers that come from a channel, one after the other.
+func (s *Syncer) askAll(ctx context.Context, peers <-chan host.Member) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case peer := <-s.asks:
+		case peer := <-peers:
 			s.ask(ctx, peer)
 		}
 	}
 }
 
+// replace puts a peer in place of one that still waits.
+func replace(waiting chan host.Member, peer host.Member) {
+	for {
+		select {
+		case waiting <- peer:
+			return
+		default:
+		}
+		select {
+		case <-waiting:
+		default:
+		}
+	}
+}
+
 // answer is what came of asking one peer for its head.
 type answer struct {
 	answered   bool
--- a/config/peers.go
+++ b/config/peers.go
@@ -16,7 +16,7 @@
 
 // farPollShare is how often a host polls anyone rather than a watcher of its
 // own data centre: one time in farPollShare.
-const farPollShare = 4
+const farPollShare = 2
 
 // peerSource fetches objects from one peer.
 type peerSource struct {
--- a/config/serve.go
+++ b/config/serve.go
@@ -71,7 +71,7 @@
 	}
 	peer, known := s.cfg.View.Lookup(fact.From)
 	if known {
-		s.askSoon(peer)
+		replace(s.facts, peer)
 	}
 }
 
--- a/config/syncer.go
+++ b/config/syncer.go
@@ -62,9 +62,9 @@
 	random      *rand.Rand
 	subscribers []func(*Snapshot)
 
-	asks chan host.Member
-	// readAgain wakes the watching host's store reader.
-	readAgain chan struct{}
+	// polls holds the next peer to poll, facts the newest peer heard of.
+	polls chan host.Member
+	facts chan host.Member
 }
 
 // NewSyncer makes a Syncer and registers its calls. The error says that the
@@ -79,7 +79,7 @@
 	if cfg.Settle == 0 {
 		cfg.Settle = defaultSettle
 	}
-	s := &Syncer{cfg: cfg, random: cfg.Rand, asks: make(chan host.Member, 1), readAgain: make(chan struct{}, 1)}
+	s := &Syncer{cfg: cfg, random: cfg.Rand, polls: make(chan host.Member, 1), facts: make(chan host.Member, 1)}
 	if err := s.readFirst(); err != nil {
 		return nil, err
 	}
@@ -105,9 +105,12 @@
 // Run keeps the host up to date until ctx ends, and returns ctx's error.
 func (s *Syncer) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	for _, loop := range []func(context.Context) error{s.runStart, s.runWatch, s.runPolls, s.runAsks} {
+	for _, loop := range []func(context.Context) error{s.runStart, s.runWatch, s.runPolls, s.runFacts} {
 		group.Go(func() error { return loop(ctx) })
 	}
+	for range pollWorkers {
+		group.Go(func() error { return s.askAll(ctx, s.polls) })
+	}
 	return group.Wait()
 }
 
--- a/config/syncer_test.go
+++ b/config/syncer_test.go
@@ -200,3 +200,50 @@
 		require.Zero(t, f.reversals)
 	})
 }
+
+func TestAHostIsNotReadyBeforeEnoughPeersAnswered(t *testing.T) {
+	for name, c := range map[string]struct {
+		round   round
+		serving Generation
+		floor   Generation
+		ready   bool
+	}{
+		"nothing to serve":            {round{asked: 4, answered: 4}, 0, 0, false},
+		"all answered":                {round{asked: 4, answered: 4, newest: 3}, 3, 3, true},
+		"half answered, store down":   {round{asked: 4, answered: 2, newest: 3}, 3, 3, true},
+		"too few answered":            {round{asked: 4, answered: 1, newest: 3, storeAnswered: true}, 3, 3, false},
+		"a peer is ahead":             {round{asked: 4, answered: 4, newest: 4}, 3, 3, false},
+		"one that hangs is ahead":     {round{asked: 4, answered: 3, newest: 3}, 3, 4, false},
+		"alone":                       {round{settled: true, storeAnswered: true}, 3, 0, true},
+		"alone but list may come":     {round{storeAnswered: true}, 3, 0, false},
+		"alone and the store is down": {round{settled: true}, 3, 0, false},
+	} {
+		require.Equal(t, c.ready, c.round.isReady(c.serving, c.floor), name)
+	}
+	quiet := round{asked: 2, answered: 2, storeAnswered: true}
+	require.True(t, quiet.mayCreate(0, 0))
+	require.False(t, quiet.mayCreate(0, 1))
+	require.False(t, round{asked: 2, answered: 2}.mayCreate(0, 0))
+}
+
+func TestAHostThatOnlyReachesAnOldStoreWaitsForItsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8)
+		hosts := f.start(6, 2)
+		defer f.stop()
+		f.waitAll(hosts, 1)
+		old := f.store.Save()
+		f.waitAll(hosts, accept(f, hosts[0], "newer"))
+		f.store.Restore(old)
+		for _, h := range hosts {
+			f.set(h, func(h *testHost) { h.paused, h.served = true, 0 }) // nor has membership told yet
+		}
+		restarted := f.startOne("restarted", 0)
+		time.Sleep(30 * time.Second)
+		require.False(t, restarted.syncer.Ready())
+		for _, h := range hosts {
+			f.set(h, func(h *testHost) { h.paused = false })
+		}
+		f.waitAll(f.all(), 2)
+	})
+}
