Plan what engines hold and give them orders under a lease

Change: package planner. Next decides copies from demand with hysteresis, rolls versions out by steps and back on failure; Commands holds orders back for the weight store's sake and to keep enough copies ready. A Runner on a few hosts holds the group's lease; the store's version of the leader key is the fencing number. Orders are absolute and are given only while the lease is valid by the monotonic clock less a margin, after a settling time longer than any order in flight; every round reads engines back and repairs them.

Cause found by a test: a copy that a stale order brought counted as serving, so that the repair waited for a spare copy, 3m2s in TestAStaleOrderIsReadBackAndRepaired.

--- /dev/null
+++ b/planner/candidates.go
@@ -0,0 +1,29 @@
+package planner
+
+import (
+	"slices"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/galenaseam/galenaseam/host"
+)
+
+// isCandidate says whether this host is one of the few that try for a group's
+// lease. Every host with the same view chooses the same.
+func isCandidate(view host.View, group string) bool {
+	self := view.Self().ID
+	var alive []host.ID
+	for _, m := range view.Members() {
+		if m.State == host.Alive {
+			alive = append(alive, m.ID)
+		}
+	}
+	rank := func(id host.ID) uint64 { return xxh3.HashString(group + "\x00" + string(id)) }
+	slices.SortFunc(alive, func(a, b host.ID) int {
+		if rank(a) < rank(b) {
+			return -1
+		}
+		return 1
+	})
+	return slices.Contains(alive[:min(len(alive), candidatesCount)], self)
+}
--- /dev/null
+++ b/planner/runner_test.go
@@ -0,0 +1,275 @@
+package planner
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/internal/fakestore"
+	"github.com/galenaseam/galenaseam/upstream"
+)
+
+// fakeEngine is an engine that checks fencing numbers or ignores them.
+type fakeEngine struct {
+	id     upstream.ID
+	checks bool
+
+	mu    sync.Mutex
+	state State
+	// late delays the orders of one fencing number until after their check,
+	// as a holder that is paused between its check and its sending does.
+	lateFencing int64
+	late        time.Duration
+	orders      int
+	// wrongSince is since when a stale order is in force; repaired is the
+	// longest that one was.
+	stale      bool
+	staleTaken int
+	wrongSince time.Time
+	repaired   time.Duration
+}
+
+func (e *fakeEngine) ID() upstream.ID { return e.id }
+
+func (e *fakeEngine) Order(_ context.Context, order Order) (State, error) {
+	e.mu.Lock()
+	wait := time.Duration(0)
+	if order.Fencing == e.lateFencing {
+		wait = e.late
+	}
+	e.mu.Unlock()
+	time.Sleep(wait)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if order.Fencing < e.state.Fencing && e.checks {
+		return State{}, ErrStaleOrder
+	}
+	e.orders++
+	if order.Fencing < e.state.Fencing && !e.stale {
+		e.stale, e.wrongSince = true, time.Now()
+		e.staleTaken++
+	}
+	if order.Fencing >= e.state.Fencing && e.stale {
+		e.stale, e.repaired = false, max(e.repaired, time.Since(e.wrongSince))
+	}
+	e.state = State{Fencing: max(order.Fencing, e.state.Fencing)}
+	for _, model := range order.Models {
+		model.State = stateReady
+		e.state.Models = append(e.state.Models, model)
+	}
+	return e.state, nil
+}
+
+func (e *fakeEngine) State(context.Context) (State, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state, nil
+}
+
+// only is a view in which a host is a candidate for every group.
+type only struct{ id host.ID }
+
+func (o only) Self() host.Info { return host.Info{ID: o.id} }
+func (o only) Members() []host.Member {
+	return []host.Member{{Info: o.Self()}}
+}
+func (o only) Lookup(host.ID) (host.Member, bool) { return host.Member{}, false }
+
+// bench is a store, engines and the document that planners work on.
+type bench struct {
+	store   *fakestore.Store
+	engines []*fakeEngine
+
+	mu      sync.Mutex
+	version string
+}
+
+func newBench(checks bool) *bench {
+	b := &bench{store: fakestore.New(21), version: "1"}
+	for i := range 4 {
+		b.engines = append(b.engines, &fakeEngine{id: upstream.ID(fmt.Sprint("engine-", i)), checks: checks})
+	}
+	return b
+}
+
+// runner makes a planner on a host of its own; it sees the store through
+// store, so that tests can cut it off.
+func (b *bench) runner(id string, store *fakestore.Store) *Runner {
+	settings := DefaultSettings()
+	settings.Soak = 10 * time.Second
+	return NewRunner(Config{
+		Group: "g", Store: store, View: only{host.ID(id)}, Settings: settings,
+		Document: func() *document.Document {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return &document.Document{Models: []document.Model{{Name: "m", Version: b.version, Group: "g", MinCopies: 3}}}
+		},
+		Engines: func() []Engine {
+			var engines []Engine
+			for _, engine := range b.engines {
+				engines = append(engines, engine)
+			}
+			return engines
+		},
+	})
+}
+
+func (b *bench) setVersion(version string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.version = version
+}
+
+// start runs a planner and returns how to stop it.
+func start(r *Runner) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = r.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// holding counts the engines that hold a version.
+func (b *bench) holding(version string) int {
+	count := 0
+	for _, engine := range b.engines {
+		state, _ := engine.State(context.Background())
+		if held, ok := state.held("m"); ok && held.Version == version {
+			count++
+		}
+	}
+	return count
+}
+
+func (b *bench) orders() int {
+	total := 0
+	for _, engine := range b.engines {
+		engine.mu.Lock()
+		total += engine.orders
+		engine.mu.Unlock()
+	}
+	return total
+}
+
+// repairBound is the promise for engines that ignore fencing numbers: a stale
+// order that arrives after the settling time is undone in this time.
+const repairBound = roundInterval + 2*storeTimeout + orderTimeout
+
+func TestTwoPlannersAndAnOrderThatComesMuchTooLate(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(checks)
+			defer start(b.runner("first", b.store))()
+			time.Sleep(5 * time.Minute)
+			require.GreaterOrEqual(t, b.holding("1"), 3)
+			first, _ := b.engines[0].State(context.Background())
+			for _, engine := range b.engines { // from now on the first one's orders hang
+				engine.mu.Lock()
+				engine.lateFencing, engine.late = first.Fencing, 3*time.Minute
+				engine.mu.Unlock()
+			}
+			b.setVersion("2") // makes it give one
+			time.Sleep(2 * roundInterval)
+			b.setVersion("3")
+			defer start(b.runner("second", b.store))()
+			time.Sleep(20 * time.Minute)
+			require.GreaterOrEqual(t, b.holding("3"), 3)
+			require.Zero(t, b.holding("1")+b.holding("2"))
+			later, _ := b.engines[0].State(context.Background())
+			require.Greater(t, later.Fencing, first.Fencing, "the second planner never led")
+			stale := 0
+			for _, engine := range b.engines {
+				require.False(t, engine.stale)
+				require.LessOrEqual(t, engine.repaired, repairBound)
+				stale += engine.staleTaken
+			}
+			require.Equal(t, checks, stale == 0, "a late order harms engines that ignore numbers, and no others")
+		})
+	}
+}
+
+func TestAStaleOrderIsReadBackAndRepaired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(false)
+		stop := start(b.runner("only", b.store))
+		defer stop()
+		time.Sleep(5 * time.Minute)
+		for i := range 20 {
+			engine := b.engines[i%len(b.engines)]
+			_, err := engine.Order(context.Background(), Order{Fencing: 1, Models: []Held{{Name: "m", Version: "0"}}})
+			require.NoError(t, err)
+			time.Sleep(time.Minute)
+		}
+		repaired := time.Duration(0)
+		for _, engine := range b.engines {
+			require.False(t, engine.stale)
+			repaired = max(repaired, engine.repaired)
+		}
+		require.Positive(t, repaired)
+		require.LessOrEqual(t, repaired, repairBound)
+		require.Zero(t, b.holding("0"))
+	})
+}
+
+func TestDuringAnOutageTheLastPlanStands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(false)
+		stops := []func(){start(b.runner("a", b.store)), start(b.runner("b", b.store))}
+		time.Sleep(5 * time.Minute)
+		require.GreaterOrEqual(t, b.holding("1"), 3)
+		b.store.SetFaults(fakestore.Faults{Down: true})
+		time.Sleep(leaseTTL)
+		before := b.orders()
+		b.setVersion("2")
+		time.Sleep(10 * time.Minute)
+		require.Equal(t, before, b.orders())
+		require.GreaterOrEqual(t, b.holding("1"), 3)
+		b.store.SetFaults(fakestore.Faults{LoseAnswer: 0.2, DropWrite: 0.1})
+		time.Sleep(30 * time.Minute)
+		require.GreaterOrEqual(t, b.holding("2"), 3)
+		for _, stop := range stops {
+			stop()
+		}
+	})
+}
+
+func TestNoTwoPlannersMayOrderAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(false)
+		b.store.SetFaults(fakestore.Faults{Delay: 3 * time.Second, LoseAnswer: 0.2, DropWrite: 0.2})
+		runners := []*Runner{b.runner("a", b.store), b.runner("b", b.store), b.runner("c", b.store)}
+		var last int64
+		led := make(map[int64]bool)
+		for range 2000 {
+			var rounds sync.WaitGroup
+			for _, r := range runners {
+				rounds.Go(func() { r.round(context.Background()) })
+			}
+			rounds.Wait()
+			may := 0
+			for _, r := range runners {
+				if r.tenure.mayOrder(time.Now()) {
+					may++
+					require.GreaterOrEqual(t, r.tenure.fencing, last)
+					last = r.tenure.fencing
+					led[last] = true
+				}
+			}
+			require.LessOrEqual(t, may, 1)
+			time.Sleep(time.Second)
+		}
+		require.Greater(t, len(led), 2, "the lease never changed hands")
+	})
+}
