Test attempts against cut, crossed, late and repeated calls

Cause: net/http itself repeats a call that has an Idempotency-Key when a reused connection breaks: seen twice at the upstream in the test's control. Figures: pooled connection 2 runs, fresh connection 1 run.

--- /dev/null
+++ b/attempt/attempt_test.go
@@ -0,0 +1,221 @@
+package attempt
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/dispatch"
+	"github.com/galenaseam/galenaseam/upstream"
+)
+
+// serve starts an upstream and returns a call to it.
+func serve(t *testing.T, h http.HandlerFunc) Call {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return callTo(server.Listener.Addr().String())
+}
+
+func callTo(addr string) Call {
+	return Call{
+		Identity: Identity{RequestID: "r1", Stage: "answer", Attempt: 1},
+		Upstream: upstream.Upstream{ID: upstream.ID(addr), Addr: netip.MustParseAddrPort(addr)},
+		Method:   http.MethodPost,
+		Path:     "/x",
+		Body:     []byte(`{}`),
+	}
+}
+
+// echo repeats the identity headers, as upstreams do.
+func echo(w http.ResponseWriter, r *http.Request) {
+	for _, name := range []string{HeaderRequestID, HeaderStage, HeaderAttempt} {
+		w.Header().Set(name, r.Header.Get(name))
+	}
+}
+
+// sse writes one event.
+func sse(w http.ResponseWriter, data string) {
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
+	_ = http.NewResponseController(w).Flush()
+}
+
+func piece(id, text string) string {
+	return fmt.Sprintf(`{"id":%q,"choices":[{"delta":{"content":%q},"finish_reason":null}]}`, id, text)
+}
+
+const finish = `{"id":"c1","choices":[{"delta":{},"finish_reason":"stop"}],"usage":{"prompt_tokens":3,"completion_tokens":2}}`
+
+func TestDoTellsHowACallFailed(t *testing.T) {
+	tests := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    dispatch.Failure
+	}{
+		{"foreign answer", func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			w.Header().Set(HeaderRequestID, "r2")
+		}, dispatch.WrongAnswer},
+		{"answer of an earlier attempt", func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			w.Header().Set(HeaderAttempt, "0")
+		}, dispatch.WrongAnswer},
+		{"refused by a leaving upstream", func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			w.Header().Set(HeaderRan, "no")
+			w.Header().Set(HeaderUpstreamState, "leaving")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, dispatch.RefusedByUpstream},
+		{"cut in the body", func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte("part"))
+		}, dispatch.BrokenOff},
+		{"reset before the answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, dispatch.BrokenOff},
+		{"answer over the bound", func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			_, _ = w.Write(make([]byte, 2000))
+		}, dispatch.WrongAnswer},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			client := New(Config{MaxAnswerBytes: 1000})
+			defer client.Close()
+			_, err := client.Do(context.Background(), serve(t, tt.handler))
+			require.Error(t, err)
+			require.Equal(t, tt.want, AsFailed(err).Failure, err)
+		})
+	}
+}
+
+func TestRefusedConnectionProvesThatNothingRan(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	call := callTo(listener.Addr().String())
+	require.NoError(t, listener.Close())
+	client := New(Config{})
+	defer client.Close()
+	_, err = client.Do(context.Background(), call)
+	failed := AsFailed(err)
+	require.True(t, failed.NothingRan())
+	require.Equal(t, upstream.RefusedConnection, failed.Evidence)
+}
+
+func TestTimeoutAfterSendingDoesNotProveThatNothingRan(t *testing.T) {
+	release := make(chan struct{})
+	call := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	})
+	defer close(release)
+	client := New(Config{})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := client.Do(ctx, call)
+	require.Equal(t, dispatch.TimedOut, AsFailed(err).Failure)
+	require.False(t, AsFailed(err).NothingRan())
+}
+
+// net/http repeats a call with an Idempotency-Key by itself when a reused
+// connection breaks before the answer. A call that may run only once must be
+// sent once even then.
+func TestOnceIsSentOnceWhenAReusedConnectionBreaks(t *testing.T) {
+	sent := func(once bool) int64 {
+		var runs atomic.Int64
+		var cut atomic.Bool
+		call := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			if r.URL.Path == "/x" {
+				runs.Add(1)
+				if cut.CompareAndSwap(false, true) {
+					panic(http.ErrAbortHandler)
+				}
+			}
+		})
+		client := New(Config{})
+		defer client.Close()
+		warm := call
+		warm.Path = "/warm"
+		_, err := client.Do(context.Background(), warm)
+		require.NoError(t, err)
+		call.Once = once
+		call.Header = http.Header{"Idempotency-Key": {"k"}}
+		_, _ = client.Do(context.Background(), call)
+		return runs.Load()
+	}
+	require.EqualValues(t, 2, sent(false), "the library no longer repeats calls: the fresh transport may go")
+	require.EqualValues(t, 1, sent(true))
+}
+
+func TestStreamIsWholeOnlyWithReasonAndClosingEvent(t *testing.T) {
+	tests := []struct {
+		name   string
+		events []string
+		want   dispatch.Failure
+		text   string
+	}{
+		{"whole", []string{piece("c1", "a"), piece("c1", "b"), finish, "[DONE]"}, dispatch.Succeeded, "ab"},
+		{"cut after text", []string{piece("c1", "a")}, dispatch.BrokenOff, "a"},
+		{"no closing event", []string{piece("c1", "a"), finish}, dispatch.BrokenOff, "a"},
+		{"no finish reason", []string{piece("c1", "a"), "[DONE]"}, dispatch.WrongAnswer, "a"},
+		{"event of another completion", []string{piece("c1", "a"), piece("c2", "b")}, dispatch.WrongAnswer, "a"},
+		{"malformed event", []string{"{"}, dispatch.WrongAnswer, ""},
+		{"engine's own error", []string{piece("c1", "a"), `{"id":"c1","error":{"message":"out of memory"}}`}, dispatch.UpstreamError, "a"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			call := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				echo(w, r)
+				for _, e := range tt.events {
+					sse(w, e)
+				}
+			})
+			client := New(Config{})
+			defer client.Close()
+			var text strings.Builder
+			end, err := client.Stream(context.Background(), call, func(s string) error {
+				text.WriteString(s)
+				return nil
+			})
+			require.Equal(t, tt.text, text.String())
+			if tt.want == dispatch.Succeeded {
+				require.NoError(t, err)
+				require.Equal(t, "stop", end.FinishReason)
+				require.Equal(t, 3, end.InputTokens)
+				return
+			}
+			require.Equal(t, tt.want, AsFailed(err).Failure, err)
+		})
+	}
+}
+
+func TestAbandonedStreamEndsTheUpstreamsWork(t *testing.T) {
+	ended := make(chan struct{})
+	call := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		sse(w, piece("c1", "a"))
+		<-r.Context().Done()
+		close(ended)
+	})
+	client := New(Config{})
+	defer client.Close()
+	_, err := client.Stream(context.Background(), call, func(string) error { return fmt.Errorf("caller gone") })
+	require.Equal(t, dispatch.Cancelled, AsFailed(err).Failure)
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the upstream was not told")
+	}
+}
