--- /dev/null
+++ b/editor.go
@@ -0,0 +1,114 @@
+package galenaseam
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/galenaseam/galenaseam/config"
+	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/operator"
+	"github.com/galenaseam/galenaseam/problem"
+)
+
+// editor is the operators' way to change the document on one host.
+type editor struct {
+	writer *config.Writer
+	syncer *config.Syncer
+}
+
+// Text returns the document in force.
+func (e *editor) Text() (operator.ConfigText, error) {
+	current := e.syncer.Current()
+	if current == nil {
+		return operator.ConfigText{}, problem.New(http.StatusServiceUnavailable, "not_ready", "the host has no configuration yet", problem.No)
+	}
+	return operator.ConfigText{
+		Generation: uint64(current.Generation),
+		Text:       string(document.Join(current.Bodies)),
+	}, nil
+}
+
+// Apply accepts changed sections.
+func (e *editor) Apply(ctx context.Context, key string, r operator.ApplyRequest) (operator.ApplyAnswer, error) {
+	edit := config.Edit{
+		OperationID: r.OperationID,
+		OperatorKey: key,
+		Base:        config.Generation(r.Base),
+		Reason:      r.Reason,
+	}
+	for _, s := range r.Sections {
+		edit.Sections = append(edit.Sections, document.Body{Section: document.Section(s.Name), Text: []byte(s.Body)})
+	}
+	result, err := e.writer.Apply(ctx, edit)
+	return applied(result, err)
+}
+
+// Rollback accepts an earlier generation's sections as a new generation.
+func (e *editor) Rollback(ctx context.Context, key string, r operator.RollbackRequest) (operator.ApplyAnswer, error) {
+	result, err := e.writer.Rollback(ctx, config.RollbackRequest{
+		OperationID: r.OperationID,
+		OperatorKey: key,
+		To:          config.Generation(r.Generation),
+		Reason:      r.Reason,
+	})
+	return applied(result, err)
+}
+
+// History lists the newest accepted generations.
+func (e *editor) History(ctx context.Context, n int) ([]operator.HistoryRow, error) {
+	records, err := e.writer.History(ctx, n)
+	if err != nil {
+		return nil, editProblem(err)
+	}
+	rows := make([]operator.HistoryRow, 0, len(records))
+	for _, record := range records {
+		rows = append(rows, historyRow(record))
+	}
+	return rows, nil
+}
+
+// historyRow shows one record.
+func historyRow(record config.Record) operator.HistoryRow {
+	row := operator.HistoryRow{
+		Generation: uint64(record.Generation),
+		Time:       time.Unix(0, record.Operation.AtUnixNano),
+		Team:       record.Operation.Team,
+		Reason:     record.Operation.Reason,
+	}
+	for _, section := range record.Operation.Sections {
+		row.Sections = append(row.Sections, string(section))
+	}
+	return row
+}
+
+// applied turns a writer's result into what operators see.
+func applied(result config.Result, err error) (operator.ApplyAnswer, error) {
+	if err != nil {
+		return operator.ApplyAnswer{}, editProblem(err)
+	}
+	return operator.ApplyAnswer{Generation: uint64(result.Generation), Repeated: result.Already}, nil
+}
+
+// editProblem turns a writer's error into what operators see. The member ran
+// says whether the change was accepted.
+func editProblem(err error) *problem.Problem {
+	var invalid *config.InvalidError
+	var forbidden *config.ForbiddenError
+	var conflict *config.ConflictError
+	switch {
+	case errors.As(err, &invalid):
+		return problem.New(http.StatusUnprocessableEntity, "invalid_document", invalid.Error(), problem.No)
+	case errors.As(err, &forbidden):
+		return problem.New(http.StatusForbidden, "forbidden", forbidden.Error(), problem.No)
+	case errors.As(err, &conflict):
+		return problem.New(http.StatusConflict, "conflict", conflict.Error(), problem.No)
+	case errors.Is(err, config.ErrUncertain):
+		return problem.New(http.StatusGatewayTimeout, "uncertain", "the change may have been accepted; ask again with the same operation ID", problem.Unknown)
+	case errors.Is(err, config.ErrUnavailable):
+		return problem.New(http.StatusServiceUnavailable, "store_unavailable", err.Error(), problem.No).WithRetryAfter(time.Second)
+	default:
+		return problem.New(http.StatusConflict, "refused", err.Error(), problem.No)
+	}
+}
--- a/request/service.go
+++ b/request/service.go
@@ -93,6 +93,8 @@
 
 // do screens the call and runs it, once or with retries.
 func (s *serviceRun) do(ctx context.Context) (ServiceAnswer, error) {
+	ctx, cancel := context.WithDeadline(ctx, s.job.Deadline)
+	defer cancel()
 	s.digest = s.bodyDigest()
 	alone, err := s.runner.screen(s.digest)
 	if err != nil {
