--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -55,6 +55,8 @@
 	MaxAnswerBytes int64
 	// MaxIdlePerUpstream bounds the idle connections kept to one upstream.
 	MaxIdlePerUpstream int
+	// StallTimeout bounds the silence within a stream once it has begun.
+	StallTimeout time.Duration
 }
 
 // The defaults of Config.
@@ -62,11 +64,13 @@
 	DefaultDialTimeout        = 500 * time.Millisecond
 	DefaultMaxAnswerBytes     = 16 << 20
 	DefaultMaxIdlePerUpstream = 32
+	DefaultStallTimeout       = time.Second
 )
 
 // Client makes calls to upstreams. It is safe for concurrent use.
 type Client struct {
 	maxAnswerBytes int64
+	stallTimeout   time.Duration
 	// pooled reuses connections, for idempotent calls.
 	pooled *http.Transport
 	// fresh opens a connection for each call and never repeats one. Calls that
@@ -89,8 +93,12 @@
 	if cfg.MaxIdlePerUpstream == 0 {
 		cfg.MaxIdlePerUpstream = DefaultMaxIdlePerUpstream
 	}
+	if cfg.StallTimeout == 0 {
+		cfg.StallTimeout = DefaultStallTimeout
+	}
 	return &Client{
 		maxAnswerBytes: cfg.MaxAnswerBytes,
+		stallTimeout:   cfg.StallTimeout,
 		pooled:         newTransport(cfg, false),
 		fresh:          newTransport(cfg, true),
 	}
--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -219,3 +219,15 @@
 		t.Fatal("the upstream was not told")
 	}
 }
+
+func TestStreamThatFallsSilentIsGivenUp(t *testing.T) {
+	call := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		sse(w, piece("c1", "a"))
+		<-r.Context().Done()
+	})
+	client := New(Config{StallTimeout: 50 * time.Millisecond})
+	defer client.Close()
+	_, err := client.Stream(context.Background(), call, func(string) error { return nil })
+	require.Equal(t, dispatch.TimedOut, AsFailed(err).Failure)
+}
--- a/attempt/stream.go
+++ b/attempt/stream.go
@@ -6,10 +6,14 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/galenaseam/galenaseam/dispatch"
+	"github.com/galenaseam/galenaseam/upstream"
 )
 
 // maxEventBytes bounds one line of an engine's event stream.
@@ -60,16 +64,33 @@
 // returned as the cause of a Cancelled failure. The error is a *Failed.
 func (c *Client) Stream(ctx context.Context, call Call, emit func(text string) error) (StreamEnd, error) {
 	started := time.Now()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	resp, err := c.send(ctx, call)
 	if err != nil {
 		return StreamEnd{}, err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != 200 {
+	if resp.StatusCode != http.StatusOK {
 		return StreamEnd{}, statusFailure(resp.StatusCode, resp.Body)
 	}
 	reader := &streamReader{emit: emit, started: started}
-	scanner := bufio.NewScanner(resp.Body)
+	end, err := c.follow(ctx, cancel, reader, resp.Body)
+	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+		err = &Failed{Failure: dispatch.TimedOut, Evidence: upstream.Answered, Cause: Error.Wrap(errStalled)}
+	}
+	return end, err
+}
+
+// errStalled is why a stream that fell silent was given up.
+var errStalled = errs.New("the stream fell silent")
+
+// follow reads a stream to its end. Once text has come, silence ends it.
+func (c *Client) follow(ctx context.Context, cancel context.CancelCauseFunc, reader *streamReader, body io.Reader) (StreamEnd, error) {
+	stall := time.AfterFunc(c.stallTimeout, func() { cancel(errStalled) })
+	stall.Stop()
+	defer stall.Stop()
+	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	for scanner.Scan() {
 		done, err := reader.line(scanner.Text())
@@ -79,6 +100,9 @@
 		if done {
 			return reader.end, nil
 		}
+		if reader.end.FirstToken > 0 {
+			stall.Reset(c.stallTimeout)
+		}
 	}
 	if err := scanner.Err(); err != nil {
 		return reader.end, broken(ctx, err)
--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -46,7 +46,7 @@
 func (d Deployment) examples() examples {
 	if d == Yardline {
 		return examples{
-			workspace: "couva-works",
+			workspace: "marabella-cranes",
 			pipeline:  "yard-question",
 			question:  "Is there laydown space for two cranes at the Penal yard on Friday?",
 			service:   "bookings/extensions",
@@ -55,7 +55,7 @@
 		}
 	}
 	return examples{
-		workspace: "metinatajs",
+		workspace: "valmiera-welding",
 		pipeline:  "stock-question",
 		question:  "How many 50 litre argon cylinders are in stock in Daugavpils?",
 		service:   "orders/refills",
--- a/request/steps.go
+++ b/request/steps.go
@@ -71,8 +71,8 @@
 }
 
 type embeddingsRequest struct {
-	Model string   `json:"model"`
-	Input []string `json:"input"`
+	Model string `json:"model,omitempty"`
+	Input string `json:"input"`
 }
 
 type embeddingsAnswer struct {
@@ -88,7 +88,7 @@
 func (s *encodeStep) attempt(ctx context.Context, call attempt.Call, commit func() bool) (func(), dispatch.Outcome, error) {
 	call.Path = "/v1/embeddings"
 	var answer embeddingsAnswer
-	in := embeddingsRequest{Model: s.stage.Model, Input: []string{s.run.job.Input}}
+	in := embeddingsRequest{Model: s.stage.Model, Input: s.run.job.Input}
 	if err := exchange(ctx, s.run.runner.cfg.Client, call, in, &answer); err != nil {
 		return nil, dispatch.Outcome{}, err
 	}
