Prove the request path against stand-ins that fail

Cause: the path had only unit tests. Change: whole pipelines and orders against stand-ins that cut, stall, truncate, cross, refuse, lose answers and go down.

--- a/request/generate.go
+++ b/request/generate.go
@@ -24,7 +24,7 @@
 }
 
 // chatRequest is the body of a chat completion. ContinueFrom is the engines'
-// extension for resuming: how many pieces of the answer were already taken.
+// extension for resuming: the part of the answer that was already taken.
 type chatRequest struct {
 	Model         string        `json:"model"`
 	Messages      []Message     `json:"messages"`
@@ -32,7 +32,12 @@
 	Stream        bool          `json:"stream"`
 	StreamOptions streamOptions `json:"stream_options"`
 	Priority      int           `json:"priority"`
-	ContinueFrom  int           `json:"continue_from,omitempty"`
+	ContinueFrom  *continueFrom `json:"continue_from,omitempty"`
+}
+
+type continueFrom struct {
+	Text   string `json:"text"`
+	Tokens int    `json:"tokens"`
 }
 
 type streamOptions struct {
@@ -86,15 +91,18 @@
 // body builds the completion request, going on from text already passed on.
 func (s *generateStep) body() chatRequest {
 	class, _ := s.run.job.Document.Class(s.run.job.Pipeline.Class)
-	return chatRequest{
+	req := chatRequest{
 		Model:         s.stage.Model,
 		Messages:      s.messages(),
 		MaxTokens:     s.maxTokens,
 		Stream:        true,
 		StreamOptions: streamOptions{IncludeUsage: true},
 		Priority:      class.Priority,
-		ContinueFrom:  s.pieces,
 	}
+	if s.pieces > 0 {
+		req.ContinueFrom = &continueFrom{Text: s.text.String(), Tokens: s.pieces}
+	}
+	return req
 }
 
 // messages puts the found passages before the conversation.
--- /dev/null
+++ b/request/path_test.go
@@ -0,0 +1,259 @@
+package request_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/galenaseam/galenaseam/attempt"
+	"github.com/galenaseam/galenaseam/dispatch"
+	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/examples"
+	"github.com/galenaseam/galenaseam/internal/standin"
+	"github.com/galenaseam/galenaseam/internal/standin/fault"
+	"github.com/galenaseam/galenaseam/internal/standin/model"
+	"github.com/galenaseam/galenaseam/problem"
+	"github.com/galenaseam/galenaseam/request"
+	"github.com/galenaseam/galenaseam/upstream"
+)
+
+// staticView is a View whose upstreams never change.
+type staticView struct {
+	pools map[string][]upstream.Upstream
+}
+
+func (v *staticView) Pool(name string) []upstream.Upstream { return v.pools[name] }
+
+func (v *staticView) Lookup(id upstream.ID) (upstream.Upstream, bool) {
+	for _, pool := range v.pools {
+		for _, up := range pool {
+			if up.ID == id {
+				return up, true
+			}
+		}
+	}
+	return upstream.Upstream{}, false
+}
+
+func (v *staticView) LoadOf(upstream.ID) (upstream.Load, bool) { return upstream.Load{}, false }
+
+func (v *staticView) Report(upstream.ID, upstream.Evidence) {}
+
+// openGuard lets every request run.
+type openGuard struct{}
+
+func (openGuard) Screen(request.Digest) request.Screening { return request.Allow }
+func (openGuard) Started(request.Digest, upstream.ID)     {}
+func (openGuard) Ended(request.Digest, upstream.ID, bool) {}
+
+// memoryClaims runs each key at most once within one process.
+type memoryClaims struct {
+	mu   sync.Mutex
+	seen map[request.OnceKey]bool
+}
+
+func (c *memoryClaims) Once(ctx context.Context, key request.OnceKey, _ string, run request.OnceFunc) (request.ServiceAnswer, error) {
+	c.mu.Lock()
+	ranBefore := c.seen[key]
+	c.seen[key] = true
+	c.mu.Unlock()
+	if ranBefore {
+		return request.ServiceAnswer{}, problem.New(http.StatusConflict, "already_ran", "", problem.Yes)
+	}
+	answer, _, err := run(ctx)
+	return answer, err
+}
+
+// bench is a runner before a deployment of stand-ins.
+type bench struct {
+	doc      *document.Document
+	standins *standin.Deployment
+	runner   *request.Runner
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	text, err := examples.Document("cylinder")
+	require.NoError(t, err)
+	doc, err := document.Parse(text)
+	require.NoError(t, err)
+	standins, err := standin.Start(standin.FromDocument(doc, map[string]int{"engines": 4}))
+	require.NoError(t, err)
+	view := &staticView{pools: make(map[string][]upstream.Upstream)}
+	for _, up := range standins.Upstreams {
+		l := up.Listing
+		view.pools[l.Pool] = append(view.pools[l.Pool], upstream.Upstream{
+			ID: upstream.ID(l.Addr.String()), Addr: l.Addr, Pool: l.Pool, Place: l.Place,
+		})
+	}
+	runtime, err := dispatch.New(dispatch.Config{Upstreams: view, Seed: 1})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = runtime.Run(ctx)
+	}()
+	client := attempt.New(attempt.Config{StallTimeout: 200 * time.Millisecond})
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		client.Close()
+		standins.Stop()
+	})
+	return &bench{doc: doc, standins: standins, runner: request.New(request.Config{
+		Dispatcher: runtime, Upstreams: view, Client: client, Guard: openGuard{},
+		Claims: &memoryClaims{seen: make(map[request.OnceKey]bool)},
+	})}
+}
+
+// collector keeps what a caller of a stream gets.
+type collector struct{ text strings.Builder }
+
+func (c *collector) Token(text string) error {
+	c.text.WriteString(text)
+	return nil
+}
+
+func (b *bench) job(id, input string, sink request.Sink) request.Job {
+	line, _ := b.doc.Pipeline("stock-question")
+	return request.Job{
+		ID: id, Workspace: "riga-shipyard", Pipeline: line, Document: b.doc, Input: input,
+		Deadline: time.Now().Add(20 * time.Second), Sink: sink,
+	}
+}
+
+// inject makes every upstream of a pool fail for its next calls.
+func (b *bench) inject(pool string, f fault.Fault, upstreams int) {
+	for _, up := range b.standins.Pool(pool)[:upstreams] {
+		up.Fault(f)
+	}
+}
+
+// expected is the answer that any engine gives to a prompt.
+func expected(doc *document.Document, passages []request.Passage, input string) string {
+	var texts []string
+	for _, p := range passages {
+		texts = append(texts, p.Text)
+	}
+	stage, _ := doc.Stage("answer")
+	tokens, _ := model.Answer(stage.Model, model.Prompt([]model.Message{
+		{Role: "system", Content: strings.Join(texts, "\n")},
+		{Role: "user", Content: input},
+	}), stage.MaxTokens)
+	return strings.Join(tokens, "")
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestPipelineIsWholeUnderEachFault(t *testing.T) {
+	tests := []struct {
+		name  string
+		pool  string
+		fault fault.Fault
+	}{
+		{"healthy", "engines", fault.Fault{Kind: fault.Clear}},
+		{"stream cut in the middle", "engines", fault.Fault{Kind: fault.Cut, Count: 1, AfterEvents: 5}},
+		{"stream ended early as if whole", "engines", fault.Fault{Kind: fault.Truncate, Count: 1, AfterEvents: 5}},
+		{"stream stalls", "engines", fault.Fault{Kind: fault.Stall, Count: 1, AfterEvents: 5}},
+		{"engine refuses", "engines", fault.Fault{Kind: fault.Refuse, Count: 1}},
+		{"engine fails after running", "engines", fault.Fault{Kind: fault.ErrorAfterRun, Count: 1}},
+		{"encoder loses its answer", "encoders", fault.Fault{Kind: fault.LostAnswer, Count: 1}},
+		{"reranker leaving", "rerankers", fault.Fault{Kind: fault.Leaving}},
+		{"retriever down", "retrievers", fault.Fault{Kind: fault.Down}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			b.inject(tt.pool, tt.fault, 1)
+			for i := range 6 {
+				sink := &collector{}
+				input := "question " + tt.name + string(rune('a'+i))
+				result, err := b.runner.RunPipeline(context.Background(), b.job("r", input, sink))
+				require.NoError(t, err)
+				require.Equal(t, expected(b.doc, result.Passages, input), result.Output)
+				require.Equal(t, result.Output, sink.text.String())
+			}
+		})
+	}
+}
+
+func TestCrossedAnswersNeverReachAnotherCaller(t *testing.T) {
+	b := newBench(t)
+	for _, pool := range []string{"encoders", "retrievers", "rerankers", "engines"} {
+		b.inject(pool, fault.Fault{Kind: fault.Crossed, Count: 3}, 1)
+	}
+	var group sync.WaitGroup
+	for i := range 16 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			input := "crossed question " + string(rune('a'+i))
+			result, err := b.runner.RunPipeline(context.Background(), b.job("r"+string(rune('a'+i)), input, nil))
+			if err == nil {
+				require.Equal(t, expected(b.doc, result.Passages, input), result.Output)
+			}
+		}()
+	}
+	group.Wait()
+}
+
+func (b *bench) order(key string) (request.ServiceAnswer, error) {
+	service, _ := b.doc.Service("orders")
+	return b.runner.RunService(context.Background(), request.ServiceJob{
+		ID: "order-" + key, Workspace: "riga-shipyard", Service: service, Operation: service.Operations[0],
+		Document: b.doc, Method: http.MethodPost, Path: "/refills",
+		Header: http.Header{"Content-Type": {"application/json"}, "Idempotency-Key": {key}},
+		Body:   []byte(`{"cylinder":"argon-50"}`), IdempotencyKey: key, Deadline: time.Now().Add(5 * time.Second),
+	})
+}
+
+func TestOrderRunsAtMostOnceAndSaysSoHonestly(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault fault.Fault
+		ran   problem.Ran
+		runs  int
+	}{
+		{"answer lost after running", fault.Fault{Kind: fault.LostAnswer}, problem.Unknown, 1},
+		{"crossed answer", fault.Fault{Kind: fault.Crossed}, problem.Unknown, 1},
+		{"refused everywhere", fault.Fault{Kind: fault.Refuse}, problem.No, 0},
+		{"down everywhere", fault.Fault{Kind: fault.Down}, problem.No, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			if tt.fault.Kind == fault.Crossed {
+				for i := range 50 { // every upstream needs an answer to cross with
+					_, err := b.order("earlier" + string(rune('a'+i)))
+					require.NoError(t, err)
+				}
+			}
+			b.inject("orders", tt.fault, len(b.standins.Pool("orders")))
+			_, err := b.order("k")
+			var p *problem.Problem
+			require.True(t, errors.As(err, &p), "%v", err)
+			require.Equal(t, tt.ran, p.Ran, p.Error())
+			require.Equal(t, tt.runs, b.standins.Ledger.Executions()["k"])
+		})
+	}
+}
+
+func TestOrderGoesOnToAnotherUpstreamAfterProofThatNothingRan(t *testing.T) {
+	b := newBench(t)
+	b.inject("orders", fault.Fault{Kind: fault.Refuse}, 1)
+	for i := range 6 {
+		key := "k" + string(rune('0'+i))
+		answer, err := b.order(key)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, answer.Status)
+		require.Equal(t, 1, b.standins.Ledger.Executions()[key])
+	}
+}
