--- a/claimed/claimed.go
+++ b/claimed/claimed.go
@@ -13,10 +13,6 @@
 	"github.com/galenaseam/galenaseam/request"
 )
 
-// settleTimeout bounds how long a caller waits for the outcome of its call to
-// be recorded before it is answered.
-const settleTimeout = 20 * time.Millisecond
-
 // Calls is the request.Claims over a claim.Service. It is safe for concurrent
 // use.
 type Calls struct {
@@ -50,22 +46,17 @@
 	}
 }
 
-// run makes the call and records how it ended.
+// run makes the call and records how it ended. A call that surely did not run
+// is released, so that a repeat may run.
 func (c *Calls) run(ctx context.Context, grant *claim.Grant, requestID string, run request.OnceFunc) (request.ServiceAnswer, error) {
 	answer, ran, err := run(ctx)
-	record, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
-	defer cancel()
-	var recordErr error
-	switch {
-	case err == nil:
-		recordErr = grant.Finish(record, outcomeOf(answer))
-	case ran == problem.No:
-		recordErr = grant.Release(record)
-	default:
-		recordErr = grant.Finish(record, claim.Outcome{Ran: ranState(ran)})
+	// The outcome is made durable in the background, so neither call waits.
+	outcome := claim.Outcome{Ran: ranState(ran)}
+	if err == nil {
+		outcome = outcomeOf(answer)
 	}
-	if recordErr != nil {
-		c.logger.Debug("outcome is still being recorded", "request_id", requestID, "error", recordErr.Error())
+	if endErr := grant.Finish(context.WithoutCancel(ctx), outcome); endErr != nil {
+		c.logger.Warn("outcome not taken", "request_id", requestID, "error", endErr.Error())
 	}
 	return answer, err
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -138,10 +138,10 @@
 			Timeout: Duration(2 * time.Minute),
 		},
 		Claims: Claims{
-			Shards:      64,
+			Shards:      16,
 			Retention:   Duration(24 * time.Hour),
-			BatchWindow: Duration(5 * time.Millisecond),
-			Timeout:     Duration(time.Second),
+			BatchWindow: Duration(60 * time.Millisecond),
+			Timeout:     Duration(3 * time.Second),
 		},
 		Log: Log{Level: "info"},
 	}
