--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -57,6 +56,8 @@
 	MaxIdlePerUpstream int
 	// StallTimeout bounds the silence within a stream once it has begun.
 	StallTimeout time.Duration
+	// Listener hears what answers say of their upstreams; nil for nobody.
+	Listener Listener
 }
 
 // The defaults of Config.
@@ -71,6 +72,7 @@
 type Client struct {
 	maxAnswerBytes int64
 	stallTimeout   time.Duration
+	listener       Listener
 	// pooled reuses connections, for idempotent calls.
 	pooled *http.Transport
 	// fresh opens a connection for each call and never repeats one. Calls that
@@ -99,6 +101,7 @@
 	return &Client{
 		maxAnswerBytes: cfg.MaxAnswerBytes,
 		stallTimeout:   cfg.StallTimeout,
+		listener:       cfg.Listener,
 		pooled:         newTransport(cfg, false),
 		fresh:          newTransport(cfg, true),
 	}
@@ -189,7 +192,11 @@
 	if err != nil {
 		return nil, classify(ctx, err, connected.Load())
 	}
-	if failed := c.check(call, resp); failed != nil {
+	failed := c.check(call, resp)
+	if failed == nil || failed.Failure != dispatch.WrongAnswer {
+		c.hear(call.Upstream.ID, resp.Header, time.Now())
+	}
+	if failed != nil {
 		_ = resp.Body.Close()
 		return nil, failed
 	}
@@ -224,13 +231,9 @@
 	if resp.Header.Get(HeaderRan) != "no" {
 		return nil
 	}
-	evidence := upstream.Answered
-	if resp.Header.Get(HeaderUpstreamState) == "leaving" {
-		evidence = upstream.SaidLeaving
-	}
 	return &Failed{
 		Failure:  dispatch.RefusedByUpstream,
-		Evidence: evidence,
+		Evidence: upstream.EvidenceOfHeader(resp.Header),
 		Status:   resp.StatusCode,
 		Cause:    Error.New("upstream refused with status %d", resp.StatusCode),
 	}
@@ -240,10 +243,7 @@
 // a connection is sure not to have run.
 func classify(ctx context.Context, err error, connected bool) *Failed {
 	if !connected {
-		evidence := upstream.Lost
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			evidence = upstream.RefusedConnection
-		}
+		evidence := upstream.EvidenceOfError(err)
 		if ctx.Err() != nil {
 			evidence = upstream.Answered
 		}
--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -72,7 +72,7 @@
 		{"refused by a leaving upstream", func(w http.ResponseWriter, r *http.Request) {
 			echo(w, r)
 			w.Header().Set(HeaderRan, "no")
-			w.Header().Set(HeaderUpstreamState, "leaving")
+			w.Header().Set(upstream.StateHeader, "leaving")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}, dispatch.RefusedByUpstream},
 		{"cut in the body", func(w http.ResponseWriter, r *http.Request) {
--- a/attempt/headers.go
+++ b/attempt/headers.go
@@ -14,11 +14,10 @@
 	HeaderDeadline  = "Seam-Deadline-Ms"
 )
 
-// The headers by which an upstream tells its own state.
+// The headers by which an upstream tells whether it ran a call, and its load.
 const (
-	HeaderUpstreamState = "Seam-Upstream-State"
-	HeaderRan           = "Seam-Ran"
-	HeaderLoad          = "Seam-Load"
+	HeaderRan  = "Seam-Ran"
+	HeaderLoad = "Seam-Load"
 )
 
 // Identity names one attempt. Its answer must carry the same one.
--- a/build.go
+++ b/build.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 
 	"github.com/galenaseam/galenaseam/attempt"
@@ -85,12 +86,17 @@
 	return err
 }
 
+// probePath is what an upstream is asked for a sign of life; any answer is one.
+const probePath = "/healthz"
+
 // buildUpstreams makes the table of upstreams.
 func (h *Host) buildUpstreams() error {
+	h.probes = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	h.upstreams = upstream.NewTable(upstream.Config{
 		List:         h.hostList,
 		View:         h.members,
 		Gossip:       h.members,
+		Prober:       upstream.HTTPProber{Client: h.probes, Path: probePath},
 		PollInterval: h.options.Settings.Platform.HostListEvery.Std(),
 		Logger:       h.logger,
 		Registerer:   h.metrics.Registry(),
@@ -145,7 +151,7 @@
 
 // buildCallers makes the callers' interface and what runs their requests.
 func (h *Host) buildCallers() {
-	h.client = attempt.New(attempt.Config{})
+	h.client = attempt.New(attempt.Config{Listener: h.upstreams})
 	h.runner = request.New(request.Config{
 		Dispatcher: h.dispatcher,
 		Upstreams:  h.upstreams,
--- a/host.go
+++ b/host.go
@@ -6,6 +6,7 @@
 import (
 	"log/slog"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -64,6 +65,7 @@
 	hostList   platform.HostList
 	members    fleet
 	upstreams  *upstream.Table
+	probes     *http.Client
 	dispatcher *dispatch.Runtime
 	claims     *claim.Service
 	syncer     *config.Syncer
@@ -172,7 +174,7 @@
 		return false, "draining"
 	case !h.syncer.Ready() || h.syncer.Current() == nil:
 		return false, "no configuration in force yet"
-	case !h.upstreams.Polled():
+	case !h.upstreams.Ready():
 		return false, "the host list has not been read yet"
 	default:
 		return true, ""
--- a/request/guard.go
+++ b/request/guard.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/galenaseam/galenaseam/attempt"
 	"github.com/galenaseam/galenaseam/dispatch"
 	"github.com/galenaseam/galenaseam/problem"
 	"github.com/galenaseam/galenaseam/upstream"
@@ -80,12 +81,14 @@
 	return true
 }
 
-// report tells the upstream table what an attempt saw. An attempt that the
-// host itself ended, and one that was only slow, tell nothing of the
-// upstream's life.
-func (r *Runner) report(id upstream.ID, failure dispatch.Failure, seen upstream.Evidence) {
-	if failure == dispatch.Cancelled || failure == dispatch.TimedOut {
+// report tells the upstream table of an attempt that got no answer; answers
+// are reported where they are read. An attempt that the host itself ended, and
+// one that was only slow, tell nothing of the upstream's life.
+func (r *Runner) report(id upstream.ID, failed *attempt.Failed) {
+	if failed == nil || failed.Failure == dispatch.Cancelled || failed.Failure == dispatch.TimedOut {
 		return
 	}
-	r.cfg.Upstreams.Report(id, seen)
+	if failed.Evidence != upstream.Answered {
+		r.cfg.Upstreams.Report(id, failed.Evidence)
+	}
 }
--- a/request/service.go
+++ b/request/service.go
@@ -206,14 +206,12 @@
 	})
 	var failed *attempt.Failed
 	outcome := dispatch.Outcome{}
-	evidence := upstream.Answered
 	if err != nil {
 		failed = attempt.AsFailed(err)
 		outcome.Failure = failed.Failure
-		evidence = failed.Evidence
 	}
 	slot.Done(outcome)
-	r.report(up.ID, outcome.Failure, evidence)
+	r.report(up.ID, failed)
 	r.cfg.Guard.Ended(s.digest, up.ID, r.lostUpstream(outcome.Failure, up))
 	return ServiceAnswer{Status: answer.Status, Header: answer.Header, Body: answer.Body}, failed
 }
--- a/request/tries.go
+++ b/request/tries.go
@@ -170,14 +170,12 @@
 	r.cfg.Guard.Started(t.pipeline.digest, call.Upstream.ID)
 	apply, outcome, err := t.step.attempt(ctx, call, commit)
 	end := ended{upstream: call.Upstream.ID, apply: apply, committed: won}
-	evidence := upstream.Answered
 	if err != nil {
 		end.failed = attempt.AsFailed(err)
 		outcome.Failure = end.failed.Failure
-		evidence = end.failed.Evidence
 	}
 	slot.Done(outcome)
-	r.report(call.Upstream.ID, outcome.Failure, evidence)
+	r.report(call.Upstream.ID, end.failed)
 	lost := r.lostUpstream(outcome.Failure, call.Upstream)
 	r.cfg.Guard.Ended(t.pipeline.digest, call.Upstream.ID, lost)
 	return end
