--- a/build.go
+++ b/build.go
@@ -7,6 +7,7 @@
 	"net/netip"
 
 	"github.com/galenaseam/galenaseam/attempt"
+	"github.com/galenaseam/galenaseam/certs"
 	"github.com/galenaseam/galenaseam/claim"
 	"github.com/galenaseam/galenaseam/claimed"
 	"github.com/galenaseam/galenaseam/config"
@@ -19,6 +20,7 @@
 	"github.com/galenaseam/galenaseam/platform/kv"
 	"github.com/galenaseam/galenaseam/platform/sd"
 	"github.com/galenaseam/galenaseam/request"
+	"github.com/galenaseam/galenaseam/settings"
 	"github.com/galenaseam/galenaseam/upstream"
 )
 
@@ -40,7 +42,9 @@
 			return Error.Wrap(err)
 		}
 	}
-	h.buildCallers()
+	if err := h.buildCallers(); err != nil {
+		return Error.Wrap(err)
+	}
 	h.buildOperators()
 	h.syncer.Subscribe(h.adopt)
 	return nil
@@ -61,13 +65,26 @@
 // buildLinks makes the calls between hosts.
 func (h *Host) buildLinks() error {
 	h.mux = link.NewMux()
-	h.server = link.NewServer(link.ServerConfig{
-		Mux: h.mux, Key: h.options.FleetKey, Logger: h.logger, Registerer: h.metrics.Registry(),
-	})
-	h.peers = link.NewClient(link.ClientConfig{Key: h.options.FleetKey})
+	server := link.ServerConfig{Mux: h.mux, Key: h.options.FleetKey, Logger: h.logger, Registerer: h.metrics.Registry()}
+	client := link.ClientConfig{Key: h.options.FleetKey}
+	if pair := h.options.Settings.TLS.Links; pair.IsSet() {
+		source, err := h.certificates(pair)
+		if err != nil {
+			return err
+		}
+		server.TLS = source.ServerConfig()
+		client.TLS = source.ClientConfig()
+	}
+	h.server = link.NewServer(server)
+	h.peers = link.NewClient(client)
 	return nil
 }
 
+// certificates follows the files of a key pair.
+func (h *Host) certificates(pair settings.KeyPair) (*certs.Source, error) {
+	return certs.Load(certs.Files{Cert: pair.CertFile, Key: pair.KeyFile, CA: pair.CAFile}, h.logger)
+}
+
 // buildMembers makes the membership.
 func (h *Host) buildMembers() error {
 	var seeds []netip.AddrPort
@@ -79,7 +96,7 @@
 		seeds = append(seeds, seed)
 	}
 	members, err := member.New(member.Config{
-		Self: h.info, ListenAddr: h.info.LinkAddr, Key: h.options.FleetKey, Seeds: seeds,
+		Self: h.info, ListenAddr: h.info.LinkAddr.String(), Key: h.options.FleetKey, Seeds: seeds,
 		HostList: h.hostList, Logger: h.logger, Registerer: h.metrics.Registry(),
 	})
 	h.members = members
@@ -150,7 +167,7 @@
 }
 
 // buildCallers makes the callers' interface and what runs their requests.
-func (h *Host) buildCallers() {
+func (h *Host) buildCallers() error {
 	h.client = attempt.New(attempt.Config{Listener: h.upstreams})
 	h.runner = request.New(request.Config{
 		Dispatcher: h.dispatcher,
@@ -169,6 +186,16 @@
 		Refused:  h.metrics.Refused,
 		Draining: h.isDraining,
 	})
+	pair := h.options.Settings.TLS.Callers
+	if !pair.IsSet() {
+		return nil
+	}
+	source, err := h.certificates(pair)
+	if err != nil {
+		return err
+	}
+	h.callersTLS = source.ServerConfig()
+	return nil
 }
 
 // buildOperators makes the operators' interface.
--- a/host.go
+++ b/host.go
@@ -4,6 +4,7 @@
 package galenaseam
 
 import (
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"net/http"
@@ -73,6 +74,7 @@
 	client     *attempt.Client
 	runner     *request.Runner
 	callers    *frontend.Frontend
+	callersTLS *tls.Config
 	operators  *operator.Server
 
 	draining  atomic.Bool
--- a/run.go
+++ b/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"log/slog"
 	"net"
@@ -126,9 +127,14 @@
 	})
 }
 
-// limitedListener bounds the callers' open connections.
+// limitedListener bounds the callers' open connections, and speaks TLS when
+// the settings name a certificate.
 func (h *Host) limitedListener() net.Listener {
-	return netutil.LimitListener(h.sockets.http, h.options.Settings.Limits.MaxConnections)
+	limited := netutil.LimitListener(h.sockets.http, h.options.Settings.Limits.MaxConnections)
+	if h.callersTLS == nil {
+		return limited
+	}
+	return tls.NewListener(limited, h.callersTLS)
 }
 
 // serve serves until the server is shut down.
