--- a/build.go
+++ b/build.go
@@ -211,7 +211,7 @@
 
 // adopt puts a generation in force in the parts that keep something of it.
 func (h *Host) adopt(s *config.Snapshot) {
-	h.metrics.Configure(uint64(s.Generation), s.Document)
+	h.metrics.Configure(s.Document)
 	h.members.SetGeneration(uint64(s.Generation))
 	h.logger.Info("configuration in force", "generation", uint64(s.Generation), "hash", s.Hash.String())
 }
--- a/host.go
+++ b/host.go
@@ -17,7 +17,6 @@
 
 	"github.com/galenaseam/galenaseam/attempt"
 	"github.com/galenaseam/galenaseam/claim"
-	"github.com/galenaseam/galenaseam/claimed"
 	"github.com/galenaseam/galenaseam/config"
 	"github.com/galenaseam/galenaseam/dispatch"
 	"github.com/galenaseam/galenaseam/document"
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -35,7 +35,6 @@
 	tokens   *prometheus.CounterVec
 	inFlight prometheus.Gauge
 	ready    prometheus.Gauge
-	config   prometheus.Gauge
 }
 
 // tenants is the workspaces that have series of their own.
@@ -55,11 +54,10 @@
 		tokens:   newCounter("tokens_total", "Tokens, by direction.", "class", "direction"),
 		inFlight: newGauge("requests_in_flight", "Callers' requests that are being served."),
 		ready:    newGauge("ready", "1 when the host takes new work."),
-		config:   newGauge("config_generation", "Configuration generation in force."),
 	}
 	m.tenants.Store(&tenants{})
 	m.registry.MustRegister(
-		m.requests, m.stages, m.ended, m.inTime, m.refused, m.tokens, m.inFlight, m.ready, m.config,
+		m.requests, m.stages, m.ended, m.inTime, m.refused, m.tokens, m.inFlight, m.ready,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -88,7 +86,7 @@
 func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
 
 // Configure takes the tenants that have series of their own from a document.
-func (m *Metrics) Configure(generation uint64, doc *document.Document) {
+func (m *Metrics) Configure(doc *document.Document) {
 	next := &tenants{named: make(map[string]struct{})}
 	for _, w := range doc.Workspaces {
 		if w.Large && len(next.named) < maxTenants {
@@ -96,7 +94,6 @@
 		}
 	}
 	m.tenants.Store(next)
-	m.config.Set(float64(generation))
 }
 
 // Tenant returns the label of a workspace.
