Match answers to one request alone; bound writes to callers

Cause: callers may choose the same request ID, so an answer crossed between two of their requests would have matched; and a caller that stops reading held its engine until the deadline. Change: each request has a call ID of its own towards upstreams; each write to a caller is bounded. Conclusion: the crossed-answer test now gives all callers one ID and passes.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -139,6 +139,7 @@
 func (f *Frontend) refuse(w http.ResponseWriter, p *problem.Problem, id string) {
 	f.cfg.Refused(p.Cause)
 	f.cfg.Logger.Debug("refused", "request_id", id, "cause", p.Cause, "ran", string(p.Ran))
+	boundWrite(w)
 	p.Write(w, id)
 }
 
--- a/frontend/pipeline.go
+++ b/frontend/pipeline.go
@@ -131,6 +131,7 @@
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	header.Set(HeaderGeneration, strconv.FormatUint(c.current.Generation, 10))
 	header.Set(problem.RanHeader, string(problem.Yes))
+	boundWrite(w)
 	w.WriteHeader(http.StatusOK)
 	// A write error means that the caller has gone.
 	_, _ = w.Write(body)
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -143,6 +143,7 @@
 	if answer.Replayed {
 		header.Set(HeaderReplayed, "true")
 	}
+	boundWrite(w)
 	w.WriteHeader(answer.Status)
 	// A write error means that the caller has gone.
 	_, _ = w.Write(answer.Body)
--- a/frontend/stream.go
+++ b/frontend/stream.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/galenaseam/galenaseam/problem"
 	"github.com/galenaseam/galenaseam/request"
@@ -33,12 +34,23 @@
 	out = append(out, "data: "...)
 	out = append(out, data...)
 	out = append(out, "\n\n"...)
+	boundWrite(s.w)
 	if _, err := s.w.Write(out); err != nil {
 		return err
 	}
 	return http.NewResponseController(s.w).Flush()
 }
 
+// writeTimeout bounds one write to a caller, so that one that stops reading
+// does not hold what works for it.
+const writeTimeout = 10 * time.Second
+
+// boundWrite starts the bound of the next write.
+func boundWrite(w http.ResponseWriter) {
+	// Writers without deadlines are not connections.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // start sends the header once.
 func (s *eventStream) start() {
 	if s.started {
--- a/request/path_test.go
+++ b/request/path_test.go
@@ -197,7 +197,8 @@
 		go func() {
 			defer group.Done()
 			input := "crossed question " + string(rune('a'+i))
-			result, err := b.runner.RunPipeline(context.Background(), b.job("r"+string(rune('a'+i)), input, nil))
+			// All callers chose the same request ID.
+			result, err := b.runner.RunPipeline(context.Background(), b.job("same", input, nil))
 			if err == nil {
 				require.Equal(t, expected(b.doc, result.Passages, input), result.Output)
 			}
--- a/request/runner.go
+++ b/request/runner.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/zeebo/errs"
 
 	"github.com/galenaseam/galenaseam/attempt"
@@ -65,7 +66,7 @@
 // a *problem.Problem; a Sink may by then have had part of the text.
 func (r *Runner) RunPipeline(ctx context.Context, job Job) (Result, error) {
 	started := time.Now()
-	run := &pipelineRun{runner: r, job: job}
+	run := &pipelineRun{runner: r, job: job, callID: newCallID(job.ID)}
 	result, err := run.do(ctx)
 	r.observePipeline(job, run, result, err, started)
 	return result, err
@@ -94,6 +95,7 @@
 type pipelineRun struct {
 	runner  *Runner
 	job     Job
+	callID  string
 	ticket  dispatch.Ticket
 	digest  Digest
 	alone   bool
@@ -210,3 +212,7 @@
 	}
 	return need
 }
+
+// newCallID names a request towards upstreams. Callers may choose the same
+// request ID twice; an answer must still match one request alone.
+func newCallID(requestID string) string { return requestID + "~" + uuid.NewString() }
--- a/request/service.go
+++ b/request/service.go
@@ -64,7 +64,7 @@
 // status, or a *problem.Problem.
 func (r *Runner) RunService(ctx context.Context, job ServiceJob) (ServiceAnswer, error) {
 	started := time.Now()
-	run := &serviceRun{runner: r, job: job, ran: problem.No}
+	run := &serviceRun{runner: r, job: job, callID: newCallID(job.ID), ran: problem.No}
 	answer, err := run.do(ctx)
 	now := time.Now()
 	seen := Observation{
@@ -86,6 +86,7 @@
 type serviceRun struct {
 	runner *Runner
 	job    ServiceJob
+	callID string
 	digest Digest
 	alone  bool
 	ran    problem.Ran
@@ -194,7 +195,7 @@
 	up := slot.Upstream()
 	r.cfg.Guard.Started(s.digest, up.ID)
 	answer, err := r.cfg.Client.Do(ctx, attempt.Call{
-		Identity: attempt.Identity{RequestID: s.job.ID, Stage: s.job.Service.Name, Attempt: count},
+		Identity: attempt.Identity{RequestID: s.callID, Stage: s.job.Service.Name, Attempt: count},
 		Upstream: up,
 		Method:   s.job.Method,
 		Path:     s.job.Path,
--- a/request/tries.go
+++ b/request/tries.go
@@ -149,7 +149,7 @@
 // call prepares what all kinds of stage send alike.
 func (t *tries) call(slot dispatch.Slot) attempt.Call {
 	return attempt.Call{
-		Identity: attempt.Identity{RequestID: t.pipeline.job.ID, Stage: t.need.Name, Attempt: t.count},
+		Identity: attempt.Identity{RequestID: t.pipeline.callID, Stage: t.need.Name, Attempt: t.count},
 		Upstream: slot.Upstream(),
 		Method:   "POST",
 		Deadline: slot.Deadline(),
