--- a/member/membership.go
+++ b/member/membership.go
@@ -99,7 +99,7 @@
 		subscribers: make(map[Topic][]func(Fact)),
 	}
 	m.core.syncer.seeds = config.Seeds
-	m.wire = newTransport(config.ListenAddr, m.receive)
+	m.wire = newTransport(config.ListenAddr, m.receive, config.Logger)
 	m.publishView(config.Now())
 	return m, nil
 }
--- a/member/transport.go
+++ b/member/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/netip"
 	"os"
@@ -9,7 +10,6 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
 )
 
 // stopTimeout bounds the end of the event loop.
@@ -21,6 +21,7 @@
 	gnet.BuiltinEventEngine
 	addr    string
 	receive func(datagram []byte)
+	logger  *slog.Logger
 
 	engine gnet.Engine
 	ready  chan struct{}
@@ -31,24 +32,30 @@
 	err    error
 }
 
-func newTransport(addr string, receive func([]byte)) *transport {
-	return &transport{addr: addr, receive: receive, ready: make(chan struct{}), ended: make(chan struct{})}
+func newTransport(addr string, receive func([]byte), logger *slog.Logger) *transport {
+	return &transport{addr: addr, receive: receive, logger: logger, ready: make(chan struct{}), ended: make(chan struct{})}
 }
 
 // run serves until ctx ends. It may be called once.
 func (t *transport) run(ctx context.Context) error {
+	stopped := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
 		if t.waitReady(context.Background()) == nil {
 			ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 			defer cancel()
 			_ = t.engine.Stop(ctx)
 		}
 	})
-	defer stop()
+	defer func() {
+		if !stop() {
+			<-stopped
+		}
+	}()
 	defer close(t.ended)
 	return Error.Wrap(gnet.Run(t, "udp://"+t.addr,
 		gnet.WithNumEventLoop(1),
-		gnet.WithLogLevel(logging.ErrorLevel),
+		gnet.WithLogger(eventLog{t.logger}),
 	))
 }
 
