--- a/certs/certs_test.go
+++ b/certs/certs_test.go
@@ -87,7 +87,7 @@
 	dialer := &net.Dialer{Timeout: 5 * time.Second}
 	conn, err := tls.DialWithDialer(dialer, "tcp", listener.Addr().String(), client)
 	if err != nil {
-		<-served
+		_ = <-served
 		return 0, err
 	}
 	defer conn.Close()
--- a/cmd/seamdev/main.go
+++ b/cmd/seamdev/main.go
@@ -63,7 +63,7 @@
 
 // logger writes the hosts' logs, or drops them.
 func logger(verbose bool) *slog.Logger {
-	var out io.Writer = io.Discard
+	out := io.Discard
 	if verbose {
 		out = os.Stderr
 	}
--- a/run.go
+++ b/run.go
@@ -58,7 +58,7 @@
 }
 
 // startParts runs what works in the background.
-func (h *Host) startParts(group *errgroup.Group, ctx context.Context) { //nolint:revive // the group's context goes with the group
+func (h *Host) startParts(group *errgroup.Group, ctx context.Context) {
 	parts := []func(context.Context) error{
 		func(ctx context.Context) error { return h.server.Serve(ctx, h.sockets.link) },
 		h.members.Run,
