--- a/certs/certs_test.go
+++ b/certs/certs_test.go
@@ -8,6 +8,7 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"errors"
 	"log/slog"
 	"math/big"
 	"net"
@@ -87,8 +88,7 @@
 	dialer := &net.Dialer{Timeout: 5 * time.Second}
 	conn, err := tls.DialWithDialer(dialer, "tcp", listener.Addr().String(), client)
 	if err != nil {
-		_ = <-served
-		return 0, err
+		return 0, errors.Join(err, <-served)
 	}
 	defer conn.Close()
 	return conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64(), <-served
