--- a/request/service.go
+++ b/request/service.go
@@ -64,7 +64,7 @@
 // status, or a *problem.Problem.
 func (r *Runner) RunService(ctx context.Context, job ServiceJob) (ServiceAnswer, error) {
 	started := time.Now()
-	run := &serviceRun{runner: r, job: job, ran: problem.No}
+	run := &serviceRun{runner: r, job: job, callID: newCallID(job.ID), ran: problem.No}
 	answer, err := run.do(ctx)
 	now := time.Now()
 	seen := Observation{
@@ -86,6 +86,7 @@
 type serviceRun struct {
 	runner *Runner
 	job    ServiceJob
+	callID string
 	digest Digest
 	alone  bool
 	ran    problem.Ran
@@ -93,6 +94,8 @@
 
 // do screens the call and runs it, once or with retries.
 func (s *serviceRun) do(ctx context.Context) (ServiceAnswer, error) {
+	ctx, cancel := context.WithDeadline(ctx, s.job.Deadline)
+	defer cancel()
 	s.digest = s.bodyDigest()
 	alone, err := s.runner.screen(s.digest)
 	if err != nil {
@@ -192,7 +195,7 @@
 	up := slot.Upstream()
 	r.cfg.Guard.Started(s.digest, up.ID)
 	answer, err := r.cfg.Client.Do(ctx, attempt.Call{
-		Identity: attempt.Identity{RequestID: s.job.ID, Stage: s.job.Service.Name, Attempt: count},
+		Identity: attempt.Identity{RequestID: s.callID, Stage: s.job.Service.Name, Attempt: count},
 		Upstream: up,
 		Method:   s.job.Method,
 		Path:     s.job.Path,
@@ -204,14 +207,12 @@
 	})
 	var failed *attempt.Failed
 	outcome := dispatch.Outcome{}
-	evidence := upstream.Answered
 	if err != nil {
 		failed = attempt.AsFailed(err)
 		outcome.Failure = failed.Failure
-		evidence = failed.Evidence
 	}
 	slot.Done(outcome)
-	r.report(up.ID, outcome.Failure, evidence)
+	r.report(up.ID, failed)
 	r.cfg.Guard.Ended(s.digest, up.ID, r.lostUpstream(outcome.Failure, up))
 	return ServiceAnswer{Status: answer.Status, Header: answer.Header, Body: answer.Body}, failed
 }
