--- a/cmd/seamload/main.go
+++ b/cmd/seamload/main.go
@@ -64,6 +64,9 @@
 }
 
 func (o *options) narrow(g *experiment.Grid) error {
+	if o.deployments != "" {
+		g.Deployments = append(g.Deployments, experiment.Regions())
+	}
 	g.Deployments = keep(g.Deployments, o.deployments, func(d experiment.Deployment) string { return d.Name })
 	g.Faults = keep(g.Faults, o.faults, func(f experiment.Fault) string { return string(f) })
 	g.Variants = keep(g.Variants, o.variants, func(v experiment.Variant) string { return v.Name })
@@ -105,7 +108,8 @@
 		fmt.Printf("%-9s %.2f %-22s %-18s all %.3f", c.Deployment, c.Load, c.Fault, c.Variant.Name, r.Attainment())
 		for _, class := range []string{"lookup", "order", "draft", "summary"} {
 			if cr := r.Classes[class]; cr != nil {
-				fmt.Printf(" %s %.3f(e%d l%d p99 %.2f)", class, cr.Attainment(), cr.Early, cr.Late, cr.P99.Seconds())
+				fmt.Printf(" %s %.3f(e%d l%d p50 %.3f p99 %.3f)",
+					class, cr.Attainment(), cr.Early, cr.Late, cr.P50.Seconds(), cr.P99.Seconds())
 			}
 		}
 		fmt.Printf(" good %.3f waste %.3f fair %.3f money %.3f hits %.3f rec %.1f\n",
--- a/experiment/caller.go
+++ b/experiment/caller.go
@@ -8,6 +8,7 @@
 
 	"github.com/galenaseam/galenaseam/dispatch"
 	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/upstream"
 	"github.com/zeebo/xxh3"
 )
@@ -25,6 +26,7 @@
 type runner struct {
 	fleet  *fleet
 	d      *Deployment
+	place  host.Place
 	plan   *plan
 	ticket dispatch.Ticket
 	ran    bool
@@ -51,17 +53,17 @@
 }
 
 // serve runs a whole request against a host's dispatcher.
-func (c *cellRun) serve(ctx context.Context, host dispatch.Dispatcher, p *plan) result {
+func (c *cellRun) serve(ctx context.Context, number int, p *plan) result {
 	began := time.Now()
 	d := c.deployment
 	a := arrivalOf(d, p, began)
 	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
 	defer cancel()
-	ticket, err := host.Admit(ctx, a)
+	ticket, err := c.hosts[number].Admit(ctx, a)
 	if err != nil {
 		return result{ending: refusedEarly}
 	}
-	run := &runner{fleet: c.fleet, d: d, plan: p, ticket: ticket}
+	run := &runner{fleet: c.fleet, d: d, place: d.placeOf(number), plan: p, ticket: ticket}
 	if c.Variant.Settings.Priorities {
 		run.priority = a.Class.Priority
 	}
@@ -187,7 +189,7 @@
 		j.priority = r.priority
 	}
 	var out answer
-	if sleep(ctx, 2*r.d.OneWay) {
+	if sleep(ctx, 2*r.d.oneWay(r.place, slot.Upstream().Place)) {
 		out = r.fleet.servers[slot.Upstream().ID].serve(ctx, j)
 	} else {
 		out.Failure = endOf(ctx)
--- a/experiment/cell.go
+++ b/experiment/cell.go
@@ -62,7 +62,7 @@
 		rt, err := dispatch.New(dispatch.Config{
 			Upstreams: c.fleet,
 			Settings:  c.Variant.Settings,
-			Place:     d.Places[i%len(d.Places)],
+			Place:     d.placeOf(i),
 			HostCount: func() int { return c.aliveHosts() },
 			Seed:      c.Seed*1000 + uint64(i),
 			Gossip:    gossip.host(i),
@@ -149,7 +149,7 @@
 	host := c.route(p)
 	r := result{ending: missed}
 	if host >= 0 {
-		r = c.serve(c.hostCtx[host], c.hosts[host], p)
+		r = c.serve(c.hostCtx[host], host, p)
 	}
 	c.tallyMu.Lock()
 	defer c.tallyMu.Unlock()
--- a/experiment/deployment.go
+++ b/experiment/deployment.go
@@ -39,10 +39,12 @@
 
 // Deployment is the size and mix of one operator.
 type Deployment struct {
-	Name       string
-	Hosts      int
-	Places     []host.Place
+	Name   string
+	Hosts  int
+	Places []host.Place
+	// OneWay is the time between data centres, and Far that between regions.
 	OneWay     time.Duration
+	Far        time.Duration
 	Workspaces []string
 	Pools      []PoolSize
 	Flows      []Flow
@@ -78,6 +80,31 @@
 	return d
 }
 
+// Regions is the yards' deployment spread over two regions far apart, as it
+// may be one day. It is no part of the default grid.
+func Regions() Deployment {
+	d := yards()
+	d.Name = "regions"
+	d.Far = 40 * time.Millisecond
+	d.Places[2].Region = "guyana"
+	d.Places[3].Region = "guyana"
+	return d
+}
+
+// placeOf is where a host stands.
+func (d *Deployment) placeOf(number int) host.Place { return d.Places[number%len(d.Places)] }
+
+// oneWay is the time from one place to another.
+func (d *Deployment) oneWay(from, to host.Place) time.Duration {
+	switch {
+	case from.Region != to.Region:
+		return d.Far
+	case from.DataCentre != to.DataCentre:
+		return d.OneWay
+	}
+	return d.OneWay / 10
+}
+
 func lookupStages() []string  { return []string{"encode", "retrieve", "rerank", "answer"} }
 func draftStages() []string   { return []string{"encode", "retrieve", "rerank", "draft"} }
 func summaryStages() []string { return []string{"encode", "retrieve", "summarise"} }
--- a/experiment/table.go
+++ b/experiment/table.go
@@ -1,9 +1,9 @@
 package experiment
 
 import (
+	"bytes"
 	"fmt"
 	"io"
-	"slices"
 	"strings"
 )
 
@@ -35,35 +35,114 @@
 	return fmt.Sprintf("%.4f", c.Attainment())
 }
 
-// WriteTable writes results as a Markdown table, one row for each fault and
-// variant, one column for each load.
-func WriteTable(w io.Writer, results []*Result, loads []float64, value func(*Result) string) {
-	type row struct{ fault, variant string }
-	cells := make(map[row]map[float64]string)
-	var order []row
-	for _, r := range results {
-		k := row{string(r.Cell.Fault), r.Cell.Variant.Name}
-		if cells[k] == nil {
-			cells[k] = make(map[float64]string)
-			order = append(order, k)
+// table writes a Markdown table.
+type table struct{ page *bytes.Buffer }
+
+func newTable(page *bytes.Buffer, title string, head ...string) table {
+	fmt.Fprintf(page, "## %s\n\n", title)
+	t := table{page: page}
+	t.row(head...)
+	rule := make([]string, len(head))
+	for i := range rule {
+		rule[i] = "---"
+	}
+	t.row(rule...)
+	return t
+}
+
+func (t table) row(cells ...string) {
+	t.page.WriteString("| " + strings.Join(cells, " | ") + " |\n")
+}
+
+func (t table) end() { t.page.WriteString("\n") }
+
+func percent(v float64) string { return fmt.Sprintf("%.1f", 100*v) }
+
+func loadName(load float64) string { return fmt.Sprintf("%.0f%%", 100*load) }
+
+// writeAttainment compares the whole policy with the best baseline.
+func writeAttainment(page *bytes.Buffer, g *Grid, x index) {
+	for _, d := range g.Deployments {
+		head := []string{"fault"}
+		for _, load := range g.Loads {
+			head = append(head, loadName(load))
 		}
-		cells[k][r.Cell.Load] = value(r)
+		t := newTable(page, fmt.Sprintf("Attainment, %s: whole policy / best baseline, in percent", d.Name), head...)
+		for _, f := range g.Faults {
+			line := []string{string(f)}
+			for _, load := range g.Loads {
+				k := point{deployment: d.Name, load: load, fault: f}
+				line = append(line, versus(x.whole(k), x.best(k)))
+			}
+			t.row(line...)
+		}
+		t.end()
 	}
-	head := []string{"fault", "variant"}
-	for _, load := range loads {
-		head = append(head, fmt.Sprintf("%.0f%%", 100*load))
+}
+
+func versus(whole, best *Result) string {
+	if whole == nil || best == nil {
+		return "not run"
 	}
-	writeRow(w, head)
-	writeRow(w, slices.Repeat([]string{"---"}, len(head)))
-	for _, k := range order {
-		line := []string{k.fault, k.variant}
-		for _, load := range loads {
-			line = append(line, cells[k][load])
+	return percent(whole.Attainment()) + " / " + percent(best.Attainment())
+}
+
+// writeClasses shows what each class got under the whole policy.
+func writeClasses(page *bytes.Buffer, g *Grid, x index) {
+	t := newTable(page, "Whole policy by class, in percent; early is refused before running, late is missed after",
+		"deployment", "load", "fault", "lookup", "order", "draft", "summary", "early", "late",
+		"wasted", "goodput", "fairness", "cache hits", "recovery")
+	for _, k := range g.points(x, g.Loads) {
+		r := x.whole(k)
+		line := []string{k.deployment, loadName(k.load), string(k.fault)}
+		for _, name := range []string{ClassLookup, ClassOrder, ClassDraft, ClassSummary} {
+			line = append(line, classPercent(r, name))
 		}
-		writeRow(w, line)
+		line = append(line, percent(r.Early()), percent(r.Late()), percent(r.Wasted), percent(r.Goodput),
+			fmt.Sprintf("%.3f", r.Fairness), percent(r.CacheHits()), recovery(r))
+		t.row(line...)
 	}
+	t.end()
 }
 
-func writeRow(w io.Writer, cells []string) {
-	_, _ = fmt.Fprintln(w, "| "+strings.Join(cells, " | ")+" |") // into memory
+func classPercent(r *Result, name string) string {
+	c := r.Classes[name]
+	if c == nil {
+		return ""
+	}
+	return percent(c.Attainment())
+}
+
+func recovery(r *Result) string {
+	if r.Cell.Fault != FaultBurst {
+		return ""
+	}
+	return r.Recovery.String()
+}
+
+// writeStages shows the cost of each stage for an answer in time.
+func writeStages(page *bytes.Buffer, g *Grid, x index) {
+	t := newTable(page, "Cost by stage, healthy: money for 1000 answers in time, by whole policy / best baseline",
+		"deployment", "load", "stage", "whole", "best baseline")
+	for _, k := range g.points(x, g.Loads) {
+		whole, best := x.whole(k), x.best(k)
+		if k.fault != FaultNone || best == nil {
+			continue
+		}
+		for _, s := range baseDocument().Stages {
+			if whole.Stages[s.Name].Attempts == 0 {
+				continue
+			}
+			t.row(k.deployment, loadName(k.load), s.Name, stageMoney(whole, s.Name), stageMoney(best, s.Name))
+		}
+	}
+	t.end()
+}
+
+func stageMoney(r *Result, stage string) string {
+	var served int
+	for _, c := range r.Classes {
+		served += c.InTime
+	}
+	return fmt.Sprintf("%.1f", 1000*r.Stages[stage].Money/float64(max(served, 1)))
 }
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -106,8 +106,9 @@
 	free := max(slots-float64(p.inFlight), 0)
 	part := slots - p.demand.above(r.Class.Priority)
 	if p.queue.size > 0 {
-		// While calls wait, what the class really gets is what counts.
-		part = min(part, p.demand.servedUpTo(r.Class.Priority))
+		// While calls wait, what the class really gets counts too. Both
+		// estimates lag; the mean is soonest right after a burst.
+		part = min(part, (part+p.demand.servedUpTo(r.Class.Priority))/2)
 	}
 	part = max(part, leastPart*slots)
 	ahead := p.committed.ahead(r.Class.Priority) - time.Duration(free*float64(mean))
--- a/policy/evidence.go
+++ b/policy/evidence.go
@@ -95,6 +95,9 @@
 // evidenceOf sums what this and the other hosts know of an upstream, by class.
 // Calls that still run and are late already count as slow.
 func (s *server) evidenceOf(now time.Time, p *pool) map[string]Evidence {
+	if len(s.byClass) == 0 && len(s.told) == 0 && len(s.running) == 0 {
+		return nil
+	}
 	sum := make(map[string]Evidence, len(s.byClass))
 	add := func(e Evidence) {
 		total := sum[e.Class]
