Let the stand-ins tell what ran, for the drills' accounts

Cause: 'ran: no' can be checked only if upstreams say which calls ran.

Change: each upstream tells the marks (ref-...) in the calls that it ran, and how long after it began to leave new work still came. Crossed answers are those to another body, also when two callers chose the same request ID.

--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -35,19 +35,22 @@
 	Upstreams []Status `json:"upstreams"`
 }
 
-// routes serves GET /, GET /executions, POST /fault/{name}, and for upstreams
-// POST /leave/{name} and POST /return/{name}. PUT /hosts/{address} lists an
-// entry host, with the query's data_centre and region.
+// routes serves GET /, GET /executions, GET /marks, POST /fault/{name}, and for
+// upstreams POST /leave/{name} and POST /return/{name}. PUT /hosts/{address}
+// lists an entry host, with the query's data_centre and region; DELETE takes it
+// out.
 func (d *Deployment) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /{$}", func(w http.ResponseWriter, _ *http.Request) {
 		server.WriteJSON(w, http.StatusOK, d.overview())
 	})
 	mux.Handle("GET /executions", d.Ledger)
+	mux.Handle("GET /marks", d.Marks)
 	mux.HandleFunc("POST /fault/{name}", d.handleFault)
 	mux.HandleFunc("POST /leave/{name}", d.onUpstream(d.Leave))
 	mux.HandleFunc("POST /return/{name}", d.onUpstream(d.Return))
 	mux.HandleFunc("PUT /hosts/{address}", d.handleHost)
+	mux.HandleFunc("DELETE /hosts/{address}", d.handleHost)
 	return mux
 }
 
@@ -113,6 +116,11 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if r.Method == http.MethodDelete {
+		d.RemoveHost(addr)
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	query := r.URL.Query()
 	d.AddHost(addr, host.Place{
 		DataCentre: host.DataCentre(query.Get("data_centre")), Region: host.Region(query.Get("region")),
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -58,6 +58,7 @@
 	HostList  *hostlist.HostList
 	Weights   *weights.Weights
 	Ledger    *service.Ledger
+	Marks     *Marks
 	Upstreams []*Upstream
 
 	control *server.Listener
@@ -69,7 +70,7 @@
 	if len(spec.Places) == 0 {
 		return nil, Error.New("no data centre")
 	}
-	d := &Deployment{Ledger: service.NewLedger(), spec: spec}
+	d := &Deployment{Ledger: service.NewLedger(), Marks: NewMarks(), spec: spec}
 	if err := d.start(); err != nil {
 		d.Stop()
 		return nil, Error.Wrap(err)
@@ -108,7 +109,7 @@
 	index := len(d.Upstreams)
 	shared := server.UpstreamConfig{
 		Concurrency: pool.Concurrency, ReportsLoad: pool.ReportsLoad, LoadInterval: loadInterval,
-		Seed: d.spec.Seed + uint64(index) + 1,
+		Seed: d.spec.Seed + uint64(index) + 1, Ran: d.Marks.Note,
 	}
 	started, err := d.launch(pool, shared)
 	if err != nil {
@@ -170,6 +171,9 @@
 	d.HostList.Put(platform.Listing{Addr: addr, Place: place})
 }
 
+// RemoveHost takes an entry host out of the list.
+func (d *Deployment) RemoveHost(addr netip.AddrPort) { d.HostList.Remove(platform.Listing{Addr: addr}) }
+
 // Leave makes an upstream refuse new work and marks it in the host list.
 func (d *Deployment) Leave(u *Upstream) {
 	u.Fault(fault.Fault{Kind: fault.Leaving})
--- a/internal/standin/model/answer.go
+++ b/internal/standin/model/answer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/zeebo/xxh3"
@@ -47,12 +48,8 @@
 func Answer(model, prompt string, maxTokens int) (tokens []string, cut bool) {
 	digest := xxh3.HashString(model + "\n" + prompt)
 	tokens = append(tokens, fmt.Sprintf("Answer %016x", digest))
-	seen := map[string]bool{}
-	for _, mark := range reference.FindAllString(prompt, -1) {
-		if !seen[mark] {
-			seen[mark] = true
-			tokens = append(tokens, " "+mark)
-		}
+	for _, mark := range Marks(prompt) {
+		tokens = append(tokens, " "+mark)
 	}
 	natural := minAnswerTokens + int(digest%answerSpread)
 	for i := len(tokens); i < natural; i++ {
@@ -64,6 +61,17 @@
 	return tokens, false
 }
 
+// Marks returns the different marks of the form ref-… in a text.
+func Marks(text string) []string {
+	var marks []string
+	for _, mark := range reference.FindAllString(text, -1) {
+		if !slices.Contains(marks, mark) {
+			marks = append(marks, mark)
+		}
+	}
+	return marks
+}
+
 // word returns the content of one token.
 func word(digest uint64, index int) uint16 {
 	h := fnv.New32a()
--- a/internal/standin/model/pools.go
+++ b/internal/standin/model/pools.go
@@ -155,10 +155,10 @@
 			return
 		}
 		defer call.Slots.Release()
+		w.Header().Set(server.HeaderRan, "yes")
 		if call.Wait(cfg.Duration) != nil {
 			return
 		}
-		w.Header().Set(server.HeaderRan, "yes")
 		server.WriteJSON(w, http.StatusOK, result)
 	}
 	return server.StartUpstream(cfg.UpstreamConfig, work, nil, nil)
--- a/internal/standin/server/upstream.go
+++ b/internal/standin/server/upstream.go
@@ -37,6 +37,8 @@
 	LoadInterval time.Duration
 	// Seed decides which calls a fault's share hits.
 	Seed uint64
+	// Ran is told the body of each call that ran; nil ignores it.
+	Ran func(body []byte)
 }
 
 // Call is what the shared part hands to an upstream's own work.
@@ -77,6 +79,8 @@
 	kvShare  func() float64
 	crashes  int
 	calls    int
+	left     time.Time     // when it began to leave
+	lastWork time.Duration // how long after that the last new work came
 }
 
 // Load is an upstream's own report of its load.
@@ -91,7 +95,10 @@
 	Calls   int  `json:"calls"`
 	Crashes int  `json:"crashes"`
 	Leaving bool `json:"leaving"`
-	Load    Load `json:"load"`
+	// WorkAfterLeaving is how long after it began to leave the last new work
+	// came, in milliseconds; zero when none came.
+	WorkAfterLeaving int64 `json:"work_after_leaving_ms"`
+	Load             Load  `json:"load"`
 }
 
 // StartUpstream serves work on every path but the shared ones: POST /fault,
@@ -136,6 +143,11 @@
 		_ = u.Up()
 	case fault.Down:
 		u.goDown(f.Length())
+	case fault.Leaving:
+		u.faults.Add(f)
+		u.mu.Lock()
+		u.left = time.Now()
+		u.mu.Unlock()
 	default:
 		u.faults.Add(f)
 	}
@@ -177,7 +189,7 @@
 	_, leaving := u.faults.Active(fault.Leaving)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return Stats{Calls: u.calls, Crashes: u.crashes, Leaving: leaving, Load: load}
+	return Stats{Calls: u.calls, Crashes: u.crashes, Leaving: leaving, WorkAfterLeaving: u.lastWork.Milliseconds(), Load: load}
 }
 
 // serve runs one call under the failures in force.
@@ -209,6 +221,16 @@
 	u.answerCall(w, call)
 }
 
+// run does the call's own work and notes whether it ran.
+func (u *Upstream) run(w http.ResponseWriter, call *Call) {
+	defer func() {
+		if u.cfg.Ran != nil && w.Header().Get(HeaderRan) == "yes" {
+			u.cfg.Ran(call.Body)
+		}
+	}()
+	u.work(w, call)
+}
+
 // echo copies the call's identity into the answer's headers.
 func (u *Upstream) echo(to, from http.Header) {
 	for _, name := range []string{HeaderRequestID, HeaderStage, HeaderAttempt} {
@@ -225,6 +247,9 @@
 // refused answers new work while the upstream is leaving or refuses it.
 func (u *Upstream) refused(w http.ResponseWriter) bool {
 	if _, ok := u.faults.Active(fault.Leaving); ok {
+		u.mu.Lock()
+		u.lastWork = max(u.lastWork, time.Since(u.left))
+		u.mu.Unlock()
 		w.Header().Set(HeaderUpstreamState, "leaving")
 		Refuse(w, http.StatusServiceUnavailable, "leaving")
 		return true
@@ -241,7 +266,7 @@
 	u.mu.Lock()
 	u.crashes++
 	u.mu.Unlock()
-	u.work(newDiscard(), call)
+	u.run(newDiscard(), call)
 	u.goDown(f.Length())
 	panic(http.ErrAbortHandler)
 }
@@ -249,11 +274,11 @@
 // answerCall runs the call and spoils its answer as the failures say.
 func (u *Upstream) answerCall(w http.ResponseWriter, call *Call) {
 	if _, ok := u.faults.Take(fault.LostAnswer); ok {
-		u.work(newDiscard(), call)
+		u.run(newDiscard(), call)
 		panic(http.ErrAbortHandler)
 	}
 	if _, ok := u.faults.Take(fault.ErrorAfterRun); ok {
-		u.work(newDiscard(), call)
+		u.run(newDiscard(), call)
 		w.Header().Set(HeaderRan, "yes")
 		WriteJSON(w, http.StatusInternalServerError, NewErrorBody("failed after running"))
 		return
@@ -264,7 +289,7 @@
 	if _, ok := u.faults.Take(fault.Crossed); ok && u.give(w, call, 0) {
 		return
 	}
-	u.work(u.spoiled(w, call.Request), call)
+	u.run(u.spoiled(w, call), call)
 }
 
 // give answers with the newest answer to another call, if there is one.
@@ -272,12 +297,10 @@
 	u.mu.Lock()
 	other := u.answer
 	u.mu.Unlock()
-	own := call.Request.Header.Get(HeaderRequestID)
-	if other == nil || other.header.Get(HeaderRequestID) == own {
+	if other == nil || bytes.Equal(other.question, call.Body) {
 		return false
 	}
-	discarded := newDiscard()
-	u.work(discarded, call)
+	u.run(newDiscard(), call)
 	if sleep(call.Request.Context(), delay) != nil {
 		return true
 	}
--- a/internal/standin/server/writer.go
+++ b/internal/standin/server/writer.go
@@ -17,9 +17,10 @@
 
 // answer is a whole answer that was given to a call.
 type answer struct {
-	status int
-	header http.Header
-	body   bytes.Buffer
+	question []byte
+	status   int
+	header   http.Header
+	body     bytes.Buffer
 }
 
 // send gives the answer, headers included, to another call.
@@ -52,8 +53,8 @@
 }
 
 // spoiled returns the writer for one call under the failures in force.
-func (u *Upstream) spoiled(w http.ResponseWriter, r *http.Request) *spoiler {
-	s := &spoiler{ResponseWriter: w, ctx: r.Context(), kept: &answer{status: http.StatusOK}, keep: u.keep}
+func (u *Upstream) spoiled(w http.ResponseWriter, call *Call) *spoiler {
+	s := &spoiler{ResponseWriter: w, ctx: call.Request.Context(), kept: &answer{question: call.Body, status: http.StatusOK}, keep: u.keep}
 	for _, kind := range []fault.Kind{fault.Truncate, fault.Cut, fault.Stall} {
 		f, ok := u.faults.Take(kind)
 		if !ok {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -109,8 +109,8 @@
 	defer call.Slots.Release()
 	key := r.Header.Get(HeaderIdempotencyKey)
 	count := c.Ledger.run(key)
-	time.Sleep(time.Duration(float64(c.Duration) * call.Factor))
 	w.Header().Set(server.HeaderRan, "yes")
+	time.Sleep(time.Duration(float64(c.Duration) * call.Factor))
 	server.WriteJSON(w, http.StatusOK, Answer{
 		Service: c.Name, Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery,
 		IdempotencyKey: key, Execution: count, Request: rawBody(call.Body),
