--- /dev/null
+++ b/internal/drill/standins.go
@@ -0,0 +1,66 @@
+package drill
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/internal/standin"
+	"github.com/galenaseam/galenaseam/internal/standin/fault"
+)
+
+// poisonMarker is the text in a request that crashes engines.
+const poisonMarker = "poison-"
+
+// crashTime is how long a crashed engine stays down.
+const crashTime = 1500 * time.Millisecond
+
+// hostListLag is how late the host list shows a change.
+const hostListLag = 2 * time.Second
+
+// Examples returns the two example deployments from a folder.
+func Examples(folder string, upstreams int) []Deployment {
+	return []Deployment{
+		{Name: "cylinder", Path: filepath.Join(folder, "cylinder.yaml"), Upstreams: upstreams},
+		{Name: "yardline", Path: filepath.Join(folder, "yardline.yaml"), Upstreams: upstreams},
+	}
+}
+
+// Standins runs the stand-ins of a deployment until ctx ends. It prints their
+// control address on the first line.
+func Standins(ctx context.Context, path string, upstreams int, seed uint64, out io.Writer) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	doc, err := document.Parse(text)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	counts := map[string]int{}
+	for _, pool := range doc.Pools {
+		counts[pool.Name] = upstreams
+	}
+	spec := standin.FromDocument(doc, counts)
+	spec.Seed = seed
+	spec.HostListLag = hostListLag
+	d, err := standin.Start(spec)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer d.Stop()
+	for _, u := range d.Upstreams {
+		if u.Kind == document.KindGenerate {
+			u.Fault(fault.Fault{Kind: fault.Crash, Marker: poisonMarker, ForMS: int(crashTime.Milliseconds())})
+		}
+	}
+	if _, err := fmt.Fprintln(out, d.ControlURL()); err != nil {
+		return Error.Wrap(err)
+	}
+	<-ctx.Done()
+	return nil
+}
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -184,7 +184,7 @@
 
 // Return undoes Leave.
 func (d *Deployment) Return(u *Upstream) {
-	u.Fault(fault.Fault{Kind: fault.Clear})
+	u.Fault(fault.Fault{Kind: fault.Return})
 	d.HostList.Put(u.Listing)
 }
 
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -41,6 +41,8 @@
 	Stall Kind = "stall"
 	// Leaving answers new work with 503 while running work goes on.
 	Leaving Kind = "leaving"
+	// Return ends Leaving alone.
+	Return Kind = "return"
 	// WatchBreak ends every watch of the store.
 	WatchBreak Kind = "watch_break"
 	// WatchSkip drops Count changes from the store's watches.
--- a/internal/standin/model/answer.go
+++ b/internal/standin/model/answer.go
@@ -47,18 +47,33 @@
 // a caller knows its own answer.
 func Answer(model, prompt string, maxTokens int) (tokens []string, cut bool) {
 	digest := xxh3.HashString(model + "\n" + prompt)
-	tokens = append(tokens, fmt.Sprintf("Answer %016x", digest))
-	for _, mark := range Marks(prompt) {
+	tokens = answerTokens(digest, Marks(prompt))
+	if maxTokens > 0 && len(tokens) > maxTokens {
+		return tokens[:maxTokens], true
+	}
+	return tokens, false
+}
+
+// IsWhole says whether a text is one whole answer to a prompt with the marks.
+func IsWhole(text string, marks ...string) bool {
+	var digest uint64
+	if _, err := fmt.Sscanf(text, "Answer %16x", &digest); err != nil {
+		return false
+	}
+	return text == strings.Join(answerTokens(digest, marks), "")
+}
+
+// answerTokens returns the tokens that follow from a prompt's digest and marks.
+func answerTokens(digest uint64, marks []string) []string {
+	tokens := []string{fmt.Sprintf("Answer %016x", digest)}
+	for _, mark := range marks {
 		tokens = append(tokens, " "+mark)
 	}
 	natural := minAnswerTokens + int(digest%answerSpread)
 	for i := len(tokens); i < natural; i++ {
 		tokens = append(tokens, fmt.Sprintf(" t%d-%04x", i, word(digest, i)))
 	}
-	if maxTokens > 0 && len(tokens) > maxTokens {
-		return tokens[:maxTokens], true
-	}
-	return tokens, false
+	return tokens
 }
 
 // Marks returns the different marks of the form ref-… in a text.
--- a/internal/standin/server/upstream.go
+++ b/internal/standin/server/upstream.go
@@ -143,6 +143,8 @@
 		_ = u.Up()
 	case fault.Down:
 		u.goDown(f.Length())
+	case fault.Return:
+		u.faults.Remove(fault.Leaving)
 	case fault.Leaving:
 		u.faults.Add(f)
 		u.mu.Lock()
