--- a/document/defaults.go
+++ b/document/defaults.go
@@ -35,7 +35,8 @@
 	w.Share = defaultShare
 }
 
-// fillDerived sets the defaults that depend on other keys or sections.
+// fillDerived sets the defaults that depend on other keys or sections. It
+// writes nothing to sections that were filled before: others may read them.
 func (d *Document) fillDerived() {
 	for i := range d.Stages {
 		stage := &d.Stages[i]
