--- a/internal/drill/account.go
+++ b/internal/drill/account.go
@@ -25,7 +25,7 @@
 	convergePatience = 15 * time.Second
 	// goroutineSlack and memorySlack are what a host may hold over its idle
 	// state after the load.
-	goroutineSlack = 60
+	goroutineSlack = 30
 	memorySlack    = 96 << 20
 )
 
@@ -38,10 +38,12 @@
 // account checks every invariant.
 func (r *run) account(ctx context.Context) error {
 	for _, f := range r.fleets {
-		converged, took := f.waitConverged(ctx)
-		if err := pause(ctx, settleTime-took); err != nil {
-			return err
-		}
+		f.waitConverged(ctx)
+	}
+	if err := pause(ctx, settleTime); err != nil {
+		return err
+	}
+	for _, f := range r.fleets {
 		var ran runs
 		if err := f.controlCall(ctx, http.MethodGet, "/executions", nil, &ran.keys); err != nil {
 			return err
@@ -54,7 +56,7 @@
 		}
 		f.accountRequests(r.report, ran)
 		f.accountUpstreams(r.report)
-		f.accountConfiguration(ctx, r.report, converged, took)
+		f.accountConfiguration(ctx, r.report)
 		f.accountLeaks(ctx, r.report)
 		f.accountEnds(r.report)
 		f.note(r.report)
@@ -125,19 +127,19 @@
 }
 
 // waitConverged waits until all hosts have the newest accepted generation.
-func (f *fleet) waitConverged(ctx context.Context) (bool, time.Duration) {
+func (f *fleet) waitConverged(ctx context.Context) {
 	started := time.Now()
 	newest, _ := f.edits.newest()
 	for time.Since(started) < convergePatience {
 		f.observe(ctx)
-		if f.agree(newest) {
-			return true, time.Since(started)
+		f.convergence = time.Since(started)
+		if f.converged = f.agree(newest); f.converged {
+			return
 		}
 		if pause(ctx, observeEvery) != nil {
-			break
+			return
 		}
 	}
-	return false, time.Since(started)
 }
 
 // agree says whether all hosts have one generation that is new enough.
@@ -153,16 +155,16 @@
 }
 
 // accountConfiguration checks the promises on the operators' document.
-func (f *fleet) accountConfiguration(ctx context.Context, report *Report, converged bool, took time.Duration) {
+func (f *fleet) accountConfiguration(ctx context.Context, report *Report) {
 	name := f.deployment.Name
 	newest, count := f.edits.newest()
 	var apart []string
-	if !converged {
+	if !f.converged {
 		for _, h := range f.living() {
 			apart = append(apart, fmt.Sprintf("%s has generation %d, ready %t", h.name, h.generation.Load(), h.ready.Load()))
 		}
 	}
-	report.add(name+" converged", apart, "newest generation %d in force on all hosts %s after the failures", newest, took.Round(time.Millisecond))
+	report.add(name+" converged", apart, "newest generation %d in force on all hosts %s after the failures", newest, f.convergence.Round(time.Millisecond))
 	var back []string
 	if f.reversals.count > 0 {
 		back = append(back, fmt.Sprintf("%d reversals", f.reversals.count))
--- /dev/null
+++ b/internal/drill/account_test.go
@@ -0,0 +1,145 @@
+package drill
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/internal/standin"
+	"github.com/galenaseam/galenaseam/internal/standin/model"
+	"github.com/galenaseam/galenaseam/internal/standin/service"
+)
+
+func TestPlanFollowsFromSeed(t *testing.T) {
+	plan := Plan(7, 2, 5*time.Minute)
+	require.Equal(t, plan, Plan(7, 2, 5*time.Minute))
+	require.NotEqual(t, plan, Plan(8, 2, 5*time.Minute))
+	seen := map[string]bool{}
+	for i, e := range plan {
+		require.True(t, i == 0 || plan[i-1].At <= e.At)
+		seen[string(e.Action)+string(e.Fault.Kind)] = true
+	}
+	for _, f := range storeFaults {
+		require.True(t, seen[string(FailStore)+string(f.Kind)], f.Kind)
+	}
+	for _, f := range upstreamFaults {
+		require.True(t, seen[string(FailUpstream)+string(f.Kind)], f.Kind)
+	}
+	for _, a := range []Action{KillHost, PauseHost, DrainHost, LeaveUpstream} {
+		require.True(t, seen[string(a)], a)
+	}
+}
+
+// answerTo makes a whole answer in the form of a request.
+func answerTo(t *testing.T, q *request) string {
+	t.Helper()
+	tokens, _ := model.Answer("m", "user: "+q.mark, 0)
+	text := strings.Join(tokens, "")
+	encode := func(value any) string {
+		data, err := json.Marshal(value)
+		require.NoError(t, err)
+		return string(data)
+	}
+	whole := encode(map[string]any{"request_id": "id", "workspace": q.workspace, "output": text})
+	var stream strings.Builder
+	switch q.form {
+	case asJSON:
+		return whole
+	case asEvents:
+		for _, token := range tokens {
+			fmt.Fprintf(&stream, "event: token\ndata: %s\n\n", encode(map[string]string{"text": token}))
+		}
+		return stream.String() + "event: done\ndata: " + whole + "\n\n"
+	case asChat:
+		return encode(model.ChatResponse{Choices: []model.Choice{{Message: model.Message{Content: text}}}})
+	case asChatStream:
+		for _, token := range tokens {
+			chunk := model.Chunk{Choices: []model.ChunkChoice{{Delta: model.Delta{Content: token}}}}
+			fmt.Fprintf(&stream, "data: %s\n\n", encode(chunk))
+		}
+		return stream.String() + "data: [DONE]\n\n"
+	}
+	return encode(service.Answer{Path: q.path, IdempotencyKey: q.key, Request: json.RawMessage(q.body)})
+}
+
+func judged(q *request, body string) reply {
+	resp := &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))}
+	return judge(&entryHost{}, q, resp, []byte(body))
+}
+
+// TestJudgeKnowsItsOwn gives each form its own answer, another's, and its own
+// with a piece cut out at every place.
+func TestJudgeKnowsItsOwn(t *testing.T) {
+	for f := asJSON; f <= asService; f++ {
+		own := &request{mark: "ref-own", workspace: "w", form: f, path: "/refills", body: `{"order":"ref-own"}`, key: "key-ref-own"}
+		other := &request{mark: "ref-other", workspace: "w", form: f, path: "/refills", body: `{"order":"ref-other"}`, key: "key-ref-other"}
+		body := answerTo(t, own)
+		got := judged(own, body)
+		require.Equal(t, whole, got.outcome)
+		require.Empty(t, got.wrong)
+
+		foreign := judged(own, answerTo(t, other))
+		require.NotEmpty(t, foreign.wrong, "form %d", f)
+		require.True(t, foreign.foreign)
+
+		for at := 1; at < len(strings.TrimSpace(body)); at += 3 {
+			cut := judged(own, body[:at])
+			require.True(t, cut.outcome == unknown || cut.wrong != "", "form %d cut at %d looks whole", f, at)
+		}
+	}
+	said := judgeProblem(&entryHost{}, []byte(`{"ran":"no","cause":"limit"}`))
+	require.Equal(t, notRun, said.outcome)
+	require.NotEmpty(t, judgeProblem(&entryHost{}, []byte(`{"cause":"limit"}`)).wrong)
+}
+
+// TestAccountSeesEachBreach gives the account one breach of each promise.
+func TestAccountSeesEachBreach(t *testing.T) {
+	f := &fleet{ledger: newLedger(), edits: newEdits(), deployment: Deployment{Name: "d"}}
+	say := func(mark string, outcome outcome) {
+		q := &request{mark: mark, key: "key-" + mark, path: "/refills"}
+		f.ledger.open(q)
+		f.ledger.note(q, reply{outcome: outcome, host: &entryHost{}})
+	}
+	verdicts := func(ran runs) map[string]bool {
+		report := &Report{}
+		f.accountRequests(report, ran)
+		f.accountUpstreams(report)
+		held := map[string]bool{}
+		for _, i := range report.Invariants {
+			held[strings.TrimPrefix(i.Name, "d ")] = i.Held
+		}
+		return held
+	}
+	say("ref-1", whole)
+	say("ref-2", notRun)
+	good := runs{keys: map[string]int{"key-ref-1": 1}}
+	for name, held := range verdicts(good) {
+		require.True(t, held, name)
+	}
+	require.False(t, verdicts(runs{keys: map[string]int{"key-ref-1": 2}})["at most once"])
+	require.False(t, verdicts(runs{})["none lost"])
+	require.False(t, verdicts(runs{keys: map[string]int{"key-ref-1": 1, "key-ref-2": 1}})["not run is true"])
+	f.overview.Upstreams = []standin.Status{{}}
+	f.overview.Upstreams[0].Stats.WorkAfterLeaving = 2 * leaveGrace.Milliseconds()
+	f.overview.Upstreams[0].Stats.Crashes = 1
+	held := verdicts(good)
+	require.False(t, held["leaving"])
+	require.False(t, held["crash-causing"])
+	f.ledger.note(&request{mark: "ref-1"}, reply{outcome: whole, wrong: "another's", foreign: true})
+	require.False(t, verdicts(good)["own answer"])
+
+	f.edits.accept(accepted{marker: "# edit-1", section: "prices", generation: 2})
+	require.Empty(t, f.edits.lost("prices:\n  # edit-1\n  - {pool: p}\n"))
+	require.Len(t, f.edits.lost("prices:\n  # edit-11\n  - {pool: p}\n"), 1)
+}
+
+func TestCountGoroutinesLeavesConnectionsOut(t *testing.T) {
+	profile := "goroutine profile: total 8\n5 @ 0x1 0x2\n#\t0x1\tmain.work+0x1\n\n2 @ 0x3\n#\t0x3\tnet/http.(*persistConn).readLoop+0x1\n\n1 @ 0x4\n#\t0x4\tmain.other+0x1\n"
+	require.Equal(t, 6, countGoroutines(strings.NewReader(profile)))
+}
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -47,8 +47,9 @@
 	Upstreams int
 }
 
-// settleTime is how long the system has to come to rest after the failures.
-const settleTime = 12 * time.Second
+// settleTime is how long abandoned calls have to come to their end after the
+// load.
+const settleTime = 4 * time.Second
 
 // run is one drill on its way.
 type run struct {
--- a/internal/drill/editor.go
+++ b/internal/drill/editor.go
@@ -99,7 +99,7 @@
 	}
 	e.made++
 	marker := fmt.Sprintf("# edit-%d-%d", e.number, e.made)
-	text := strings.TrimRight(string(bodies.Get(e.section)), "\n") + "\n" + marker + "\n"
+	text := insert(string(bodies.Get(e.section)), e.section, marker)
 	change := operator.ApplyRequest{
 		OperationID: fmt.Sprintf("drill-%s-%d-%d", e.fleet.deployment.Name, e.number, e.made),
 		Base:        current.Generation,
@@ -109,6 +109,13 @@
 	e.settle(ctx, change, marker)
 }
 
+// insert puts a comment line behind the section's key. A comment behind the
+// section's last line would belong to the next section.
+func insert(body string, section document.Section, comment string) string {
+	key := string(section) + ":\n"
+	return strings.Replace(body, key, key+"  "+comment+"\n", 1)
+}
+
 // settle sends a change until its outcome is known.
 func (e *editor) settle(ctx context.Context, change operator.ApplyRequest, marker string) {
 	ctx, cancel := context.WithTimeout(ctx, settlePatience)
--- a/internal/drill/fleet.go
+++ b/internal/drill/fleet.go
@@ -41,6 +41,10 @@
 	ledger     *ledger
 	edits      *edits
 	reversals  reversals
+	// converged says that all hosts came to agree on the document after the
+	// load, and convergence how long that took.
+	converged   bool
+	convergence time.Duration
 
 	mu      sync.Mutex
 	hosts   []*entryHost // one in each slot
--- a/internal/drill/observer.go
+++ b/internal/drill/observer.go
@@ -1,11 +1,7 @@
 package drill
 
 import (
-	"bufio"
 	"context"
-	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -58,37 +54,3 @@
 		f.say("%s went back to generation %d", h.name, status.Generation)
 	}
 }
-
-// usage is what a host process uses.
-type usage struct {
-	goroutines int
-	bytes      int64
-}
-
-// measureIdle notes what each host uses before the load.
-func (f *fleet) measureIdle(ctx context.Context) {
-	for _, h := range f.living() {
-		h.idle = f.measure(ctx, h)
-	}
-}
-
-// measure returns what a host uses now; goroutines are 0 when it gives no
-// answer.
-func (f *fleet) measure(ctx context.Context, h *entryHost) usage {
-	ctx, cancel := context.WithTimeout(ctx, callPatience)
-	defer cancel()
-	used := usage{bytes: h.residentBytes()}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.operator+"/debug/pprof/goroutine?debug=1", nil)
-	if err != nil {
-		return used
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return used
-	}
-	defer resp.Body.Close()
-	line, _ := bufio.NewReader(resp.Body).ReadString('\n') // the count is on the first line
-	total := line[strings.LastIndex(line, " ")+1:]
-	used.goroutines, _ = strconv.Atoi(strings.TrimSpace(total))
-	return used
-}
--- a/internal/standin/server/upstream.go
+++ b/internal/standin/server/upstream.go
@@ -102,7 +102,7 @@
 }
 
 // StartUpstream serves work on every path but the shared ones: POST /fault,
-// GET /admin/load, GET /admin/stats and what admin adds.
+// GET /healthz, GET /admin/load, GET /admin/stats and what admin adds.
 func StartUpstream(cfg UpstreamConfig, work Work, admin map[string]http.HandlerFunc, kvShare func() float64) (*Upstream, error) {
 	if cfg.Concurrency <= 0 {
 		cfg.Concurrency = 8
@@ -115,6 +115,7 @@
 	u.mux.Handle("/fault", fault.Handler(u.Fault))
 	u.mux.HandleFunc("GET /admin/load", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, http.StatusOK, u.Load()) })
 	u.mux.HandleFunc("GET /admin/stats", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, http.StatusOK, u.Stats()) })
+	u.mux.HandleFunc("GET /healthz", u.health)
 	for pattern, handler := range admin {
 		u.mux.HandleFunc(pattern, handler)
 	}
@@ -246,6 +247,17 @@
 	}
 }
 
+// health answers probes, which are no work.
+func (u *Upstream) health(w http.ResponseWriter, r *http.Request) {
+	u.echo(w.Header(), r.Header)
+	if _, ok := u.faults.Active(fault.Leaving); ok {
+		w.Header().Set(HeaderUpstreamState, "leaving")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
 // refused answers new work while the upstream is leaving or refuses it.
 func (u *Upstream) refused(w http.ResponseWriter) bool {
 	if _, ok := u.faults.Active(fault.Leaving); ok {
