--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -34,7 +34,8 @@
 	Seamdrill string
 	// Dir takes settings and logs.
 	Dir string
-	// Out is told what happens; nil tells nobody.
+	// Out is told what happens; nil tells nobody. It must be safe for
+	// concurrent use.
 	Out io.Writer
 }
 
--- a/internal/drill/fleet.go
+++ b/internal/drill/fleet.go
@@ -49,6 +49,7 @@
 	mu      sync.Mutex
 	hosts   []*entryHost // one in each slot
 	past    []*entryHost // those that were replaced
+	resumed []time.Time  // when pauses of hosts ended
 	started int
 }
 
--- a/internal/drill/host.go
+++ b/internal/drill/host.go
@@ -234,6 +234,9 @@
 	f.say("%s: paused for %s", h.name, e.Length.Round(time.Millisecond))
 	h.signal(syscall.SIGSTOP)
 	err := pause(ctx, e.Length)
+	f.mu.Lock()
+	f.resumed = append(f.resumed, time.Now())
+	f.mu.Unlock()
 	h.signal(syscall.SIGCONT)
 	return err
 }
