--- a/member/facts.go
+++ b/member/facts.go
@@ -92,7 +92,11 @@
 	}
 	raw := encodeItem(&f)
 	c.facts.put(f, raw)
-	c.news.addFact(f, raw, true, c.transmits())
+	if c.small() {
+		c.news.addOwnFact(f, raw)
+		return nil
+	}
+	c.news.addFact(f, raw, true, c.factTransmits(f))
 	return nil
 }
 
@@ -111,7 +115,7 @@
 		return
 	}
 	c.delivered = append(c.delivered, Fact{From: f.From, Topic: f.Topic, Key: f.Key, Payload: f.Payload})
-	c.news.addFact(f, raw, known && c.isLocal(origin.Info.Place), c.transmits())
+	c.news.addFact(f, raw, known && c.isLocal(origin.Info.Place), c.factTransmits(f))
 }
 
 // cleanFacts drops facts past their time and publishes own ones again before
--- a/member/network_test.go
+++ b/member/network_test.go
@@ -68,6 +68,7 @@
 	timing   Timing
 	rejected map[rejection]int
 	tap      func(datagram []byte)
+	blind    bool // no count of wrong deaths
 	// wrongDeaths counts, by name of the victim, views in which a living host
 	// turned up as dead.
 	wrongDeaths map[host.ID]int
@@ -179,6 +180,9 @@
 
 // watch counts living hosts that living hosts take for dead.
 func (n *network) watch() {
+	if n.blind {
+		return
+	}
 	for _, one := range n.nodes {
 		if one.dead || one.paused || !one.takeChanged() {
 			continue
--- a/member/probe.go
+++ b/member/probe.go
@@ -13,6 +13,7 @@
 	indirectHelpers = 3
 	maxUrgent       = 16
 	digestEvery     = 5 // probes between two that compare digests
+	beatsEvery      = 2 // probes between two that carry beats
 	deadProbeEvery  = 5 // probes between two that try a dead host
 )
 
@@ -84,7 +85,7 @@
 	c.checkRelays()
 	for _, id := range c.prober.urgent {
 		if p, known := c.peers[id]; known && c.watched(p) {
-			c.ping(p, true, false)
+			c.ping(p, true, extras{})
 		}
 	}
 	c.prober.urgent = c.prober.urgent[:0]
@@ -108,7 +109,7 @@
 		id := c.prober.ring[0]
 		c.prober.ring = c.prober.ring[1:]
 		if p, known := c.peers[id]; known && c.watched(p) {
-			c.ping(p, true, c.prober.round%digestEvery == 0)
+			c.ping(p, true, extras{beats: c.prober.round%beatsEvery == 0, digests: c.prober.round%digestEvery == 0})
 			return
 		}
 	}
@@ -133,7 +134,7 @@
 	}
 	centre := s.remote[c.prober.round%len(s.remote)]
 	delegates := s.delegates[centre]
-	c.ping(delegates[c.rand.IntN(len(delegates))], false, true)
+	c.ping(delegates[c.rand.IntN(len(delegates))], false, extras{beats: true, digests: c.prober.round%digestEvery == 0})
 }
 
 // probeDead now and then tries a host that counts as dead, so that the two
@@ -152,23 +153,27 @@
 		return
 	}
 	slices.Sort(dead)
-	c.ping(c.peers[dead[c.rand.IntN(len(dead))]], false, true)
+	c.ping(c.peers[dead[c.rand.IntN(len(dead))]], false, extras{beats: true, digests: true})
+}
+
+// extras is what a ping carries besides the question; its ack does the same.
+type extras struct {
+	beats   bool
+	digests bool
 }
 
 // ping asks a host; counts says whether silence is held against it.
-func (c *core) ping(p *peer, counts, withDigests bool) {
+func (c *core) ping(p *peer, counts bool, with extras) {
 	c.prober.number++
 	c.prober.waiting = append(c.prober.waiting, &probe{
 		number: c.prober.number, target: p.Info.ID, started: c.now, counts: counts,
 	})
-	c.sendPing(p, c.prober.number, withDigests)
+	c.sendPing(p, c.prober.number, with)
 }
 
-func (c *core) sendPing(p *peer, number uint64, withDigests bool) {
-	m := &message{Kind: kindPing, Probe: number, Beats: c.ownBeats()}
-	if withDigests {
-		m.Digests = c.digests()
-	}
+func (c *core) sendPing(p *peer, number uint64, with extras) {
+	m := &message{Kind: kindPing, Probe: number}
+	c.attach(m, with)
 	if p.State == host.Dead || p.suspicion != nil {
 		m.Records = append(m.Records, c.charge(p))
 	}
@@ -185,15 +190,22 @@
 	return rawOf(r)
 }
 
+func (c *core) attach(m *message, with extras) {
+	if with.beats {
+		m.Beats = c.ownBeats()
+	}
+	if with.digests {
+		m.Digests = c.digests()
+	}
+}
+
 func (c *core) answerPing(m *message) {
 	p, known := c.peers[m.Self.Info.ID]
 	if !known {
 		return
 	}
-	reply := &message{Kind: kindAck, Probe: m.Probe, Beats: c.ownBeats()}
-	if len(m.Digests) > 0 {
-		reply.Digests = c.digests()
-	}
+	reply := &message{Kind: kindAck, Probe: m.Probe}
+	c.attach(reply, extras{beats: len(m.Beats) > 0, digests: len(m.Digests) > 0})
 	c.fill(reply, p)
 	c.send(p, reply)
 }
@@ -240,7 +252,7 @@
 		number: c.prober.number, asker: m.Self.Info.ID, asked: m.Probe,
 		deadline: c.now.Add(c.timing.DirectTimeout),
 	})
-	c.sendPing(target, c.prober.number, false)
+	c.sendPing(target, c.prober.number, extras{})
 }
 
 func (c *core) checkRelays() {
@@ -284,7 +296,7 @@
 	for _, h := range helpers {
 		c.send(h, &message{Kind: kindIndirectPing, Probe: w.number, Target: w.target})
 	}
-	c.sendPing(target, w.number, false)
+	c.sendPing(target, w.number, extras{})
 }
 
 // probeFailed accuses a host that did not answer. When the helpers did not
--- a/member/protocol_test.go
+++ b/member/protocol_test.go
@@ -193,3 +193,35 @@
 	}
 	n.await(time.Minute, n.converged, "the data centre is back")
 }
+
+// However much is published, a host stays under its bytes a second, and the
+// membership goes on working.
+func TestPublishingTooMuchStaysInBudget(t *testing.T) {
+	const bound, span = 10_000.0, 20 * time.Second
+	for _, size := range []int{12, 40} {
+		n := newNetwork(t, 13)
+		n.addMany(size, "a1")
+		n.await(20*time.Second, n.converged, "the fleet finds itself")
+		n.run(10 * time.Second)
+		for _, one := range n.nodes {
+			one.sent, one.received = 0, 0
+		}
+		for end := n.now.Add(span); n.now.Before(end); n.run(testStep) {
+			for i, one := range n.nodes {
+				payload := make([]byte, MaxFactBytes*(i%2)+8*(1-i%2))
+				require.NoError(t, one.publish(n.now, "test", fmt.Sprint(n.rand.IntN(20)), payload))
+			}
+		}
+		most := 0.0
+		for _, one := range n.nodes {
+			most = max(most, float64(one.sent+one.received)/span.Seconds())
+			require.LessOrEqual(t, one.largest, maxDatagramBytes+tagBytes)
+		}
+		t.Logf("%d hosts: at most %.0f B/s sent and received", size, most)
+		require.Less(t, most, bound)
+		victim := n.nodes[3]
+		victim.dead = true
+		n.await(15*time.Second, func() bool { return n.views(victim, host.Dead) == size-1 }, "the dead host is found")
+		require.Empty(t, n.wrongDeaths)
+	}
+}
--- /dev/null
+++ b/member/scale_test.go
@@ -0,0 +1,150 @@
+package member
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/galenaseam/galenaseam/host"
+	"github.com/stretchr/testify/require"
+)
+
+// The daily churn of the fleet that the sizes are worked out for, per host.
+const (
+	restartsPerHostSecond    = 3388.0 / 2300 / 86400
+	generationsPerSecond     = 10000.0 / 86400
+	smallFactsPerSecond      = 0.5
+	centresOfLargeFleet      = 14
+	regionsOfLargeFleet      = 6
+	hostsToUseSeveralCentres = 64
+)
+
+// acquaint makes every host know every other, as after a long time together.
+func (n *network) acquaint() {
+	for _, one := range n.nodes {
+		for _, other := range n.nodes {
+			if other != one {
+				one.admit(other.self)
+			}
+		}
+	}
+}
+
+// BenchmarkFleet measures what membership costs a host in fleets of several
+// sizes, with the churn, the generations and some facts of the fleet that the
+// sizes are worked out for, scaled to the size.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []int{12, 100, 300, 600, 1200, 2300} {
+		b.Run(fmt.Sprintf("hosts=%d", size), func(b *testing.B) {
+			for b.Loop() {
+				measureFleet(b, size, 30*time.Second)
+			}
+		})
+	}
+}
+
+func measureFleet(b *testing.B, size int, span time.Duration) {
+	runtime.GC()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	n := newNetwork(b, 1)
+	n.blind = true
+	for i := range size {
+		centre := "a"
+		if size > hostsToUseSeveralCentres {
+			number := i % centresOfLargeFleet
+			centre = fmt.Sprintf("%c%d", 'a'+number%regionsOfLargeFleet, number)
+		}
+		n.add(centre)
+	}
+	n.acquaint()
+	n.run(5 * time.Second)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	for _, one := range n.nodes {
+		one.sent, one.received = 0, 0
+	}
+	began := time.Now()
+	n.live(span)
+	took := time.Since(began)
+	n.report(b, size, span, took)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(size)/1e3, "kB/host")
+}
+
+// live runs the network under its daily churn.
+func (n *network) live(span time.Duration) {
+	var deaths, generations, facts float64
+	generation := uint64(1)
+	for end := n.now.Add(span); n.now.Before(end); n.run(testStep) {
+		deaths += restartsPerHostSecond * float64(len(n.nodes)) * testStep.Seconds()
+		generations += generationsPerSecond * testStep.Seconds()
+		facts += smallFactsPerSecond * testStep.Seconds()
+		if deaths >= 1 {
+			deaths--
+			n.nodes[n.rand.IntN(len(n.nodes))].dead = true
+			n.add("a0")
+		}
+		if generations >= 1 {
+			generations--
+			generation++
+			n.nodes[n.rand.IntN(len(n.nodes))].setGeneration(n.now, generation)
+		}
+		if facts >= 1 {
+			facts--
+			one := n.nodes[n.rand.IntN(len(n.nodes))]
+			require.NoError(n.t, one.publish(n.now, "upstream", "10.0.0.1:8000", []byte{1}))
+		}
+		for _, one := range n.nodes {
+			one.setGeneration(n.now, one.newest)
+		}
+	}
+}
+
+func (n *network) report(b *testing.B, size int, span, took time.Duration) {
+	var rates []float64
+	for _, one := range n.nodes[:size] {
+		if !one.dead {
+			rates = append(rates, float64(one.sent+one.received)/span.Seconds())
+		}
+	}
+	slices.Sort(rates)
+	total := 0.0
+	for _, r := range rates {
+		total += r
+	}
+	b.ReportMetric(total/float64(len(rates)), "B/s-mean")
+	b.ReportMetric(rates[len(rates)-1], "B/s-max")
+	b.ReportMetric(100*took.Seconds()/span.Seconds()/float64(size), "core%/host")
+}
+
+// BenchmarkDetection measures how long a death takes to be known to all.
+func BenchmarkDetection(b *testing.B) {
+	for _, loss := range []float64{0, 0.2} {
+		b.Run(fmt.Sprintf("loss=%v", loss), func(b *testing.B) {
+			for b.Loop() {
+				measureDetection(b, loss)
+			}
+		})
+	}
+}
+
+func measureDetection(b *testing.B, loss float64) {
+	var times []float64
+	wrong := 0
+	for seed := range uint64(40) {
+		n := twelve(b, seed)
+		n.loss = loss
+		n.run(10 * time.Second)
+		victim := n.nodes[seed%12]
+		victim.dead = true
+		took := n.await(time.Minute, func() bool { return n.views(victim, host.Dead) == 11 }, "found")
+		times = append(times, took.Seconds())
+		wrong += len(n.wrongDeaths)
+	}
+	slices.Sort(times)
+	b.ReportMetric(times[len(times)/2], "s-median")
+	b.ReportMetric(times[len(times)-1], "s-max")
+	b.ReportMetric(float64(wrong), "wrong-deaths")
+}
--- a/member/timing.go
+++ b/member/timing.go
@@ -57,7 +57,7 @@
 		CentreSilence:  30 * time.Second,
 		KeepDead:       10 * time.Minute,
 		FactTTL:        30 * time.Minute,
-		BytesPerSecond: 4000,
+		BytesPerSecond: 3000,
 		DetailLimit:    64,
 	}
 }
