--- a/experiment/cell.go
+++ b/experiment/cell.go
@@ -41,7 +41,7 @@
 // Run measures one cell in real time, until its last request has ended.
 func (c *Cell) Run(ctx context.Context, d *Deployment) (*Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	run := &cellRun{Cell: c, deployment: d, fleet: newFleet(d), plans: draw(c, d), tally: newTally()}
+	run := &cellRun{Cell: c, deployment: d, fleet: newFleet(d, c.Fault), plans: draw(c, d), tally: newTally()}
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer cancel()
@@ -57,6 +57,7 @@
 
 func (c *cellRun) startHosts(ctx context.Context, group *sync.WaitGroup) error {
 	d := c.deployment
+	gossip := newGossipNet()
 	for i := range d.Hosts {
 		rt, err := dispatch.New(dispatch.Config{
 			Upstreams: c.fleet,
@@ -64,6 +65,7 @@
 			Place:     d.Places[i%len(d.Places)],
 			HostCount: func() int { return c.aliveHosts() },
 			Seed:      c.Seed*1000 + uint64(i),
+			Gossip:    gossip.host(i),
 		})
 		if err != nil {
 			return err
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -34,13 +34,15 @@
 	backlog float64
 	// medianRatio is the median of the upstreams' slowness.
 	medianRatio float64
-	roundRobin  int
-	prefixes    *lru.Cache[uint64, upstream.ID]
-	demand      *demand
+	// faded is when the evidence was last aged.
+	faded      time.Time
+	roundRobin int
+	prefixes   *lru.Cache[uint64, struct{}]
+	demand     *demand
 }
 
 func newPool(name string) *pool {
-	prefixes, err := lru.New[uint64, upstream.ID](maxPrefixes)
+	prefixes, err := lru.New[uint64, struct{}](maxPrefixes)
 	if err != nil {
 		panic(err) // only a size under one fails
 	}
