--- a/internal/standin/server/upstream.go
+++ b/internal/standin/server/upstream.go
@@ -333,7 +333,7 @@
 	u.mu.Lock()
 	other := u.answer
 	u.mu.Unlock()
-	if other == nil || bytes.Equal(other.question, call.Body) {
+	if other == nil || other.answers(call) {
 		return false
 	}
 	u.run(newDiscard(), call)
--- a/internal/standin/server/writer.go
+++ b/internal/standin/server/writer.go
@@ -23,6 +23,13 @@
 	body     bytes.Buffer
 }
 
+// answers says whether the answer was given to a try of the same call. Callers
+// may choose the same request ID, or ask the same, but not both by chance.
+func (a *answer) answers(call *Call) bool {
+	sameID := a.header.Get(HeaderRequestID) == call.Request.Header.Get(HeaderRequestID)
+	return sameID && bytes.Equal(a.question, call.Body)
+}
+
 // send gives the answer, headers included, to another call.
 func (a *answer) send(w http.ResponseWriter) {
 	clear(w.Header())
