--- a/internal/standin/model/answer.go
+++ b/internal/standin/model/answer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/zeebo/xxh3"
@@ -46,22 +47,44 @@
 // a caller knows its own answer.
 func Answer(model, prompt string, maxTokens int) (tokens []string, cut bool) {
 	digest := xxh3.HashString(model + "\n" + prompt)
-	tokens = append(tokens, fmt.Sprintf("Answer %016x", digest))
-	seen := map[string]bool{}
-	for _, mark := range reference.FindAllString(prompt, -1) {
-		if !seen[mark] {
-			seen[mark] = true
-			tokens = append(tokens, " "+mark)
-		}
+	tokens = answerTokens(digest, Marks(prompt))
+	if maxTokens > 0 && len(tokens) > maxTokens {
+		return tokens[:maxTokens], true
+	}
+	return tokens, false
+}
+
+// IsWhole says whether a text is one whole answer to a prompt with the marks.
+func IsWhole(text string, marks ...string) bool {
+	var digest uint64
+	if _, err := fmt.Sscanf(text, "Answer %16x", &digest); err != nil {
+		return false
+	}
+	return text == strings.Join(answerTokens(digest, marks), "")
+}
+
+// answerTokens returns the tokens that follow from a prompt's digest and marks.
+func answerTokens(digest uint64, marks []string) []string {
+	tokens := []string{fmt.Sprintf("Answer %016x", digest)}
+	for _, mark := range marks {
+		tokens = append(tokens, " "+mark)
 	}
 	natural := minAnswerTokens + int(digest%answerSpread)
 	for i := len(tokens); i < natural; i++ {
 		tokens = append(tokens, fmt.Sprintf(" t%d-%04x", i, word(digest, i)))
 	}
-	if maxTokens > 0 && len(tokens) > maxTokens {
-		return tokens[:maxTokens], true
+	return tokens
+}
+
+// Marks returns the different marks of the form ref-… in a text.
+func Marks(text string) []string {
+	var marks []string
+	for _, mark := range reference.FindAllString(text, -1) {
+		if !slices.Contains(marks, mark) {
+			marks = append(marks, mark)
+		}
 	}
-	return tokens, false
+	return marks
 }
 
 // word returns the content of one token.
