Hand out nothing from a pool that lost its last upstream

A test of each way to choose panicked the same way before the change and passes after it.

Hosts now pass the membership's facts to the dispatcher, so that they share what speaks against an upstream; Options.Policy and dev.Options.Policy are new and optional. seamload -live measures real hosts and stand-ins on loopback; not run yet.

--- a/build.go
+++ b/build.go
@@ -140,6 +140,8 @@
 func (h *Host) buildDispatch() (err error) {
 	h.dispatcher, err = dispatch.New(dispatch.Config{
 		Upstreams:  h.upstreams,
+		Settings:   h.options.Policy,
+		Gossip:     h.members,
 		Place:      h.info.Place,
 		HostCount:  func() int { return len(h.members.Members()) },
 		Seed:       rand.Uint64(),
--- a/cmd/seamload/main.go
+++ b/cmd/seamload/main.go
@@ -34,6 +34,7 @@
 	deployments, faults, variants, loads string
 	out                                  string
 	real                                 bool
+	live                                 string
 }
 
 func command() *ffcli.Command {
@@ -46,6 +47,7 @@
 	fs.StringVar(&o.loads, "loads", "", "loads in shares of capacity, separated by commas")
 	fs.StringVar(&o.out, "out", "", "directory for the tables and plots; without it only lines are printed")
 	fs.BoolVar(&o.real, "real", false, "run on the real clock, not on a virtual one")
+	fs.StringVar(&o.live, "live", "", "measure real hosts and stand-ins on loopback: cylinder or yardline")
 	fs.Uint64Var(&grid.Seed, "seed", grid.Seed, "seed of the arrivals and of the policy")
 	fs.DurationVar(&grid.Warmup, "warmup", grid.Warmup, "time before measuring")
 	fs.DurationVar(&grid.Measure, "measure", grid.Measure, "time of measuring")
@@ -58,6 +60,9 @@
 			if err := o.narrow(&grid); err != nil {
 				return err
 			}
+			if o.live != "" {
+				return runLive(ctx, &grid, &o)
+			}
 			return run(ctx, &grid, &o)
 		},
 	}
--- a/host.go
+++ b/host.go
@@ -26,6 +26,7 @@
 	"github.com/galenaseam/galenaseam/metrics"
 	"github.com/galenaseam/galenaseam/operator"
 	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/policy"
 	"github.com/galenaseam/galenaseam/request"
 	"github.com/galenaseam/galenaseam/settings"
 	"github.com/galenaseam/galenaseam/upstream"
@@ -45,7 +46,9 @@
 	// FirstDocument is put in force when neither the store nor another host
 	// has a document; empty for none.
 	FirstDocument []byte
-	Logger        *slog.Logger
+	// Policy switches the parts of the policy; the whole policy when zero.
+	Policy policy.Settings
+	Logger *slog.Logger
 }
 
 // Host is one entry host. Its parts each have locks of their own; no lock of
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -19,6 +19,7 @@
 	"github.com/galenaseam/galenaseam"
 	"github.com/galenaseam/galenaseam/document"
 	"github.com/galenaseam/galenaseam/internal/standin"
+	"github.com/galenaseam/galenaseam/policy"
 	"github.com/galenaseam/galenaseam/settings"
 )
 
@@ -34,7 +35,9 @@
 	OperatorPort int
 	Seed         uint64
 	// Pace stretches the time that upstreams work; zero means 1.
-	Pace   float64
+	Pace float64
+	// Policy switches the parts of the policy; the whole policy when zero.
+	Policy policy.Settings
 	Logger *slog.Logger
 	Out    io.Writer
 }
@@ -89,6 +92,7 @@
 			Settings:      f.settingsOf(i),
 			FleetKey:      key,
 			FirstDocument: f.options.Document,
+			Policy:        f.options.Policy,
 			Logger:        f.options.Logger,
 		})
 		if err != nil {
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -20,6 +20,9 @@
 // choose picks the upstream for a call, or nil. probe says that the upstream
 // is set aside and the call tests it.
 func (c *Core) choose(now time.Time, p *pool, call *Call) (s *server, probe bool) {
+	if len(p.order) == 0 {
+		return nil, false
+	}
 	switch c.settings.Choice {
 	case ChoiceRandom:
 		return c.draw(p, call), false
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -300,3 +300,37 @@
 	require.InDelta(t, 4, p.othersOn(now, s), 1e-9)
 	require.InDelta(t, 2, p.othersOn(now.Add(time.Minute), s), 0.01)
 }
+
+// A pool that loses its last upstream while calls wait and run hands out
+// nothing, whatever the way to choose, and goes on when one comes back.
+func TestPoolLosesItsLastUpstream(t *testing.T) {
+	doc := testDoc(document.KindGenerate, 1)
+	choices := []Choice{
+		ChoiceScore, ChoiceRandom, ChoiceRoundRobin, ChoiceLeastInFlight, ChoiceTwoChoices,
+	}
+	for _, choice := range choices {
+		s := Defaults()
+		s.Choice = choice
+		c := newTestCore(s, doc, 1, 1)
+		var running *Attempt
+		for i := range 3 {
+			a := testArrival(doc, fmt.Sprint(i), "w", document.Class{Name: "c"})
+			a.Prefix = []uint64{42}
+			r, refusal := c.Admit(epoch, a)
+			require.Nil(t, refusal)
+			_, refusal = c.Enqueue(epoch, r, 0, nil)
+			require.Nil(t, refusal)
+			if started := c.Grant(epoch, testPool).Started; len(started) > 0 {
+				running = started[0]
+			}
+		}
+		now := epoch.Add(time.Second)
+		c.Observe(now, testPool, Observation{})
+		require.Empty(t, c.Grant(now, testPool).Started)
+		require.Nil(t, c.Hedge(now, running, nil))
+		require.True(t, c.Complete(now, running, Outcome{Failure: BrokenOff}))
+		require.Empty(t, c.Grant(now, testPool).Started)
+		c.Observe(now, testPool, Observation{Upstreams: upstreams(1)})
+		require.NotEmpty(t, c.Grant(now, testPool).Started, choice)
+	}
+}
