Run planners on hosts, with demand and read-back states shared between them

Cause: orders to engines were planned by nobody on a running host. Change: a planner for each model group; the fleet's demand by model and the models that engines serve are spread as facts; failures by version from the planning host's own calls.

--- a/build.go
+++ b/build.go
@@ -168,12 +168,14 @@
 
 // buildCallers makes the callers' interface and what runs their requests.
 func (h *Host) buildCallers() error {
+	h.planners = newPlanners(h)
 	h.client = attempt.New(attempt.Config{Listener: h.upstreams})
 	h.runner = request.New(request.Config{
 		Dispatcher: h.dispatcher,
 		Upstreams:  h.upstreams,
 		Client:     h.client,
 		Guard:      openGuard{},
+		Meter:      h.planners.meter,
 		Claims:     claimed.New(h.claims, h.logger),
 		Logger:     h.logger,
 		Observe:    h.metrics.Observe,
--- a/host.go
+++ b/host.go
@@ -70,6 +70,7 @@
 	claims     *claim.Service
 	syncer     *config.Syncer
 	writer     *config.Writer
+	planners   *planners
 	client     *attempt.Client
 	runner     *request.Runner
 	callers    *frontend.Frontend
--- a/request/runner.go
+++ b/request/runner.go
@@ -26,6 +26,8 @@
 	Client     *attempt.Client
 	// Guard watches for requests that crash upstreams.
 	Guard Guard
+	// Meter counts the attempts of each model; nil counts nothing.
+	Meter Meter
 	// Claims makes calls that may run only once run once.
 	Claims Claims
 	Logger *slog.Logger
@@ -33,6 +35,20 @@
 	Observe func(Observation)
 }
 
+// Meter counts the attempts of each model. Implementations are safe for
+// concurrent use.
+type Meter interface {
+	Began(model string)
+	// Ended counts an attempt out and says whether the engine failed it.
+	Ended(model string, engine upstream.ID, failed bool)
+}
+
+// noMeter counts nothing.
+type noMeter struct{}
+
+func (noMeter) Began(string)                    {}
+func (noMeter) Ended(string, upstream.ID, bool) {}
+
 // Observation is how one request ended, for metrics.
 type Observation struct {
 	Workspace string
@@ -56,6 +72,9 @@
 	if cfg.Logger == nil {
 		cfg.Logger = slog.New(slog.DiscardHandler)
 	}
+	if cfg.Meter == nil {
+		cfg.Meter = noMeter{}
+	}
 	if cfg.Observe == nil {
 		cfg.Observe = func(Observation) {}
 	}
--- a/request/tries.go
+++ b/request/tries.go
@@ -168,6 +168,7 @@
 	}
 	r := t.pipeline.runner
 	r.cfg.Guard.Started(t.pipeline.digest, call.Upstream.ID)
+	r.cfg.Meter.Began(t.need.Model)
 	apply, outcome, err := t.step.attempt(ctx, call, commit)
 	end := ended{upstream: call.Upstream.ID, apply: apply, committed: won}
 	if err != nil {
@@ -175,12 +176,18 @@
 		outcome.Failure = end.failed.Failure
 	}
 	slot.Done(outcome)
+	r.cfg.Meter.Ended(t.need.Model, call.Upstream.ID, engineFailed(outcome.Failure))
 	r.report(call.Upstream.ID, end.failed)
 	lost := r.lostUpstream(outcome.Failure, call.Upstream)
 	r.cfg.Guard.Ended(t.pipeline.digest, call.Upstream.ID, lost)
 	return end
 }
 
+// engineFailed says whether a failure speaks against what the engine holds.
+func engineFailed(f dispatch.Failure) bool {
+	return f == dispatch.UpstreamError || f == dispatch.BrokenOff || f == dispatch.WrongAnswer
+}
+
 // markRan notes what an attempt's end says about whether anything ran.
 func markRan(before problem.Ran, failed *attempt.Failed) problem.Ran {
 	switch {
--- a/run.go
+++ b/run.go
@@ -66,6 +66,7 @@
 		h.syncer.Run,
 		h.dispatcher.Run,
 		h.claims.Run,
+		h.planners.run,
 		h.showReadiness,
 	}
 	for _, part := range parts {
