Let a first plan keep the copies that serve

Cause: on the cylinder deployment the first plan cut 20 serving copies to the document's minimum of 8 at once. Change: a model without a plan starts from what engines hold.

--- a/planner/plan.go
+++ b/planner/plan.go
@@ -139,7 +139,7 @@
 	for _, model := range in.Models {
 		before, known := in.Last.model(model.Name)
 		if !known {
-			before = ModelPlan{Name: model.Name, Stable: adoptVersion(in, model)}
+			before = adopt(in, model)
 		}
 		after := nextCopies(in, settings, model, before)
 		plan.Models = append(plan.Models, nextRollout(in, settings, model, after))
@@ -148,6 +148,21 @@
 	return plan
 }
 
+// adopt is the plan of a model that has none yet: what engines hold goes on, so
+// that the first planner takes no serving copy away at once.
+func adopt(in Input, model document.Model) ModelPlan {
+	held := 0
+	for _, engine := range in.Engines {
+		if _, ok := engine.State.held(model.Name); ok {
+			held++
+		}
+	}
+	if model.MaxCopies > 0 {
+		held = min(held, model.MaxCopies)
+	}
+	return ModelPlan{Name: model.Name, Copies: held, Stable: adoptVersion(in, model)}
+}
+
 // adoptVersion is the version to take as stable when there is no plan yet: the
 // one that most engines hold, or the document's.
 func adoptVersion(in Input, model document.Model) string {
