--- a/config/change.go
+++ b/config/change.go
@@ -66,7 +66,7 @@
 
 // try checks the edit against the newest head and moves it.
 func (c *change) try(ctx context.Context) (Result, error) {
-	floor := c.writer.floor()
+	before := c.writer.floor()
 	h, version, err := c.writer.readHead(ctx)
 	if err != nil {
 		return Result{}, err
@@ -81,7 +81,7 @@
 	if already {
 		return Result{Generation: done.Generation, Hash: done.Record, Already: true}, nil
 	}
-	if err := c.writer.guard(ctx, h, floor); err != nil {
+	if err := c.writer.guard(ctx, h, before); err != nil {
 		return Result{}, err
 	}
 	next, objects, err := c.prepare(ctx, h)
--- a/config/writer.go
+++ b/config/writer.go
@@ -150,11 +150,17 @@
 	return w.cfg.InForce.Floor()
 }
 
-// guard refuses a head that is not a continuation of what hosts hold.
-func (w *Writer) guard(ctx context.Context, h *head, floor Generation) error {
-	if h.generation() < floor {
+// guard refuses a head that is not a continuation of what hosts hold. before
+// is the floor as it was before the head was read: a head below it is surely
+// old. One that is only below the floor of now may have moved on since, or the
+// store may have fallen back before it was read; the next try tells.
+func (w *Writer) guard(ctx context.Context, h *head, before Generation) error {
+	if h.generation() < before {
 		return Error.Wrap(ErrStaleStore)
 	}
+	if h.generation() < w.floor() {
+		return errAgain
+	}
 	if h == nil {
 		return nil
 	}
--- a/config/writer_test.go
+++ b/config/writer_test.go
@@ -210,6 +210,52 @@
 	})
 }
 
+// laggingHost serves an old generation but hears what others serve.
+type laggingHost struct {
+	serves *Snapshot
+	floor  Generation
+}
+
+func (l *laggingHost) Current() *Snapshot { return l.serves }
+func (l *laggingHost) Floor() Generation  { return l.floor }
+
+// hookedStore calls beforeHead once, right before the next read of the head.
+type hookedStore struct {
+	*fakestore.Store
+	beforeHead func()
+}
+
+func (s *hookedStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if hook := s.beforeHead; key == headKey && hook != nil {
+		s.beforeHead = nil
+		hook()
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// The fault that mutant FLOOR_FIRST of spec/config.pml is named for: the store
+// falls back after the writer has looked what hosts serve.
+func TestAStoreThatFallsBackUnderAWriterIsNotWritten(t *testing.T) {
+	store, other := newStoreWithFirst(t, 16)
+	base, err := newest(other)
+	require.NoError(t, err)
+	h, _, err := other.readHead(context.Background())
+	require.NoError(t, err)
+	first, err := load(context.Background(), h, nil, other.objects)
+	require.NoError(t, err)
+	lagging := &laggingHost{serves: first, floor: 1}
+	old := store.Save()
+	hooked := &hookedStore{Store: store, beforeHead: func() {
+		_, err := persist(other, "models", "kept")
+		require.NoError(t, err)
+		lagging.floor = 2
+		store.Restore(old)
+	}}
+	writer := NewWriter(WriterConfig{Store: hooked, InForce: lagging})
+	_, err = writer.Apply(context.Background(), editOf("fork", base, document.SectionPrices, "billing", "fork"))
+	require.ErrorIs(t, err, ErrStaleStore)
+}
+
 func TestWhoMayChangeWhat(t *testing.T) {
 	var logged bytes.Buffer
 	store, _ := newStoreWithFirst(t, 14)
