--- a/planner/runner.go
+++ b/planner/runner.go
@@ -53,6 +53,10 @@
 	tenure  *tenure
 	plan    Plan
 	planAt  platform.Version
+	// read and written say that this tenure has read the plan that stands, and
+	// has written it, so that no save of an earlier holder can come after.
+	read    bool
+	written bool
 }
 
 // storedPlan is the plan as it lies in the store.
@@ -97,7 +101,10 @@
 	if !r.keep(ctx) || !r.tenure.mayOrder(time.Now()) {
 		return
 	}
-	in, engines := r.read(ctx)
+	if !r.read && r.loadPlan(ctx) != nil {
+		return
+	}
+	in, engines := r.gather(ctx)
 	if len(in.Models) == 0 || len(in.Engines) == 0 {
 		return
 	}
@@ -109,7 +116,7 @@
 	r.give(ctx, engines, Commands(in, next, r.cfg.Settings, r.tenure.fencing))
 }
 
-// takeOver tries to become the holder and reads the plan that stands.
+// takeOver tries to become the holder.
 func (r *Runner) takeOver(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -117,11 +124,7 @@
 	if err != nil || tenure == nil {
 		return false
 	}
-	r.tenure = tenure
-	if err := r.loadPlan(ctx); err != nil {
-		r.stepDown("the plan could not be read")
-		return false
-	}
+	r.tenure, r.read, r.written = tenure, false, false
 	r.metrics.leading.Set(1)
 	r.cfg.Logger.Info("planner took over", "group", r.cfg.Group, "fencing", tenure.fencing)
 	return true
@@ -161,13 +164,15 @@
 // planKey is where the plan of a group lies.
 func planKey(group string) string { return "planner/" + group + "/plan" }
 
-// loadPlan reads the plan that stands.
+// loadPlan reads the plan that stands, after the settling time.
 func (r *Runner) loadPlan(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	entry, err := r.cfg.Store.Get(ctx, planKey(r.cfg.Group))
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	r.planAt, r.plan = entry.Version, Plan{}
+	r.planAt, r.plan, r.read = entry.Version, Plan{}, true
 	if entry.Version == platform.NoVersion {
 		return nil
 	}
@@ -186,7 +191,7 @@
 		return Error.Wrap(err)
 	}
 	after, err := cbor.Marshal(next)
-	if err != nil || (slices.Equal(before, after) && r.planAt != platform.NoVersion) {
+	if err != nil || (slices.Equal(before, after) && r.written) {
 		return Error.Wrap(err)
 	}
 	value, err := cbor.Marshal(storedPlan{Fencing: r.tenure.fencing, Plan: next})
@@ -200,12 +205,12 @@
 		r.stepDown("the plan was not saved") // whoever leads next reads what stands
 		return Error.Wrap(err)
 	}
-	r.plan, r.planAt = next, version
+	r.plan, r.planAt, r.written = next, version, true
 	return nil
 }
 
-// read gathers what a decision depends on.
-func (r *Runner) read(ctx context.Context) (Input, []Engine) {
+// gather collects what a decision depends on.
+func (r *Runner) gather(ctx context.Context) (Input, []Engine) {
 	in := Input{Now: time.Now(), Last: r.plan}
 	if current := r.cfg.Document(); current != nil {
 		for _, model := range current.Models {
--- a/planner/runner_test.go
+++ b/planner/runner_test.go
@@ -258,6 +258,28 @@
 	})
 }
 
+// The save of a holder that was paused must not slip in behind its successor.
+func TestALateSaveOfAnEarlierHolderIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(false)
+		earlier, later := b.runner("earlier", b.store), b.runner("later", b.store)
+		lead := func(r *Runner) {
+			for range 30 {
+				r.round(context.Background())
+				time.Sleep(roundInterval)
+			}
+		}
+		lead(earlier)
+		paused := *earlier
+		time.Sleep(2 * leaseTTL)
+		lead(later) // changes nothing in the plan
+		next := paused.plan
+		next.Models = []ModelPlan{{Name: "m", Stable: "0", Copies: 1}}
+		require.Error(t, paused.save(context.Background(), next))
+		require.GreaterOrEqual(t, b.holding("1"), 3)
+	})
+}
+
 func TestNoTwoPlannersMayOrderAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(false)
--- a/spec/config.pml
+++ b/spec/config.pml
@@ -21,6 +21,7 @@
  * is Syncer.follow; Start is Syncer.runStart.
  *
  * checks: safety
+ * deep: -DFAULTS=3
  * mutants: FOLLOW_OLDER TRUST_LOST NO_READBACK NO_CLASH_CHECK NO_GUARD BLIND_MOVE READY_AT_ONCE NO_POLL NO_RESTORE FLOOR_FIRST
  */
 
