--- a/internal/standin/server/upstream.go
+++ b/internal/standin/server/upstream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,8 @@
 	LoadInterval time.Duration
 	// Seed decides which calls a fault's share hits.
 	Seed uint64
+	// Ran is told the body of each call that ran; nil ignores it.
+	Ran func(body []byte)
 }
 
 // Call is what the shared part hands to an upstream's own work.
@@ -77,8 +80,17 @@
 	kvShare  func() float64
 	crashes  int
 	calls    int
+	left     time.Time     // when it began to leave
+	lastWork time.Duration // how long after that the last new work came
+	late     []time.Time   // new work that came later than LeaveGrace
 }
 
+// LeaveGrace is how long after it began to leave an upstream expects new work.
+const LeaveGrace = 5 * time.Second
+
+// maxLate bounds the late work that is remembered.
+const maxLate = 100
+
 // Load is an upstream's own report of its load.
 type Load struct {
 	InFlight   int     `json:"in_flight"`
@@ -91,11 +103,16 @@
 	Calls   int  `json:"calls"`
 	Crashes int  `json:"crashes"`
 	Leaving bool `json:"leaving"`
-	Load    Load `json:"load"`
+	// WorkAfterLeaving is how long after it began to leave the last new work
+	// came, in milliseconds; zero when none came.
+	WorkAfterLeaving int64 `json:"work_after_leaving_ms"`
+	// LateWork is when new work came later than LeaveGrace.
+	LateWork []time.Time `json:"late_work,omitempty"`
+	Load     Load        `json:"load"`
 }
 
 // StartUpstream serves work on every path but the shared ones: POST /fault,
-// GET /admin/load, GET /admin/stats and what admin adds.
+// GET /healthz, GET /admin/load, GET /admin/stats and what admin adds.
 func StartUpstream(cfg UpstreamConfig, work Work, admin map[string]http.HandlerFunc, kvShare func() float64) (*Upstream, error) {
 	if cfg.Concurrency <= 0 {
 		cfg.Concurrency = 8
@@ -108,6 +125,7 @@
 	u.mux.Handle("/fault", fault.Handler(u.Fault))
 	u.mux.HandleFunc("GET /admin/load", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, http.StatusOK, u.Load()) })
 	u.mux.HandleFunc("GET /admin/stats", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, http.StatusOK, u.Stats()) })
+	u.mux.HandleFunc("GET /healthz", u.health)
 	for pattern, handler := range admin {
 		u.mux.HandleFunc(pattern, handler)
 	}
@@ -136,6 +154,13 @@
 		_ = u.Up()
 	case fault.Down:
 		u.goDown(f.Length())
+	case fault.Return:
+		u.faults.Remove(fault.Leaving)
+	case fault.Leaving:
+		u.faults.Add(f)
+		u.mu.Lock()
+		u.left = time.Now()
+		u.mu.Unlock()
 	default:
 		u.faults.Add(f)
 	}
@@ -177,7 +202,10 @@
 	_, leaving := u.faults.Active(fault.Leaving)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return Stats{Calls: u.calls, Crashes: u.crashes, Leaving: leaving, Load: load}
+	return Stats{
+		Calls: u.calls, Crashes: u.crashes, Leaving: leaving, Load: load,
+		WorkAfterLeaving: u.lastWork.Milliseconds(), LateWork: slices.Clone(u.late),
+	}
 }
 
 // serve runs one call under the failures in force.
@@ -209,6 +237,16 @@
 	u.answerCall(w, call)
 }
 
+// run does the call's own work and notes whether it ran.
+func (u *Upstream) run(w http.ResponseWriter, call *Call) {
+	defer func() {
+		if u.cfg.Ran != nil && w.Header().Get(HeaderRan) == "yes" {
+			u.cfg.Ran(call.Body)
+		}
+	}()
+	u.work(w, call)
+}
+
 // echo copies the call's identity into the answer's headers.
 func (u *Upstream) echo(to, from http.Header) {
 	for _, name := range []string{HeaderRequestID, HeaderStage, HeaderAttempt} {
@@ -222,9 +260,21 @@
 	}
 }
 
+// health answers probes, which are no work.
+func (u *Upstream) health(w http.ResponseWriter, r *http.Request) {
+	u.echo(w.Header(), r.Header)
+	if _, ok := u.faults.Active(fault.Leaving); ok {
+		w.Header().Set(HeaderUpstreamState, "leaving")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
 // refused answers new work while the upstream is leaving or refuses it.
 func (u *Upstream) refused(w http.ResponseWriter) bool {
 	if _, ok := u.faults.Active(fault.Leaving); ok {
+		u.noteLate(time.Now())
 		w.Header().Set(HeaderUpstreamState, "leaving")
 		Refuse(w, http.StatusServiceUnavailable, "leaving")
 		return true
@@ -236,12 +286,23 @@
 	return false
 }
 
+// noteLate notes new work that came while the upstream was leaving.
+func (u *Upstream) noteLate(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	after := now.Sub(u.left)
+	u.lastWork = max(u.lastWork, after)
+	if after > LeaveGrace && len(u.late) < maxLate {
+		u.late = append(u.late, now)
+	}
+}
+
 // crash runs the call without an answer and takes the upstream down.
 func (u *Upstream) crash(call *Call, f fault.Fault) {
 	u.mu.Lock()
 	u.crashes++
 	u.mu.Unlock()
-	u.work(newDiscard(), call)
+	u.run(newDiscard(), call)
 	u.goDown(f.Length())
 	panic(http.ErrAbortHandler)
 }
@@ -249,11 +310,11 @@
 // answerCall runs the call and spoils its answer as the failures say.
 func (u *Upstream) answerCall(w http.ResponseWriter, call *Call) {
 	if _, ok := u.faults.Take(fault.LostAnswer); ok {
-		u.work(newDiscard(), call)
+		u.run(newDiscard(), call)
 		panic(http.ErrAbortHandler)
 	}
 	if _, ok := u.faults.Take(fault.ErrorAfterRun); ok {
-		u.work(newDiscard(), call)
+		u.run(newDiscard(), call)
 		w.Header().Set(HeaderRan, "yes")
 		WriteJSON(w, http.StatusInternalServerError, NewErrorBody("failed after running"))
 		return
@@ -264,7 +325,7 @@
 	if _, ok := u.faults.Take(fault.Crossed); ok && u.give(w, call, 0) {
 		return
 	}
-	u.work(u.spoiled(w, call.Request), call)
+	u.run(u.spoiled(w, call), call)
 }
 
 // give answers with the newest answer to another call, if there is one.
@@ -272,12 +333,10 @@
 	u.mu.Lock()
 	other := u.answer
 	u.mu.Unlock()
-	own := call.Request.Header.Get(HeaderRequestID)
-	if other == nil || other.header.Get(HeaderRequestID) == own {
+	if other == nil || other.answers(call) {
 		return false
 	}
-	discarded := newDiscard()
-	u.work(discarded, call)
+	u.run(newDiscard(), call)
 	if sleep(call.Request.Context(), delay) != nil {
 		return true
 	}
--- a/request/generate.go
+++ b/request/generate.go
@@ -24,7 +24,7 @@
 }
 
 // chatRequest is the body of a chat completion. ContinueFrom is the engines'
-// extension for resuming: the text already generated and its token count.
+// extension for resuming: the part of the answer that was already taken.
 type chatRequest struct {
 	Model         string        `json:"model"`
 	Messages      []Message     `json:"messages"`
@@ -35,15 +35,15 @@
 	ContinueFrom  *continueFrom `json:"continue_from,omitempty"`
 }
 
-type streamOptions struct {
-	IncludeUsage bool `json:"include_usage"`
-}
-
 type continueFrom struct {
 	Text   string `json:"text"`
 	Tokens int    `json:"tokens"`
 }
 
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
 func (s *generateStep) attempt(ctx context.Context, call attempt.Call, commit func() bool) (func(), dispatch.Outcome, error) {
 	body, err := json.Marshal(s.body())
 	if err != nil {
