--- a/policy/choose.go
+++ b/policy/choose.go
@@ -48,6 +48,19 @@
 	return !slices.Contains(call.avoid, s.ID) && s.serves(call.Request.Stages[call.Stage].Model)
 }
 
+// allAvoided reports whether the call avoids every upstream of the pool.
+func (p *pool) allAvoided(call *Call) bool {
+	if len(call.avoid) < len(p.order) {
+		return false
+	}
+	for _, s := range p.order {
+		if !slices.Contains(call.avoid, s.ID) {
+			return false
+		}
+	}
+	return true
+}
+
 // open reports whether the scored choice may use the upstream.
 func (c *Core) open(now time.Time, p *pool, s *server, call *Call) bool {
 	if !p.usable(s, call) || s.setAside(call.Request.Class.Name) {
--- a/policy/core.go
+++ b/policy/core.go
@@ -1,7 +1,9 @@
 package policy
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/galenaseam/galenaseam/document"
@@ -41,77 +43,8 @@
 	}
 }
 
-// Request is an admitted request.
-type Request struct {
-	Arrival
-	terms    *terms
-	admitted time.Time
-	// attempts counts the attempts of each stage.
-	attempts []int
-	// committed is the work in each stage's pool that is still ahead.
-	committed []time.Duration
-	// spent is the cost of the attempts that helped so far.
-	spent []charge
-	done  bool
-}
-
-// Call is a stage of a request that waits for a slot.
-type Call struct {
-	Request *Request
-	Stage   int
-	// Expires is when starting the call is no longer of use.
-	Expires time.Time
-	// doubtful is when the call would rather miss than not; from then on it
-	// gives way while others wait.
-	doubtful time.Time
-	avoid    []upstream.ID
-	pool     *pool
-	// cost is the expected time on an upstream.
-	cost     time.Duration
-	enqueued time.Time
-	sequence uint64
-	flow     *flow
-	index    int
-}
-
-// Pool names the pool that the call waits for.
-func (call *Call) Pool() string { return call.pool.name }
-
-// StageName names the stage.
-func (call *Call) StageName() string { return call.Request.Stages[call.Stage].Name }
-
-// Tokens estimates what the request takes: its input once, and the most that
-// its stages may produce.
-func (r *Request) Tokens() int {
-	tokens := r.InputTokens
-	for i := range r.Stages {
-		tokens += r.Stages[i].MaxTokens
-	}
-	return tokens
-}
-
-// Attempt is one call that was given to an upstream.
-type Attempt struct {
-	Call     *Call
-	Upstream upstream.Upstream
-	Started  time.Time
-	// Deadline is when the attempt is no longer of use.
-	Deadline time.Time
-	Hedge    bool
-	Probe    bool
-	server   *server
-	expected time.Duration
-	done     bool
-}
-
-// Pools returns the names of the pools that requests have asked for.
-func (c *Core) Pools() []string {
-	names := make([]string, 0, len(c.pools))
-	for name := range c.pools {
-		names = append(names, name)
-	}
-	return names
-}
+// Pools returns the names of the pools that requests have asked for, in order.
+func (c *Core) Pools() []string { return slices.Sorted(maps.Keys(c.pools)) }
 
 // Known reports whether the pool was observed.
 func (c *Core) Known(pool string) bool { return c.pools[pool] != nil }
@@ -205,6 +138,10 @@
 			p.limit.markFull()
 			break
 		}
+		if p.allAvoided(call) {
+			// Trying the same upstream again beats not trying.
+			call.avoid = nil
+		}
 		s, probe := c.choose(now, p, call)
 		if s == nil {
 			p.queue.setAside(call)
@@ -293,14 +230,6 @@
 	}
 }
 
-// Waited is the time from the call's queueing to its start.
-func (a *Attempt) Waited() time.Duration { return a.Started.Sub(a.Call.enqueued) }
-
-// ratio compares a time with the expected one.
-func (a *Attempt) ratio(elapsed time.Duration) float64 {
-	return float64(elapsed) / float64(max(a.expected, time.Millisecond))
-}
-
 // Finish ends a request.
 func (c *Core) Finish(now time.Time, r *Request, f Final) {
 	if r.done {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -334,3 +334,15 @@
 		require.NotEmpty(t, c.Grant(now, testPool).Started, choice)
 	}
 }
+
+// A retry whose every upstream was tried goes to one of them again, rather
+// than wait until its time is up.
+func TestRetryInAPoolOfOne(t *testing.T) {
+	doc := testDoc(document.KindRerank, 1)
+	c := newTestCore(Defaults(), doc, 1, 1)
+	r, refusal := c.Admit(epoch, testArrival(doc, "r", "w", document.Class{Name: "c"}))
+	require.Nil(t, refusal)
+	_, refusal = c.Enqueue(epoch, r, 0, []upstream.ID{c.pools[testPool].order[0].ID})
+	require.Nil(t, refusal)
+	require.Len(t, c.Grant(epoch, testPool).Started, 1)
+}
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -15,6 +15,8 @@
 	// starveAfter is how long a class that has no floor of whole slots may go
 	// without a grant while its calls wait.
 	starveAfter = time.Second
+	// maxIdleFlows bounds the workspaces without calls that a class keeps.
+	maxIdleFlows = 4096
 	// noFlow is the one flow of a class when fairness is off.
 	noFlow = ""
 )
@@ -117,6 +119,27 @@
 	if f.virtual <= f.class.virtual {
 		delete(f.class.flows, f.key)
 	}
+	if len(f.class.flows) > len(f.class.active)+maxIdleFlows {
+		f.class.sweep()
+	}
+}
+
+// sweep drops the idle flows that have nothing to make up for any more, and
+// all of them when that is not enough.
+func (c *classQueue) sweep() {
+	for key, f := range c.flows {
+		if f.index == notQueued && f.virtual <= c.virtual {
+			delete(c.flows, key)
+		}
+	}
+	if len(c.flows) <= len(c.active)+maxIdleFlows {
+		return
+	}
+	for key, f := range c.flows {
+		if f.index == notQueued {
+			delete(c.flows, key)
+		}
+	}
 }
 
 // next takes out the call that should run next, or returns nil. Calls that
@@ -208,69 +231,3 @@
 	clear(q.aside)
 	q.aside = q.aside[:0]
 }
-
-// callHeap orders the calls of one flow by slack, then by arrival.
-type callHeap []*Call
-
-func (h callHeap) Len() int { return len(h) }
-
-func (h callHeap) Less(i, j int) bool {
-	if !h[i].Expires.Equal(h[j].Expires) {
-		return h[i].Expires.Before(h[j].Expires)
-	}
-	return h[i].sequence < h[j].sequence
-}
-
-func (h callHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
-}
-
-func (h *callHeap) Push(x any) {
-	call := x.(*Call)
-	call.index = len(*h)
-	*h = append(*h, call)
-}
-
-func (h *callHeap) Pop() any {
-	old := *h
-	call := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	call.index = notQueued
-	return call
-}
-
-// flowHeap orders the flows that have calls by virtual time.
-type flowHeap []*flow
-
-func (h flowHeap) Len() int { return len(h) }
-
-func (h flowHeap) Less(i, j int) bool {
-	if h[i].virtual != h[j].virtual {
-		return h[i].virtual < h[j].virtual
-	}
-	return h[i].key < h[j].key
-}
-
-func (h flowHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
-}
-
-func (h *flowHeap) Push(x any) {
-	f := x.(*flow)
-	f.index = len(*h)
-	*h = append(*h, f)
-}
-
-func (h *flowHeap) Pop() any {
-	old := *h
-	f := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	f.index = notQueued
-	return f
-}
