Test that one claim, a pause and a partition without seeds do no harm

Cause: trials with single protections switched off showed three that no test covered: the second claim before a host believes in a death, the timers that a woken host drops, and the trying of dead hosts after a partition.

--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -179,7 +179,7 @@
 	f.run(5*time.Second, 0, even)
 	got := f.rate(3*time.Second, 10, even)
 	t.Logf("first 3 s of a surge: granted %.3f", got)
-	require.Less(t, got, 1.0+burstTime.Seconds()/3+0.05, "the limit and one burst")
+	require.Less(t, got, 1.0, "the shares wait until the others know")
 }
 
 // Gossip slower than the settling time lets a host believe that it is alone
--- a/member/protocol_test.go
+++ b/member/protocol_test.go
@@ -76,8 +76,33 @@
 	}
 }
 
+// What a host asked before a pause and could not hear the answers to is not
+// held against anyone.
+func TestWakingHostDropsItsTimers(t *testing.T) {
+	for seed := range uint64(20) {
+		n := twelve(t, seed)
+		sleeper := n.nodes[5]
+		n.run(time.Duration(seed) * testStep)
+		sleeper.accuse(sleeper.peers[n.nodes[6].self.Info.ID], n.nodes[7].self.Info.ID)
+		sleeper.accuse(sleeper.peers[n.nodes[6].self.Info.ID], n.nodes[8].self.Info.ID)
+		sleeper.paused, sleeper.side = true, 1
+		n.run(20 * time.Second)
+		sleeper.paused, sleeper.side = false, 0
+		n.run(testStep)
+		require.LessOrEqual(t, len(sleeper.suspected), 1, "at most the suspicion of before")
+		require.GreaterOrEqual(t, sleeper.prober.awareness, wakeAwareness)
+		n.run(20 * time.Second)
+		delete(n.wrongDeaths, sleeper.self.Info.ID)
+		require.Empty(t, n.wrongDeaths)
+	}
+}
+
+// The sides of a partition find each other by trying the dead, without seeds.
 func TestPartitionHeals(t *testing.T) {
 	n := twelve(t, 4)
+	for _, one := range n.nodes {
+		one.syncer.seeds = nil
+	}
 	for i, one := range n.nodes {
 		one.side = i % 2
 	}
--- a/upstream/fleet_test.go
+++ b/upstream/fleet_test.go
@@ -244,6 +244,22 @@
 	}
 }
 
+// Hosts without an answer of their own don't believe a single other host.
+func TestOneClaimWithoutOwnEvidenceCondemnsNothing(t *testing.T) {
+	f := newFleet(6, 12, 20, 0)
+	f.run(2 * time.Second)
+	f.cut[f.hosts[0].self.ID] = true
+	lost := 0
+	for range 300 {
+		f.run(100 * time.Millisecond)
+		for _, h := range f.hosts[1:] {
+			require.Len(t, f.live(h), 20)
+		}
+		lost = max(lost, 20-len(f.live(f.hosts[0])))
+	}
+	require.Positive(t, lost, "the host that watches them over its bad link finds some dead")
+}
+
 // The list lags: it names a dead machine, forgets a living one, and gives an
 // address to another pool.
 func TestLaggingListIsCorrected(t *testing.T) {
