--- a/link/link_test.go
+++ b/link/link_test.go
@@ -207,7 +207,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- NewServer(ServerConfig{Mux: echoMux(), Key: fleetKey}).Serve(ctx, listener) }()
-	require.NoError(t, client.Call(context.Background(), server.addr, "test.Echo", echo{}, &echo{}))
+	// A pooled connection to the former server may break under a call, and the
+	// contract then leaves open whether it ran; the next call must succeed.
+	require.Eventually(t, func() bool {
+		return client.Call(context.Background(), server.addr, "test.Echo", echo{}, &echo{}) == nil
+	}, patience, time.Millisecond)
 	cancel()
 	require.NoError(t, <-done)
 }
--- a/planner/runner_test.go
+++ b/planner/runner_test.go
@@ -67,6 +67,14 @@
 	return e.state, nil
 }
 
+// staleness tells whether a stale order is in force, how many were taken, and
+// the longest time that one stayed in force.
+func (e *fakeEngine) staleness() (stale bool, taken int, repaired time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stale, e.staleTaken, e.repaired
+}
+
 func (e *fakeEngine) State(context.Context) (State, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -191,9 +199,10 @@
 			require.Greater(t, later.Fencing, first.Fencing, "the second planner never led")
 			stale := 0
 			for _, engine := range b.engines {
-				require.False(t, engine.stale)
-				require.LessOrEqual(t, engine.repaired, repairBound)
-				stale += engine.staleTaken
+				inForce, taken, repaired := engine.staleness()
+				require.False(t, inForce)
+				require.LessOrEqual(t, repaired, repairBound)
+				stale += taken
 			}
 			require.Equal(t, checks, stale == 0, "a late order harms engines that ignore numbers, and no others")
 		})
@@ -214,8 +223,9 @@
 		}
 		repaired := time.Duration(0)
 		for _, engine := range b.engines {
-			require.False(t, engine.stale)
-			repaired = max(repaired, engine.repaired)
+			inForce, _, longest := engine.staleness()
+			require.False(t, inForce)
+			repaired = max(repaired, longest)
 		}
 		require.Positive(t, repaired)
 		require.LessOrEqual(t, repaired, repairBound)
