Refuse a service's JSON answer that is not whole

Cause: found by the drill: an answer cut short with a matching Content-Length was passed on with 200 and recorded for its Idempotency-Key. Change: an answer of type JSON must be whole JSON; otherwise the outcome is unknown, and an idempotent call is tried elsewhere. Figures: the new case of TestOrderRunsAtMostOnceAndSaysSoHonestly fails without the check and passes with it. Other content types can't be checked so.

--- a/request/path_test.go
+++ b/request/path_test.go
@@ -225,6 +225,7 @@
 		runs  int
 	}{
 		{"answer lost after running", fault.Fault{Kind: fault.LostAnswer}, problem.Unknown, 1},
+		{"answer cut short as if whole", fault.Fault{Kind: fault.Truncate}, problem.Unknown, 1},
 		{"crossed answer", fault.Fault{Kind: fault.Crossed}, problem.Unknown, 1},
 		{"refused everywhere", fault.Fault{Kind: fault.Refuse}, problem.No, 0},
 		{"down everywhere", fault.Fault{Kind: fault.Down}, problem.No, 0},
--- a/request/service.go
+++ b/request/service.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/json"
+	"mime"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/galenaseam/galenaseam/attempt"
@@ -207,6 +210,9 @@
 	})
 	var failed *attempt.Failed
 	outcome := dispatch.Outcome{}
+	if err == nil {
+		err = checkWhole(answer)
+	}
 	if err != nil {
 		failed = attempt.AsFailed(err)
 		outcome.Failure = failed.Failure
@@ -217,6 +223,17 @@
 	return ServiceAnswer{Status: answer.Status, Header: answer.Header, Body: answer.Body}, failed
 }
 
+// checkWhole refuses an answer that says it is JSON and is not whole JSON, as
+// one that was cut short at its upstream is.
+func checkWhole(answer attempt.Answer) error {
+	media, _, err := mime.ParseMediaType(answer.Header.Get("Content-Type"))
+	isJSON := err == nil && (media == "application/json" || strings.HasSuffix(media, "+json"))
+	if !isJSON || len(answer.Body) == 0 || json.Valid(answer.Body) {
+		return nil
+	}
+	return wrongAnswer("the answer is not whole JSON")
+}
+
 // arrival describes the call to the dispatcher.
 func (s *serviceRun) arrival() dispatch.Arrival {
 	class, _ := s.job.Document.Class(s.job.Service.Class)
