--- a/internal/drill/account.go
+++ b/internal/drill/account.go
@@ -24,6 +24,9 @@
 	resumeGrace = 1500 * time.Millisecond
 	// convergePatience is how long hosts may take to agree after the failures.
 	convergePatience = 15 * time.Second
+	// maxStoreWrites bounds a fleet's writes in the store, leases included, in
+	// calls a second.
+	maxStoreWrites = 300
 	// goroutineSlack and memorySlack are what a host may hold over its idle
 	// state after the load.
 	goroutineSlack = 30
@@ -57,6 +60,7 @@
 		}
 		f.accountRequests(r.report, ran)
 		f.accountUpstreams(r.report)
+		f.accountStore(r.report)
 		f.accountConfiguration(ctx, r.report)
 		f.accountLeaks(ctx, r.report)
 		f.accountEnds(r.report)
@@ -127,6 +131,19 @@
 	report.add(f.deployment.Name+" crash-causing", lossy, "%d requests, %d upstreams lost", poison, crashes)
 }
 
+// accountStore checks the fleet's calls on the store while it was under load.
+func (f *fleet) accountStore(report *Report) {
+	seconds := f.loaded.Seconds()
+	reads := float64(f.after.Reads-f.before.Reads) / seconds
+	writes := float64(f.after.Writes+f.after.Leases-f.before.Writes-f.before.Leases) / seconds
+	watches := float64(f.after.Watches-f.before.Watches) / seconds
+	var over []string
+	if writes > maxStoreWrites {
+		over = append(over, fmt.Sprintf("%.0f writes a second", writes))
+	}
+	report.add(f.deployment.Name+" store calls", over, "a second: %.1f writes, %.1f reads, %.1f watches", writes, reads, watches)
+}
+
 // unexcused counts the late work that did not come from a host which had just
 // been paused.
 func (f *fleet) unexcused(late []time.Time) int {
@@ -203,12 +220,14 @@
 func (f *fleet) accountLeaks(ctx context.Context, report *Report) {
 	var leaks []string
 	var most usage
+	var idle int64
 	compared := 0
 	for _, h := range f.living() {
 		if h.idle.goroutines == 0 {
 			continue
 		}
 		compared++
+		idle = max(idle, h.idle.bytes)
 		now := f.measure(ctx, h)
 		grown := usage{goroutines: now.goroutines - h.idle.goroutines, bytes: now.bytes - h.idle.bytes}
 		most.goroutines = max(most.goroutines, grown.goroutines)
@@ -217,7 +236,8 @@
 			leaks = append(leaks, fmt.Sprintf("%s: %d goroutines and %d MB more than idle", h.name, grown.goroutines, grown.bytes>>20))
 		}
 	}
-	report.add(f.deployment.Name+" no leak", leaks, "%d hosts lived through; most growth %d goroutines, %d MB", compared, most.goroutines, most.bytes>>20)
+	report.add(f.deployment.Name+" no leak", leaks, "%d hosts lived through; idle at most %d MB, most growth %d goroutines, %d MB",
+		compared, idle>>20, most.goroutines, most.bytes>>20)
 }
 
 // accountEnds ends every host gracefully and checks how all hosts ended.
--- a/internal/drill/account_test.go
+++ b/internal/drill/account_test.go
@@ -136,6 +136,14 @@
 	f.ledger.note(&request{mark: "ref-1"}, reply{outcome: whole, wrong: "another's", foreign: true})
 	require.False(t, verdicts(good)["own answer"])
 
+	report := &Report{}
+	f.loaded, f.after.Writes = time.Second, maxStoreWrites
+	f.accountStore(report)
+	f.after.Leases = 1
+	f.accountStore(report)
+	require.True(t, report.Invariants[0].Held)
+	require.False(t, report.Invariants[1].Held)
+
 	f.edits.accept(accepted{marker: "# edit-1", section: "prices", generation: 2})
 	require.Empty(t, f.edits.lost("prices:\n  # edit-1\n  - {pool: p}\n"))
 	require.Len(t, f.edits.lost("prices:\n  # edit-11\n  - {pool: p}\n"), 1)
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -93,7 +93,12 @@
 func (r *run) load(ctx context.Context) error {
 	for _, f := range r.fleets {
 		f.measureIdle(ctx)
+		if err := f.readOverview(ctx); err != nil {
+			return err
+		}
+		f.before = f.overview.StoreCounts
 	}
+	started := time.Now()
 	loading, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	var callers sync.WaitGroup
@@ -108,7 +113,21 @@
 	}
 	stopLoad()
 	callers.Wait()
-	return err
+	if err != nil {
+		return err
+	}
+	return r.endLoad(ctx, time.Since(started))
+}
+
+// endLoad notes what the store took during the load.
+func (r *run) endLoad(ctx context.Context, took time.Duration) error {
+	for _, f := range r.fleets {
+		if err := f.readOverview(ctx); err != nil {
+			return err
+		}
+		f.after, f.loaded = f.overview.StoreCounts, took
+	}
+	return nil
 }
 
 // fail carries the plan out and waits until every failure has ended.
--- a/internal/drill/fleet.go
+++ b/internal/drill/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/galenaseam/galenaseam/document"
 	"github.com/galenaseam/galenaseam/internal/standin"
 	"github.com/galenaseam/galenaseam/internal/standin/fault"
+	"github.com/galenaseam/galenaseam/internal/standin/store"
 	"github.com/galenaseam/galenaseam/platform/kv"
 )
 
@@ -45,6 +46,11 @@
 	// load, and convergence how long that took.
 	converged   bool
 	convergence time.Duration
+	// before and after are the store's calls at both ends of the load, which
+	// lasted for loaded.
+	before store.Counts
+	after  store.Counts
+	loaded time.Duration
 
 	mu      sync.Mutex
 	hosts   []*entryHost // one in each slot
@@ -111,16 +117,16 @@
 
 // putFirst puts the operators' document into the empty store.
 func (f *fleet) putFirst(ctx context.Context, text []byte) error {
-	store, err := kv.New(kv.Config{Endpoints: []string{f.overview.Store}})
+	client, err := kv.New(kv.Config{Endpoints: []string{f.overview.Store}})
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	defer store.Close()
+	defer client.Close()
 	bodies, err := document.Split(text)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	_, err = config.NewWriter(config.WriterConfig{Store: store}).Create(ctx, "drill-first", bodies, "drill")
+	_, err = config.NewWriter(config.WriterConfig{Store: client}).Create(ctx, "drill-first", bodies, "drill")
 	return Error.Wrap(err)
 }
 
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -8,6 +8,7 @@
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/internal/standin/fault"
 	"github.com/galenaseam/galenaseam/internal/standin/server"
+	"github.com/galenaseam/galenaseam/internal/standin/store"
 )
 
 // The names of the platform's stand-ins on the control address. Upstreams go
@@ -33,6 +34,8 @@
 	HostList  string   `json:"host_list"`
 	Weights   string   `json:"weights"`
 	Upstreams []Status `json:"upstreams"`
+	// StoreCounts is the calls that the key-value service has taken.
+	StoreCounts store.Counts `json:"store_counts"`
 }
 
 // routes serves GET /, GET /executions, GET /marks, POST /fault/{name}, and for
@@ -55,7 +58,9 @@
 }
 
 func (d *Deployment) overview() Overview {
-	o := Overview{Store: d.StoreURL(), HostList: d.HostListURL(), Weights: d.WeightsURL()}
+	o := Overview{
+		Store: d.StoreURL(), HostList: d.HostListURL(), Weights: d.WeightsURL(), StoreCounts: d.Store.Counts(),
+	}
 	for _, u := range d.Upstreams {
 		o.Upstreams = append(o.Upstreams, Status{
 			Name: u.Addr().String(), Pool: u.Listing.Pool, Kind: u.Kind, Place: u.Listing.Place, Stats: u.Stats(),
