--- a/internal/drill/account.go
+++ b/internal/drill/account.go
@@ -141,9 +141,20 @@
 	if writes > maxStoreWrites {
 		over = append(over, fmt.Sprintf("%.0f writes a second", writes))
 	}
+	f.noteKeys(report)
 	report.add(f.deployment.Name+" store calls", over, "a second: %.1f writes, %.1f reads, %.1f watches", writes, reads, watches)
 }
 
+// noteKeys adds which keys the store was asked for.
+func (f *fleet) noteKeys(report *Report) {
+	var parts []string
+	for _, key := range slices.Sorted(maps.Keys(f.after.Keys)) {
+		now, then := f.after.Keys[key], f.before.Keys[key]
+		parts = append(parts, fmt.Sprintf("%s %d/%d", key, now.Reads-then.Reads, now.Writes-then.Writes))
+	}
+	report.Notes = append(report.Notes, f.deployment.Name+" store reads/writes by key: "+strings.Join(parts, ", "))
+}
+
 // unexcused counts the late work that did not come from a host which had just
 // been paused.
 func (f *fleet) unexcused(late []time.Time) int {
--- a/internal/drill/fleet.go
+++ b/internal/drill/fleet.go
@@ -112,7 +112,12 @@
 }
 
 func (f *fleet) readOverview(ctx context.Context) error {
-	return f.controlCall(ctx, http.MethodGet, "/", nil, &f.overview)
+	var now standin.Overview
+	if err := f.controlCall(ctx, http.MethodGet, "/", nil, &now); err != nil {
+		return err
+	}
+	f.overview = now
+	return nil
 }
 
 // putFirst puts the operators' document into the empty store.
--- a/internal/standin/store/data.go
+++ b/internal/standin/store/data.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -46,21 +47,42 @@
 	kept      *snapshot
 	watchers  map[*watcher]struct{}
 	skip      int // changes still to be dropped from watches
+	calls     map[string]KeyCounts
 }
 
 func newData() *data {
 	return &data{
 		revision: firstRevision, keys: map[string]keyValue{}, leases: map[Int]lease{},
-		watchers: map[*watcher]struct{}{}, nextLease: 1,
+		watchers: map[*watcher]struct{}{}, nextLease: 1, calls: map[string]KeyCounts{},
 	}
 }
 
 func (d *data) get(key []byte) rangeResponse {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.count(key, 1, 0)
 	return d.read(key)
 }
 
+// count notes calls on a key. The caller holds mu.
+func (d *data) count(key []byte, reads, writes int64) {
+	part := firstPart(string(key))
+	counts := d.calls[part]
+	counts.Reads += reads
+	counts.Writes += writes
+	d.calls[part] = counts
+}
+
+// firstPart returns a key up to its second slash, at most.
+func firstPart(key string) string {
+	head, tail, found := strings.Cut(strings.TrimPrefix(key, "/"), "/")
+	if !found {
+		return head
+	}
+	next, _, _ := strings.Cut(tail, "/")
+	return head + "/" + strings.TrimRight(next, "0123456789")
+}
+
 // read returns one key. The caller holds mu.
 func (d *data) read(key []byte) rangeResponse {
 	d.expire(time.Now())
@@ -82,6 +104,7 @@
 	d.expire(time.Now())
 	resp := &txnResponse{Succeeded: true}
 	for _, c := range req.Compare {
+		d.count(c.Key, 0, 1)
 		holds, err := d.holds(c)
 		if err != nil {
 			return nil, err
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,14 @@
 	Leases  int64 `json:"leases"`
 	// Open is how many watches are open now.
 	Open int64 `json:"open"`
+	// Keys is the reads and writes by the first part of the key.
+	Keys map[string]KeyCounts `json:"keys"`
+}
+
+// KeyCounts is the calls on the keys with one first part.
+type KeyCounts struct {
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"`
 }
 
 // Config is the settings of a store.
@@ -83,10 +92,11 @@
 func (s *Store) Counts() Counts {
 	s.data.mu.Lock()
 	open := len(s.data.watchers)
+	keys := maps.Clone(s.data.calls)
 	s.data.mu.Unlock()
 	return Counts{
 		Reads: s.reads.Load(), Writes: s.writes.Load(), Watches: s.watches.Load(),
-		Leases: s.leases.Load(), Open: int64(open),
+		Leases: s.leases.Load(), Open: int64(open), Keys: keys,
 	}
 }
 
