--- a/internal/drill/account.go
+++ b/internal/drill/account.go
@@ -37,6 +37,8 @@
 type runs struct {
 	keys  map[string]int
 	marks map[string]int
+	// crashes counts the upstreams that each mark crashed.
+	crashes map[string]int
 }
 
 // account checks every invariant.
@@ -48,18 +50,15 @@
 		return err
 	}
 	for _, f := range r.fleets {
-		var ran runs
-		if err := f.controlCall(ctx, http.MethodGet, "/executions", nil, &ran.keys); err != nil {
-			return err
-		}
-		if err := f.controlCall(ctx, http.MethodGet, "/marks", nil, &ran.marks); err != nil {
+		ran, err := f.readRuns(ctx)
+		if err != nil {
 			return err
 		}
 		if err := f.readOverview(ctx); err != nil {
 			return err
 		}
 		f.accountRequests(r.report, ran)
-		f.accountUpstreams(r.report)
+		f.accountUpstreams(r.report, ran)
 		f.accountStore(r.report)
 		f.accountConfiguration(ctx, r.report)
 		f.accountLeaks(ctx, r.report)
@@ -69,6 +68,18 @@
 	return nil
 }
 
+// readRuns asks the stand-ins what ran.
+func (f *fleet) readRuns(ctx context.Context) (ran runs, err error) {
+	if err := f.controlCall(ctx, http.MethodGet, "/executions", nil, &ran.keys); err != nil {
+		return runs{}, err
+	}
+	if err := f.controlCall(ctx, http.MethodGet, "/marks", nil, &ran.marks); err != nil {
+		return runs{}, err
+	}
+	err = f.controlCall(ctx, http.MethodGet, "/crashes", nil, &ran.crashes)
+	return ran, err
+}
+
 // accountRequests checks the promises on requests.
 func (f *fleet) accountRequests(report *Report, ran runs) {
 	records := f.ledger.all()
@@ -105,73 +116,6 @@
 	report.add(name+" none lost", lost, "%d keys, %d answered and never run", keys, len(lost))
 }
 
-// accountUpstreams checks what leaving and crashed upstreams saw.
-func (f *fleet) accountUpstreams(report *Report) {
-	var late []string
-	var longest time.Duration
-	crashes, poison := 0, 0
-	for _, u := range f.overview.Upstreams {
-		after := time.Duration(u.Stats.WorkAfterLeaving) * time.Millisecond
-		longest = max(longest, after)
-		if n := f.unexcused(u.Stats.LateWork); n > 0 {
-			late = append(late, fmt.Sprintf("%s of %s got work %d times too late, last %s after it began to leave", u.Name, u.Pool, n, after))
-		}
-		crashes += u.Stats.Crashes
-	}
-	for _, rec := range f.ledger.all() {
-		if rec.request.poison {
-			poison++
-		}
-	}
-	var lossy []string
-	if crashes > poison*maxLossPerRequest {
-		lossy = append(lossy, fmt.Sprintf("%d crashes for %d requests", crashes, poison))
-	}
-	report.add(f.deployment.Name+" leaving", late, "last new work %s after leaving began", longest)
-	report.add(f.deployment.Name+" crash-causing", lossy, "%d requests, %d upstreams lost", poison, crashes)
-}
-
-// accountStore checks the fleet's calls on the store while it was under load.
-func (f *fleet) accountStore(report *Report) {
-	seconds := f.loaded.Seconds()
-	reads := float64(f.after.Reads-f.before.Reads) / seconds
-	writes := float64(f.after.Writes+f.after.Leases-f.before.Writes-f.before.Leases) / seconds
-	watches := float64(f.after.Watches-f.before.Watches) / seconds
-	var over []string
-	if writes > maxStoreWrites {
-		over = append(over, fmt.Sprintf("%.0f writes a second", writes))
-	}
-	f.noteKeys(report)
-	report.add(f.deployment.Name+" store calls", over, "a second: %.1f writes, %.1f reads, %.1f watches", writes, reads, watches)
-}
-
-// noteKeys adds which keys the store was asked for.
-func (f *fleet) noteKeys(report *Report) {
-	var parts []string
-	for _, key := range slices.Sorted(maps.Keys(f.after.Keys)) {
-		now, then := f.after.Keys[key], f.before.Keys[key]
-		parts = append(parts, fmt.Sprintf("%s %d/%d", key, now.Reads-then.Reads, now.Writes-then.Writes))
-	}
-	report.Notes = append(report.Notes, f.deployment.Name+" store reads/writes by key: "+strings.Join(parts, ", "))
-}
-
-// unexcused counts the late work that did not come from a host which had just
-// been paused.
-func (f *fleet) unexcused(late []time.Time) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	count := 0
-	for _, at := range late {
-		excused := slices.ContainsFunc(f.resumed, func(r time.Time) bool {
-			return !at.Before(r) && at.Before(r.Add(resumeGrace))
-		})
-		if !excused {
-			count++
-		}
-	}
-	return count
-}
-
 // waitConverged waits until all hosts have the newest accepted generation.
 func (f *fleet) waitConverged(ctx context.Context) {
 	started := time.Now()
--- a/internal/drill/account_test.go
+++ b/internal/drill/account_test.go
@@ -109,7 +109,7 @@
 	verdicts := func(ran runs) map[string]bool {
 		report := &Report{}
 		f.accountRequests(report, ran)
-		f.accountUpstreams(report)
+		f.accountUpstreams(report, ran)
 		held := map[string]bool{}
 		for _, i := range report.Invariants {
 			held[strings.TrimPrefix(i.Name, "d ")] = i.Held
@@ -127,10 +127,11 @@
 	require.False(t, verdicts(runs{keys: map[string]int{"key-ref-1": 1, "key-ref-2": 1}})["not run is true"])
 	f.overview.Upstreams = []standin.Status{{}}
 	f.overview.Upstreams[0].Stats.LateWork = []time.Time{time.Now()}
-	f.overview.Upstreams[0].Stats.Crashes = 1
-	held := verdicts(good)
-	require.False(t, held["leaving"])
-	require.False(t, held["crash-causing"])
+	require.False(t, verdicts(good)["leaving"])
+	good.crashes = map[string]int{"ref-1": maxLossPerRequest}
+	require.True(t, verdicts(good)["crash-causing"])
+	good.crashes["ref-1"]++
+	require.False(t, verdicts(good)["crash-causing"])
 	f.resumed = []time.Time{time.Now().Add(-time.Second)}
 	require.True(t, verdicts(good)["leaving"], "a host that was just resumed")
 	f.ledger.note(&request{mark: "ref-1"}, reply{outcome: whole, wrong: "another's", foreign: true})
--- a/internal/drill/call.go
+++ b/internal/drill/call.go
@@ -52,7 +52,7 @@
 	id        string
 	form      form
 	poison    bool
-	// question is the longest time that the caller waits.
+	// patience is the longest time that the caller waits.
 	patience time.Duration
 }
 
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -38,7 +38,7 @@
 	StoreCounts store.Counts `json:"store_counts"`
 }
 
-// routes serves GET /, GET /executions, GET /marks, POST /fault/{name}, and for
+// routes serves GET /, GET /executions, GET /marks, GET /crashes, POST /fault/{name}, and for
 // upstreams POST /leave/{name} and POST /return/{name}. PUT /hosts/{address}
 // lists an entry host, with the query's data_centre and region; DELETE takes it
 // out.
@@ -49,6 +49,7 @@
 	})
 	mux.Handle("GET /executions", d.Ledger)
 	mux.Handle("GET /marks", d.Marks)
+	mux.Handle("GET /crashes", d.Crashes)
 	mux.HandleFunc("POST /fault/{name}", d.handleFault)
 	mux.HandleFunc("POST /leave/{name}", d.onUpstream(d.Leave))
 	mux.HandleFunc("POST /return/{name}", d.onUpstream(d.Return))
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -54,11 +54,14 @@
 
 // Deployment is a running set of stand-ins. Its fields must not be changed.
 type Deployment struct {
-	Store     *store.Store
-	HostList  *hostlist.HostList
-	Weights   *weights.Weights
-	Ledger    *service.Ledger
+	Store    *store.Store
+	HostList *hostlist.HostList
+	Weights  *weights.Weights
+	Ledger   *service.Ledger
+	// Marks counts the calls that ran, and Crashes those that crashed an
+	// upstream.
 	Marks     *Marks
+	Crashes   *Marks
 	Upstreams []*Upstream
 
 	control *server.Listener
@@ -70,7 +73,7 @@
 	if len(spec.Places) == 0 {
 		return nil, Error.New("no data centre")
 	}
-	d := &Deployment{Ledger: service.NewLedger(), Marks: NewMarks(), spec: spec}
+	d := &Deployment{Ledger: service.NewLedger(), Marks: NewMarks(), Crashes: NewMarks(), spec: spec}
 	if err := d.start(); err != nil {
 		d.Stop()
 		return nil, Error.Wrap(err)
@@ -109,7 +112,7 @@
 	index := len(d.Upstreams)
 	shared := server.UpstreamConfig{
 		Concurrency: pool.Concurrency, ReportsLoad: pool.ReportsLoad, LoadInterval: loadInterval,
-		Seed: d.spec.Seed + uint64(index) + 1, Ran: d.Marks.Note,
+		Seed: d.spec.Seed + uint64(index) + 1, Ran: d.Marks.Note, Crashed: d.Crashes.Note,
 	}
 	started, err := d.launch(pool, shared)
 	if err != nil {
--- a/internal/standin/marks.go
+++ b/internal/standin/marks.go
@@ -9,8 +9,8 @@
 	"github.com/galenaseam/galenaseam/internal/standin/server"
 )
 
-// Marks counts how many calls of upstreams ran that carried a caller's mark of
-// the form ref-…. It is safe for concurrent use.
+// Marks counts calls by the callers' marks, of the form ref-…, that they carry.
+// It is safe for concurrent use.
 type Marks struct {
 	mu   sync.Mutex
 	runs map[string]int
@@ -19,7 +19,7 @@
 // NewMarks returns an empty count.
 func NewMarks() *Marks { return &Marks{runs: map[string]int{}} }
 
-// Note counts the marks in the body of a call that ran.
+// Note counts the marks in the body of a call.
 func (m *Marks) Note(body []byte) {
 	marks := model.Marks(string(body))
 	m.mu.Lock()
@@ -29,7 +29,7 @@
 	}
 }
 
-// Runs returns how many calls ran for each mark.
+// Runs returns how many calls there were for each mark.
 func (m *Marks) Runs() map[string]int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
