--- a/build.go
+++ b/build.go
@@ -14,6 +14,7 @@
 	"github.com/galenaseam/galenaseam/dispatch"
 	"github.com/galenaseam/galenaseam/frontend"
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/limit"
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/member"
 	"github.com/galenaseam/galenaseam/operator"
@@ -136,8 +137,11 @@
 	return nil
 }
 
-// buildDispatch makes the policy's runtime.
+// buildDispatch makes the limits over all hosts and the policy's runtime.
 func (h *Host) buildDispatch() (err error) {
+	h.limiter = limit.New(limit.Config{
+		View: h.members, Gossip: h.members, Logger: h.logger, Registerer: h.metrics.Registry(),
+	})
 	h.dispatcher, err = dispatch.New(dispatch.Config{
 		Upstreams:  h.upstreams,
 		Place:      h.info.Place,
@@ -145,6 +149,7 @@
 		Seed:       rand.Uint64(),
 		Logger:     h.logger,
 		Registerer: h.metrics.Registry(),
+		Limiter:    h.limiter,
 	})
 	return err
 }
@@ -214,6 +219,7 @@
 // adopt puts a generation in force in the parts that keep something of it.
 func (h *Host) adopt(s *config.Snapshot) {
 	h.metrics.Configure(s.Document)
+	h.limiter.Configure(s.Document)
 	h.members.SetGeneration(uint64(s.Generation))
 	h.logger.Info("configuration in force", "generation", uint64(s.Generation), "hash", s.Hash.String())
 }
--- a/host.go
+++ b/host.go
@@ -22,6 +22,7 @@
 	"github.com/galenaseam/galenaseam/document"
 	"github.com/galenaseam/galenaseam/frontend"
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/limit"
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/metrics"
 	"github.com/galenaseam/galenaseam/operator"
@@ -66,6 +67,7 @@
 	members    fleet
 	upstreams  *upstream.Table
 	probes     *http.Client
+	limiter    *limit.Limiter
 	dispatcher *dispatch.Runtime
 	claims     *claim.Service
 	syncer     *config.Syncer
--- a/run.go
+++ b/run.go
@@ -64,6 +64,7 @@
 		h.members.Run,
 		h.upstreams.Run,
 		h.syncer.Run,
+		h.limiter.Run,
 		h.dispatcher.Run,
 		h.claims.Run,
 		h.planners.run,
