Let a new limit's bucket begin full

Cause: the first question to a fresh fleet was refused with 429, found by the fleet tests once the limiter ran: a new bucket held one token. Change: a new bucket is full, as one that was idle is.

--- a/limit/dimension.go
+++ b/limit/dimension.go
@@ -37,14 +37,19 @@
 	settled float64 // the own demand that the other hosts know by now
 }
 
-// setLimit changes the limit; the first share is an even one.
+// setLimit changes the limit; the first share is an even one. A new bucket is
+// full, as one is that was idle: over all hosts that is burstTime of the limit.
 func (d *dimension) setLimit(limit float64, hosts int) {
 	if limit == d.limit {
 		return
 	}
+	isNew := d.limit == 0
 	d.limit = limit
 	d.share = limit / float64(max(hosts, 1))
 	d.level = min(max(d.level, leastBurst), d.capacity())
+	if isNew {
+		d.level = d.capacity()
+	}
 }
 
 func (d *dimension) capacity() float64 {
