--- a/config/change.go
+++ b/config/change.go
@@ -236,11 +236,20 @@
 	return objects
 }
 
+// putTries is how often an object's write is tried when its answer is lost.
+const putTries = 5
+
 // putObject writes one object unless the store has it.
 func putObject(ctx context.Context, store platform.Store, o object) error {
-	_, err := store.CompareAndSwap(ctx, objectKey(o.hash), platform.NoVersion, o.content, platform.NoLease)
-	if errors.Is(err, platform.ErrConflict) {
-		return nil
+	var err error
+	for range putTries {
+		_, err = store.CompareAndSwap(ctx, objectKey(o.hash), platform.NoVersion, o.content, platform.NoLease)
+		if errors.Is(err, platform.ErrConflict) {
+			return nil
+		}
+		if !errors.Is(err, platform.ErrUncertain) || ctx.Err() != nil {
+			break
+		}
 	}
 	return Error.Wrap(err)
 }
--- a/config/syncer.go
+++ b/config/syncer.go
@@ -42,8 +42,8 @@
 // defaultSettle is the default of SyncerConfig.Settle.
 const defaultSettle = 2 * time.Second
 
-// Syncer keeps the newest generation in force on one host. Lock order: applyMu
-// before mu.
+// Syncer keeps the newest generation in force on one host. Lock order: the
+// token in applying before mu.
 type Syncer struct {
 	cfg     SyncerConfig
 	metrics *syncerMetrics
@@ -54,8 +54,10 @@
 	held    atomic.Pointer[content]
 	ready   atomic.Bool
 
-	// applyMu is held while a head is judged, fetched and put in force.
-	applyMu sync.Mutex
+	// applying holds one token, which whoever judges, fetches and puts a head
+	// in force takes. It is no mutex, because fetching takes time and those who
+	// wait for it have deadlines.
+	applying chan struct{}
 
 	// mu guards what follows.
 	mu          sync.Mutex
@@ -79,7 +81,10 @@
 	if cfg.Settle == 0 {
 		cfg.Settle = defaultSettle
 	}
-	s := &Syncer{cfg: cfg, random: cfg.Rand, polls: make(chan host.Member, 1), facts: make(chan host.Member, 1)}
+	s := &Syncer{
+		cfg: cfg, random: cfg.Rand, applying: make(chan struct{}, 1),
+		polls: make(chan host.Member, 1), facts: make(chan host.Member, 1),
+	}
 	if err := s.readFirst(); err != nil {
 		return nil, err
 	}
@@ -134,8 +139,8 @@
 // Subscribe calls deliver with what is in force now, if anything is, and with
 // every later generation, in order. deliver must return soon.
 func (s *Syncer) Subscribe(deliver func(*Snapshot)) {
-	s.applyMu.Lock()
-	defer s.applyMu.Unlock()
+	s.applying <- struct{}{}
+	defer func() { <-s.applying }()
 	s.mu.Lock()
 	s.subscribers = append(s.subscribers, deliver)
 	s.mu.Unlock()
@@ -149,8 +154,12 @@
 func (s *Syncer) consider(ctx context.Context, shown *head, origin string, from source) error {
 	ctx, cancel := context.WithTimeout(ctx, considerTimeout)
 	defer cancel()
-	s.applyMu.Lock()
-	defer s.applyMu.Unlock()
+	select {
+	case <-ctx.Done():
+		return Error.Wrap(ctx.Err())
+	case s.applying <- struct{}{}:
+	}
+	defer func() { <-s.applying }()
 	served := s.Current()
 	seen, err := judgeFully(ctx, headOf(served), shown, from)
 	if err != nil {
@@ -173,7 +182,7 @@
 		"serving", uint64(served.Generation), "shown", uint64(shown.generation()))
 }
 
-// follow fetches a head's document and puts it in force. It needs applyMu.
+// follow fetches a head's document and puts it in force. It needs the token.
 func (s *Syncer) follow(ctx context.Context, served *Snapshot, shown *head, origin string, from source) error {
 	next, err := load(ctx, shown, served, from)
 	if err != nil {
@@ -191,7 +200,7 @@
 	return nil
 }
 
-// tell reports a generation that came in force. It needs applyMu.
+// tell reports a generation that came in force. It needs the token.
 func (s *Syncer) tell(next *Snapshot, origin string) {
 	delay := time.Since(time.Unix(0, next.Operation.AtUnixNano))
 	s.metrics.generation.Set(float64(next.Generation))
--- a/internal/fakestore/fakestore.go
+++ b/internal/fakestore/fakestore.go
@@ -55,6 +55,7 @@
 	leases   map[platform.LeaseID]*lease
 	attached map[string]platform.LeaseID
 	watches  map[*watch]struct{}
+	observe  func(key string, before, after []byte)
 }
 
 type lease struct {
@@ -83,6 +84,14 @@
 	}
 }
 
+// Observe calls seen for every write that takes effect, whatever its answer.
+// seen must not call the store.
+func (s *Store) Observe(seen func(key string, before, after []byte)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observe = seen
+}
+
 // Counts returns the calls made so far.
 func (s *Store) Counts() Counts {
 	s.mu.Lock()
@@ -186,7 +195,11 @@
 			}
 			s.attached[key] = id
 		}
+		before := s.entries[key].Value
 		s.entries[key] = platform.Entry{Key: key, Value: value, Version: s.version}
+		if s.observe != nil {
+			s.observe(key, before, value)
+		}
 		return nil
 	})
 }
