--- a/planner/runner_test.go
+++ b/planner/runner_test.go
@@ -281,6 +281,46 @@
 	})
 }
 
+// MayOrder of spec/orders.pml: not before the settling time is over, and not
+// after the lease's time less the margin, when the store still has the lease.
+func TestAHolderOrdersOnlyWithinItsTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := fakestore.New(31)
+		held, err := acquire(context.Background(), store, "g", "me")
+		require.NoError(t, err)
+		require.Greater(t, settleTime, orderTimeout)
+		require.False(t, held.mayOrder(time.Now().Add(orderTimeout)), "an earlier holder's order may be in flight")
+		time.Sleep(settleTime)
+		require.True(t, held.mayOrder(time.Now()))
+		time.Sleep(leaseTTL - leaseMargin - settleTime)
+		require.False(t, held.mayOrder(time.Now()))
+		other, err := acquire(context.Background(), store, "g", "other")
+		require.NoError(t, err)
+		require.Nil(t, other, "the store must let the lease go only later")
+		time.Sleep(leaseMargin)
+		other, err = acquire(context.Background(), store, "g", "other")
+		require.NoError(t, err)
+		require.Greater(t, other.fencing, held.fencing)
+	})
+}
+
+// A holder that stands still in the midst of a round gives none of the orders
+// that are left.
+func TestAHolderThatStandsStillGivesNoMoreOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(false)
+		r := b.runner("still", b.store)
+		r.round(context.Background())
+		require.NotNil(t, r.tenure)
+		b.engines[0].lateFencing, b.engines[0].late = r.tenure.fencing, 2*leaseTTL
+		for r.tenure != nil && b.orders() == 0 {
+			time.Sleep(time.Second)
+			r.round(context.Background())
+		}
+		require.Equal(t, 1, b.orders(), "only the order that was on its way")
+	})
+}
+
 // savedPlans records the plans that the store took, and checks the rules of
 // spec/orders.pml on them: fencing numbers of saves don't go back, and no
 // engine holds what no plan gave it.
