--- a/cmd/seamload/main.go
+++ b/cmd/seamload/main.go
@@ -34,6 +34,7 @@
 	deployments, faults, variants, loads string
 	out                                  string
 	real                                 bool
+	live                                 string
 }
 
 func command() *ffcli.Command {
@@ -46,6 +47,7 @@
 	fs.StringVar(&o.loads, "loads", "", "loads in shares of capacity, separated by commas")
 	fs.StringVar(&o.out, "out", "", "directory for the tables and plots; without it only lines are printed")
 	fs.BoolVar(&o.real, "real", false, "run on the real clock, not on a virtual one")
+	fs.StringVar(&o.live, "live", "", "measure real hosts and stand-ins on loopback: cylinder or yardline")
 	fs.Uint64Var(&grid.Seed, "seed", grid.Seed, "seed of the arrivals and of the policy")
 	fs.DurationVar(&grid.Warmup, "warmup", grid.Warmup, "time before measuring")
 	fs.DurationVar(&grid.Measure, "measure", grid.Measure, "time of measuring")
@@ -58,12 +60,18 @@
 			if err := o.narrow(&grid); err != nil {
 				return err
 			}
+			if o.live != "" {
+				return runLive(ctx, &grid, &o)
+			}
 			return run(ctx, &grid, &o)
 		},
 	}
 }
 
 func (o *options) narrow(g *experiment.Grid) error {
+	if o.deployments != "" {
+		g.Deployments = append(g.Deployments, experiment.Regions())
+	}
 	g.Deployments = keep(g.Deployments, o.deployments, func(d experiment.Deployment) string { return d.Name })
 	g.Faults = keep(g.Faults, o.faults, func(f experiment.Fault) string { return string(f) })
 	g.Variants = keep(g.Variants, o.variants, func(v experiment.Variant) string { return v.Name })
@@ -105,7 +113,8 @@
 		fmt.Printf("%-9s %.2f %-22s %-18s all %.3f", c.Deployment, c.Load, c.Fault, c.Variant.Name, r.Attainment())
 		for _, class := range []string{"lookup", "order", "draft", "summary"} {
 			if cr := r.Classes[class]; cr != nil {
-				fmt.Printf(" %s %.3f(e%d l%d p99 %.2f)", class, cr.Attainment(), cr.Early, cr.Late, cr.P99.Seconds())
+				fmt.Printf(" %s %.3f(e%d l%d p50 %.3f p99 %.3f)",
+					class, cr.Attainment(), cr.Early, cr.Late, cr.P50.Seconds(), cr.P99.Seconds())
 			}
 		}
 		fmt.Printf(" good %.3f waste %.3f fair %.3f money %.3f hits %.3f rec %.1f\n",
