--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -231,3 +231,30 @@
 	_, err := client.Stream(context.Background(), call, func(string) error { return nil })
 	require.Equal(t, dispatch.TimedOut, AsFailed(err).Failure)
 }
+
+// BenchmarkStream reads streams of two lengths; the difference is the cost of
+// a token, the sending server's included.
+func BenchmarkStream(b *testing.B) {
+	for _, tokens := range []int{10, 1010} {
+		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				echo(w, r)
+				for range tokens {
+					sse(w, piece("c1", " token"))
+				}
+				sse(w, finish)
+				sse(w, "[DONE]")
+			}))
+			defer server.Close()
+			client := New(Config{})
+			defer client.Close()
+			call := callTo(server.Listener.Addr().String())
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := client.Stream(context.Background(), call, func(string) error { return nil }); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
