Test the claim log as a state machine with owners that overtake each other

Owners take a shard from each other between any two calls on a store that loses answers, drops writes and applies some long after.

--- a/claim/checkpoint.go
+++ b/claim/checkpoint.go
@@ -94,11 +94,15 @@
 	})
 }
 
+// garbagePerCheckpoint bounds the deletions of one checkpoint.
+const garbagePerCheckpoint = 32
+
 // collectGarbage deletes segments that no head names any more, and returns the
-// names whose deletion is not sure.
+// names that are left to delete or whose deletion is not sure.
 func (l *shardLog) collectGarbage(ctx context.Context) []string {
-	var left []string
-	for _, name := range l.head.Garbage {
+	now := min(len(l.head.Garbage), garbagePerCheckpoint)
+	left := slices.Clone(l.head.Garbage[now:])
+	for _, name := range l.head.Garbage[:now] {
 		if l.deleteSegment(ctx, name) != nil {
 			left = append(left, name)
 		}
--- a/claim/fakestore_test.go
+++ b/claim/fakestore_test.go
@@ -19,6 +19,11 @@
 	reads   int
 	writes  int
 	bytes   int
+	// onWrite hears of every write that takes effect.
+	onWrite func(key string, value []byte)
+	// hold keeps late writes until land is called, in place of a timer.
+	hold bool
+	held []write
 }
 
 // storeFaults are the faults of a fakeStore, as shares of its calls.
@@ -65,7 +70,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
-	if f.faults.down || f.rng.Float64() < f.faults.failed {
+	// Reads that run side by side must not disturb a replay from a seed.
+	if f.faults.down || (!f.hold && f.rng.Float64() < f.faults.failed) {
 		return platform.Entry{}, platform.ErrUnavailable
 	}
 	found := f.values[key]
@@ -89,6 +95,10 @@
 	if f.rng.Float64() < f.faults.unsent {
 		return 0, platform.ErrUncertain
 	}
+	if f.rng.Float64() < f.faults.late && f.hold {
+		f.held = append(f.held, w)
+		return 0, platform.ErrUncertain
+	}
 	if f.rng.Float64() < f.faults.late {
 		time.AfterFunc(lateBy, func() {
 			f.mu.Lock()
@@ -104,6 +114,15 @@
 	return version, err
 }
 
+// land lets one held write take effect, if it still can.
+func (f *fakeStore) land(index int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.held[index]
+	f.held = append(f.held[:index], f.held[index+1:]...)
+	_, _ = w()
+}
+
 func (f *fakeStore) CompareAndSwap(ctx context.Context, key string, expect platform.Version, value []byte, _ platform.LeaseID) (platform.Version, error) {
 	if len(value) > platform.MaxValueBytes {
 		return 0, platform.ErrTooLarge
@@ -114,6 +133,9 @@
 		}
 		f.version++
 		f.bytes += len(value)
+		if f.onWrite != nil {
+			f.onWrite(key, value)
+		}
 		f.values[key] = platform.Entry{Value: append([]byte(nil), value...), Version: f.version}
 		return f.version, nil
 	})
