--- a/claim/chaos_test.go
+++ b/claim/chaos_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -161,6 +162,7 @@
 	settings.ClaimTimeout = 400 * time.Millisecond
 	f := newFleet(t, hosts, seed, settings)
 	f.network.loseReply = lossy(seed)
+	logs := watchLogs(f.store)
 	c := &chaos{fleet: f, start: time.Now(), runs: map[string]int{}, counts: map[Verdict]int{}}
 	stirCtx, stopStir := context.WithCancel(context.Background())
 	var stirred, done sync.WaitGroup
@@ -182,6 +184,30 @@
 	stopStir()
 	stirred.Wait()
 	c.check(t, hosts-1)
+	for _, records := range logs() {
+		checkRules(t, records, true)
+	}
+}
+
+// watchLogs collects the records of every shard as they take effect.
+func watchLogs(store *fakeStore) func() map[string][]record {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	logs := map[string][]record{}
+	store.onWrite = func(key string, value []byte) {
+		shard, _, isLog := strings.Cut(key, "/log/")
+		if !isLog {
+			return
+		}
+		var rec record
+		must(decode(value, &rec))
+		logs[shard] = append(logs[shard], rec)
+	}
+	return func() map[string][]record {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return logs
+	}
 }
 
 func lossy(seed uint64) func(link.Method) bool {
--- a/claim/checkpoint.go
+++ b/claim/checkpoint.go
@@ -32,7 +32,6 @@
 	}
 	l.pending = nil
 	l.shrink(t, p)
-	l.note(stepCheckpoint, p.next.Checkpoint, nil)
 	return nil
 }
 
--- a/claim/fleet_test.go
+++ b/claim/fleet_test.go
@@ -211,6 +211,9 @@
 	return decision
 }
 
+// testWait is long enough for anything that ends at all.
+const testWait = 20 * time.Second
+
 func body(text string) Outcome {
 	return Outcome{Status: 200, ContentType: "application/json", Body: []byte(text)}
 }
--- a/claim/recover.go
+++ b/claim/recover.go
@@ -38,7 +38,6 @@
 	if err := l.swapHead(ctx, next); err != nil {
 		return nil, err
 	}
-	l.note(stepTakeHead, 0, nil)
 	folded, err := l.fold(ctx)
 	if err != nil {
 		return nil, err
@@ -104,7 +103,6 @@
 		t.apply(&rec.Entries[i])
 	}
 	l.advance(rec, version)
-	l.note(stepFold, rec.Seq, rec)
 }
 
 // fold reads the segments and the ring: at most one read for each.
--- a/claim/rules.go
+++ b/claim/rules.go
@@ -105,3 +105,38 @@
 	settled.Outcome = op.outcome
 	return &settled
 }
+
+// considered is what a table says to an operation.
+type considered struct {
+	answer reply
+	// written is the entry that must be durable before the answer is given.
+	written *entry
+	// barrier says that a record must be written before the answer is given,
+	// though it has no entry: the answer is true only of a table that is not
+	// older than the log.
+	barrier bool
+}
+
+func (t *table) consider(w *waiting, find lookup) considered {
+	if w.settle != nil {
+		return considerSettle(*w.settle, find)
+	}
+	r, e := t.ruleClaim(*w.claim, find)
+	if r == rulingGrant {
+		return considered{answer: reply{Code: codeGranted}, written: claimed(*w.claim)}
+	}
+	// A key that is not done may have been released and used again since.
+	open := r == rulingMismatch && find(w.claim.key).State != stateDone
+	return considered{answer: ruled(r, e), barrier: open}
+}
+
+// considerSettle acknowledges an outcome only when it is durable. A table that
+// does not know of the claim is behind the log, which the barrier shows. A
+// release needs none: its holder never runs the attempt, whoever is told.
+func considerSettle(op settleOp, find lookup) considered {
+	c := considered{answer: reply{Code: codeSettled}, written: ruleSettle(op, find)}
+	e := find(op.key)
+	ended := e != nil && e.State == stateDone
+	c.barrier = c.written == nil && op.outcome != nil && !ended
+	return c
+}
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -128,21 +128,14 @@
 	return sh.failures >= failuresToRefuse && now.Before(sh.downUntil)
 }
 
-// answerDurable answers from what is durable. Such facts stay true whoever owns
-// the shard now, as a claim ends only by its holder's word. mu must be held.
+// answerDurable answers from what is durable, for facts that stay true whoever
+// owns the shard now. mu must be held.
 func (sh *shard) answerDurable(w *waiting) (reply, bool) {
 	if sh.table == nil {
 		return reply{}, false
 	}
-	if w.settle != nil {
-		settled := ruleSettle(*w.settle, sh.table.get) == nil && sh.table.get(w.settle.key) != nil
-		return reply{Code: codeSettled}, settled
-	}
-	r, e := sh.table.ruleClaim(*w.claim, sh.table.get)
-	if r == rulingGrant {
-		return reply{}, false
-	}
-	return ruled(r, e), true
+	c := sh.table.consider(w, sh.table.get)
+	return c.answer, c.written == nil && !c.barrier
 }
 
 // takeQueue empties the queue.
--- a/claim/shardlog.go
+++ b/claim/shardlog.go
@@ -32,35 +32,6 @@
 	last uint64
 	// pending is a checkpoint that is not settled.
 	pending *pendingHead
-	// trace, when set, hears of every write that was settled.
-	trace func(step)
-}
-
-// step is one settled transition of a shard's log, for checks against the
-// rules of spec/claims.pml.
-type step struct {
-	Kind   stepKind
-	Shard  int
-	Epoch  uint64
-	Seq    uint64
-	Record *record
-}
-
-// stepKind names the actions of spec/claims.pml.
-type stepKind string
-
-const (
-	stepTakeHead   stepKind = "take_head"
-	stepAppend     stepKind = "append"
-	stepFold       stepKind = "fold"
-	stepDeposed    stepKind = "deposed"
-	stepCheckpoint stepKind = "checkpoint"
-)
-
-func (l *shardLog) note(kind stepKind, seq uint64, rec *record) {
-	if l.trace != nil {
-		l.trace(step{Kind: kind, Shard: l.shard, Epoch: l.head.Epoch, Seq: seq, Record: rec})
-	}
 }
 
 func (l *shardLog) slotOf(seq uint64) int { return int(seq % uint64(l.head.Ring)) }
@@ -98,7 +69,6 @@
 	version, err := l.swap(ctx, key, l.slots[slot], value)
 	if err == nil {
 		l.advance(rec, version)
-		l.note(stepAppend, rec.Seq, rec)
 		return nil
 	}
 	if !errors.Is(err, platform.ErrConflict) {
@@ -120,10 +90,8 @@
 	}
 	if other.Seq == rec.Seq && other.Batch == rec.Batch {
 		l.advance(rec, found.Version)
-		l.note(stepAppend, rec.Seq, rec)
 		return nil
 	}
-	l.note(stepDeposed, rec.Seq, nil)
 	return errDeposed
 }
 
--- a/claim/worker.go
+++ b/claim/worker.go
@@ -87,21 +87,21 @@
 		if w.ctx.Err() != nil {
 			continue
 		}
-		written, answer := sh.rule(w, find)
-		if written == nil && len(changed) == 0 {
-			w.reply(answer)
+		c := sh.table.consider(w, find)
+		if c.written == nil && !c.barrier && len(changed) == 0 {
+			w.reply(c.answer)
 			continue
 		}
 		b.waiters = append(b.waiters, w)
-		b.replies = append(b.replies, answer)
-		if written != nil {
-			changed[written.Key] = written
-			b.record.Entries = append(b.record.Entries, *written)
-			size += written.sizeBound()
+		b.replies = append(b.replies, c.answer)
+		if c.written != nil {
+			changed[c.written.Key] = c.written
+			b.record.Entries = append(b.record.Entries, *c.written)
+			size += c.written.sizeBound()
 		}
 	}
 	sh.queue = append([]*waiting(nil), sh.queue[taken:]...)
-	if len(b.record.Entries) == 0 {
+	if len(b.waiters) == 0 {
 		return nil
 	}
 	b.record.Seq = sh.log.last + 1
@@ -110,19 +110,6 @@
 	return b
 }
 
-// rule returns the entry to write for w, or nil, and w's answer. mu must be
-// held.
-func (sh *shard) rule(w *waiting, find lookup) (*entry, reply) {
-	if w.settle != nil {
-		return ruleSettle(*w.settle, find), reply{Code: codeSettled}
-	}
-	r, e := sh.table.ruleClaim(*w.claim, find)
-	if r == rulingGrant {
-		return claimed(*w.claim), reply{Code: codeGranted}
-	}
-	return nil, ruled(r, e)
-}
-
 // commit writes the batch in flight. The batch stays in flight, unchanged,
 // until it is known to be in the log or to be shut out of it for ever.
 func (sh *shard) commit(ctx context.Context) {
