--- a/dispatch/runtime.go
+++ b/dispatch/runtime.go
@@ -29,6 +29,9 @@
 	waiters  map[*policy.Call]chan *policy.Attempt
 	observed map[string]time.Time
 	draining bool
+
+	// told is when suspicions were last told; only Run uses it.
+	told time.Time
 }
 
 var _ Dispatcher = (*Runtime)(nil)
@@ -48,6 +51,7 @@
 	if err := rt.metrics.register(config.Registerer); err != nil {
 		return nil, Error.Wrap(err)
 	}
+	rt.listen()
 	return rt, nil
 }
 
@@ -61,6 +65,7 @@
 			return nil
 		case <-ticker.C:
 			rt.tick()
+			rt.tell(rt.config.Now())
 		}
 	}
 }
@@ -145,13 +150,22 @@
 
 // grant hands out the slots that are free. It needs coreMu.
 func (rt *Runtime) grant(now time.Time, pool string) {
-	for _, attempt := range rt.core.Grant(now, pool) {
-		waiter := rt.waiters[attempt.Call]
-		delete(rt.waiters, attempt.Call)
-		waiter <- attempt
+	grants := rt.core.Grant(now, pool)
+	for _, attempt := range grants.Started {
+		rt.answer(attempt.Call, attempt)
+	}
+	for _, call := range grants.Dropped {
+		rt.answer(call, nil)
 	}
 }
 
+// answer ends a call's wait; a nil attempt refuses it. It needs coreMu.
+func (rt *Runtime) answer(call *policy.Call, attempt *policy.Attempt) {
+	waiter := rt.waiters[call]
+	delete(rt.waiters, call)
+	waiter <- attempt
+}
+
 // Costs returns what work has cost so far, ordered by stage, class, pipeline
 // and workspace.
 func (rt *Runtime) Costs() []policy.CostRow {
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/galenaseam/galenaseam/document"
 )
 
 const (
@@ -17,11 +15,6 @@
 	// upstream's slots, at which a nearer upstream is as good.
 	sameRegionCost  = 0.1
 	otherRegionCost = 0.6
-	// cachedBound and cachedBoundCost bound the load, over the mean, that an
-	// engine with the prefix may have and still be preferred; the second is
-	// for classes that put cost first.
-	cachedBound     = 1.25
-	cachedBoundCost = 1.75
 )
 
 // choose picks the upstream for a call, or nil. probe says that the upstream
@@ -53,11 +46,21 @@
 }
 
 // open reports whether the scored choice may use the upstream.
-func (c *Core) open(p *pool, s *server, call *Call) bool {
+func (c *Core) open(now time.Time, p *pool, s *server, call *Call) bool {
 	if !p.usable(s, call) || s.setAside(call.Request.Class.Name) {
 		return false
 	}
-	return !c.settings.Queueing || s.inFlight() < p.terms.Concurrency
+	if !c.settings.Queueing {
+		return true
+	}
+	if p.overdrafts(call.Request.Class.Priority, c.settings) {
+		return s.inFlight() < p.terms.Concurrency+overdraftSlots
+	}
+	load := float64(s.inFlight())
+	if c.settings.LoadReports {
+		load += p.othersOn(now, s)
+	}
+	return load < float64(p.terms.Concurrency)*p.limit.growth()
 }
 
 func (c *Core) draw(p *pool, call *Call) *server {
@@ -109,7 +112,7 @@
 		load += p.othersOn(now, s)
 	}
 	score := load / float64(p.terms.Concurrency)
-	if c.settings.Outliers && s.all.samples >= minSamples {
+	if c.settings.Outliers {
 		score += s.excess(p)
 	}
 	if c.settings.Nearness {
@@ -142,7 +145,7 @@
 	n := len(p.order)
 	found := 0
 	for draw := 0; draw < maxDraws && found < sampled; draw++ {
-		if s := p.order[c.rand.IntN(n)]; c.open(p, s, call) {
+		if s := p.order[c.rand.IntN(n)]; c.open(now, p, s, call) {
 			consider(s)
 			found++
 		}
@@ -152,62 +155,9 @@
 	}
 	start := c.rand.IntN(n)
 	for i := range p.order {
-		if s := p.order[(start+i)%n]; c.open(p, s, call) {
+		if s := p.order[(start+i)%n]; c.open(now, p, s, call) {
 			return s
 		}
 	}
 	return nil
 }
-
-// cached returns the engine that has the call's longest known prefix, unless
-// it is much busier than the mean.
-func (c *Core) cached(now time.Time, p *pool, call *Call) *server {
-	r := call.Request
-	if !c.settings.Affinity || r.Stages[call.Stage].Kind != document.KindGenerate {
-		return nil
-	}
-	s := p.holder(r.Prefix)
-	if s == nil || !c.open(p, s, call) || s.excess(p) > 0 {
-		return nil
-	}
-	bound := cachedBound
-	if r.Class.Weigh == document.WeighCost {
-		bound = cachedBoundCost
-	}
-	load := float64(s.inFlight()) + p.othersOn(now, s)
-	if load > bound*(p.meanLoad()+1) || load >= float64(p.terms.Concurrency) {
-		return nil
-	}
-	return s
-}
-
-// meanLoad is the mean load of the pool's upstreams, with that of other hosts.
-func (p *pool) meanLoad() float64 {
-	return float64(p.inFlight)/float64(len(p.order)) + p.meanOthers
-}
-
-func (p *pool) holder(prefix []uint64) *server {
-	for i := len(prefix) - 1; i >= 0; i-- {
-		if id, ok := p.prefixes.Get(prefix[i]); ok {
-			return p.byID[id]
-		}
-	}
-	return nil
-}
-
-// rememberPrefix notes where a prompt's prefixes are cached now. An answer
-// without cached tokens from the remembered engine shows that it evicted the
-// prefix; the call has filled it again.
-func (c *Core) rememberPrefix(a *Attempt, o Outcome) {
-	r := a.Call.Request
-	if !c.settings.Affinity || r.Stages[a.Call.Stage].Kind != document.KindGenerate {
-		return
-	}
-	p := a.Call.pool
-	for _, digest := range r.Prefix {
-		held, ok := p.prefixes.Get(digest)
-		if !ok || o.CachedTokens > 0 || p.byID[held] == nil {
-			p.prefixes.Add(digest, a.Upstream.ID)
-		}
-	}
-}
--- a/policy/core.go
+++ b/policy/core.go
@@ -61,8 +61,11 @@
 	Stage   int
 	// Expires is when starting the call is no longer of use.
 	Expires time.Time
-	avoid   []upstream.ID
-	pool    *pool
+	// doubtful is when the call would rather miss than not; from then on it
+	// gives way while others wait.
+	doubtful time.Time
+	avoid    []upstream.ID
+	pool     *pool
 	// cost is the expected time on an upstream.
 	cost     time.Duration
 	enqueued time.Time
@@ -165,6 +168,7 @@
 		Request:  r,
 		Stage:    stage,
 		Expires:  c.latestStart(r, stage),
+		doubtful: c.doubtfulStart(r, stage),
 		avoid:    avoid,
 		pool:     p,
 		cost:     c.timings.of(&r.Arrival, stage).mean(),
@@ -180,20 +184,25 @@
 	return c.refuse(now, call.Request, call.Stage, cause)
 }
 
+// Grants is what Grant decided.
+type Grants struct {
+	Started []*Attempt
+	// Dropped are calls that were taken out because others, which can still
+	// make their deadlines, wait behind them.
+	Dropped []*Call
+}
+
 // Grant gives queued calls of a pool to upstreams, as far as there is room.
-func (c *Core) Grant(now time.Time, name string) []*Attempt {
+func (c *Core) Grant(now time.Time, name string) Grants {
 	p := c.pools[name]
 	if p == nil {
-		return nil
+		return Grants{}
 	}
 	var granted []*Attempt
 	for p.queue.size > 0 {
-		if c.settings.Queueing && !p.hasRoom() {
-			p.limit.markFull()
-			break
-		}
 		call := p.queue.next(now, p, c.settings)
 		if call == nil {
+			p.limit.markFull()
 			break
 		}
 		s, probe := c.choose(now, p, call)
@@ -204,7 +213,9 @@
 		granted = append(granted, c.start(now, call, s, probe, false))
 	}
 	p.queue.restoreAside(c.settings)
-	return granted
+	dropped := p.queue.dropped
+	p.queue.dropped = nil
+	return Grants{Started: granted, Dropped: dropped}
 }
 
 // Hedge starts a second copy of a running attempt, or returns nil when no
@@ -237,9 +248,8 @@
 		server:   s,
 		expected: h.quantile(0.5),
 	}
-	if probe {
-		s.lastProbe = now
-	}
+	// An upstream that is set aside waits for its first probe from now on.
+	s.lastProbe = now
 	r.settle(call.Stage, p)
 	s.begin(now, a)
 	p.begin(call)
@@ -258,13 +268,13 @@
 	elapsed := now.Sub(a.Started)
 	a.server.end(now, a)
 	call.pool.end(call)
-	c.learn(a, o, elapsed)
+	c.learn(now, a, o, elapsed)
 	c.charge(a, o, elapsed)
 	c.log.outcome(now, a, o, elapsed)
 	return true
 }
 
-func (c *Core) learn(a *Attempt, o Outcome, elapsed time.Duration) {
+func (c *Core) learn(now time.Time, a *Attempt, o Outcome, elapsed time.Duration) {
 	call := a.Call
 	r := call.Request
 	class := r.Class.Name
@@ -273,14 +283,13 @@
 		h := c.timings.of(&r.Arrival, call.Stage)
 		h.add(elapsed)
 		ratio := a.ratio(elapsed)
-		a.server.learn(class, ratio, false)
+		a.server.learn(now, call.pool, class, ratio, false)
 		call.pool.limit.sample(h.slowdown(elapsed))
-		c.rememberPrefix(a, o)
 	case o.Failure.blamesUpstream():
-		a.server.learn(class, a.ratio(elapsed), true)
+		a.server.learn(now, call.pool, class, a.ratio(elapsed), true)
 	case o.Failure == Cancelled && elapsed > a.expected:
 		// A hedge that lost took at least this long.
-		a.server.learn(class, a.ratio(elapsed), false)
+		a.server.learn(now, call.pool, class, a.ratio(elapsed), false)
 	}
 }
 
--- a/request/runner.go
+++ b/request/runner.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/zeebo/errs"
 
 	"github.com/galenaseam/galenaseam/attempt"
@@ -25,6 +26,8 @@
 	Client     *attempt.Client
 	// Guard watches for requests that crash upstreams.
 	Guard Guard
+	// Meter counts the attempts of each model; nil counts nothing.
+	Meter Meter
 	// Claims makes calls that may run only once run once.
 	Claims Claims
 	Logger *slog.Logger
@@ -32,6 +35,20 @@
 	Observe func(Observation)
 }
 
+// Meter counts the attempts of each model. Implementations are safe for
+// concurrent use.
+type Meter interface {
+	Began(model string)
+	// Ended counts an attempt out and says whether the engine failed it.
+	Ended(model string, engine upstream.ID, failed bool)
+}
+
+// noMeter counts nothing.
+type noMeter struct{}
+
+func (noMeter) Began(string)                    {}
+func (noMeter) Ended(string, upstream.ID, bool) {}
+
 // Observation is how one request ended, for metrics.
 type Observation struct {
 	Workspace string
@@ -55,6 +72,9 @@
 	if cfg.Logger == nil {
 		cfg.Logger = slog.New(slog.DiscardHandler)
 	}
+	if cfg.Meter == nil {
+		cfg.Meter = noMeter{}
+	}
 	if cfg.Observe == nil {
 		cfg.Observe = func(Observation) {}
 	}
@@ -65,7 +85,7 @@
 // a *problem.Problem; a Sink may by then have had part of the text.
 func (r *Runner) RunPipeline(ctx context.Context, job Job) (Result, error) {
 	started := time.Now()
-	run := &pipelineRun{runner: r, job: job}
+	run := &pipelineRun{runner: r, job: job, callID: newCallID(job.ID)}
 	result, err := run.do(ctx)
 	r.observePipeline(job, run, result, err, started)
 	return result, err
@@ -94,6 +114,7 @@
 type pipelineRun struct {
 	runner  *Runner
 	job     Job
+	callID  string
 	ticket  dispatch.Ticket
 	digest  Digest
 	alone   bool
@@ -210,3 +231,7 @@
 	}
 	return need
 }
+
+// newCallID names a request towards upstreams. Callers may choose the same
+// request ID twice; an answer must still match one request alone.
+func newCallID(requestID string) string { return requestID + "~" + uuid.NewString() }
