--- a/claim/deposed_test.go
+++ b/claim/deposed_test.go
@@ -2,20 +2,38 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 
 	"github.com/stretchr/testify/require"
-
-	"github.com/galenaseam/galenaseam/platform"
 )
 
-// takeFrom makes another host take a shard while its owner does not notice.
-func takeFrom(t *testing.T, taker *node, shard int) {
-	sh := taker.shards[shard]
-	found, err := sh.log.readHead(context.Background())
-	require.NoError(t, err)
-	require.NotEqual(t, platform.NoVersion, found.version)
-	require.NoError(t, sh.takeOver(context.Background(), found, processOf(taker.info)))
+// takeFrom makes another host take a shard from its owner, which does not notice:
+// the taker can't reach it for a moment.
+func (f *fleet) takeFrom(t *testing.T, stale, taker *node, shard int) {
+	f.network.setCut(func(_, to netip.AddrPort) bool { return to == stale.info.LinkAddr })
+	defer f.network.setCut(nil)
+	taker.rememberOwner(shard, processOf(taker.info))
+	taken := taker.mustBegin(t, keyIn(shard, "taken"), Digest{})
+	require.Equal(t, Run, taken.Verdict)
+	require.NoError(t, taken.Grant.Finish(context.Background(), body("taken")))
+	require.True(t, taker.shards[shard].owned())
+	require.True(t, stale.shards[shard].owned())
+}
+
+// keyIn returns a key of the given shard.
+func keyIn(shard int, name string) Key {
+	k := key(name)
+	for shardOf(idOf(k), testSettings().Shards) != shard {
+		k.IdempotencyKey += "."
+	}
+	return k
+}
+
+func (n *node) mustSettle(t *testing.T) {
+	ctx, cancel := within(testWait)
+	defer cancel()
+	require.NoError(t, n.waitIdle(ctx))
 }
 
 // TestStaleOwnerCannotAcknowledgeOutcome sends an outcome to an owner that was
@@ -27,27 +45,21 @@
 	k := key("a")
 	shard := shardOf(idOf(k), testSettings().Shards)
 	stale := f.hinted(k)
-	warm := key("warm")
-	for i := 0; shardOf(idOf(warm), testSettings().Shards) != shard; i++ {
-		warm.IdempotencyKey += "m"
-	}
-	require.Equal(t, Run, stale.mustBegin(t, warm, Digest{}).Verdict)
+	require.Equal(t, Run, stale.mustBegin(t, keyIn(shard, "warm"), Digest{}).Verdict)
 	var taker, holder *node
 	for _, n := range f.nodes {
 		if n != stale {
 			taker, holder = holder, n
 		}
 	}
-	takeFrom(t, taker, shard)
+	f.takeFrom(t, stale, taker, shard)
 	holder.rememberOwner(shard, processOf(taker.info))
 	granted := holder.mustBegin(t, k, Digest{1})
 	require.Equal(t, Run, granted.Verdict)
 
 	holder.rememberOwner(shard, processOf(stale.info))
 	require.NoError(t, granted.Grant.Finish(context.Background(), body("once")))
-	ctx, cancel := within(testWait)
-	defer cancel()
-	require.NoError(t, holder.waitIdle(ctx))
+	holder.mustSettle(t)
 	for _, n := range f.nodes {
 		require.Equal(t, Replay, n.mustBegin(t, k, Digest{1}).Verdict)
 	}
@@ -65,16 +77,15 @@
 		taker = f.nodes[1]
 	}
 	first := stale.mustBegin(t, k, Digest{1})
-	takeFrom(t, taker, shard)
+	f.takeFrom(t, stale, taker, shard)
 	taker.rememberOwner(shard, processOf(taker.info))
 	stale.rememberOwner(shard, processOf(taker.info))
 	require.NoError(t, first.Grant.Release(context.Background()))
+	stale.mustSettle(t)
 	second := taker.mustBegin(t, k, Digest{2})
 	require.Equal(t, Run, second.Verdict)
 	require.NoError(t, second.Grant.Finish(context.Background(), body("second")))
-	ctx, cancel := within(testWait)
-	defer cancel()
-	require.NoError(t, taker.waitIdle(ctx))
+	taker.mustSettle(t)
 	stale.rememberOwner(shard, processOf(stale.info))
 	require.Equal(t, Replay, stale.mustBegin(t, k, Digest{2}).Verdict)
 }
