--- a/member/protocol_test.go
+++ b/member/protocol_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/stretchr/testify/require"
+	"github.com/zeebo/xxh3"
 )
 
 // twelve is today's fleet: three hosts in each of four data centres.
@@ -76,8 +77,33 @@
 	}
 }
 
+// What a host asked before a pause and could not hear the answers to is not
+// held against anyone.
+func TestWakingHostDropsItsTimers(t *testing.T) {
+	for seed := range uint64(20) {
+		n := twelve(t, seed)
+		sleeper := n.nodes[5]
+		n.run(time.Duration(seed) * testStep)
+		sleeper.accuse(sleeper.peers[n.nodes[6].self.Info.ID], n.nodes[7].self.Info.ID)
+		sleeper.accuse(sleeper.peers[n.nodes[6].self.Info.ID], n.nodes[8].self.Info.ID)
+		sleeper.paused, sleeper.side = true, 1
+		n.run(20 * time.Second)
+		sleeper.paused, sleeper.side = false, 0
+		n.run(testStep)
+		require.LessOrEqual(t, len(sleeper.suspected), 1, "at most the suspicion of before")
+		require.GreaterOrEqual(t, sleeper.prober.awareness, wakeAwareness)
+		n.run(20 * time.Second)
+		delete(n.wrongDeaths, sleeper.self.Info.ID)
+		require.Empty(t, n.wrongDeaths)
+	}
+}
+
+// The sides of a partition find each other by trying the dead, without seeds.
 func TestPartitionHeals(t *testing.T) {
 	n := twelve(t, 4)
+	for _, one := range n.nodes {
+		one.syncer.seeds = nil
+	}
 	for i, one := range n.nodes {
 		one.side = i % 2
 	}
@@ -225,3 +251,28 @@
 		require.Empty(t, n.wrongDeaths)
 	}
 }
+
+// The same seed gives the same datagrams, so that what went wrong once can be
+// run again.
+func TestSameSeedSameDatagrams(t *testing.T) {
+	trace := func() uint64 {
+		sum := xxh3.New()
+		n := newNetwork(t, 14)
+		n.tap = func(datagram []byte) { _, _ = sum.Write(datagram) }
+		for _, centre := range []string{"a1", "a2", "b1", "b2"} {
+			n.addMany(18, centre)
+		}
+		n.loss = 0.05
+		n.run(5 * time.Second)
+		n.nodes[5].dead = true
+		for i, one := range n.nodes {
+			one.setGeneration(n.now, uint64(i))
+			require.NoError(t, one.publish(n.now, "test", "k", []byte{byte(i)}))
+		}
+		n.run(10 * time.Second)
+		n.add("a1")
+		n.run(5 * time.Second)
+		return sum.Sum64()
+	}
+	require.Equal(t, trace(), trace())
+}
