--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,164 @@
+package quarantine
+
+import (
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenaseam/galenaseam/member"
+	"github.com/galenaseam/galenaseam/upstream"
+)
+
+// topic is the kind of fact that hosts share.
+const topic member.Topic = "quarantine"
+
+// news is what one host tells the others of one digest.
+type news struct {
+	Digest Digest `cbor:"1,keyasint"`
+	// Upstream is set for a loss.
+	Upstream upstream.ID `cbor:"2,keyasint,omitempty"`
+	// AtMilli is the loss's Unix time in milliseconds, by the teller's clock.
+	AtMilli int64 `cbor:"3,keyasint,omitempty"`
+	// Alone says that the teller runs the suspect alone.
+	Alone bool `cbor:"4,keyasint,omitempty"`
+	// Cleared says that the suspect ran to its end without a loss.
+	Cleared bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Config is what a Quarantine is made of. Now and Registerer may be left out.
+type Config struct {
+	Gossip     member.Gossip
+	Now        func() time.Time
+	Registerer prometheus.Registerer
+	Settings   Settings
+}
+
+// Quarantine is a host's share in finding requests that crash upstreams. It is
+// safe for concurrent use.
+type Quarantine struct {
+	gossip   member.Gossip
+	now      func() time.Time
+	verdicts *prometheus.CounterVec
+	lost     prometheus.Counter
+
+	mu     sync.Mutex // guards all below; not held during Publish
+	ledger *Ledger
+	// alone are the suspects that this host runs alone.
+	alone map[Digest]bool
+}
+
+// New makes a quarantine and listens to the other hosts.
+func New(cfg Config) (*Quarantine, error) {
+	q := &Quarantine{
+		gossip: cfg.Gossip,
+		now:    cfg.Now,
+		verdicts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenaseam_quarantine_verdicts_total", Help: "Checks of requests, by verdict.",
+		}, []string{"verdict"}),
+		lost: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "galenaseam_quarantine_losses_total", Help: "Upstreams lost while this host's requests ran on them.",
+		}),
+		ledger: NewLedger(cfg.Settings),
+		alone:  make(map[Digest]bool),
+	}
+	if q.now == nil {
+		q.now = time.Now
+	}
+	if cfg.Registerer != nil {
+		for _, c := range []prometheus.Collector{q.verdicts, q.lost} {
+			if err := cfg.Registerer.Register(c); err != nil {
+				return nil, Error.Wrap(err)
+			}
+		}
+	}
+	cfg.Gossip.Subscribe(topic, q.hear)
+	return q, nil
+}
+
+// Check says what may be done with a request now. After RunAlone the caller
+// must run it, by Started and Ended, or give the right back by Ended alone.
+func (q *Quarantine) Check(now time.Time, d Digest) Verdict {
+	q.mu.Lock()
+	v := q.ledger.Check(now, d)
+	if v == RunAlone {
+		q.alone[d] = true
+	}
+	q.mu.Unlock()
+	q.verdicts.WithLabelValues(v.String()).Inc()
+	if v == RunAlone {
+		q.tell(news{Digest: d, Alone: true})
+	}
+	return v
+}
+
+// Started takes note that an upstream begins to run a request.
+func (q *Quarantine) Started(d Digest, _ upstream.ID) {
+	q.mu.Lock()
+	alone := q.alone[d]
+	if alone {
+		q.ledger.HeldAlone(q.now(), d)
+	}
+	q.mu.Unlock()
+	if alone {
+		q.tell(news{Digest: d, Alone: true})
+	}
+}
+
+// Ended takes note that an upstream no longer runs a request. lost says that
+// the upstream was lost while it did; a mere timeout is not a loss.
+func (q *Quarantine) Ended(d Digest, id upstream.ID, lost bool) {
+	now := q.now()
+	q.mu.Lock()
+	alone := q.alone[d]
+	delete(q.alone, d)
+	if lost {
+		q.ledger.Lose(now, Loss{Digest: d, Upstream: id, At: now})
+	} else if alone {
+		q.ledger.Cleared(d)
+	}
+	q.mu.Unlock()
+	switch {
+	case lost:
+		q.lost.Inc()
+		q.tell(news{Digest: d, Upstream: id, AtMilli: now.UnixMilli()})
+	case alone:
+		q.tell(news{Digest: d, Cleared: true})
+	}
+}
+
+// tell spreads news. The newest of a host replaces its older ones by the key,
+// so that each kind has a key of its own.
+func (q *Quarantine) tell(n news) {
+	payload, err := cbor.Marshal(n)
+	if err != nil {
+		return
+	}
+	key := hex.EncodeToString(n.Digest[:16])
+	if n.Upstream != "" {
+		key += "/" + string(n.Upstream)
+	}
+	// Too large a payload can't be: its parts are bounded.
+	_ = q.gossip.Publish(topic, key, payload)
+}
+
+// hear takes in another host's news.
+func (q *Quarantine) hear(f member.Fact) {
+	var n news
+	if cbor.Unmarshal(f.Payload, &n) != nil {
+		return
+	}
+	now := q.now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	switch {
+	case n.Upstream != "":
+		q.ledger.Lose(now, Loss{Digest: n.Digest, Upstream: n.Upstream, At: time.UnixMilli(n.AtMilli)})
+	case n.Alone:
+		q.ledger.HeldAlone(now, n.Digest)
+	case n.Cleared:
+		q.ledger.Cleared(n.Digest)
+	}
+}
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,173 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/member"
+	"github.com/galenaseam/galenaseam/upstream"
+)
+
+// bus carries facts between the hosts of a test after a delay.
+type bus struct {
+	now     time.Time
+	delay   time.Duration
+	hears   []func(member.Fact)
+	pending []delivery
+}
+
+type delivery struct {
+	at   time.Time
+	from int
+	fact member.Fact
+}
+
+// seat is one host's place on the bus.
+type seat struct {
+	bus   *bus
+	index int
+}
+
+func (s seat) Publish(t member.Topic, key string, payload []byte) error {
+	fact := member.Fact{From: host.ID(fmt.Sprint(s.index)), Topic: t, Key: key, Payload: payload}
+	s.bus.pending = append(s.bus.pending, delivery{at: s.bus.now.Add(s.bus.delay), from: s.index, fact: fact})
+	return nil
+}
+
+func (s seat) Subscribe(_ member.Topic, deliver func(member.Fact)) {
+	s.bus.hears = append(s.bus.hears, deliver)
+}
+
+func (b *bus) advance(d time.Duration) {
+	b.now = b.now.Add(d)
+	waiting := b.pending[:0]
+	for _, p := range b.pending {
+		if p.at.After(b.now) {
+			waiting = append(waiting, p)
+			continue
+		}
+		for i, hear := range b.hears {
+			if i != p.from {
+				hear(p.fact)
+			}
+		}
+	}
+	b.pending = waiting
+}
+
+func newFleet(t *testing.T, hosts int, delay time.Duration) (*bus, []*Quarantine) {
+	b := &bus{now: time.Unix(1_000_000, 0), delay: delay}
+	var fleet []*Quarantine
+	for i := range hosts {
+		q, err := New(Config{Gossip: seat{b, i}, Now: func() time.Time { return b.now }})
+		require.NoError(t, err)
+		fleet = append(fleet, q)
+	}
+	return b, fleet
+}
+
+// TestCrashingRequestThroughTwelveHosts sends a request that crashes every
+// upstream again and again through all hosts, after waits of seconds.
+func TestCrashingRequestThroughTwelveHosts(t *testing.T) {
+	const hosts, sends = 12, 600
+	worst := 0
+	for seed := uint64(1); seed <= 20; seed++ {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		b, fleet := newFleet(t, hosts, time.Second)
+		lost := 0
+		for i := range sends {
+			q := fleet[i%hosts]
+			if q.Check(b.now, Digest{1}) != Refuse {
+				id := upstream.ID(fmt.Sprint("up-", i))
+				q.Started(Digest{1}, id)
+				lost++
+				b.advance(time.Duration(100+rng.IntN(400)) * time.Millisecond)
+				q.Ended(Digest{1}, id, true)
+			}
+			b.advance(time.Duration(1200+rng.IntN(3000)) * time.Millisecond)
+		}
+		worst = max(worst, lost)
+	}
+	t.Logf("upstreams lost at most %d", worst)
+	require.LessOrEqual(t, worst, 2)
+}
+
+// TestCrashingRequestThroughTwelveHostsAtOnce sends the request to all hosts at
+// the same moment, before any can have heard of the others' losses.
+func TestCrashingRequestThroughTwelveHostsAtOnce(t *testing.T) {
+	const hosts = 12
+	b, fleet := newFleet(t, hosts, time.Second)
+	lost := 0
+	for range 50 {
+		for i, q := range fleet {
+			if q.Check(b.now, Digest{1}) == Refuse {
+				continue
+			}
+			lost++
+			id := upstream.ID(fmt.Sprint("up-", lost))
+			q.Started(Digest{1}, id)
+			b.advance(time.Duration(i) * time.Millisecond)
+			q.Ended(Digest{1}, id, true)
+		}
+		b.advance(3 * time.Second)
+	}
+	t.Logf("upstreams lost %d", lost)
+	require.LessOrEqual(t, lost, hosts+1)
+}
+
+// TestRackDeathCondemnsNobody kills a rack under many requests, twice, while
+// hosts retry the requests elsewhere.
+func TestRackDeathCondemnsNobody(t *testing.T) {
+	b, fleet := newFleet(t, 12, 500*time.Millisecond)
+	for range 2 {
+		for machine := range 20 {
+			q := fleet[machine%len(fleet)]
+			for slot := range 3 {
+				d := Digest{byte(machine), byte(slot)}
+				q.Started(d, upstream.ID(fmt.Sprint("rack-", machine)))
+				q.Ended(d, upstream.ID(fmt.Sprint("rack-", machine)), true)
+			}
+		}
+		b.advance(10 * time.Second)
+	}
+	for machine := range 20 {
+		for slot := range 3 {
+			for _, q := range fleet {
+				require.Equal(t, Allow, q.Check(b.now, Digest{byte(machine), byte(slot)}))
+			}
+		}
+	}
+}
+
+func TestSuspectThatEndsWellIsCleared(t *testing.T) {
+	b, fleet := newFleet(t, 3, 500*time.Millisecond)
+	fleet[0].Ended(Digest{1}, "up-1", true)
+	b.advance(time.Second)
+	require.Equal(t, RunAlone, fleet[1].Check(b.now, Digest{1}))
+	require.Equal(t, Refuse, fleet[1].Check(b.now, Digest{1}))
+	b.advance(time.Second)
+	require.Equal(t, Refuse, fleet[2].Check(b.now, Digest{1}))
+	fleet[1].Started(Digest{1}, "up-2")
+	fleet[1].Ended(Digest{1}, "up-2", false)
+	b.advance(time.Second)
+	for _, q := range fleet {
+		require.Equal(t, Allow, q.Check(b.now, Digest{1}))
+	}
+}
+
+// TestOneLossToldTwiceCondemnsNobody repeats the news of one loss.
+func TestOneLossToldTwiceCondemnsNobody(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := NewLedger(Settings{})
+	loss := Loss{Digest: Digest{1}, Upstream: "up-1", At: now}
+	for range 10 {
+		l.Lose(now.Add(time.Minute), loss)
+		l.Lose(now.Add(time.Minute), Loss{Digest: Digest{1}, Upstream: "up-1", At: now.Add(5 * time.Second)})
+	}
+	require.Equal(t, RunAlone, l.Check(now.Add(2*time.Minute), Digest{1}))
+}
