Find requests that crash upstreams, from shared losses

A request sent again through all 12 hosts took an upstream each time. One loss makes its digest a suspect that runs alone once more; a second loss on another upstream at another time, or three upstreams at any time, condemns it. Losses among those of many other requests are no evidence.

Sent through all 12 at the same moment: 12 lost, once. A rack of 20 machines that dies twice under 60 requests condemns none.

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -38,6 +38,8 @@
 type Settings struct {
 	// Together is how close losses of different upstreams are one event.
 	Together time.Duration
+	// Apart is how far apart two losses are independent.
+	Apart time.Duration
 	// ManyUpstreams is how many upstreams lost together discount the losses.
 	ManyUpstreams int
 	// SuspectFor is how long a suspect is remembered.
@@ -54,6 +56,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Together:      2 * time.Second,
+		Apart:         500 * time.Millisecond,
 		ManyUpstreams: 3,
 		SuspectFor:    10 * time.Minute,
 		CondemnFor:    time.Hour,
@@ -67,6 +70,9 @@
 	if s.Together == 0 {
 		s.Together = d.Together
 	}
+	if s.Apart == 0 {
+		s.Apart = d.Apart
+	}
 	if s.ManyUpstreams == 0 {
 		s.ManyUpstreams = d.ManyUpstreams
 	}
@@ -179,23 +185,29 @@
 }
 
 // evidence counts the losses of a suspect that were on different upstreams at
-// different times and not among many others.
+// different times and not among many others. One request on many upstreams is
+// evidence even at the same time: a rack that dies takes many requests along.
 func (l *Ledger) evidence(now time.Time, s *suspect) int {
 	var counted []Loss
+	upstreams := make(map[upstream.ID]bool)
 	for _, loss := range s.losses {
 		if now.Sub(loss.At) > l.settings.SuspectFor || l.amongMany(loss) {
 			continue
 		}
-		if independent(loss, counted, l.settings.Together) {
+		upstreams[loss.Upstream] = true
+		if independent(loss, counted, l.settings.Apart) {
 			counted = append(counted, loss)
 		}
 	}
+	if len(upstreams) >= l.settings.ManyUpstreams {
+		return len(upstreams)
+	}
 	return len(counted)
 }
 
-func independent(loss Loss, counted []Loss, together time.Duration) bool {
+func independent(loss Loss, counted []Loss, apart time.Duration) bool {
 	for _, other := range counted {
-		if other.Upstream == loss.Upstream || other.At.Sub(loss.At).Abs() < together {
+		if other.Upstream == loss.Upstream || other.At.Sub(loss.At).Abs() < apart {
 			return false
 		}
 	}
