--- a/policy/pool.go
+++ b/policy/pool.go
@@ -111,21 +111,7 @@
 	if p.overdrafts(c.priority, settings) {
 		return used < limit*(1+overdraftShare)+overdraftSlots
 	}
-	if settings.Priorities && p.terms.Kind == document.KindGenerate {
-		return used < limit
-	}
-	return used+p.keptFrom(c) < limit
-}
-
-// keptFrom is how many slots the higher classes are about to need.
-func (p *pool) keptFrom(c *classQueue) float64 {
-	var higher int
-	for _, other := range p.queue.classes {
-		if other.priority > c.priority {
-			higher += p.inFlightOf[other.name]
-		}
-	}
-	return max(p.demand.above(c.priority)-float64(higher), 0)
+	return used < limit
 }
 
 func (p *pool) tick(now time.Time, settings Settings) {
