--- a/policy/budget.go
+++ b/policy/budget.go
@@ -41,9 +41,10 @@
 	return r.Deadline.Add(-c.timings.rest(&r.Arrival, stage+1, leastQuantile))
 }
 
-// StageBudget divides the time that remains over this and the later stages,
-// in proportion to their learned times. It is the stage's part.
-func (c *Core) StageBudget(now time.Time, r *Request, stage int) time.Duration {
+// stageBudget divides the time that remains over this and the later stages,
+// in proportion to their learned times. It is the stage's part, for
+// explanations: a stage that passes it eats into the time of the later ones.
+func (c *Core) stageBudget(now time.Time, r *Request, stage int) time.Duration {
 	own := c.timings.of(&r.Arrival, stage).quantile(carefulQuantile)
 	all := c.timings.rest(&r.Arrival, stage, carefulQuantile)
 	left := max(r.Deadline.Sub(now), 0)
--- a/policy/core.go
+++ b/policy/core.go
@@ -190,7 +190,7 @@
 	r.settle(call.Stage, p)
 	s.begin(now, a)
 	p.begin(call)
-	c.log.choice(now, a)
+	c.log.choice(now, a, c.stageBudget(now, r, call.Stage))
 	return a
 }
 
--- a/policy/explain.go
+++ b/policy/explain.go
@@ -40,6 +40,8 @@
 	Waited time.Duration `json:"waited_ns,omitempty"`
 	// Expected is the learned time that the decision counted with.
 	Expected time.Duration `json:"expected_ns,omitempty"`
+	// Budget is the stage's part of the time left.
+	Budget time.Duration `json:"budget_ns,omitempty"`
 	// Elapsed is how long an attempt took.
 	Elapsed time.Duration `json:"elapsed_ns,omitempty"`
 	// Left is the time to the deadline.
@@ -120,13 +122,13 @@
 	e.note(r, Decision{At: now, Kind: DecisionEstimate, Waited: wait, Expected: need, Left: left})
 }
 
-func (e *explanations) choice(now time.Time, a *Attempt) {
+func (e *explanations) choice(now time.Time, a *Attempt, budget time.Duration) {
 	call := a.Call
 	p := call.pool
 	e.note(call.Request, Decision{
 		At: now, Kind: DecisionChoose, Stage: call.Request.Stages[call.Stage].Name,
 		Upstream: a.Upstream.ID, Waited: now.Sub(call.enqueued), Expected: a.expected,
-		Left: call.Request.Deadline.Sub(now), InFlight: a.server.inFlight(),
+		Budget: budget, Left: call.Request.Deadline.Sub(now), InFlight: a.server.inFlight(),
 		Others: p.othersOn(now, a.server), Queued: p.queue.size, Limit: p.limit.value(),
 		Hedge: a.Hedge, Probe: a.Probe,
 	})
