--- a/policy/affinity.go
+++ b/policy/affinity.go
@@ -36,7 +36,7 @@
 	}
 	most := p.meanLoad() + slack
 	for _, s := range p.homes(digest) {
-		if s == nil || !c.open(now, p, s, call) || s.excess(p) > 0 {
+		if s == nil || !c.mayHold(p, s, call) || s.excess(p) > 0 {
 			continue
 		}
 		if float64(s.inFlight())+p.othersOn(now, s) <= most {
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -61,16 +61,23 @@
 	return true
 }
 
-// open reports whether the scored choice may use the upstream.
-func (c *Core) open(now time.Time, p *pool, s *server, call *Call) bool {
+// mayHold reports whether the upstream may hold the call at all, if need be
+// in its own queue.
+func (c *Core) mayHold(p *pool, s *server, call *Call) bool {
 	if !p.usable(s, call) || s.setAside(call.Request.Class.Name) {
 		return false
 	}
-	if !c.settings.Queueing {
-		return true
+	return !c.settings.Queueing || s.inFlight() < p.terms.Concurrency+overdraftSlots
+}
+
+// open reports whether the scored choice may use the upstream: one that may
+// hold the call and, for the lowest class, has room now.
+func (c *Core) open(now time.Time, p *pool, s *server, call *Call) bool {
+	if !c.mayHold(p, s, call) {
+		return false
 	}
-	if p.overdrafts(call.Request.Class.Priority, c.settings) {
-		return s.inFlight() < p.terms.Concurrency+overdraftSlots
+	if !c.settings.Queueing || p.overdrafts(call.Request.Class.Priority, c.settings) {
+		return true
 	}
 	load := float64(s.inFlight())
 	if c.settings.LoadReports {
