Give a prefix as many homes as its share of the prompts needs

A test with 12 hosts and one prefix shows it.

Change: the number of homes follows the prefix's share of the prompts, and a prefix that needs more than eight is spread. Admission counts with the room that a class really has, its overdraft included.

--- a/policy/admit.go
+++ b/policy/admit.go
@@ -102,7 +102,7 @@
 // waitAt estimates the wait for a slot of a pool: the work ahead over the
 // part of the pool that the request's class and workspace can count on.
 func (c *Core) waitAt(p *pool, r *Request, mean time.Duration) time.Duration {
-	slots := float64(p.limit.value())
+	slots := p.room(r.Class.Priority, c.settings)
 	free := max(slots-float64(p.inFlight), 0)
 	part := slots - p.demand.above(r.Class.Priority)
 	if p.queue.size > 0 {
--- a/policy/affinity.go
+++ b/policy/affinity.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/galenaseam/galenaseam/document"
@@ -13,21 +15,49 @@
 	// second is for classes that put cost first.
 	cachedSlack     = 1.0
 	cachedSlackCost = 2.0
-	// cachedHomes is how many engines one prefix is kept on.
-	cachedHomes = 2
+	// homeSlack is how much more room a prefix's homes have than it needs.
+	homeSlack = 1.25
+	// mostHomes bounds the homes of one prefix: one that needs more is spread
+	// like any other call.
+	mostHomes = 8
+	// popularityHalfLife is how fast old prompts stop counting.
+	popularityHalfLife = 10 * time.Second
+	// popularityPrior is how many prompts of its own a prefix is assumed to
+	// have had, so that one counts as hot until others were seen.
+	popularityPrior = 0.5
 )
 
-// cached returns the engine that should have the call's prefix, unless it is
+// popularity is a fading count of prompts.
+type popularity struct {
+	count float64
+	at    time.Time
+}
+
+func (u *popularity) add(now time.Time) {
+	u.count = u.value(now) + 1
+	u.at = now
+}
+
+func (u *popularity) value(now time.Time) float64 {
+	if u.at.IsZero() {
+		return 0
+	}
+	return u.count * math.Exp2(-float64(now.Sub(u.at))/float64(popularityHalfLife))
+}
+
+// cached returns an engine that should have the call's prefix, unless it is
 // busier than the mean by more than the slack. Every host finds the same
-// engines by rendezvous hashing, without telling each other: a prefix has a
-// first and a second home, and a hot one spills over to the rest.
+// engines by rendezvous hashing, without telling each other. A prefix has as
+// many homes as its share of the prompts needs, so that a hot prefix makes no
+// hot engine even where load reports are old.
 func (c *Core) cached(now time.Time, p *pool, call *Call) *server {
 	r := call.Request
-	if !c.settings.Affinity || r.Stages[call.Stage].Kind != document.KindGenerate {
+	if !c.settings.Affinity || r.Stages[call.Stage].Kind != document.KindGenerate || len(r.Prefix) == 0 {
 		return nil
 	}
-	digest, ok := p.sharedPrefix(r.Prefix)
-	if !ok {
+	digest, share := p.sharedPrefix(now, r.Prefix)
+	needed := int(math.Ceil(share * float64(len(p.order)) * homeSlack))
+	if needed > mostHomes {
 		return nil
 	}
 	slack := cachedSlack
@@ -35,8 +65,16 @@
 		slack = cachedSlackCost
 	}
 	most := p.meanLoad() + slack
-	for _, s := range p.homes(digest) {
-		if s == nil || !c.mayHold(p, s, call) || s.excess(p) > 0 {
+	// One more home takes what the others can't.
+	homes := p.homes(digest, needed+1)
+	needed = min(needed, len(homes))
+	first := c.rand.IntN(needed)
+	for i := range homes {
+		s := homes[i]
+		if i < needed {
+			s = homes[(first+i)%needed]
+		}
+		if !c.mayHold(p, s, call) || s.excess(p) > 0 {
 			continue
 		}
 		if float64(s.inFlight())+p.othersOn(now, s) <= most {
@@ -51,35 +89,44 @@
 	return float64(p.inFlight)/float64(len(p.order)) + p.meanOthers
 }
 
-// homes returns the engines with the highest hashes for a prefix.
-func (p *pool) homes(digest uint64) [cachedHomes]*server {
-	var best [cachedHomes]*server
-	var hashes [cachedHomes]uint64
+// homes returns up to n engines with the highest hashes for a prefix, highest
+// first.
+func (p *pool) homes(digest uint64, n int) []*server {
+	best := make([]*server, 0, n+1)
+	hashes := make([]uint64, 0, n+1)
 	for _, s := range p.order {
 		h := xxh3.HashStringSeed(string(s.ID), digest)
-		switch {
-		case best[0] == nil || h > hashes[0]:
-			best[1], hashes[1] = best[0], hashes[0]
-			best[0], hashes[0] = s, h
-		case best[1] == nil || h > hashes[1]:
-			best[1], hashes[1] = s, h
+		if len(best) == n && h <= hashes[n-1] {
+			continue
+		}
+		at := len(best)
+		for at > 0 && hashes[at-1] < h {
+			at--
+		}
+		best = slices.Insert(best, at, s)
+		hashes = slices.Insert(hashes, at, h)
+		if len(best) > n {
+			best, hashes = best[:n], hashes[:n]
 		}
 	}
 	return best
 }
 
 // sharedPrefix returns the longest prefix that an earlier prompt had too, or
-// the shortest, and remembers them all.
-func (p *pool) sharedPrefix(prefix []uint64) (digest uint64, ok bool) {
-	if len(prefix) == 0 {
-		return 0, false
-	}
+// the shortest, and its share of the prompts. It counts them all.
+func (p *pool) sharedPrefix(now time.Time, prefix []uint64) (digest uint64, share float64) {
 	digest = prefix[0]
 	for _, d := range prefix {
-		if p.prefixes.Contains(d) {
+		seen, ok := p.prefixes.Get(d)
+		if ok {
 			digest = d
+		} else {
+			seen = &popularity{}
+			p.prefixes.Add(d, seen)
 		}
-		p.prefixes.Add(d, struct{}{})
+		seen.add(now)
 	}
-	return digest, true
+	p.prompts.add(now)
+	seen, _ := p.prefixes.Get(digest)
+	return digest, (seen.value(now) + popularityPrior) / (p.prompts.value(now) + popularityPrior)
 }
--- a/policy/hedge.go
+++ b/policy/hedge.go
@@ -39,11 +39,11 @@
 	if !c.settings.Queueing {
 		return true
 	}
-	slots := float64(p.limit.value())
+	room := p.room(r.Class.Priority, c.settings)
 	if p.overdrafts(r.Class.Priority, c.settings) {
-		return float64(p.inFlight) < slots*(1+overdraftShare)
+		return float64(p.inFlight) < room
 	}
-	return p.queue.size == 0 && float64(p.inFlight)+1 <= slots*(1-hedgeRoom)
+	return p.queue.size == 0 && float64(p.inFlight)+1 <= room*(1-hedgeRoom)
 }
 
 // Fallback says whether to take a stage's declared fallback now: when the
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -228,6 +228,39 @@
 	require.InDelta(t, rows[1].Money, rows[1].WastedMoney, 1e-9)
 }
 
+// seenOthers makes the prompts that the tests send few among many.
+func seenOthers(p *pool) {
+	for i := range 600 {
+		p.sharedPrefix(epoch, []uint64{uint64(1000 + i)})
+	}
+}
+
+// A prefix that all prompts share makes no hot engine, although no host knows
+// what the others send.
+func TestHotPrefixMakesNoHotEngine(t *testing.T) {
+	doc := testDoc(document.KindGenerate, 8)
+	const hosts, engines, calls = 12, 20, 10
+	load := make(map[upstream.ID]int)
+	for seed := range uint64(hosts) {
+		c := newTestCore(Defaults(), doc, engines, seed)
+		for i := range calls {
+			a := testArrival(doc, fmt.Sprint(i), "w", document.Class{Name: "c"})
+			a.Prefix = []uint64{42, uint64(1000*int(seed) + i)}
+			r, refusal := c.Admit(epoch, a)
+			require.Nil(t, refusal)
+			_, refusal = c.Enqueue(epoch, r, 0, nil)
+			require.Nil(t, refusal)
+			for _, started := range c.Grant(epoch, testPool).Started {
+				load[started.Upstream.ID]++
+			}
+		}
+	}
+	const mean = hosts * calls / engines
+	for id, n := range load {
+		require.LessOrEqual(t, n, 3*mean, id)
+	}
+}
+
 // Every host finds the same engines for a prefix, and a busy one is passed
 // over.
 func TestPrefixHomesAgreeAndSpill(t *testing.T) {
@@ -235,6 +268,7 @@
 	chosen := make(map[upstream.ID]int)
 	for seed := range uint64(20) {
 		c := newTestCore(Defaults(), doc, 30, seed)
+		seenOthers(c.pools[testPool])
 		for i := range 12 {
 			a := testArrival(doc, fmt.Sprint(i), "w", document.Class{Name: "c"})
 			a.Prefix = []uint64{42}
@@ -261,6 +295,7 @@
 	doc := testDoc(document.KindGenerate, 8)
 	onHome := func(weigh document.Weigh) int {
 		c := newTestCore(Defaults(), doc, 30, 1)
+		seenOthers(c.pools[testPool])
 		n := 0
 		for i := range 8 {
 			a := testArrival(doc, fmt.Sprint(i), "w", document.Class{Name: "c", Weigh: weigh, Hedge: true})
@@ -270,7 +305,7 @@
 			require.Equal(t, weigh == document.WeighAttainment, hedges)
 			_, refusal := c.Enqueue(epoch, r, 0, nil)
 			require.Nil(t, refusal)
-			home := c.pools[testPool].homes(42)[0].ID
+			home := c.pools[testPool].homes(42, 1)[0].ID
 			if c.Grant(epoch, testPool).Started[0].Upstream.ID == home {
 				n++
 			}
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -37,12 +37,13 @@
 	// faded is when the evidence was last aged.
 	faded      time.Time
 	roundRobin int
-	prefixes   *lru.Cache[uint64, struct{}]
+	prompts    popularity
+	prefixes   *lru.Cache[uint64, *popularity]
 	demand     *demand
 }
 
 func newPool(name string) *pool {
-	prefixes, err := lru.New[uint64, struct{}](maxPrefixes)
+	prefixes, err := lru.New[uint64, *popularity](maxPrefixes)
 	if err != nil {
 		panic(err) // only a size under one fails
 	}
@@ -104,14 +105,18 @@
 	return honours && priority > p.demand.lowest()
 }
 
-// mayTake reports whether a class may take a slot.
-func (p *pool) mayTake(c *classQueue, settings Settings) bool {
-	used := float64(p.inFlight)
+// room is how many calls this host may keep on the pool for a class.
+func (p *pool) room(priority int, settings Settings) float64 {
 	limit := float64(p.limit.value())
-	if p.overdrafts(c.priority, settings) {
-		return used < limit*(1+overdraftShare)+overdraftSlots
+	if p.overdrafts(priority, settings) {
+		return limit*(1+overdraftShare) + overdraftSlots
 	}
-	return used < limit
+	return limit
+}
+
+// mayTake reports whether a class may take a slot.
+func (p *pool) mayTake(c *classQueue, settings Settings) bool {
+	return float64(p.inFlight) < p.room(c.priority, settings)
 }
 
 func (p *pool) tick(now time.Time, settings Settings) {
