--- a/internal/drill/account.go
+++ b/internal/drill/account.go
@@ -24,6 +24,9 @@
 	resumeGrace = 1500 * time.Millisecond
 	// convergePatience is how long hosts may take to agree after the failures.
 	convergePatience = 15 * time.Second
+	// maxStoreWrites bounds a fleet's writes in the store, leases included, in
+	// calls a second.
+	maxStoreWrites = 300
 	// goroutineSlack and memorySlack are what a host may hold over its idle
 	// state after the load.
 	goroutineSlack = 30
@@ -34,6 +37,8 @@
 type runs struct {
 	keys  map[string]int
 	marks map[string]int
+	// crashes counts the upstreams that each mark crashed.
+	crashes map[string]int
 }
 
 // account checks every invariant.
@@ -45,18 +50,16 @@
 		return err
 	}
 	for _, f := range r.fleets {
-		var ran runs
-		if err := f.controlCall(ctx, http.MethodGet, "/executions", nil, &ran.keys); err != nil {
-			return err
-		}
-		if err := f.controlCall(ctx, http.MethodGet, "/marks", nil, &ran.marks); err != nil {
+		ran, err := f.readRuns(ctx)
+		if err != nil {
 			return err
 		}
 		if err := f.readOverview(ctx); err != nil {
 			return err
 		}
 		f.accountRequests(r.report, ran)
-		f.accountUpstreams(r.report)
+		f.accountUpstreams(r.report, ran)
+		f.accountStore(r.report)
 		f.accountConfiguration(ctx, r.report)
 		f.accountLeaks(ctx, r.report)
 		f.accountEnds(r.report)
@@ -65,6 +68,18 @@
 	return nil
 }
 
+// readRuns asks the stand-ins what ran.
+func (f *fleet) readRuns(ctx context.Context) (ran runs, err error) {
+	if err := f.controlCall(ctx, http.MethodGet, "/executions", nil, &ran.keys); err != nil {
+		return runs{}, err
+	}
+	if err := f.controlCall(ctx, http.MethodGet, "/marks", nil, &ran.marks); err != nil {
+		return runs{}, err
+	}
+	err = f.controlCall(ctx, http.MethodGet, "/crashes", nil, &ran.crashes)
+	return ran, err
+}
+
 // accountRequests checks the promises on requests.
 func (f *fleet) accountRequests(report *Report, ran runs) {
 	records := f.ledger.all()
@@ -101,49 +116,6 @@
 	report.add(name+" none lost", lost, "%d keys, %d answered and never run", keys, len(lost))
 }
 
-// accountUpstreams checks what leaving and crashed upstreams saw.
-func (f *fleet) accountUpstreams(report *Report) {
-	var late []string
-	var longest time.Duration
-	crashes, poison := 0, 0
-	for _, u := range f.overview.Upstreams {
-		after := time.Duration(u.Stats.WorkAfterLeaving) * time.Millisecond
-		longest = max(longest, after)
-		if n := f.unexcused(u.Stats.LateWork); n > 0 {
-			late = append(late, fmt.Sprintf("%s of %s got work %d times too late, last %s after it began to leave", u.Name, u.Pool, n, after))
-		}
-		crashes += u.Stats.Crashes
-	}
-	for _, rec := range f.ledger.all() {
-		if rec.request.poison {
-			poison++
-		}
-	}
-	var lossy []string
-	if crashes > poison*maxLossPerRequest {
-		lossy = append(lossy, fmt.Sprintf("%d crashes for %d requests", crashes, poison))
-	}
-	report.add(f.deployment.Name+" leaving", late, "last new work %s after leaving began", longest)
-	report.add(f.deployment.Name+" crash-causing", lossy, "%d requests, %d upstreams lost", poison, crashes)
-}
-
-// unexcused counts the late work that did not come from a host which had just
-// been paused.
-func (f *fleet) unexcused(late []time.Time) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	count := 0
-	for _, at := range late {
-		excused := slices.ContainsFunc(f.resumed, func(r time.Time) bool {
-			return !at.Before(r) && at.Before(r.Add(resumeGrace))
-		})
-		if !excused {
-			count++
-		}
-	}
-	return count
-}
-
 // waitConverged waits until all hosts have the newest accepted generation.
 func (f *fleet) waitConverged(ctx context.Context) {
 	started := time.Now()
@@ -203,12 +175,14 @@
 func (f *fleet) accountLeaks(ctx context.Context, report *Report) {
 	var leaks []string
 	var most usage
+	var idle int64
 	compared := 0
 	for _, h := range f.living() {
 		if h.idle.goroutines == 0 {
 			continue
 		}
 		compared++
+		idle = max(idle, h.idle.bytes)
 		now := f.measure(ctx, h)
 		grown := usage{goroutines: now.goroutines - h.idle.goroutines, bytes: now.bytes - h.idle.bytes}
 		most.goroutines = max(most.goroutines, grown.goroutines)
@@ -217,7 +191,8 @@
 			leaks = append(leaks, fmt.Sprintf("%s: %d goroutines and %d MB more than idle", h.name, grown.goroutines, grown.bytes>>20))
 		}
 	}
-	report.add(f.deployment.Name+" no leak", leaks, "%d hosts lived through; most growth %d goroutines, %d MB", compared, most.goroutines, most.bytes>>20)
+	report.add(f.deployment.Name+" no leak", leaks, "%d hosts lived through; idle at most %d MB, most growth %d goroutines, %d MB",
+		compared, idle>>20, most.goroutines, most.bytes>>20)
 }
 
 // accountEnds ends every host gracefully and checks how all hosts ended.
