Keep what answers a probe, and spread short facts without a tail

Cause: an idle host took an upstream away for a moment every 2 s when two others claimed it was down, as its own probe came too late; every host probed every upstream in question, also those it never calls; and the last hosts heard short facts late. Change: claims on the own subset start probes before the last answer is too old, others none; short facts go to all of a small fleet twice and are passed on once more elsewhere.

--- a/member/news.go
+++ b/member/news.go
@@ -34,7 +34,7 @@
 	limit    int
 	crosses  bool // a delegate carries it to other data centres
 	told     map[host.DataCentre]bool
-	toAll    bool // goes from this host straight to every other
+	toAll    int // rounds in which it goes from this host straight to every other
 	queuedAt time.Time
 }
 
@@ -71,7 +71,7 @@
 		n.dropped++
 		return
 	}
-	if queued && old.toAll {
+	if queued && old.toAll > 0 {
 		i.order = old.order
 	}
 	n.items[i.key] = i
@@ -95,10 +95,19 @@
 func (n *news) addOwnFact(f factRecord, raw cbor.RawMessage) {
 	n.addFact(f, raw, false, 0)
 	if i := n.items[factItemKey(f)]; i != nil {
-		i.toAll = true
+		i.toAll = directRounds(f)
 	}
 }
 
+// directRounds is how often a fact goes straight to all: short ones twice, so
+// that a lost datagram is made good at once.
+func directRounds(f factRecord) int {
+	if len(f.Payload) > smallFactBytes {
+		return 1
+	}
+	return 2
+}
+
 func factItemKey(f factRecord) string {
 	return "f\x00" + string(f.From) + "\x00" + string(f.Topic) + "\x00" + f.Key
 }
--- a/member/scale_test.go
+++ b/member/scale_test.go
@@ -45,11 +45,9 @@
 	}
 }
 
-func measureFleet(b *testing.B, size int, span time.Duration) {
-	runtime.GC()
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
-	n := newNetwork(b, 1)
+// largeNetwork returns a fleet whose hosts have long known each other.
+func largeNetwork(t testing.TB, size int) *network {
+	n := newNetwork(t, 1)
 	n.blind = true
 	for i := range size {
 		centre := "a"
@@ -60,6 +58,14 @@
 		n.add(centre)
 	}
 	n.acquaint()
+	return n
+}
+
+func measureFleet(b *testing.B, size int, span time.Duration) {
+	runtime.GC()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	n := largeNetwork(b, size)
 	n.run(5 * time.Second)
 	runtime.GC()
 	runtime.ReadMemStats(&after)
@@ -168,3 +174,41 @@
 		b.ReportMetric(took.Seconds(), "s")
 	}
 }
+
+// BenchmarkSpread measures how long a short fact takes to reach the hosts of
+// fleets of several sizes, with some of the datagrams lost.
+func BenchmarkSpread(b *testing.B) {
+	for _, size := range []int{12, 100, 600, 1200} {
+		for _, loss := range []float64{0, 0.05} {
+			b.Run(fmt.Sprintf("hosts=%d/loss=%v", size, loss), func(b *testing.B) {
+				for b.Loop() {
+					measureSpread(b, size, loss)
+				}
+			})
+		}
+	}
+}
+
+func measureSpread(b *testing.B, size int, loss float64) {
+	n := largeNetwork(b, size)
+	n.loss = loss
+	n.run(3 * time.Second)
+	const facts = 10
+	for i := range facts {
+		require.NoError(b, n.nodes[i].publish(n.now, "upstream", fmt.Sprint(i), []byte{1}))
+	}
+	reached := func() float64 {
+		count := 0
+		for _, one := range n.nodes {
+			count += len(one.core.facts.byKey)
+		}
+		return float64(count) / float64(size*facts)
+	}
+	began := n.now
+	for _, share := range []float64{0.5, 0.99, 1} {
+		for reached() < share && n.now.Sub(began) < time.Minute {
+			n.run(testStep)
+		}
+		b.ReportMetric(n.now.Sub(began).Seconds(), fmt.Sprintf("s-to-%v", share))
+	}
+}
--- a/member/spread.go
+++ b/member/spread.go
@@ -19,7 +19,7 @@
 	if c.small() {
 		return smallFactSends(f)
 	}
-	return 2 + bits.Len(uint(len(c.scopeNow().peers)))/2
+	return 3 + bits.Len(uint(len(c.scopeNow().peers)))/2
 }
 
 // smallFactSends is how often a fact that came straight from its host is
@@ -49,7 +49,7 @@
 			break
 		}
 		left -= float64(len(i.raw) * len(peers))
-		i.toAll = false
+		i.toAll--
 		own = append(own, i)
 	}
 	if len(own) == 0 {
@@ -64,7 +64,7 @@
 func (n *news) oldestOwn() []*item {
 	var own []*item
 	for _, i := range n.items {
-		if i.toAll {
+		if i.toAll > 0 {
 			own = append(own, i)
 		}
 	}
@@ -226,7 +226,7 @@
 			i.queuedAt = c.now
 		}
 		abroad := s.isSpeaker && i.crosses && len(i.told) < len(s.remote) && c.now.Sub(i.queuedAt) < remoteLifetime
-		local := (i.toAll || i.sends < i.limit) && len(s.peers) > 0
+		local := (i.toAll > 0 || i.sends < i.limit) && len(s.peers) > 0
 		if !local && !abroad {
 			delete(c.news.items, key)
 		}
--- a/upstream/entry.go
+++ b/upstream/entry.go
@@ -30,7 +30,10 @@
 type entry struct {
 	Upstream
 	score uint64 // rendezvous score of this host and this upstream
-	load  atomic.Pointer[Load]
+	// tracked says that the upstream was in the host's subset when it was last
+	// live. Hosts spend no probes on what others claim of the rest.
+	tracked bool
+	load    atomic.Pointer[Load]
 
 	listed        bool
 	listedLeaving bool
--- a/upstream/fleet_test.go
+++ b/upstream/fleet_test.go
@@ -182,27 +182,33 @@
 func TestLeavingUpstreamGetsNoWorkAfterThreeSeconds(t *testing.T) {
 	for _, calls := range []int{20, 1, 0} {
 		for seed := range uint64(5) {
-			f := newFleet(seed, 12, 20, calls)
-			f.run(5 * time.Second)
-			leaver := f.servers[3]
-			leaver.leaving = true
-			f.run(3 * time.Second)
-			leaver.work = 0
-			f.run(20 * time.Second)
-			require.Zero(t, leaver.work, "calls %d seed %d", calls, seed)
-			leaver.listing.Leaving = true
-			f.list()
-			f.run(time.Second)
-			require.Equal(t, map[State]int{Leaving: 12}, f.states(leaver.id))
-
-			leaver.leaving, leaver.listing.Leaving = false, false
-			f.list()
-			f.run(60 * time.Second)
-			require.Equal(t, map[State]int{Live: 12}, f.states(leaver.id), "it came back")
+			t.Run(fmt.Sprintf("calls %d seed %d", calls, seed), func(t *testing.T) {
+				t.Parallel()
+				leaveAndReturn(t, newFleet(seed, 12, 20, calls))
+			})
 		}
 	}
 }
 
+func leaveAndReturn(t *testing.T, f *fleet) {
+	f.run(5 * time.Second)
+	leaver := f.servers[3]
+	leaver.leaving = true
+	f.run(3 * time.Second)
+	leaver.work = 0
+	f.run(20 * time.Second)
+	require.Zero(t, leaver.work)
+	leaver.listing.Leaving = true
+	f.list()
+	f.run(time.Second)
+	require.Equal(t, map[State]int{Leaving: 12}, f.states(leaver.id))
+
+	leaver.leaving, leaver.listing.Leaving = false, false
+	f.list()
+	f.run(60 * time.Second)
+	require.Equal(t, map[State]int{Live: 12}, f.states(leaver.id), "it came back")
+}
+
 // A dead upstream costs the fleet a few calls, not a few from each host, and
 // comes back into use after its restart.
 func TestDeadUpstreamGetsHardlyAnyWork(t *testing.T) {
@@ -260,6 +266,52 @@
 	require.Positive(t, lost, "the host that watches them over its bad link finds some dead")
 }
 
+// Idle hosts keep an upstream that two others claim is down, by probes of
+// their own that come before their last answer is too old.
+func TestProbesOutweighClaimsWithoutFlapping(t *testing.T) {
+	f := newFleet(6, 12, 20, 0)
+	f.run(2 * time.Second)
+	f.cut[f.hosts[0].self.ID] = true
+	f.cut[f.hosts[1].self.ID] = true
+	f.run(5 * time.Second)
+	claimed := 0
+	for range 1000 {
+		f.run(testStep)
+		for _, h := range f.hosts[2:] {
+			require.Len(t, f.live(h), 20)
+			for _, e := range h.entries {
+				claimed = max(claimed, len(e.claims))
+			}
+		}
+	}
+	require.Equal(t, 2, claimed, "both hosts claim that some upstream is down")
+}
+
+// A host in front of many upstreams probes those of its subset only, however
+// many of the others are claimed to be down.
+func TestClaimsOutsideTheSubsetCostNoProbes(t *testing.T) {
+	f := newFleet(1, 1, 500, 0)
+	h := f.hosts[0]
+	var live []*entry
+	for _, e := range h.entries {
+		live = append(live, e)
+	}
+	mine := make(map[ID]bool)
+	for _, up := range subset(h.self, live, 64) {
+		mine[up.ID] = true
+	}
+	clear(h.duties)
+	for id := range h.entries {
+		h.heard(f.now, "x", id, claimDown)
+		h.heard(f.now, "y", id, claimDown)
+	}
+	due := h.dueProbes(f.now)
+	require.Len(t, due, 64)
+	for _, up := range due {
+		require.True(t, mine[up.ID])
+	}
+}
+
 // The list lags: it names a dead machine, forgets a living one, and gives an
 // address to another pool.
 func TestLaggingListIsCorrected(t *testing.T) {
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -129,7 +129,7 @@
 	if known {
 		r.forget(e)
 	}
-	e = &entry{Upstream: up, score: score(string(r.self.ID), string(id)), claims: make(map[host.ID]claim)}
+	e = &entry{Upstream: up, score: score(string(r.self.ID), string(id)), claims: make(map[host.ID]claim), tracked: true}
 	r.entries[id] = e
 	return e
 }
@@ -249,9 +249,9 @@
 
 func (r *registry) wantsProbe(now time.Time, e *entry) bool {
 	switch {
-	case !e.listed, e.failures > 0, e.saidLeaving:
+	case e.failures > 0, e.saidLeaving, !e.listed && e.tracked:
 		return true
-	case e.claimants(now, claimDown, r.timing.ClaimTTL) > 0 && now.Sub(e.lastAnswer) >= r.timing.RecentAnswer:
+	case e.tracked && e.claimants(now, claimDown, r.timing.ClaimTTL) > 0 && now.Sub(e.lastAnswer) >= r.timing.RecentAnswer/2:
 		return true
 	}
 	_, onDuty := r.duties[e.ID]
--- a/upstream/subset.go
+++ b/upstream/subset.go
@@ -27,8 +27,11 @@
 
 // subset returns the upstreams of a pool that the host sends work to: at most
 // size live ones, the nearest first and among equally near ones those with the
-// highest score, ordered by ID.
+// highest score, ordered by ID. It marks them as tracked.
 func subset(self host.Info, live []*entry, size int) []Upstream {
+	for _, e := range live {
+		e.tracked = false
+	}
 	if size > 0 && len(live) > size {
 		slices.SortFunc(live, func(a, b *entry) int {
 			return cmp.Or(
@@ -41,6 +44,7 @@
 	}
 	out := make([]Upstream, 0, len(live))
 	for _, e := range live {
+		e.tracked = true
 		out = append(out, e.Upstream)
 	}
 	slices.SortFunc(out, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
