--- a/claim/fleet_test.go
+++ b/claim/fleet_test.go
@@ -21,6 +21,8 @@
 	mu    sync.Mutex // guards all below
 	hosts map[netip.AddrPort]map[link.Method]link.Handler
 	dead  map[netip.AddrPort]bool
+	// silent makes calls on dead hosts hang in place of being refused.
+	silent bool
 	// loseReply says whether to lose the answer of a call.
 	loseReply func(link.Method) bool
 	// cut says whether two hosts can't reach each other.
@@ -55,7 +57,12 @@
 	handler := n.hosts[peer][method]
 	unreachable := handler == nil || n.dead[peer] || n.dead[p.addr] || (n.cut != nil && n.cut(p.addr, peer))
 	lose := n.loseReply != nil && n.loseReply(method)
+	silent := n.silent && n.dead[peer]
 	n.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return link.Error.Wrap(ctx.Err())
+	}
 	if unreachable {
 		return link.ErrNotSent
 	}
