Read only the changed workspaces of a long section

Change: ParseBodies finds the changed items between the texts' common start and end, reads them alone and takes the others from the document before. When they have faults, or aren't laid out line by line, the section is read whole. Names are checked without a regular expression.

--- a/document/check.go
+++ b/document/check.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/hex"
-	"regexp"
+	"strings"
 
 	"go.yaml.in/yaml/v3"
 )
@@ -13,7 +13,21 @@
 // hashBytes is the length of a SHA-256 hash.
 const hashBytes = 32
 
-var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._/-]*$`)
+// nameMarks are the characters besides letters and digits that a name may
+// have after its first.
+const nameMarks = "._/-"
+
+// isName says whether a text is letters, digits and nameMarks.
+func isName(text string) bool {
+	for i := range len(text) {
+		c := text[i]
+		letter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+		if !letter && (i == 0 || strings.IndexByte(nameMarks, c) < 0) {
+			return false
+		}
+	}
+	return text != ""
+}
 
 // checker checks a decoded document as a whole.
 type checker struct {
@@ -81,7 +95,7 @@
 	switch {
 	case name == "":
 		c.fault(it, "a name is missing")
-	case len(name) > maxNameBytes || !namePattern.MatchString(name):
+	case len(name) > maxNameBytes || !isName(name):
 		c.fault(it, "%q must be letters, digits and . _ / -, at most %d bytes", name, maxNameBytes)
 	case twice:
 		c.fault(it, "%q stands twice", name)
--- a/document/check_work.go
+++ b/document/check_work.go
@@ -23,7 +23,7 @@
 	c.require(len(c.document.Sites) > 0, c.item(SectionSites, 0), "the document names no data centre")
 	for i, site := range c.document.Sites {
 		at := c.item(SectionSites, i).field("region")
-		c.require(namePattern.MatchString(site.Region), at, "a data centre needs a region")
+		c.require(isName(site.Region), at, "a data centre needs a region")
 	}
 }
 
@@ -36,7 +36,7 @@
 			"max_copies must be at least min_copies")
 		for j, adapter := range model.Adapters {
 			at := it.field("adapters").at(j)
-			c.require(namePattern.MatchString(adapter), at, "%q is not an adapter's name", adapter)
+			c.require(isName(adapter), at, "%q is not an adapter's name", adapter)
 			c.require(slices.Index(model.Adapters, adapter) == j, at, "adapter %q stands twice", adapter)
 		}
 	}
--- a/document/document.go
+++ b/document/document.go
@@ -51,6 +51,7 @@
 
 	index  index
 	bodies Bodies
+	layout *layout
 }
 
 // Site is one data centre and the region it stands in.
--- a/document/parse.go
+++ b/document/parse.go
@@ -25,7 +25,7 @@
 	p := newParser(true)
 	p.document.bodies = bodies
 	for _, body := range bodies {
-		if !p.reuse(body, previous) {
+		if !p.reuse(body, previous) && !p.reuseItems(body, previous) {
 			p.readBody(body)
 		}
 	}
@@ -102,6 +102,7 @@
 	if body.Section == SectionWorkspaces {
 		p.document.index.workspaces = previous.index.workspaces
 		p.document.index.keyHashes = previous.index.keyHashes
+		p.document.layout = previous.layout
 	}
 	return true
 }
@@ -128,5 +129,8 @@
 	if err := p.faults.err(); err != nil {
 		return nil, err
 	}
+	if p.document.layout == nil {
+		p.document.layout = layoutOf(p.document.bodies.Get(SectionWorkspaces), len(p.document.Workspaces))
+	}
 	return p.document, nil
 }
--- a/document/parse_test.go
+++ b/document/parse_test.go
@@ -6,10 +6,12 @@
 	"encoding/hex"
 	"fmt"
 	"os"
+	"reflect"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/galenaseam/galenaseam/document"
 )
@@ -168,6 +170,41 @@
 	}
 }
 
+// Reading only what changed gives the same as reading all, whatever the edit.
+func TestEditsAmongWorkspacesReadTheSameAlone(t *testing.T) {
+	d, err := document.Parse(manyWorkspaces(t, 30))
+	require.NoError(t, err)
+	pieces := []string{"", "  - name: new-%d\n    key_hashes: [%s]\n", "# a note\n", "\n", "  - name: \"open-%d\n",
+		"    share: 2\n", "limits: []\n", "  - {name: flow-%d, key_hashes: [%s]}\n", "- x\n", "   - y\n", "      - %s\n",
+		"  -\n    name: odd-%d\n    key_hashes: [%s]\n", "    large: true\n  # end\n", "'", "---\n"}
+	accepted := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		text := string(d.Bodies().Get(document.SectionWorkspaces))
+		from := rapid.IntRange(0, len(text)).Draw(rt, "from")
+		to := rapid.IntRange(from, min(len(text), from+400)).Draw(rt, "to")
+		if rapid.Bool().Draw(rt, "whole lines") {
+			from = strings.LastIndex(text[:from], "\n") + 1
+			to = max(from, strings.LastIndex(text[:to], "\n")+1)
+		}
+		number := rapid.IntRange(0, 99).Draw(rt, "number")
+		hash := fmt.Sprintf("%x", sha256.Sum256([]byte{byte(number)}))
+		piece := rapid.SampledFrom(pieces).Draw(rt, "piece")
+		piece = strings.ReplaceAll(strings.ReplaceAll(piece, "%d", fmt.Sprint(number)), "%s", hash)
+		edited := d.Bodies().With(document.Bodies{{Section: document.SectionWorkspaces, Text: []byte(text[:from] + piece + text[to:])}})
+		whole, wholeErr := document.ParseBodies(edited, nil)
+		alone, aloneErr := document.ParseBodies(edited, d)
+		require.Equal(rt, fmt.Sprint(wholeErr), fmt.Sprint(aloneErr))
+		if wholeErr == nil {
+			accepted++
+			require.True(rt, reflect.DeepEqual(whole, alone))
+			again, err := document.ParseBodies(d.Bodies(), alone)
+			require.NoError(rt, err)
+			require.True(rt, reflect.DeepEqual(d, again))
+		}
+	})
+	require.Positive(t, accepted)
+}
+
 // manyWorkspaces returns an example in which workspaces are added.
 func manyWorkspaces(t testing.TB, count int) []byte {
 	bodies, err := document.Split(example(t, "cylinder"))
@@ -199,6 +236,17 @@
 	}
 }
 
+func BenchmarkParseBodiesChangingOneOf50000Workspaces(b *testing.B) {
+	d, err := document.Parse(manyWorkspaces(b, 50_000))
+	require.NoError(b, err)
+	text := bytes.Replace(d.Bodies().Get(document.SectionWorkspaces), []byte("workspace-25000"), []byte("workspace-other"), 1)
+	changed := d.Bodies().With(document.Bodies{{Section: document.SectionWorkspaces, Text: text}})
+	for b.Loop() {
+		_, err := document.ParseBodies(changed, d)
+		require.NoError(b, err)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add(example(f, "cylinder"))
 	f.Add(example(f, "yardline"))
