--- a/config/learn.go
+++ b/config/learn.go
@@ -164,6 +164,7 @@
 // came.
 func (s *Syncer) runPolls(ctx context.Context) error {
 	for s.wait(ctx, pollInterval) {
+		s.Floor() // keeps its metric fresh
 		s.mu.Lock()
 		peer, found := choosePoll(s.cfg.View, s.random)
 		s.mu.Unlock()
