--- a/fleet_test.go
+++ b/fleet_test.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"os/exec"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+	"go.yaml.in/yaml/v3"
 
 	"github.com/galenaseam/galenaseam/document"
 	"github.com/galenaseam/galenaseam/examples"
@@ -244,3 +247,45 @@
 	require.LessOrEqual(t, passed, limit*(seconds+3))
 	require.GreaterOrEqual(t, passed, limit*seconds/3, "a host's share does not follow demand")
 }
+
+// metricNames finds the system's metrics in a text.
+var metricNames = regexp.MustCompile(`galenaseam_[a-z_]+`)
+
+// Alerts and dashboard must name metrics that hosts have.
+func TestAlertsAndDashboardNameMetricsThatExist(t *testing.T) {
+	r := start(t, dev.Cylinder, 2, 1)
+	for _, call := range r.lines("curl") {
+		require.NoError(t, exec.Command("bash", "-c", call).Run())
+	}
+	resp, err := http.Get("http://" + r.Hosts()[0].OperatorAddr().String() + "/metrics")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	scraped, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	has := make(map[string]bool)
+	for _, name := range metricNames.FindAllString(string(scraped), -1) {
+		has[name] = true
+	}
+	for _, path := range []string{"docs/alerts.yaml", "docs/dashboard.json"} {
+		text, err := os.ReadFile(path)
+		require.NoError(t, err)
+		names := metricNames.FindAllString(string(text), -1)
+		require.NotEmpty(t, names)
+		for _, name := range names {
+			require.True(t, has[name], "%s names %s, which no host has", path, name)
+		}
+	}
+	var rules struct {
+		Groups []struct {
+			Rules []struct{ Alert, Expr string }
+		}
+	}
+	text, err := os.ReadFile("docs/alerts.yaml")
+	require.NoError(t, err)
+	require.NoError(t, yaml.Unmarshal(text, &rules))
+	page, err := os.ReadFile("docs/operations/alerts.md")
+	require.NoError(t, err)
+	for _, rule := range rules.Groups[0].Rules {
+		require.Contains(t, string(page), "## "+rule.Alert+"\n", "an alert without a page")
+	}
+}
