Quarantine requests that crash upstreams on a running fleet

Change: requests are screened at arrival and again after each loss; a suspect goes on in single attempts; losses are shared as facts.

--- a/build.go
+++ b/build.go
@@ -20,6 +20,7 @@
 	"github.com/galenaseam/galenaseam/operator"
 	"github.com/galenaseam/galenaseam/platform/kv"
 	"github.com/galenaseam/galenaseam/platform/sd"
+	"github.com/galenaseam/galenaseam/quarantine"
 	"github.com/galenaseam/galenaseam/request"
 	"github.com/galenaseam/galenaseam/settings"
 	"github.com/galenaseam/galenaseam/upstream"
@@ -174,14 +175,17 @@
 }
 
 // buildCallers makes the callers' interface and what runs their requests.
-func (h *Host) buildCallers() error {
+func (h *Host) buildCallers() (err error) {
 	h.planners = newPlanners(h)
+	if h.quarantine, err = quarantine.New(quarantine.Config{Gossip: h.members, Registerer: h.metrics.Registry()}); err != nil {
+		return err
+	}
 	h.client = attempt.New(attempt.Config{Listener: h.upstreams})
 	h.runner = request.New(request.Config{
 		Dispatcher: h.dispatcher,
 		Upstreams:  h.upstreams,
 		Client:     h.client,
-		Guard:      openGuard{},
+		Guard:      guard{h.quarantine},
 		Meter:      h.planners.meter,
 		Claims:     claimed.New(h.claims, h.logger),
 		Logger:     h.logger,
--- a/guard.go
+++ b/guard.go
@@ -1,13 +1,46 @@
 package galenaseam
 
 import (
+	"time"
+
+	"github.com/galenaseam/galenaseam/quarantine"
 	"github.com/galenaseam/galenaseam/request"
 	"github.com/galenaseam/galenaseam/upstream"
 )
 
-// openGuard lets every request run.
-type openGuard struct{}
+// guard is the request path's way to the quarantine.
+type guard struct {
+	quarantine *quarantine.Quarantine
+}
+
+// Screen says whether a request may run.
+func (g guard) Screen(d request.Digest) request.Screening {
+	switch g.quarantine.Check(time.Now(), quarantine.Digest(d)) {
+	case quarantine.RunAlone:
+		return request.RunAlone
+	case quarantine.Refuse:
+		return request.Refuse
+	default:
+		return request.Allow
+	}
+}
+
+// Started takes note that an upstream begins to run a request.
+func (g guard) Started(d request.Digest, id upstream.ID) {
+	g.quarantine.Started(quarantine.Digest(d), id)
+}
+
+// Lost takes note that an upstream died while it ran a request.
+func (g guard) Lost(d request.Digest, id upstream.ID) {
+	g.quarantine.Ended(quarantine.Digest(d), id, true)
+}
 
-func (openGuard) Screen(request.Digest) request.Screening { return request.Allow }
-func (openGuard) Started(request.Digest, upstream.ID)     {}
-func (openGuard) Ended(request.Digest, upstream.ID, bool) {}
+// Ended takes note of a request's end. One that was run alone and came whole
+// is cleared; any other keeps what is known against it.
+func (g guard) Ended(d request.Digest, whole bool) {
+	if whole {
+		g.quarantine.Ended(quarantine.Digest(d), "", false)
+		return
+	}
+	g.quarantine.GiveBack(quarantine.Digest(d))
+}
--- a/host.go
+++ b/host.go
@@ -28,6 +28,7 @@
 	"github.com/galenaseam/galenaseam/operator"
 	"github.com/galenaseam/galenaseam/platform"
 	"github.com/galenaseam/galenaseam/policy"
+	"github.com/galenaseam/galenaseam/quarantine"
 	"github.com/galenaseam/galenaseam/request"
 	"github.com/galenaseam/galenaseam/settings"
 	"github.com/galenaseam/galenaseam/upstream"
@@ -76,6 +77,7 @@
 	syncer     *config.Syncer
 	writer     *config.Writer
 	planners   *planners
+	quarantine *quarantine.Quarantine
 	client     *attempt.Client
 	runner     *request.Runner
 	callers    *frontend.Frontend
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -129,6 +129,14 @@
 	}
 }
 
+// GiveBack takes note that this host no longer runs a suspect alone, although
+// the suspect did not run to its end. Others may run it when the right lapses.
+func (q *Quarantine) GiveBack(d Digest) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.alone, d)
+}
+
 // tell spreads news. The newest of a host replaces its older ones by the key,
 // so that each kind has a key of its own.
 func (q *Quarantine) tell(n news) {
--- a/request/guard.go
+++ b/request/guard.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/galenaseam/galenaseam/attempt"
@@ -31,12 +32,15 @@
 // Guard recognises requests that crash each upstream that runs them.
 // Implementations are safe for concurrent use.
 type Guard interface {
-	// Screen says whether a request may run.
+	// Screen says whether a request may run, or go on after a loss.
 	Screen(d Digest) Screening
-	// Started and Ended frame each attempt. lost says that the upstream died
-	// while it ran the request.
+	// Started takes note that an upstream begins to run the request.
 	Started(d Digest, id upstream.ID)
-	Ended(d Digest, id upstream.ID, lost bool)
+	// Lost takes note that an upstream died while it ran the request.
+	Lost(d Digest, id upstream.ID)
+	// Ended takes note of the request's end. whole says that every stage ran
+	// without a loss.
+	Ended(d Digest, whole bool)
 }
 
 // digestOf hashes a request within its workspace and target.
@@ -50,19 +54,37 @@
 	return d
 }
 
-// screen asks the guard, and turns a refusal into a problem.
-func (r *Runner) screen(d Digest) (alone bool, err error) {
-	switch r.cfg.Guard.Screen(d) {
-	case Refuse:
-		return false, problem.New(422, "crashes_upstreams",
-			"this request has crashed the upstreams that ran it and is not run again", problem.No)
-	case RunAlone:
-		return true, nil
-	default:
-		return false, nil
+// screened is a request under the guard's eyes, from its arrival to its end.
+type screened struct {
+	guard  Guard
+	digest Digest
+	// alone says that it runs in single attempts, never doubled or repeated.
+	alone bool
+	// lost says that an upstream died under it.
+	lost bool
+}
+
+// screen asks the guard about a request that arrives.
+func (r *Runner) screen(d Digest) (*screened, error) {
+	s := &screened{guard: r.cfg.Guard, digest: d}
+	return s, s.ask(problem.No)
+}
+
+// ask asks the guard whether the request may run, or go on. The error is a
+// *problem.Problem.
+func (s *screened) ask(ran problem.Ran) error {
+	verdict := s.guard.Screen(s.digest)
+	s.alone = verdict == RunAlone
+	if verdict != Refuse {
+		return nil
 	}
+	return problem.New(http.StatusUnprocessableEntity, "crashes_upstreams",
+		"this request has crashed the upstreams that ran it and is not run again", ran)
 }
 
+// end tells the guard how the request ended.
+func (s *screened) end(whole bool) { s.guard.Ended(s.digest, whole && !s.lost) }
+
 // lifeCheckTimeout bounds the connection that tests whether an upstream lives.
 const lifeCheckTimeout = 200 * time.Millisecond
 
--- a/request/path_test.go
+++ b/request/path_test.go
@@ -52,7 +52,8 @@
 
 func (openGuard) Screen(request.Digest) request.Screening { return request.Allow }
 func (openGuard) Started(request.Digest, upstream.ID)     {}
-func (openGuard) Ended(request.Digest, upstream.ID, bool) {}
+func (openGuard) Lost(request.Digest, upstream.ID)        {}
+func (openGuard) Ended(request.Digest, bool)              {}
 
 // memoryClaims runs each key at most once within one process.
 type memoryClaims struct {
--- a/request/runner.go
+++ b/request/runner.go
@@ -116,8 +116,7 @@
 	job     Job
 	callID  string
 	ticket  dispatch.Ticket
-	digest  Digest
-	alone   bool
+	guarded *screened
 	ran     problem.Ran
 	work    work
 	reports []StageReport
@@ -128,13 +127,20 @@
 	p.ran = problem.No
 	ctx, cancel := context.WithDeadline(ctx, p.job.Deadline)
 	defer cancel()
-	p.digest = digestOf(p.job.Workspace, p.job.Pipeline.Name, []byte(p.job.Input))
-	alone, err := p.runner.screen(p.digest)
+	guarded, err := p.runner.screen(digestOf(p.job.Workspace, p.job.Pipeline.Name, []byte(p.job.Input)))
 	if err != nil {
 		return Result{}, err
 	}
-	p.alone = alone
+	p.guarded = guarded
+	result, err := p.admitted(ctx)
+	guarded.end(err == nil)
+	return result, err
+}
+
+// admitted runs the stages once the dispatcher has admitted the job.
+func (p *pipelineRun) admitted(ctx context.Context) (Result, error) {
 	arrival := p.arrival()
+	var err error
 	p.ticket, err = p.runner.cfg.Dispatcher.Admit(ctx, arrival)
 	if err != nil {
 		return Result{}, p.toProblem(ctx, err)
--- a/request/service.go
+++ b/request/service.go
@@ -90,30 +90,36 @@
 	runner *Runner
 	job    ServiceJob
 	callID string
-	digest Digest
-	alone  bool
 	ran    problem.Ran
+	// guarded is set once the call was screened.
+	guarded *screened
 }
 
-// do screens the call and runs it, once or with retries.
+// do screens the call and runs it.
 func (s *serviceRun) do(ctx context.Context) (ServiceAnswer, error) {
 	ctx, cancel := context.WithDeadline(ctx, s.job.Deadline)
 	defer cancel()
-	s.digest = s.bodyDigest()
-	alone, err := s.runner.screen(s.digest)
+	digest := s.bodyDigest()
+	guarded, err := s.runner.screen(digest)
 	if err != nil {
 		return ServiceAnswer{}, err
 	}
-	s.alone = alone
+	s.guarded = guarded
+	answer, err := s.screened(ctx, digest)
+	guarded.end(err == nil)
+	return answer, err
+}
+
+// screened runs the call, once or with retries.
+func (s *serviceRun) screened(ctx context.Context, digest Digest) (ServiceAnswer, error) {
 	if s.job.Operation.Idempotent {
-		answer, err := s.call(ctx)
-		return answer, err
+		return s.call(ctx)
 	}
 	key := OnceKey{
 		Workspace:      s.job.Workspace,
 		Service:        s.job.Service.Name,
 		IdempotencyKey: s.job.IdempotencyKey,
-		Digest:         s.digest,
+		Digest:         digest,
 	}
 	return s.runner.cfg.Claims.Once(ctx, key, s.job.ID, s.once)
 }
@@ -174,6 +180,11 @@
 		if !s.mayRepeat(failed) {
 			return ServiceAnswer{}, failed
 		}
+		if s.guarded.lost {
+			if err := s.guarded.ask(s.ran); err != nil {
+				return ServiceAnswer{}, err
+			}
+		}
 		wait, ok := ticket.MayRetry(0, failed.Failure)
 		if !ok || sleep(ctx, wait) != nil {
 			return ServiceAnswer{}, failed
@@ -184,7 +195,7 @@
 
 // mayRepeat says whether another attempt is safe.
 func (s *serviceRun) mayRepeat(failed *attempt.Failed) bool {
-	if s.alone {
+	if s.guarded.alone {
 		return false
 	}
 	return s.job.Operation.Idempotent || failed.NothingRan()
@@ -196,7 +207,7 @@
 	defer cancel()
 	r := s.runner
 	up := slot.Upstream()
-	r.cfg.Guard.Started(s.digest, up.ID)
+	r.cfg.Guard.Started(s.guarded.digest, up.ID)
 	answer, err := r.cfg.Client.Do(ctx, attempt.Call{
 		Identity: attempt.Identity{RequestID: s.callID, Stage: s.job.Service.Name, Attempt: count},
 		Upstream: up,
@@ -219,7 +230,10 @@
 	}
 	slot.Done(outcome)
 	r.report(up.ID, failed)
-	r.cfg.Guard.Ended(s.digest, up.ID, r.lostUpstream(outcome.Failure, up))
+	if r.lostUpstream(outcome.Failure, up) {
+		s.guarded.lost = true
+		r.cfg.Guard.Lost(s.guarded.digest, up.ID)
+	}
 	return ServiceAnswer{Status: answer.Status, Header: answer.Header, Body: answer.Body}, failed
 }
 
--- a/request/tries.go
+++ b/request/tries.go
@@ -21,6 +21,8 @@
 	avoid    []upstream.ID
 	count    int
 	winner   upstream.ID
+	// lost says that an upstream died under the last race.
+	lost bool
 }
 
 // step is what a kind of stage does in one attempt.
@@ -47,7 +49,14 @@
 		if failed == nil {
 			return nil
 		}
-		if t.pipeline.alone || ctx.Err() != nil {
+		wasAlone := t.pipeline.guarded.alone
+		if t.lost {
+			t.lost = false
+			if err := t.pipeline.guarded.ask(t.pipeline.ran); err != nil {
+				return err
+			}
+		}
+		if wasAlone || ctx.Err() != nil {
 			return failed
 		}
 		wait, ok := t.pipeline.ticket.MayRetry(t.index, failed.Failure)
@@ -65,6 +74,7 @@
 	upstream  upstream.ID
 	apply     func()
 	committed bool
+	lost      bool
 	failed    *attempt.Failed
 }
 
@@ -85,6 +95,7 @@
 		case end := <-ends:
 			running--
 			t.pipeline.ran = markRan(t.pipeline.ran, end.failed)
+			t.lost = t.lost || end.lost
 			won, lost = settle(won, lost, end)
 			if end.committed {
 				cancel()
@@ -96,6 +107,7 @@
 			}
 		}
 	}
+	t.pipeline.guarded.lost = t.pipeline.guarded.lost || t.lost
 	if won != nil && won.failed == nil {
 		won.apply()
 		t.winner = won.upstream
@@ -118,7 +130,7 @@
 // hedgeTimer fires when the attempt should be doubled, or never.
 func (t *tries) hedgeTimer() (<-chan time.Time, func()) {
 	delay, ok := t.pipeline.ticket.HedgeDelay(t.index)
-	if !ok || t.pipeline.alone {
+	if !ok || t.pipeline.guarded.alone {
 		return nil, func() {}
 	}
 	timer := time.NewTimer(delay)
@@ -167,7 +179,7 @@
 		return won
 	}
 	r := t.pipeline.runner
-	r.cfg.Guard.Started(t.pipeline.digest, call.Upstream.ID)
+	r.cfg.Guard.Started(t.pipeline.guarded.digest, call.Upstream.ID)
 	r.cfg.Meter.Began(t.need.Model)
 	apply, outcome, err := t.step.attempt(ctx, call, commit)
 	end := ended{upstream: call.Upstream.ID, apply: apply, committed: won}
@@ -178,8 +190,10 @@
 	slot.Done(outcome)
 	r.cfg.Meter.Ended(t.need.Model, call.Upstream.ID, engineFailed(outcome.Failure))
 	r.report(call.Upstream.ID, end.failed)
-	lost := r.lostUpstream(outcome.Failure, call.Upstream)
-	r.cfg.Guard.Ended(t.pipeline.digest, call.Upstream.ID, lost)
+	end.lost = r.lostUpstream(outcome.Failure, call.Upstream)
+	if end.lost {
+		r.cfg.Guard.Lost(t.pipeline.guarded.digest, call.Upstream.ID)
+	}
 	return end
 }
 
