Let new hosts at old addresses take the old ones' place

Cause: a test that replaces every host at its address, and then eleven of twelve at once, did not settle: the old hosts lived on as suspects that too few others missed, and the one that stayed took their addresses for known. Change: an address proves the end of its last host; every host of a small fleet checks a suspicion; suspects neither help with probes nor hide a seed; a host that hears nothing for 3 s asks the seeds each second.

--- a/member/core.go
+++ b/member/core.go
@@ -52,6 +52,7 @@
 	facts  factStore
 	syncer syncer
 
+	heardAt   time.Time // when any other host was heard
 	lastTick  time.Time
 	nextClean time.Time
 
@@ -128,6 +129,7 @@
 	if err != nil {
 		return rejectedMalformed
 	}
+	c.heardAt = now
 	c.hearFrom(m.Self)
 	c.noteNewest(m.Newest)
 	for i := range records {
--- a/member/network_test.go
+++ b/member/network_test.go
@@ -87,7 +87,17 @@
 // add starts a host that knows the first hosts as seeds.
 func (n *network) add(centre string) *node {
 	i := len(n.nodes)
-	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7000)
+	return n.addAt(centre, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7000))
+}
+
+// replace kills a host and starts another, with a new ID, at its address.
+func (n *network) replace(old *node) *node {
+	old.dead = true
+	return n.addAt(string(old.self.Info.Place.DataCentre), old.self.Info.LinkAddr)
+}
+
+func (n *network) addAt(centre string, addr netip.AddrPort) *node {
+	i := len(n.nodes)
 	info := host.Info{
 		ID:       host.ID(fmt.Sprintf("host-%05d", i)),
 		Place:    host.Place{DataCentre: host.DataCentre(centre), Region: host.Region("r" + centre[:1])},
--- a/member/probe.go
+++ b/member/probe.go
@@ -291,7 +291,11 @@
 	if !known {
 		return
 	}
-	helpers := c.pick(indirectHelpers, map[host.ID]bool{w.target: true})
+	leaveOut := map[host.ID]bool{w.target: true}
+	for id := range c.suspected {
+		leaveOut[id] = true
+	}
+	helpers := c.pick(indirectHelpers, leaveOut)
 	w.helpers = len(helpers)
 	for _, h := range helpers {
 		c.send(h, &message{Kind: kindIndirectPing, Probe: w.number, Target: w.target})
--- a/member/protocol_test.go
+++ b/member/protocol_test.go
@@ -33,6 +33,24 @@
 	}
 }
 
+// Every host is killed in turn and replaced by one with a new ID at the same
+// address; then all but one at once.
+func TestWholeFleetReplacedAtTheSameAddresses(t *testing.T) {
+	for _, pause := range []time.Duration{500 * time.Millisecond, 5 * time.Second} {
+		n := twelve(t, 15)
+		for _, one := range n.nodes[:12] {
+			n.replace(one)
+			n.run(pause)
+		}
+		n.await(30*time.Second, n.converged, "the new hosts know each other and no old one")
+		for _, one := range n.nodes[12:23] {
+			n.replace(one)
+		}
+		took := n.await(30*time.Second, n.converged, "eleven new hosts and the one that stayed")
+		t.Logf("eleven of twelve replaced at once: settled after %s", took)
+	}
+}
+
 // With 20% of the datagrams lost nobody is buried, and a dead host still is.
 func TestTwentyPercentLossBuriesNobody(t *testing.T) {
 	for seed := range uint64(3) {
--- a/member/roster.go
+++ b/member/roster.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -31,6 +32,7 @@
 		}
 		return
 	case !known:
+		c.buryAt(s.Info.LinkAddr)
 		p = c.admit(s)
 		c.spread(p.record)
 	case s.Incarnation > p.Incarnation:
@@ -52,6 +54,16 @@
 	}
 }
 
+// buryAt buries the hosts whose address a new one has: they ended before it
+// could start there.
+func (c *core) buryAt(addr netip.AddrPort) {
+	for _, id := range sortedIDs(c.peers) {
+		if p := c.peers[id]; p.State != host.Dead && p.Info.LinkAddr == addr {
+			c.bury(p, p.Incarnation)
+		}
+	}
+}
+
 // mergeRecord takes in what the sender tells of a third host, or of this one.
 func (c *core) mergeRecord(r record, raw cbor.RawMessage) {
 	if r.Info.ID == c.self.Info.ID {
@@ -59,6 +71,10 @@
 		return
 	}
 	p, known := c.peers[r.Info.ID]
+	if r.Info.LinkAddr == c.self.Info.LinkAddr && r.State != host.Dead {
+		c.buryPredecessor(p, r)
+		return
+	}
 	if !known {
 		c.mergeUnknown(r, raw)
 		return
@@ -76,6 +92,17 @@
 	}
 }
 
+// buryPredecessor buries a host that had this host's address: it ended before
+// this one could start.
+func (c *core) buryPredecessor(p *peer, r record) {
+	if p == nil {
+		p = c.admit(r)
+	}
+	if p.State != host.Dead || p.Incarnation < r.Incarnation {
+		c.bury(p, r.Incarnation)
+	}
+}
+
 func (c *core) mergeUnknown(r record, raw cbor.RawMessage) {
 	if r.State == host.Suspect {
 		r.State, r.Accuser = host.Alive, ""
--- a/member/scope.go
+++ b/member/scope.go
@@ -12,7 +12,7 @@
 // Sizes of the groups inside the fleet.
 const (
 	delegatesPerCentre = 3
-	verifiersPerHost   = 3
+	verifiersPerHost   = 12
 	smallestScope      = 4
 )
 
--- a/member/sync.go
+++ b/member/sync.go
@@ -17,6 +17,7 @@
 	joinEvery        = time.Second
 	joinTargets      = 3
 	seedEvery        = 10 * time.Second
+	aloneAfter       = 3 * time.Second
 	maxJoinsAtOnce   = 4
 	joinForgetsAfter = 10 * time.Second
 )
@@ -25,6 +26,7 @@
 // finds the fleet.
 type syncer struct {
 	seeds    []netip.AddrPort
+	lastJoin time.Time
 	nextJoin time.Time
 	queue    []outgoing
 	lastTo   map[host.ID]time.Time
@@ -52,13 +54,20 @@
 	c.join()
 }
 
-// join asks seeds for everything: often while alone, now and then a listed
-// address at which no living host is known, to heal partitions.
+// join asks seeds for everything: often while alone or without any datagram from
+// others, else now and then, to heal partitions.
 func (c *core) join() {
-	if c.now.Before(c.syncer.nextJoin) || c.stopping {
+	if c.stopping {
+		return
+	}
+	alone := len(c.scopeNow().peers) == 0 || c.now.Sub(c.heardAt) > aloneAfter
+	due := c.syncer.nextJoin
+	if alone {
+		due = minTime(due, c.syncer.lastJoin.Add(joinEvery))
+	}
+	if c.now.Before(due) {
 		return
 	}
-	alone := len(c.scopeNow().peers) == 0
 	strangers := c.strangeSeeds()
 	if alone && len(strangers) == 0 {
 		return
@@ -67,17 +76,17 @@
 	if alone {
 		count, wait = joinTargets, joinEvery
 	}
-	c.syncer.nextJoin = c.now.Add(wait)
+	c.syncer.lastJoin, c.syncer.nextJoin = c.now, c.now.Add(wait)
 	for _, i := range c.rand.Perm(len(strangers))[:min(count, len(strangers))] {
 		c.sendTo("", strangers[i], &message{Kind: kindJoin})
 	}
 }
 
-// strangeSeeds returns the seeds at which no living host is known.
+// strangeSeeds returns the seeds at which no host is known that answers.
 func (c *core) strangeSeeds() []netip.AddrPort {
 	taken := map[netip.AddrPort]bool{c.self.Info.LinkAddr: true}
 	for _, p := range c.peers {
-		if p.State != host.Dead {
+		if p.State != host.Dead && p.State != host.Suspect {
 			taken[p.Info.LinkAddr] = true
 		}
 	}
