Refuse no workspace below its limit: give spare tokens back, follow thin demand

Three causes: admission takes the most tokens a request may produce and never gave the rest back; a host that sees 1.2 requests a second took each for a surge, so shares jumped about; and a share of 1.7 a second saves up no two requests. Change: spare tokens come back when the request ends; the demand is smoothed over about ten takes unless five come at once; a small share may save up five requests, over all hosts three seconds of the limit.

--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -20,6 +20,8 @@
 type Limiter interface {
 	// Take uses up one request and its tokens, or says when to come back.
 	Take(now time.Time, workspace string, class document.Class, requests, tokens int) (ok bool, retryAfter time.Duration)
+	// Refund gives back what a request took and did not use.
+	Refund(workspace string, class document.Class, requests, tokens int)
 }
 
 // Config is what a Runtime needs.
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenaseam/galenaseam/policy"
@@ -13,6 +14,8 @@
 	rt      *Runtime
 	request *policy.Request
 	stages  int
+	// used counts the tokens that the attempts reported.
+	used atomic.Int64
 }
 
 // Acquire waits for a slot.
@@ -132,7 +135,7 @@
 
 func (t *ticket) slot(attempt *policy.Attempt) *slot {
 	t.rt.metrics.started(attempt)
-	return &slot{rt: t.rt, attempt: attempt}
+	return &slot{rt: t.rt, ticket: t, attempt: attempt}
 }
 
 // MayRetry says whether the stage may be tried again.
@@ -159,17 +162,28 @@
 	return rt.core.Fallback(now, t.request, stage)
 }
 
-// Finish ends the ticket.
+// Finish ends the ticket and gives back the tokens that were taken for it and
+// not used.
 func (t *ticket) Finish(f Final) {
+	t.refund()
 	t.rt.metrics.finished(t.request, f)
 	t.rt.coreMu.Lock()
 	defer t.rt.coreMu.Unlock()
 	t.rt.core.Finish(t.rt.config.Now(), t.request, f)
 }
 
+// refund gives back what the estimate at admission had too much.
+func (t *ticket) refund() {
+	spare := t.request.Tokens() - int(t.used.Load())
+	if t.rt.config.Limiter != nil && spare > 0 {
+		t.rt.config.Limiter.Refund(t.request.Workspace, t.request.Class, 0, spare)
+	}
+}
+
 // slot is the right to run one attempt.
 type slot struct {
 	rt      *Runtime
+	ticket  *ticket
 	attempt *policy.Attempt
 }
 
@@ -188,6 +202,7 @@
 	if !rt.core.Complete(now, s.attempt, o) {
 		return
 	}
+	s.ticket.used.Add(int64(o.InputTokens + o.OutputTokens))
 	rt.metrics.ended(now, s.attempt, o)
 	rt.grant(now, s.attempt.Call.Pool())
 }
--- a/limit/book.go
+++ b/limit/book.go
@@ -134,8 +134,8 @@
 		m.usedAt = now
 		m.requests.fill(now)
 		m.tokens.fill(now)
-		m.requests.offered += requests
-		m.tokens.offered += tokens
+		m.requests.offer(requests)
+		m.tokens.offer(tokens)
 		wait = max(wait, m.requests.wait(requests), m.tokens.wait(tokens))
 	}
 	if wait > 0 {
--- a/limit/dimension.go
+++ b/limit/dimension.go
@@ -9,8 +9,16 @@
 const (
 	// burstTime is how much of its share a host may save up.
 	burstTime = time.Second
-	// smoothing is the time constant of the measured demand.
-	smoothing = 500 * time.Millisecond
+	// quickSmoothing and slowSmoothing bound the time constant of the measured
+	// demand. Between them it is as long as smoothedTakes takes last, so that
+	// single takes of a thinly spread demand do not pass for surges.
+	quickSmoothing = 500 * time.Millisecond
+	slowSmoothing  = 10 * time.Second
+	smoothedTakes  = 10.0
+	// surgeTakes within one measurement are a surge, which is followed quickly.
+	surgeTakes = 5
+	// takesSmoothing is the time constant of the measured rate of takes.
+	takesSmoothing = 5 * time.Second
 	// newcomerShare is the part of a limit that is split evenly between all
 	// hosts, however little demand they have had.
 	newcomerShare = 0.1
@@ -22,6 +30,11 @@
 	urgentChange = 0.1
 	// leastBurst lets a host with a tiny share still take one whole unit.
 	leastBurst = 1.0
+	// smallBurst and smallBurstTime let a host with a small share take the few
+	// requests that come together by chance: up to smallBurst of them, and over
+	// all hosts up to smallBurstTime of the limit.
+	smallBurst     = 5.0
+	smallBurstTime = 3 * time.Second
 )
 
 // dimension is one limited quantity, requests or tokens, of one limit on one
@@ -30,8 +43,11 @@
 	limit   float64 // a second, over all hosts; zero is unlimited
 	share   float64 // a second, on this host
 	level   float64 // what may be taken now; below zero after a large take
+	hosts   int     // that share the limit
 	filled  time.Time
 	offered float64 // asked for since the last measurement
+	takes   int     // that asked for it
+	rate    float64 // of takes, smoothed, a second
 	demand  float64 // smoothed, a second
 	told    float64 // the demand that was published last
 	settled float64 // the own demand that the other hosts know by now
@@ -45,6 +61,7 @@
 	}
 	isNew := d.limit == 0
 	d.limit = limit
+	d.hosts = max(hosts, 1)
 	d.share = limit / float64(max(hosts, 1))
 	d.level = min(max(d.level, leastBurst), d.capacity())
 	if isNew {
@@ -53,7 +70,8 @@
 }
 
 func (d *dimension) capacity() float64 {
-	return max(d.share*burstTime.Seconds(), leastBurst)
+	small := min(smallBurst, d.limit*smallBurstTime.Seconds()/float64(max(d.hosts, 1)))
+	return max(d.share*burstTime.Seconds(), small, leastBurst)
 }
 
 func (d *dimension) fill(now time.Time) {
@@ -98,10 +116,31 @@
 	if elapsed <= 0 || d.limit <= 0 {
 		return
 	}
-	rate := d.offered / elapsed.Seconds()
-	weight := 1 - math.Exp(-elapsed.Seconds()/smoothing.Seconds())
-	d.demand += weight * (rate - d.demand)
-	d.offered = 0
+	offered := d.offered / elapsed.Seconds()
+	d.demand += weightOf(elapsed, d.smoothing()) * (offered - d.demand)
+	taken := float64(d.takes) / elapsed.Seconds()
+	d.rate += weightOf(elapsed, takesSmoothing) * (taken - d.rate)
+	d.offered, d.takes = 0, 0
+}
+
+// weightOf is what a measurement weighs against those before it.
+func weightOf(elapsed, smoothing time.Duration) float64 {
+	return 1 - math.Exp(-elapsed.Seconds()/smoothing.Seconds())
+}
+
+// smoothing is the time constant that fits the rate of takes.
+func (d *dimension) smoothing() time.Duration {
+	if d.takes >= surgeTakes || d.rate <= 0 {
+		return quickSmoothing
+	}
+	fitting := time.Duration(smoothedTakes / d.rate * float64(time.Second))
+	return min(max(fitting, quickSmoothing), slowSmoothing)
+}
+
+// offer takes note of one take that asks for an amount.
+func (d *dimension) offer(amount float64) {
+	d.offered += amount
+	d.takes++
 }
 
 // claim returns the demand to tell the others: the one told before unless it
@@ -129,6 +168,7 @@
 	if d.limit <= 0 {
 		return
 	}
+	d.hosts = max(hosts, 1)
 	total := d.settled + others
 	even := max(d.limit-total, newcomerShare*d.limit) / float64(max(hosts, 1))
 	d.share = d.limit * (d.settled + even) / (total + even*float64(max(hosts, 1)))
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -38,19 +38,23 @@
 	told    []time.Time
 	loss    float64
 	slowest int     // milliseconds that gossip takes
+	limit   float64 // requests a second
 	granted float64 // requests since the last reset
 	tokens  float64
 }
 
-func newFleet(seed uint64, hosts int) *fleet {
+func newFleet(seed uint64, hosts int) *fleet { return newFleetWith(seed, hosts, testLimit) }
+
+func newFleetWith(seed uint64, hosts int, limit float64) *fleet {
 	f := &fleet{
-		now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 2)),
+		limit: limit,
+		now:   time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 2)),
 		dead: make([]bool, hosts), side: make([]int, hosts), letters: make([][]letter, hosts), told: make([]time.Time, hosts), loss: 0.05, slowest: slowestGossip,
 	}
 	for range hosts {
 		b := newBook()
 		b.hosts = hosts
-		b.configure([]document.Limit{{Workspace: testWorkspace, RequestsPerSecond: testLimit, TokensPerSecond: 10 * testLimit}})
+		b.configure([]document.Limit{{Workspace: testWorkspace, RequestsPerSecond: limit, TokensPerSecond: 10 * limit}})
 		f.books = append(f.books, b)
 	}
 	return f
@@ -70,7 +74,7 @@
 				continue
 			}
 			f.step(i, b)
-			f.offer(b, load*testLimit*testStep.Seconds()*weights(i)/total)
+			f.offer(b, load*f.limit*testStep.Seconds()*weights(i)/total)
 		}
 	}
 }
@@ -132,7 +136,7 @@
 func (f *fleet) rate(span time.Duration, load float64, weights func(i int) float64) float64 {
 	f.granted = 0
 	f.run(span, load, weights)
-	return f.granted / span.Seconds() / testLimit
+	return f.granted / span.Seconds() / f.limit
 }
 
 func even(int) float64 { return 1 }
@@ -173,6 +177,22 @@
 	}
 }
 
+// A workspace under its limit is hardly refused, however thinly the balancer
+// spreads it: 1.2 requests a second at each of 12 hosts.
+func TestSmallLimitSpreadThinlyIsNotRefusedBelowIt(t *testing.T) {
+	const limit, load = 20, 0.72
+	for seed := range uint64(3) {
+		f := newFleetWith(seed, 12, limit)
+		f.run(10*time.Second, load, even)
+		got := f.rate(2*time.Minute, load, even)
+		t.Logf("offered %.2f of the limit, granted %.3f", load, got)
+		require.Greater(t, got, load*0.95)
+		got = f.rate(time.Minute, 4, even)
+		t.Logf("offered 4 limits, granted %.3f", got)
+		require.Less(t, got, 1.1)
+	}
+}
+
 // A surge from nothing on all hosts at once doesn't grant a limit per host.
 func TestSurgeFromNothingStaysBounded(t *testing.T) {
 	f := newFleet(1, 12)
