--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -150,3 +150,51 @@
 		}
 	}
 }
+
+func TestOutageStillAnswersRepeats(t *testing.T) {
+	f := newFleet(t, 3, 8, testSettings())
+	n := f.nodes[0]
+	d := n.mustBegin(t, key("a"), Digest{1})
+	require.NoError(t, d.Grant.Finish(context.Background(), body("kept")))
+	running := n.mustBegin(t, key("b"), Digest{1})
+	n.mustKnow(t, key("a"))
+	f.store.setFaults(storeFaults{down: true})
+	for _, other := range f.nodes {
+		require.Equal(t, Replay, other.mustBegin(t, key("a"), Digest{1}).Verdict)
+	}
+	// The outcome of what ran reaches a repeat before the store is back, and
+	// stays after.
+	require.NoError(t, running.Grant.Finish(context.Background(), body("late")))
+	require.Equal(t, Replay, f.nodes[1].mustBegin(t, key("b"), Digest{1}).Verdict)
+	f.store.setFaults(storeFaults{})
+	n.mustSettle(t)
+	require.Equal(t, Replay, f.nodes[2].mustBegin(t, key("b"), Digest{1}).Verdict)
+}
+
+// mustKnow waits until a request's outcome is durable.
+func (n *node) mustKnow(t *testing.T, k Key) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		n.liveMu.Lock()
+		defer n.liveMu.Unlock()
+		for _, a := range n.live {
+			if a.key == idOf(k) {
+				return false
+			}
+		}
+		return true
+	}, testWait, time.Millisecond)
+}
+
+func TestOtherNumberOfShardsRefusesToStart(t *testing.T) {
+	f := newFleet(t, 1, 9, testSettings())
+	settings := testSettings()
+	settings.Shards++
+	end := &port{network: newNetwork(), addr: infoOf(1).LinkAddr}
+	s, err := New(Config{Store: f.store, View: f.nodes[0].view, Caller: end, Registrar: end, Settings: settings})
+	require.NoError(t, err)
+	ctx, cancel := within(testWait)
+	defer cancel()
+	require.ErrorContains(t, s.Run(ctx), "shards")
+	require.NoError(t, ctx.Err())
+}
