--- /dev/null
+++ b/planner/engine_test.go
@@ -0,0 +1,49 @@
+package planner
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/internal/standin/model"
+)
+
+// Orders over HTTP to engines that check fencing numbers and to those that
+// ignore them.
+func TestOrdersOverHTTP(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		cfg := model.EngineConfig{Models: []model.Loaded{{Name: "m", Version: "1"}}, ChecksFencing: checks}
+		standin, err := model.StartEngine(cfg)
+		require.NoError(t, err)
+		client := &http.Client{}
+		engine := NewHTTPEngine("e", standin.URL(), client)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		state, err := engine.State(ctx)
+		require.NoError(t, err)
+		require.Equal(t, []Held{{Name: "m", Version: "1", State: stateReady}}, state.Models)
+		want := []Held{{Name: "m", Version: "2", Adapters: []string{"a"}}}
+		_, err = engine.Order(ctx, Order{Fencing: 7, Models: want})
+		require.NoError(t, err)
+		require.Eventually(t, func() bool {
+			state, err = engine.State(ctx)
+			held, ok := state.held("m")
+			return err == nil && ok && held.same(want[0]) && held.State == stateReady
+		}, 5*time.Second, 10*time.Millisecond)
+		require.EqualValues(t, 7, state.Fencing)
+		_, err = engine.Order(ctx, Order{Fencing: 6, Models: []Held{{Name: "m", Version: "1"}}})
+		if checks {
+			require.ErrorIs(t, err, ErrStaleOrder)
+		} else {
+			require.NoError(t, err)
+		}
+		standin.Stop()
+		_, err = engine.State(ctx)
+		require.Error(t, err)
+		require.True(t, Error.Has(err))
+		client.CloseIdleConnections()
+		cancel()
+	}
+}
