--- a/policy/hedge.go
+++ b/policy/hedge.go
@@ -39,11 +39,15 @@
 	if !c.settings.Queueing {
 		return true
 	}
+	if p.queue.waiting(r.Class.Priority) {
+		// A second copy would take what a first one waits for.
+		return false
+	}
 	room := p.room(r.Class.Priority, c.settings)
 	if p.overdrafts(r.Class.Priority, c.settings) {
 		return float64(p.inFlight) < room
 	}
-	return p.queue.size == 0 && float64(p.inFlight)+1 <= room*(1-hedgeRoom)
+	return float64(p.inFlight)+1 <= room*(1-hedgeRoom)
 }
 
 // Fallback says whether to take a stage's declared fallback now: when the
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -142,6 +142,16 @@
 	}
 }
 
+// waiting reports whether calls of the priority or above wait.
+func (q *queue) waiting(priority int) bool {
+	for _, c := range q.classes {
+		if c.size > 0 && c.priority >= priority {
+			return true
+		}
+	}
+	return false
+}
+
 // next takes out the call that should run next, or returns nil. Calls that
 // would hardly end in time are dropped for those behind them.
 func (q *queue) next(now time.Time, p *pool, settings Settings) *Call {
