--- a/claim/service.go
+++ b/claim/service.go
@@ -183,6 +183,7 @@
 }
 
 func (s *Service) stopBackground() {
+	s.phase.Store(phaseDraining)
 	s.tasksMu.Lock()
 	s.cancelBackground()
 	s.tasksMu.Unlock()
