--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -202,9 +202,33 @@
 	if len(upstreams) >= l.settings.ManyUpstreams {
 		return len(upstreams)
 	}
+	if l.lostTimeAndAgain(now, s) {
+		return lossesToCondemn
+	}
 	return len(counted)
 }
 
+// lostTimeAndAgain says whether a request lost many upstreams, and not all at
+// once. That is evidence even if each loss was among many: an innocent request
+// meets one rack's death, not one after the other.
+func (l *Ledger) lostTimeAndAgain(now time.Time, s *suspect) bool {
+	upstreams := make(map[upstream.ID]bool)
+	first, last := now, time.Time{}
+	for _, loss := range s.losses {
+		if now.Sub(loss.At) > l.settings.SuspectFor {
+			continue
+		}
+		upstreams[loss.Upstream] = true
+		if loss.At.Before(first) {
+			first = loss.At
+		}
+		if loss.At.After(last) {
+			last = loss.At
+		}
+	}
+	return len(upstreams) >= l.settings.ManyUpstreams && last.Sub(first) >= l.settings.Apart
+}
+
 func independent(loss Loss, counted []Loss, apart time.Duration) bool {
 	for _, other := range counted {
 		if other.Upstream == loss.Upstream || other.At.Sub(loss.At).Abs() < apart {
--- a/request/guard.go
+++ b/request/guard.go
@@ -60,10 +60,14 @@
 	digest Digest
 	// alone says that it runs in single attempts, never doubled or repeated.
 	alone bool
-	// lost says that an upstream died under it.
-	lost bool
+	// losses counts the upstreams that died under it.
+	losses int
 }
 
+// maxLossesPerRequest is how many upstreams may die under one request before it
+// is given up, whatever else is known of it.
+const maxLossesPerRequest = 2
+
 // screen asks the guard about a request that arrives.
 func (r *Runner) screen(d Digest) (*screened, error) {
 	s := &screened{guard: r.cfg.Guard, digest: d}
@@ -82,8 +86,23 @@
 		"this request has crashed the upstreams that ran it and is not run again", ran)
 }
 
+// lose takes note that an upstream died under the request.
+func (s *screened) lose(id upstream.ID) {
+	s.losses++
+	s.guard.Lost(s.digest, id)
+}
+
+// mayGoOn says whether another attempt may be made after a loss. The error is
+// a *problem.Problem.
+func (s *screened) mayGoOn(ran problem.Ran) (bool, error) {
+	if s.losses >= maxLossesPerRequest {
+		return false, nil
+	}
+	return true, s.ask(ran)
+}
+
 // end tells the guard how the request ended.
-func (s *screened) end(whole bool) { s.guard.Ended(s.digest, whole && !s.lost) }
+func (s *screened) end(whole bool) { s.guard.Ended(s.digest, whole && s.losses == 0) }
 
 // lifeCheckTimeout bounds the connection that tests whether an upstream lives.
 const lifeCheckTimeout = 200 * time.Millisecond
--- a/request/service.go
+++ b/request/service.go
@@ -180,10 +180,14 @@
 		if !s.mayRepeat(failed) {
 			return ServiceAnswer{}, failed
 		}
-		if s.guarded.lost {
-			if err := s.guarded.ask(s.ran); err != nil {
+		if s.guarded.losses > 0 {
+			goOn, err := s.guarded.mayGoOn(s.ran)
+			if err != nil {
 				return ServiceAnswer{}, err
 			}
+			if !goOn {
+				return ServiceAnswer{}, failed
+			}
 		}
 		wait, ok := ticket.MayRetry(0, failed.Failure)
 		if !ok || sleep(ctx, wait) != nil {
@@ -231,8 +235,7 @@
 	slot.Done(outcome)
 	r.report(up.ID, failed)
 	if r.lostUpstream(outcome.Failure, up) {
-		s.guarded.lost = true
-		r.cfg.Guard.Lost(s.guarded.digest, up.ID)
+		s.guarded.lose(up.ID)
 	}
 	return ServiceAnswer{Status: answer.Status, Header: answer.Header, Body: answer.Body}, failed
 }
--- a/request/tries.go
+++ b/request/tries.go
@@ -21,8 +21,8 @@
 	avoid    []upstream.ID
 	count    int
 	winner   upstream.ID
-	// lost says that an upstream died under the last race.
-	lost bool
+	// lost are the upstreams that died under the last race.
+	lost []upstream.ID
 }
 
 // step is what a kind of stage does in one attempt.
@@ -45,30 +45,40 @@
 		if err != nil {
 			return err
 		}
+		wasAlone := t.pipeline.guarded.alone
 		failed := t.race(ctx, slot)
+		goOn, err := t.reportLosses()
 		if failed == nil {
 			return nil
 		}
-		wasAlone := t.pipeline.guarded.alone
-		if t.lost {
-			t.lost = false
-			if err := t.pipeline.guarded.ask(t.pipeline.ran); err != nil {
-				return err
-			}
-		}
-		if wasAlone || ctx.Err() != nil {
-			return failed
-		}
-		wait, ok := t.pipeline.ticket.MayRetry(t.index, failed.Failure)
-		if !ok {
-			return failed
+		if err != nil {
+			return err
 		}
-		if err := sleep(ctx, wait); err != nil {
+		if wasAlone || !goOn || !t.mayRetry(ctx, failed) {
 			return failed
 		}
 	}
 }
 
+// mayRetry asks the policy for another attempt and waits as long as it says.
+func (t *tries) mayRetry(ctx context.Context, failed *attempt.Failed) bool {
+	wait, ok := t.pipeline.ticket.MayRetry(t.index, failed.Failure)
+	return ok && sleep(ctx, wait) == nil
+}
+
+// reportLosses tells the guard of the upstreams that died under the last race,
+// and asks whether the request may go on.
+func (t *tries) reportLosses() (bool, error) {
+	if len(t.lost) == 0 {
+		return true, nil
+	}
+	for _, id := range t.lost {
+		t.pipeline.guarded.lose(id)
+	}
+	t.lost = nil
+	return t.pipeline.guarded.mayGoOn(t.pipeline.ran)
+}
+
 // ended is one attempt's end.
 type ended struct {
 	upstream  upstream.ID
@@ -95,7 +105,9 @@
 		case end := <-ends:
 			running--
 			t.pipeline.ran = markRan(t.pipeline.ran, end.failed)
-			t.lost = t.lost || end.lost
+			if end.lost {
+				t.lost = append(t.lost, end.upstream)
+			}
 			won, lost = settle(won, lost, end)
 			if end.committed {
 				cancel()
@@ -107,7 +119,6 @@
 			}
 		}
 	}
-	t.pipeline.guarded.lost = t.pipeline.guarded.lost || t.lost
 	if won != nil && won.failed == nil {
 		won.apply()
 		t.winner = won.upstream
@@ -191,9 +202,6 @@
 	r.cfg.Meter.Ended(t.need.Model, call.Upstream.ID, engineFailed(outcome.Failure))
 	r.report(call.Upstream.ID, end.failed)
 	end.lost = r.lostUpstream(outcome.Failure, call.Upstream)
-	if end.lost {
-		r.cfg.Guard.Lost(t.pipeline.guarded.digest, call.Upstream.ID)
-	}
 	return end
 }
 
