Budget the store's calls by priority; create and restore the document through the operators' interface

Cause: nothing kept a host's calls within its share, an empty store could get its first document from nowhere, and a store that fell back could be put right by no command. Change: claims, configuration and the rest share a budget that follows the fleet's size; seamctl config create and restore. Figures: TestStoreThatFellBackIsRestored: a change on top of the old copy is refused, restore brings generation 2 back.

--- a/build.go
+++ b/build.go
@@ -18,6 +18,8 @@
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/member"
 	"github.com/galenaseam/galenaseam/operator"
+	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/platform/budget"
 	"github.com/galenaseam/galenaseam/platform/kv"
 	"github.com/galenaseam/galenaseam/platform/sd"
 	"github.com/galenaseam/galenaseam/quarantine"
@@ -59,7 +61,13 @@
 	if err != nil {
 		return err
 	}
-	h.store = store
+	h.budget, err = budget.New(budget.Config{Registerer: h.metrics.Registry()})
+	if err != nil {
+		return err
+	}
+	h.claimStore = h.budget.Store(store, platform.PriorityClaim)
+	h.configStore = h.budget.Store(store, platform.PriorityConfig)
+	h.otherStore = h.budget.Store(store, platform.PriorityOther)
 	h.hostList, err = sd.New(sd.Config{URL: p.HostList})
 	return err
 }
@@ -101,10 +109,17 @@
 		Self: h.info, ListenAddr: h.info.LinkAddr.String(), Key: h.options.FleetKey, Seeds: seeds,
 		HostList: h.hostList, Logger: h.logger, Registerer: h.metrics.Registry(),
 	})
+	if err != nil {
+		return err
+	}
 	h.members = members
-	return err
+	members.OnChange(h.shareBudget)
+	return nil
 }
 
+// shareBudget tells the budget how many hosts share the store's rate.
+func (h *Host) shareBudget() { h.budget.SetHosts(len(h.members.Members())) }
+
 // probePath is what an upstream is asked for a sign of life; any answer is one.
 const probePath = "/healthz"
 
@@ -126,14 +141,14 @@
 // buildConfig makes the document's reader and writer.
 func (h *Host) buildConfig() (err error) {
 	h.syncer, err = config.NewSyncer(config.SyncerConfig{
-		Store: h.store, View: h.members, Caller: h.peers, Registrar: h.mux, Gossip: h.members,
+		Store: h.configStore, View: h.members, Caller: h.peers, Registrar: h.mux, Gossip: h.members,
 		Logger: h.logger, Registerer: h.metrics.Registry(), FirstDocument: h.options.FirstDocument,
 	})
 	if err != nil {
 		return err
 	}
 	h.writer = config.NewWriter(config.WriterConfig{
-		Store: h.store, InForce: h.syncer, Logger: h.logger, Registerer: h.metrics.Registry(),
+		Store: h.configStore, InForce: h.syncer, Logger: h.logger, Registerer: h.metrics.Registry(),
 	})
 	return nil
 }
@@ -161,7 +176,7 @@
 func (h *Host) buildClaims() (err error) {
 	c := h.options.Settings.Claims
 	h.claims, err = claim.New(claim.Config{
-		Store: h.store, View: h.members, Caller: h.peers, Registrar: h.mux,
+		Store: h.claimStore, View: h.members, Caller: h.peers, Registrar: h.mux,
 		Logger: h.logger, Registerer: h.metrics.Registry(),
 		Settings: claim.Settings{
 			Shards:       c.Shards,
@@ -185,7 +200,7 @@
 		Dispatcher: h.dispatcher,
 		Upstreams:  h.upstreams,
 		Client:     h.client,
-		Guard:      guard{h.quarantine},
+		Guard:      guard{h.quarantine, h.logger},
 		Meter:      h.planners.meter,
 		Claims:     claimed.New(h.claims, h.logger),
 		Logger:     h.logger,
--- a/editor.go
+++ b/editor.go
@@ -56,6 +56,22 @@
 	return applied(result, err)
 }
 
+// Create accepts the first document.
+func (e *editor) Create(ctx context.Context, r operator.CreateRequest) (operator.ApplyAnswer, error) {
+	bodies, err := document.Split([]byte(r.Text))
+	if err != nil {
+		return operator.ApplyAnswer{}, problem.New(http.StatusUnprocessableEntity, "invalid_document", err.Error(), problem.No)
+	}
+	result, err := e.writer.Create(ctx, r.OperationID, bodies, r.Reason)
+	return applied(result, err)
+}
+
+// Restore puts what this host serves back into a store that fell behind.
+func (e *editor) Restore(ctx context.Context) (operator.ApplyAnswer, error) {
+	result, err := e.writer.Restore(ctx)
+	return applied(result, err)
+}
+
 // History lists the newest accepted generations.
 func (e *editor) History(ctx context.Context, n int) ([]operator.HistoryRow, error) {
 	records, err := e.writer.History(ctx, n)
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -337,3 +337,29 @@
 	status, body = ask(1, "an innocent question")
 	require.Equal(t, http.StatusOK, status, body)
 }
+
+// A store that was restored from an old copy is noticed and put right.
+func TestStoreThatFellBackIsRestored(t *testing.T) {
+	r := start(t, dev.Cylinder, 3, 1)
+	text, code := control(r, "", "config", "create", "-reason", "again", "-")
+	require.Equal(t, ctl.ExitRefused, code, text)
+	before, code := control(r, "", "config", "get")
+	require.Equal(t, ctl.ExitOK, code, before)
+	r.Standins().Store.Fault(fault.Fault{Kind: fault.Snapshot})
+	changed := strings.Replace(before, "deadline: 90s", "deadline: 80s", 1)
+	text, code = control(r, changed, "-key", "demo-operator-assistant", "config", "apply", "-reason", "shorter", "-")
+	require.Equal(t, ctl.ExitOK, code, text)
+	text, code = control(r, "", "config", "wait", "-for", "6s", "2")
+	require.Equal(t, ctl.ExitOK, code, text)
+	r.Standins().Store.Fault(fault.Fault{Kind: fault.Restore})
+	text, code = control(r, strings.Replace(changed, "80s", "70s", 1), "-key", "demo-operator-assistant", "config", "apply", "-reason", "on the old copy", "-")
+	require.Equal(t, ctl.ExitRefused, code, "a change was accepted on top of an old copy: %s", text)
+	text, code = control(r, "", "config", "restore")
+	require.Equal(t, ctl.ExitOK, code, text)
+	text, code = control(r, "", "config", "history")
+	require.Equal(t, ctl.ExitOK, code, text)
+	require.Contains(t, text, "shorter")
+	text, code = control(r, "", "config", "get")
+	require.Equal(t, ctl.ExitOK, code)
+	require.Contains(t, text, "deadline: 80s")
+}
--- a/guard.go
+++ b/guard.go
@@ -1,6 +1,8 @@
 package galenaseam
 
 import (
+	"encoding/hex"
+	"log/slog"
 	"time"
 
 	"github.com/galenaseam/galenaseam/quarantine"
@@ -11,11 +13,16 @@
 // guard is the request path's way to the quarantine.
 type guard struct {
 	quarantine *quarantine.Quarantine
+	logger     *slog.Logger
 }
 
 // Screen says whether a request may run.
 func (g guard) Screen(d request.Digest) request.Screening {
-	switch g.quarantine.Check(time.Now(), quarantine.Digest(d)) {
+	verdict := g.quarantine.Check(time.Now(), quarantine.Digest(d))
+	if verdict != quarantine.Allow {
+		g.logger.Warn("suspect request", "digest", short(d), "verdict", verdict.String())
+	}
+	switch verdict {
 	case quarantine.RunAlone:
 		return request.RunAlone
 	case quarantine.Refuse:
@@ -32,6 +39,7 @@
 
 // Lost takes note that an upstream died while it ran a request.
 func (g guard) Lost(d request.Digest, id upstream.ID) {
+	g.logger.Warn("upstream lost under a request", "digest", short(d), "upstream", string(id))
 	g.quarantine.Ended(quarantine.Digest(d), id, true)
 }
 
@@ -44,3 +52,9 @@
 	}
 	g.quarantine.GiveBack(quarantine.Digest(d))
 }
+
+// short is enough of a digest to find a request's lines in the log.
+func short(d request.Digest) string {
+	const shown = 8 // bytes
+	return hex.EncodeToString(d[:shown])
+}
--- a/host.go
+++ b/host.go
@@ -27,6 +27,7 @@
 	"github.com/galenaseam/galenaseam/metrics"
 	"github.com/galenaseam/galenaseam/operator"
 	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/platform/budget"
 	"github.com/galenaseam/galenaseam/policy"
 	"github.com/galenaseam/galenaseam/quarantine"
 	"github.com/galenaseam/galenaseam/request"
@@ -63,26 +64,30 @@
 	metrics *metrics.Metrics
 	sockets *sockets
 
-	mux        *link.Mux
-	server     *link.Server
-	peers      *link.Client
-	store      platform.Store
-	hostList   platform.HostList
-	members    fleet
-	upstreams  *upstream.Table
-	probes     *http.Client
-	limiter    *limit.Limiter
-	dispatcher *dispatch.Runtime
-	claims     *claim.Service
-	syncer     *config.Syncer
-	writer     *config.Writer
-	planners   *planners
-	quarantine *quarantine.Quarantine
-	client     *attempt.Client
-	runner     *request.Runner
-	callers    *frontend.Frontend
-	callersTLS *tls.Config
-	operators  *operator.Server
+	mux    *link.Mux
+	server *link.Server
+	peers  *link.Client
+	budget *budget.Budget
+	// The store, by the priority of the calls.
+	claimStore  platform.Store
+	configStore platform.Store
+	otherStore  platform.Store
+	hostList    platform.HostList
+	members     fleet
+	upstreams   *upstream.Table
+	probes      *http.Client
+	limiter     *limit.Limiter
+	dispatcher  *dispatch.Runtime
+	claims      *claim.Service
+	syncer      *config.Syncer
+	writer      *config.Writer
+	planners    *planners
+	quarantine  *quarantine.Quarantine
+	client      *attempt.Client
+	runner      *request.Runner
+	callers     *frontend.Frontend
+	callersTLS  *tls.Config
+	operators   *operator.Server
 
 	draining  atomic.Bool
 	drainOnce sync.Once
--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -24,12 +24,12 @@
 func (t *tool) configCommand() *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "config",
-		ShortUsage: "seamctl config <check|get|diff|apply|history|rollback|wait>",
+		ShortUsage: "seamctl config <check|get|diff|apply|history|rollback|wait|create|restore>",
 		ShortHelp:  "Read, check and change the operators' document.",
 		FlagSet:    t.flags("config"),
 		Subcommands: []*ffcli.Command{
 			t.checkCommand(), t.getCommand(), t.diffCommand(), t.applyCommand(),
-			t.historyCommand(), t.rollbackCommand(), t.waitCommand(),
+			t.historyCommand(), t.rollbackCommand(), t.waitCommand(), t.createCommand(), t.restoreCommand(),
 		},
 		Exec: needCommand,
 	}
@@ -223,10 +223,7 @@
 	if err != nil {
 		return operator.ApplyRequest{}, err
 	}
-	edit := operator.ApplyRequest{OperationID: flags.operation, Base: flags.base, Reason: flags.reason}
-	if edit.OperationID == "" {
-		edit.OperationID = uuid.NewString()
-	}
+	edit := operator.ApplyRequest{OperationID: operationID(flags.operation), Base: flags.base, Reason: flags.reason}
 	if edit.Base == 0 {
 		edit.Base = current.Generation
 	}
@@ -243,6 +240,58 @@
 	return edit, nil
 }
 
+func (t *tool) createCommand() *ffcli.Command {
+	fs := t.flags("create")
+	reason := fs.String("reason", "", "why, for the history (required)")
+	operation := fs.String("operation", "", "operation ID, to repeat a call whose answer was lost; made when empty")
+	return &ffcli.Command{
+		Name:       "create",
+		ShortUsage: "seamctl config create -reason <why> <file>",
+		ShortHelp:  "Put the first document into an empty store.",
+		LongHelp: "Refused when the store or any host has a document.\n\n" +
+			"Examples:\n  seamctl config create -reason first all.yaml",
+		FlagSet: fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if *reason == "" {
+				return fmt.Errorf("%w: give -reason", errUsage)
+			}
+			text, err := t.oneFile(args)
+			if err != nil {
+				return err
+			}
+			c, err := t.client()
+			if err != nil {
+				return err
+			}
+			first := operator.CreateRequest{OperationID: operationID(*operation), Text: string(text), Reason: *reason}
+			answer, err := c.Create(ctx, first)
+			if err != nil {
+				return err
+			}
+			return t.printAccepted(answer)
+		},
+	}
+}
+
+func (t *tool) restoreCommand() *ffcli.Command {
+	return t.configView("restore", "Put what the host serves back into a store that has fallen behind.",
+		func(ctx context.Context, c *client.Client) error {
+			answer, err := c.Restore(ctx)
+			if err != nil {
+				return err
+			}
+			return t.printAccepted(answer)
+		})
+}
+
+// operationID is the ID that was given, or a new one.
+func operationID(given string) string {
+	if given != "" {
+		return given
+	}
+	return uuid.NewString()
+}
+
 func (t *tool) historyCommand() *ffcli.Command {
 	fs := t.flags("history")
 	const shown = 20
@@ -298,10 +347,7 @@
 			if err != nil {
 				return err
 			}
-			back := operator.RollbackRequest{OperationID: *operation, Generation: generation, Reason: *reason}
-			if back.OperationID == "" {
-				back.OperationID = uuid.NewString()
-			}
+			back := operator.RollbackRequest{OperationID: operationID(*operation), Generation: generation, Reason: *reason}
 			answer, err := c.Rollback(ctx, back)
 			if err != nil {
 				return err
--- a/internal/drill/host.go
+++ b/internal/drill/host.go
@@ -45,18 +45,36 @@
 // addresses holds a host's three listeners open until it has chosen its ports.
 const addressesOfHost = 3
 
-// freeAddresses returns loopback addresses that were free a moment ago.
+// Ports for hosts lie below those that the system gives to outgoing
+// connections, which could take one between the check and the host's start.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+)
+
+// nextPort is the port to try next. Drills in other processes begin elsewhere.
+var nextPort atomic.Int64
+
+// freeAddresses returns loopback addresses that were free a moment ago and that
+// no other host of this process was given.
 func freeAddresses() ([]string, error) {
+	nextPort.CompareAndSwap(0, int64(os.Getpid()))
 	var addresses []string
-	for range addressesOfHost {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, Error.Wrap(err)
+			continue
 		}
-		defer ln.Close()
 		addresses = append(addresses, ln.Addr().String())
+		if err := ln.Close(); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		if len(addresses) == addressesOfHost {
+			return addresses, nil
+		}
 	}
-	return addresses, nil
+	return nil, Error.New("no free ports")
 }
 
 func (f *fleet) keyPath() string { return filepath.Join(f.dir, "fleet.key") }
--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -165,6 +165,18 @@
 	return out, err
 }
 
+// Create asks to accept the first document of an empty store.
+func (c *Client) Create(ctx context.Context, r operator.CreateRequest) (out operator.ApplyAnswer, err error) {
+	err = c.Post(ctx, "/v1/config/create", r, &out)
+	return out, err
+}
+
+// Restore asks to put what hosts serve back into a store that fell behind.
+func (c *Client) Restore(ctx context.Context) (out operator.ApplyAnswer, err error) {
+	err = c.Post(ctx, "/v1/config/restore", struct{}{}, &out)
+	return out, err
+}
+
 // Drain starts the host's graceful shutdown.
 func (c *Client) Drain(ctx context.Context) (out operator.Status, err error) {
 	err = c.Post(ctx, "/v1/drain", struct{}{}, &out)
--- a/operator/config.go
+++ b/operator/config.go
@@ -19,6 +19,8 @@
 	s.get("/v1/config/history", s.history)
 	s.mux.Handle("POST /v1/config", s.authorised(s.apply))
 	s.mux.Handle("POST /v1/config/rollback", s.authorised(s.rollback))
+	s.mux.Handle("POST /v1/config/create", s.authorised(s.create))
+	s.mux.Handle("POST /v1/config/restore", s.authorised(s.restore))
 }
 
 // history answers the newest accepted generations.
@@ -36,27 +38,40 @@
 
 // apply accepts or refuses a change.
 func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
-	var edit ApplyRequest
-	if err := readEdit(w, r, &edit); err != nil {
-		writeError(w, err)
-		return
-	}
-	answer, err := s.cfg.Editor.Apply(r.Context(), r.Header.Get(HeaderOperatorKey), edit)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	writeJSON(w, answer)
+	accept(w, r, func(edit ApplyRequest) (ApplyAnswer, error) {
+		return s.cfg.Editor.Apply(r.Context(), r.Header.Get(HeaderOperatorKey), edit)
+	})
 }
 
 // rollback accepts an earlier generation's sections as a new generation.
 func (s *Server) rollback(w http.ResponseWriter, r *http.Request) {
-	var back RollbackRequest
-	if err := readEdit(w, r, &back); err != nil {
+	accept(w, r, func(back RollbackRequest) (ApplyAnswer, error) {
+		return s.cfg.Editor.Rollback(r.Context(), r.Header.Get(HeaderOperatorKey), back)
+	})
+}
+
+// create accepts the first document.
+func (s *Server) create(w http.ResponseWriter, r *http.Request) {
+	accept(w, r, func(first CreateRequest) (ApplyAnswer, error) {
+		return s.cfg.Editor.Create(r.Context(), first)
+	})
+}
+
+// restore puts what hosts serve back into the store.
+func (s *Server) restore(w http.ResponseWriter, r *http.Request) {
+	accept(w, r, func(struct{}) (ApplyAnswer, error) {
+		return s.cfg.Editor.Restore(r.Context())
+	})
+}
+
+// accept reads a request, has it decided, and writes the answer.
+func accept[Req any](w http.ResponseWriter, r *http.Request, decide func(Req) (ApplyAnswer, error)) {
+	var request Req
+	if err := readEdit(w, r, &request); err != nil {
 		writeError(w, err)
 		return
 	}
-	answer, err := s.cfg.Editor.Rollback(r.Context(), r.Header.Get(HeaderOperatorKey), back)
+	answer, err := decide(request)
 	if err != nil {
 		writeError(w, err)
 		return
--- a/operator/server.go
+++ b/operator/server.go
@@ -43,6 +43,11 @@
 	Text() (ConfigText, error)
 	Apply(ctx context.Context, operatorKey string, r ApplyRequest) (ApplyAnswer, error)
 	Rollback(ctx context.Context, operatorKey string, r RollbackRequest) (ApplyAnswer, error)
+	// Create accepts the first document; it is refused when there is one.
+	Create(ctx context.Context, r CreateRequest) (ApplyAnswer, error)
+	// Restore puts the newest generation that hosts serve back into a store
+	// that has fallen behind.
+	Restore(ctx context.Context) (ApplyAnswer, error)
 	History(ctx context.Context, n int) ([]HistoryRow, error)
 }
 
--- a/operator/types.go
+++ b/operator/types.go
@@ -95,6 +95,13 @@
 	Reason      string `json:"reason"`
 }
 
+// CreateRequest asks to accept the first document of an empty store.
+type CreateRequest struct {
+	OperationID string `json:"operation_id"`
+	Text        string `json:"text"`
+	Reason      string `json:"reason"`
+}
+
 // HistoryRow is one accepted generation.
 type HistoryRow struct {
 	Generation uint64    `json:"generation"`
--- a/planners.go
+++ b/planners.go
@@ -88,7 +88,7 @@
 func (p *planners) newRunner(group string) *planner.Runner {
 	return planner.NewRunner(planner.Config{
 		Group:      group,
-		Store:      p.host.store,
+		Store:      p.host.otherStore,
 		View:       p.host.members,
 		Document:   p.host.document,
 		Engines:    func() []planner.Engine { return p.engines(group) },
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -205,9 +205,29 @@
 	if l.lostTimeAndAgain(now, s) {
 		return lossesToCondemn
 	}
+	if len(counted) == 0 && s.upstreams() > 1 {
+		// Each loss was among many; together they still make a suspect.
+		return 1
+	}
 	return len(counted)
 }
 
+// upstreams counts the upstreams that the suspect lost.
+func (s *suspect) upstreams() int {
+	seen := make(map[upstream.ID]bool)
+	for _, loss := range s.losses {
+		seen[loss.Upstream] = true
+	}
+	return len(seen)
+}
+
+// LoseAlone takes note of a loss under a suspect that ran alone, which condemns
+// it.
+func (l *Ledger) LoseAlone(now time.Time, loss Loss) {
+	l.Lose(now, loss)
+	l.suspects[loss.Digest].condemned = now
+}
+
 // lostTimeAndAgain says whether a request lost many upstreams, and not all at
 // once. That is evidence even if each loss was among many: an innocent request
 // meets one rack's death, not one after the other.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -22,7 +22,8 @@
 	Upstream upstream.ID `cbor:"2,keyasint,omitempty"`
 	// AtMilli is the loss's Unix time in milliseconds, by the teller's clock.
 	AtMilli int64 `cbor:"3,keyasint,omitempty"`
-	// Alone says that the teller runs the suspect alone.
+	// Alone says that the teller runs the suspect alone, or lost the upstream
+	// while it did.
 	Alone bool `cbor:"4,keyasint,omitempty"`
 	// Cleared says that the suspect ran to its end without a loss.
 	Cleared bool `cbor:"5,keyasint,omitempty"`
@@ -114,8 +115,11 @@
 	q.mu.Lock()
 	alone := q.alone[d]
 	delete(q.alone, d)
-	if lost {
-		q.ledger.Lose(now, Loss{Digest: d, Upstream: id, At: now})
+	loss := Loss{Digest: d, Upstream: id, At: now}
+	if lost && alone {
+		q.ledger.LoseAlone(now, loss)
+	} else if lost {
+		q.ledger.Lose(now, loss)
 	} else if alone {
 		q.ledger.Cleared(d)
 	}
@@ -123,7 +127,7 @@
 	switch {
 	case lost:
 		q.lost.Inc()
-		q.tell(news{Digest: d, Upstream: id, AtMilli: now.UnixMilli()})
+		q.tell(news{Digest: d, Upstream: id, AtMilli: now.UnixMilli(), Alone: alone})
 	case alone:
 		q.tell(news{Digest: d, Cleared: true})
 	}
@@ -161,9 +165,12 @@
 	now := q.now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	loss := Loss{Digest: n.Digest, Upstream: n.Upstream, At: time.UnixMilli(n.AtMilli)}
 	switch {
+	case n.Upstream != "" && n.Alone:
+		q.ledger.LoseAlone(now, loss)
 	case n.Upstream != "":
-		q.ledger.Lose(now, Loss{Digest: n.Digest, Upstream: n.Upstream, At: time.UnixMilli(n.AtMilli)})
+		q.ledger.Lose(now, loss)
 	case n.Alone:
 		q.ledger.HeldAlone(now, n.Digest)
 	case n.Cleared:
--- a/request/guard.go
+++ b/request/guard.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"context"
 	"crypto/sha256"
 	"net"
 	"net/http"
@@ -69,16 +70,21 @@
 const maxLossesPerRequest = 2
 
 // screen asks the guard about a request that arrives.
-func (r *Runner) screen(d Digest) (*screened, error) {
+func (r *Runner) screen(ctx context.Context, d Digest) (*screened, error) {
 	s := &screened{guard: r.cfg.Guard, digest: d}
-	return s, s.ask(problem.No)
+	return s, s.ask(ctx, problem.No)
 }
 
-// ask asks the guard whether the request may run, or go on. The error is a
+// ask asks the guard whether the request may run, or go on. A suspect that may
+// run alone waits until the other hosts have heard of that. The error is a
 // *problem.Problem.
-func (s *screened) ask(ran problem.Ran) error {
+func (s *screened) ask(ctx context.Context, ran problem.Ran) error {
 	verdict := s.guard.Screen(s.digest)
 	s.alone = verdict == RunAlone
+	if s.alone {
+		// A request whose time ends here is refused by the dispatcher.
+		_ = sleep(ctx, newsTime)
+	}
 	if verdict != Refuse {
 		return nil
 	}
@@ -92,13 +98,18 @@
 	s.guard.Lost(s.digest, id)
 }
 
-// mayGoOn says whether another attempt may be made after a loss. The error is
-// a *problem.Problem.
-func (s *screened) mayGoOn(ran problem.Ran) (bool, error) {
-	if s.losses >= maxLossesPerRequest {
+// newsTime is how long other hosts need to hear of a loss, or of a suspect that
+// runs alone.
+const newsTime = 300 * time.Millisecond
+
+// mayGoOn says whether another attempt may be made after a loss. It waits until
+// the other hosts have heard of the loss, so that the same request sent through
+// another of them meets a suspect. The error is a *problem.Problem.
+func (s *screened) mayGoOn(ctx context.Context, ran problem.Ran) (bool, error) {
+	if s.losses >= maxLossesPerRequest || sleep(ctx, newsTime) != nil {
 		return false, nil
 	}
-	return true, s.ask(ran)
+	return true, s.ask(ctx, ran)
 }
 
 // end tells the guard how the request ended.
--- a/request/runner.go
+++ b/request/runner.go
@@ -127,7 +127,7 @@
 	p.ran = problem.No
 	ctx, cancel := context.WithDeadline(ctx, p.job.Deadline)
 	defer cancel()
-	guarded, err := p.runner.screen(digestOf(p.job.Workspace, p.job.Pipeline.Name, []byte(p.job.Input)))
+	guarded, err := p.runner.screen(ctx, digestOf(p.job.Workspace, p.job.Pipeline.Name, []byte(p.job.Input)))
 	if err != nil {
 		return Result{}, err
 	}
--- a/request/service.go
+++ b/request/service.go
@@ -100,7 +100,7 @@
 	ctx, cancel := context.WithDeadline(ctx, s.job.Deadline)
 	defer cancel()
 	digest := s.bodyDigest()
-	guarded, err := s.runner.screen(digest)
+	guarded, err := s.runner.screen(ctx, digest)
 	if err != nil {
 		return ServiceAnswer{}, err
 	}
@@ -181,7 +181,7 @@
 			return ServiceAnswer{}, failed
 		}
 		if s.guarded.losses > 0 {
-			goOn, err := s.guarded.mayGoOn(s.ran)
+			goOn, err := s.guarded.mayGoOn(ctx, s.ran)
 			if err != nil {
 				return ServiceAnswer{}, err
 			}
--- a/request/tries.go
+++ b/request/tries.go
@@ -47,7 +47,7 @@
 		}
 		wasAlone := t.pipeline.guarded.alone
 		failed := t.race(ctx, slot)
-		goOn, err := t.reportLosses()
+		goOn, err := t.reportLosses(ctx)
 		if failed == nil {
 			return nil
 		}
@@ -68,7 +68,7 @@
 
 // reportLosses tells the guard of the upstreams that died under the last race,
 // and asks whether the request may go on.
-func (t *tries) reportLosses() (bool, error) {
+func (t *tries) reportLosses(ctx context.Context) (bool, error) {
 	if len(t.lost) == 0 {
 		return true, nil
 	}
@@ -76,7 +76,7 @@
 		t.pipeline.guarded.lose(id)
 	}
 	t.lost = nil
-	return t.pipeline.guarded.mayGoOn(t.pipeline.ran)
+	return t.pipeline.guarded.mayGoOn(ctx, t.pipeline.ran)
 }
 
 // ended is one attempt's end.
