--- a/build.go
+++ b/build.go
@@ -107,7 +107,8 @@
 	}
 	members, err := member.New(member.Config{
 		Self: h.info, ListenAddr: h.info.LinkAddr.String(), Key: h.options.FleetKey, Seeds: seeds,
-		HostList: h.hostList, Logger: h.logger, Registerer: h.metrics.Registry(),
+		HostList: h.hostList, Urgent: []member.Topic{quarantine.Topic},
+		Logger: h.logger, Registerer: h.metrics.Registry(),
 	})
 	if err != nil {
 		return err
--- a/member/membership.go
+++ b/member/membership.go
@@ -32,6 +32,9 @@
 	Seeds []netip.AddrPort
 	// HostList gives more seeds: its machines without a pool. It may be nil.
 	HostList platform.HostList
+	// Urgent are topics whose facts go before all others and may overdraw the
+	// budget of bytes as records do; they must be rare.
+	Urgent []Topic
 	// ListInterval is how often the host list is read.
 	ListInterval time.Duration
 	Timing       Timing
@@ -99,6 +102,10 @@
 		subscribers: make(map[Topic][]func(Fact)),
 	}
 	m.core.syncer.seeds = config.Seeds
+	m.core.news.urgent = make(map[Topic]bool, len(config.Urgent))
+	for _, topic := range config.Urgent {
+		m.core.news.urgent[topic] = true
+	}
 	m.wire = newTransport(config.ListenAddr, m.receive, config.Logger)
 	m.publishView(config.Now())
 	return m, nil
--- a/member/news.go
+++ b/member/news.go
@@ -29,6 +29,7 @@
 	key      string
 	raw      cbor.RawMessage
 	isFact   bool
+	urgent   bool // a fact that goes before others
 	order    uint64
 	sends    int // within the scope
 	limit    int
@@ -49,6 +50,8 @@
 	hurriedTo  map[host.DataCentre]bool
 	nextRemote int
 	dropped    uint64
+	// urgent are the topics whose facts go first.
+	urgent map[Topic]bool
 }
 
 func newNews() news { return news{items: make(map[string]*item)} }
@@ -88,7 +91,9 @@
 	if len(f.Payload) > smallFactBytes {
 		sends = min(sends, largeFactSends)
 	}
-	n.add(&item{key: factItemKey(f), raw: raw, isFact: true, limit: sends, crosses: crosses})
+	n.add(&item{
+		key: factItemKey(f), raw: raw, isFact: true, urgent: n.urgent[f.Topic], limit: sends, crosses: crosses,
+	})
 }
 
 // addOwnFact queues a fact of this host that goes straight to every other.
@@ -123,7 +128,8 @@
 }
 
 // queue returns the items in the order in which they are sent: records before
-// facts, what was sent least before the rest, the newest first.
+// facts, urgent facts before others, what was sent least before the rest, the
+// newest first.
 func (n *news) queue() []*item {
 	items := make([]*item, 0, len(n.items))
 	for _, i := range n.items {
@@ -133,6 +139,8 @@
 		switch {
 		case a.isFact != b.isFact:
 			return boolOrder(a.isFact)
+		case a.urgent != b.urgent:
+			return boolOrder(b.urgent)
 		case a.sends != b.sends:
 			return a.sends - b.sends
 		case a.order > b.order:
--- a/member/spread.go
+++ b/member/spread.go
@@ -45,7 +45,7 @@
 	left := n.tokens
 	var own []*item
 	for _, i := range n.oldestOwn() {
-		if left <= 0 {
+		if !n.affords(i, left, c.timing.BytesPerSecond) {
 			break
 		}
 		left -= float64(len(i.raw) * len(peers))
@@ -60,7 +60,8 @@
 	}
 }
 
-// oldestOwn returns the facts that go straight to all, the oldest first.
+// oldestOwn returns the facts that go straight to all, the urgent first and
+// then the oldest.
 func (n *news) oldestOwn() []*item {
 	var own []*item
 	for _, i := range n.items {
@@ -68,7 +69,12 @@
 			own = append(own, i)
 		}
 	}
-	slices.SortFunc(own, func(a, b *item) int { return cmp.Compare(a.order, b.order) })
+	slices.SortFunc(own, func(a, b *item) int {
+		if a.urgent != b.urgent {
+			return boolOrder(b.urgent)
+		}
+		return cmp.Compare(a.order, b.order)
+	})
 	return own
 }
 
@@ -158,7 +164,7 @@
 	m := &message{Kind: kindGossip}
 	left := room(m)
 	for _, i := range n.queue() {
-		if i.sends >= i.limit || !n.affords(i, c.timing.BytesPerSecond) {
+		if i.sends >= i.limit || !n.affords(i, n.tokens, c.timing.BytesPerSecond) {
 			continue
 		}
 		var fits bool
@@ -174,12 +180,13 @@
 	c.send(p, m)
 }
 
-// affords says whether the budget allows an item: records may overdraw it.
-func (n *news) affords(i *item, rate float64) bool {
-	if i.isFact {
-		return n.tokens > 0
+// affords says whether an item may be sent when some of the budget is left:
+// records and urgent facts may overdraw it.
+func (n *news) affords(i *item, left, rate float64) bool {
+	if i.isFact && !i.urgent {
+		return left > 0
 	}
-	return n.tokens > -overdraftSeconds*rate
+	return left > -overdraftSeconds*rate
 }
 
 // gossipAbroad tells the delegates of a few other data centres what came up in
@@ -197,7 +204,7 @@
 	m := &message{Kind: kindGossip}
 	left := room(m)
 	for _, i := range n.queue() {
-		if !i.crosses || i.told[centre] || !n.affords(i, c.timing.BytesPerSecond) {
+		if !i.crosses || i.told[centre] || !n.affords(i, n.tokens, c.timing.BytesPerSecond) {
 			continue
 		}
 		var fits bool
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -12,8 +12,8 @@
 	"github.com/galenaseam/galenaseam/upstream"
 )
 
-// topic is the kind of fact that hosts share.
-const topic member.Topic = "quarantine"
+// Topic is the kind of fact that hosts share.
+const Topic member.Topic = "quarantine"
 
 // news is what one host tells the others of one digest.
 type news struct {
@@ -75,7 +75,7 @@
 			}
 		}
 	}
-	cfg.Gossip.Subscribe(topic, q.hear)
+	cfg.Gossip.Subscribe(Topic, q.hear)
 	return q, nil
 }
 
@@ -98,14 +98,10 @@
 // Started takes note that an upstream begins to run a request.
 func (q *Quarantine) Started(d Digest, _ upstream.ID) {
 	q.mu.Lock()
-	alone := q.alone[d]
-	if alone {
+	defer q.mu.Unlock()
+	if q.alone[d] {
 		q.ledger.HeldAlone(q.now(), d)
 	}
-	q.mu.Unlock()
-	if alone {
-		q.tell(news{Digest: d, Alone: true})
-	}
 }
 
 // Ended takes note that an upstream no longer runs a request. lost says that
@@ -153,7 +149,7 @@
 		key += "/" + string(n.Upstream)
 	}
 	// Too large a payload can't be: its parts are bounded.
-	_ = q.gossip.Publish(topic, key, payload)
+	_ = q.gossip.Publish(Topic, key, payload)
 }
 
 // hear takes in another host's news.
