Let no overtaken takeover write over committed claims

Cause: TestClaimHistoriesUnderFaults failed in about one run of 30 under load: a key ran twice. A host that takes a shard over was paused between writing the head and reading the ring; meanwhile another owner moved the checkpoint and came round the ring. The first then found a record of a later round in the next slot, took it for one of an earlier round, and wrote its takeover record over it, with the slot's current version: a committed claim was gone. Ruled out: the settlements of deposed owners (mended before, and caught by the model), releases, joins, late writes. Change: a record of a later round deposes the reader.

--- a/claim/recover.go
+++ b/claim/recover.go
@@ -174,7 +174,9 @@
 
 // foldRing folds the records after the checkpoint, as far as they follow each
 // other. A slot that was read before its record was written ends the fold;
-// writeTakeover then finds the record by its conflict.
+// writeTakeover then finds the record by its conflict. A slot with a record of
+// a later round of the ring shows that another owner has moved the checkpoint
+// since the head was read: writing there would destroy that record.
 func (l *shardLog) foldRing(t *table, found []platform.Entry) error {
 	l.slots = make([]platform.Version, len(found))
 	for slot, e := range found {
@@ -189,7 +191,10 @@
 		if err := decode(e.Value, &rec); err != nil {
 			return err
 		}
-		if rec.Seq != l.last+1 {
+		if rec.Seq > l.last+1 {
+			return errDeposed
+		}
+		if rec.Seq < l.last+1 {
 			return nil
 		}
 		l.foldRecord(t, &rec, e.Version)
