Tell losses in short facts with a budget of their own

Cause: news of the quarantine were over 64 bytes, so they were told once only, and shared the byte budget with everything else; other hosts heard seconds late. Change: the digest and the upstream are the fact's key; urgent facts have a budget of their own, half as large as the rest's.

--- a/member/membership.go
+++ b/member/membership.go
@@ -32,8 +32,8 @@
 	Seeds []netip.AddrPort
 	// HostList gives more seeds: its machines without a pool. It may be nil.
 	HostList platform.HostList
-	// Urgent are topics whose facts go before all others and may overdraw the
-	// budget of bytes as records do; they must be rare.
+	// Urgent are topics whose facts go before all others and have a budget of
+	// their own, half as large as the rest's; they must be rare.
 	Urgent []Topic
 	// ListInterval is how often the host list is read.
 	ListInterval time.Duration
--- a/member/news.go
+++ b/member/news.go
@@ -21,7 +21,9 @@
 	remotePerRound   = 3   // data centres that a delegate tells in one round
 	remoteLifetime   = 10 * time.Second
 	overdraftSeconds = 1.0
-	smallFleet       = 16 // hosts, up to which facts go straight to all
+	urgentShare      = 0.5  // of the budget, on top of it, for own urgent facts
+	urgentSeconds    = 30.0 // of that share which may be saved up
+	smallFleet       = 16   // hosts, up to which facts go straight to all
 )
 
 // item is one record or fact that is being passed on.
@@ -41,15 +43,18 @@
 
 // news is the queue of what is passed on, and the budget for it.
 type news struct {
-	items      map[string]*item
-	order      uint64
-	next       time.Time
-	tokens     float64 // bytes that may be sent now
-	refilledAt time.Time
-	hurried    int // rounds left in which a new generation is told
-	hurriedTo  map[host.DataCentre]bool
-	nextRemote int
-	dropped    uint64
+	items  map[string]*item
+	order  uint64
+	next   time.Time
+	tokens float64 // bytes that may be sent now
+	// urgentTokens are bytes that may be sent now for own urgent facts. They
+	// are apart, so that neither holds up the other.
+	urgentTokens float64
+	refilledAt   time.Time
+	hurried      int // rounds left in which a new generation is told
+	hurriedTo    map[host.DataCentre]bool
+	nextRemote   int
+	dropped      uint64
 	// urgent are the topics whose facts go first.
 	urgent map[Topic]bool
 }
@@ -125,6 +130,8 @@
 	}
 	n.refilledAt = now
 	n.tokens = min(n.tokens+elapsed*rate, burstSeconds*rate)
+	urgentRate := rate * urgentShare
+	n.urgentTokens = min(n.urgentTokens+elapsed*urgentRate, urgentSeconds*urgentRate)
 }
 
 // queue returns the items in the order in which they are sent: records before
--- a/member/spread.go
+++ b/member/spread.go
@@ -38,14 +38,23 @@
 }
 
 // tellAll sends the waiting facts of this host, the oldest first, to every
-// other, as far as the budget goes.
+// other, as far as the budgets go.
 func (c *core) tellAll() {
 	n := &c.news
+	before := n.tokens
+	n.tokens = n.urgentTokens
+	c.tellOwn(n.oldestOwn(true))
+	n.urgentTokens, n.tokens = n.tokens, before
+	c.tellOwn(n.oldestOwn(false))
+}
+
+// tellOwn sends facts of this host to every other, as far as the budget goes.
+func (c *core) tellOwn(waiting []*item) {
 	peers := c.scopeNow().peers
-	left := n.tokens
+	left := c.news.tokens
 	var own []*item
-	for _, i := range n.oldestOwn() {
-		if !n.affords(i, left, c.timing.BytesPerSecond) {
+	for _, i := range waiting {
+		if left <= 0 {
 			break
 		}
 		left -= float64(len(i.raw) * len(peers))
@@ -60,21 +69,16 @@
 	}
 }
 
-// oldestOwn returns the facts that go straight to all, the urgent first and
-// then the oldest.
-func (n *news) oldestOwn() []*item {
+// oldestOwn returns the facts that go straight to all, urgent ones or others,
+// the oldest first.
+func (n *news) oldestOwn(urgent bool) []*item {
 	var own []*item
 	for _, i := range n.items {
-		if i.toAll > 0 {
+		if i.toAll > 0 && i.urgent == urgent {
 			own = append(own, i)
 		}
 	}
-	slices.SortFunc(own, func(a, b *item) int {
-		if a.urgent != b.urgent {
-			return boolOrder(b.urgent)
-		}
-		return cmp.Compare(a.order, b.order)
-	})
+	slices.SortFunc(own, func(a, b *item) int { return cmp.Compare(a.order, b.order) })
 	return own
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,18 +16,49 @@
 // Topic is the kind of fact that hosts share.
 const Topic member.Topic = "quarantine"
 
-// news is what one host tells the others of one digest.
+// news is what one host tells the others of one digest. The digest, and for a
+// loss the upstream, are the fact's key, so that the news stays short: short
+// facts are told more than once.
 type news struct {
-	Digest Digest `cbor:"1,keyasint"`
-	// Upstream is set for a loss.
-	Upstream upstream.ID `cbor:"2,keyasint,omitempty"`
+	_ struct{} `cbor:",toarray"`
 	// AtMilli is the loss's Unix time in milliseconds, by the teller's clock.
-	AtMilli int64 `cbor:"3,keyasint,omitempty"`
+	AtMilli int64
 	// Alone says that the teller runs the suspect alone, or lost the upstream
 	// while it did.
-	Alone bool `cbor:"4,keyasint,omitempty"`
+	Alone bool
 	// Cleared says that the suspect ran to its end without a loss.
-	Cleared bool `cbor:"5,keyasint,omitempty"`
+	Cleared bool
+}
+
+// toldBytes is how much of a digest goes into a key, and counts.
+const toldBytes = 16
+
+// told cuts a digest down to what hosts tell each other of it.
+func told(d Digest) Digest {
+	clear(d[toldBytes:])
+	return d
+}
+
+// keyOf is the key of the news of a digest; id is empty but for a loss. The
+// newest of a host replaces its older ones by the key, so that each loss has a
+// key of its own.
+func keyOf(d Digest, id upstream.ID) string {
+	key := hex.EncodeToString(d[:toldBytes])
+	if id != "" {
+		key += "/" + string(id)
+	}
+	return key
+}
+
+// readKey undoes keyOf.
+func readKey(key string) (d Digest, id upstream.ID, ok bool) {
+	text, lost, _ := strings.Cut(key, "/")
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != toldBytes {
+		return Digest{}, "", false
+	}
+	copy(d[:], raw)
+	return d, upstream.ID(lost), true
 }
 
 // Config is what a Quarantine is made of. Now and Registerer may be left out.
@@ -82,6 +114,7 @@
 // Check says what may be done with a request now. After RunAlone the caller
 // must run it, by Started and Ended, or give the right back by Ended alone.
 func (q *Quarantine) Check(now time.Time, d Digest) Verdict {
+	d = told(d)
 	q.mu.Lock()
 	v := q.ledger.Check(now, d)
 	if v == RunAlone {
@@ -90,13 +123,14 @@
 	q.mu.Unlock()
 	q.verdicts.WithLabelValues(v.String()).Inc()
 	if v == RunAlone {
-		q.tell(news{Digest: d, Alone: true})
+		q.tell(d, "", news{Alone: true})
 	}
 	return v
 }
 
 // Started takes note that an upstream begins to run a request.
 func (q *Quarantine) Started(d Digest, _ upstream.ID) {
+	d = told(d)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.alone[d] {
@@ -107,6 +141,7 @@
 // Ended takes note that an upstream no longer runs a request. lost says that
 // the upstream was lost while it did; a mere timeout is not a loss.
 func (q *Quarantine) Ended(d Digest, id upstream.ID, lost bool) {
+	d = told(d)
 	now := q.now()
 	q.mu.Lock()
 	alone := q.alone[d]
@@ -123,53 +158,50 @@
 	switch {
 	case lost:
 		q.lost.Inc()
-		q.tell(news{Digest: d, Upstream: id, AtMilli: now.UnixMilli(), Alone: alone})
+		q.tell(d, id, news{AtMilli: now.UnixMilli(), Alone: alone})
 	case alone:
-		q.tell(news{Digest: d, Cleared: true})
+		q.tell(d, "", news{Cleared: true})
 	}
 }
 
 // GiveBack takes note that this host no longer runs a suspect alone, although
 // the suspect did not run to its end. Others may run it when the right lapses.
 func (q *Quarantine) GiveBack(d Digest) {
+	d = told(d)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delete(q.alone, d)
 }
 
-// tell spreads news. The newest of a host replaces its older ones by the key,
-// so that each kind has a key of its own.
-func (q *Quarantine) tell(n news) {
+// tell spreads news.
+func (q *Quarantine) tell(d Digest, id upstream.ID, n news) {
 	payload, err := cbor.Marshal(n)
 	if err != nil {
 		return
 	}
-	key := hex.EncodeToString(n.Digest[:16])
-	if n.Upstream != "" {
-		key += "/" + string(n.Upstream)
-	}
 	// Too large a payload can't be: its parts are bounded.
-	_ = q.gossip.Publish(Topic, key, payload)
+	_ = q.gossip.Publish(Topic, keyOf(d, id), payload)
 }
 
 // hear takes in another host's news.
 func (q *Quarantine) hear(f member.Fact) {
 	var n news
-	if cbor.Unmarshal(f.Payload, &n) != nil {
+	d, id, ok := readKey(f.Key)
+	if !ok || cbor.Unmarshal(f.Payload, &n) != nil {
 		return
 	}
 	now := q.now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	loss := Loss{Digest: n.Digest, Upstream: n.Upstream, At: time.UnixMilli(n.AtMilli)}
+	loss := Loss{Digest: d, Upstream: id, At: time.UnixMilli(n.AtMilli)}
 	switch {
-	case n.Upstream != "" && n.Alone:
+	case id != "" && n.Alone:
 		q.ledger.LoseAlone(now, loss)
-	case n.Upstream != "":
+	case id != "":
 		q.ledger.Lose(now, loss)
 	case n.Alone:
-		q.ledger.HeldAlone(now, n.Digest)
+		q.ledger.HeldAlone(now, d)
 	case n.Cleared:
-		q.ledger.Cleared(n.Digest)
+		q.ledger.Cleared(d)
 	}
 }
