--- a/cmd/seamload/live.go
+++ b/cmd/seamload/live.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/galenaseam/galenaseam/experiment"
@@ -25,7 +26,7 @@
 		"| load | variant | capacity, requests/s | quick in time, %% | long in time, %% | orders in time, %% | not run, %% |\n"+
 		"| --- | --- | --- | --- | --- | --- | --- |\n", deployment, deployment, g.Seed, g.Warmup, g.Measure)
 	for _, load := range g.Loads {
-		for _, v := range g.Variants {
+		for _, v := range slices.Concat(g.Variants, g.Ablations) {
 			r, err := live.Run(ctx, live.Options{
 				Deployment: deployment, Variant: v, Load: load, Seed: g.Seed, Warmup: g.Warmup, Measure: g.Measure,
 			})
--- a/policy/load.go
+++ b/policy/load.go
@@ -11,6 +11,11 @@
 // the mean over the pool.
 const reportHalfLife = 300 * time.Millisecond
 
+// meanHalfLife is the age at which a report counts half in the mean over the
+// pool. Where reports come only with answers, old ones tell of a load that has
+// long moved on.
+const meanHalfLife = time.Second
+
 // staleReport is the age from which a report tells nothing about queues.
 const staleReport = 3 * time.Second
 
@@ -24,7 +29,7 @@
 			continue
 		}
 		s.takeReport(load)
-		others += s.others
+		others += s.others * faded(now, s.othersAt, meanHalfLife)
 		known++
 		if now.Sub(s.othersAt) < staleReport {
 			queued += s.queued
@@ -58,7 +63,12 @@
 	if s.othersAt.IsZero() {
 		return p.meanOthers
 	}
-	age := max(now.Sub(s.othersAt), 0)
-	trust := math.Exp2(-float64(age) / float64(reportHalfLife))
+	trust := faded(now, s.othersAt, reportHalfLife)
 	return trust*s.others + (1-trust)*p.meanOthers
 }
+
+// faded is what a report still counts.
+func faded(now, at time.Time, halfLife time.Duration) float64 {
+	age := max(now.Sub(at), 0)
+	return math.Exp2(-float64(age) / float64(halfLife))
+}
