--- a/build.go
+++ b/build.go
@@ -197,6 +197,7 @@
 		return err
 	}
 	h.client = attempt.New(attempt.Config{Listener: h.upstreams})
+	h.metrics.WatchWrongAnswers(h.client.WrongAnswers)
 	h.runner = request.New(request.Config{
 		Dispatcher: h.dispatcher,
 		Upstreams:  h.upstreams,
--- a/member/core.go
+++ b/member/core.go
@@ -256,7 +256,7 @@
 		case p.State == host.Dead && c.now.Sub(p.deadAt) > c.timing.KeepDead:
 			c.forgetPeer(id)
 		case p.State != host.Dead && b != nil && c.now.Sub(b.at) > c.timing.KeepDead:
-			c.bury(p, p.Incarnation)
+			c.declareDead(p, p.Incarnation)
 		}
 	}
 	c.cleanFacts()
--- a/member/protocol_test.go
+++ b/member/protocol_test.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// With 20% of the datagrams lost nobody is buried, and a dead host still is.
-func TestTwentyPercentLossBuriesNobody(t *testing.T) {
+// With 20% of the datagrams lost nobody is declared dead, and a dead host still is.
+func TestTwentyPercentLossDeclaresNobodyDead(t *testing.T) {
 	for seed := range uint64(3) {
 		n := twelve(t, seed)
 		n.loss = 0.2
@@ -65,9 +65,9 @@
 	}
 }
 
-// A paused host wakes, discards its timers and buries nobody; the others bury
+// A paused host wakes, discards its timers and declares nobody dead; the others declare
 // it only while it is silent, and take it back.
-func TestPausedHostBuriesNobody(t *testing.T) {
+func TestPausedHostDeclaresNobodyDead(t *testing.T) {
 	for _, pause := range []time.Duration{2 * time.Second, 30 * time.Second, 3 * time.Minute} {
 		n := twelve(t, 3)
 		sleeper := n.nodes[5]
@@ -82,7 +82,7 @@
 }
 
 // One host with a link that loses most datagrams has no other declared dead.
-func TestBadLinkBuriesNobodyElse(t *testing.T) {
+func TestBadLinkDeclaresNobodyElseDead(t *testing.T) {
 	for _, loss := range []float64{0.5, 0.8, 1} {
 		n := twelve(t, 8)
 		bad := n.nodes[2]
@@ -126,7 +126,7 @@
 		one.side = i % 2
 	}
 	n.run(time.Minute)
-	require.Equal(t, 6, n.views(n.nodes[0], host.Dead), "each side buries the other")
+	require.Equal(t, 6, n.views(n.nodes[0], host.Dead), "each side declares the other dead")
 	for _, one := range n.nodes {
 		one.side = 0
 	}
@@ -175,7 +175,7 @@
 	n.await(10*time.Second, func() bool { return current(late) }, "a late host gets the facts")
 
 	n.nodes[3].dead = true
-	n.await(20*time.Second, func() bool { return n.views(n.nodes[3], host.Dead) == 12 }, "the host is buried")
+	n.await(20*time.Second, func() bool { return n.views(n.nodes[3], host.Dead) == 12 }, "the host is declared dead")
 	for _, one := range n.nodes {
 		require.True(t, one.dead || len(one.core.facts.byHost[n.nodes[3].self.Info.ID]) == 0)
 	}
--- a/member/roster.go
+++ b/member/roster.go
@@ -28,11 +28,11 @@
 	switch {
 	case s.State == host.Dead:
 		if known && p.State != host.Dead {
-			c.bury(p, s.Incarnation)
+			c.declareDead(p, s.Incarnation)
 		}
 		return
 	case !known:
-		c.buryAt(s.Info.LinkAddr)
+		c.declareDeadAt(s.Info.LinkAddr)
 		p = c.admit(s)
 		c.spread(p.record)
 	case s.Incarnation > p.Incarnation:
@@ -54,12 +54,12 @@
 	}
 }
 
-// buryAt buries the hosts whose address a new one has: they ended before it
+// declareDeadAt declares the hosts dead whose address a new one has: they ended before it
 // could start there.
-func (c *core) buryAt(addr netip.AddrPort) {
+func (c *core) declareDeadAt(addr netip.AddrPort) {
 	for _, id := range sortedIDs(c.peers) {
 		if p := c.peers[id]; p.State != host.Dead && p.Info.LinkAddr == addr {
-			c.bury(p, p.Incarnation)
+			c.declareDead(p, p.Incarnation)
 		}
 	}
 }
@@ -72,7 +72,7 @@
 	}
 	p, known := c.peers[r.Info.ID]
 	if r.Info.LinkAddr == c.self.Info.LinkAddr && r.State != host.Dead {
-		c.buryPredecessor(p, r)
+		c.declarePredecessorDead(p, r)
 		return
 	}
 	if !known {
@@ -92,14 +92,14 @@
 	}
 }
 
-// buryPredecessor buries a host that had this host's address: it ended before
+// declarePredecessorDead declares a host dead that had this host's address: it ended before
 // this one could start.
-func (c *core) buryPredecessor(p *peer, r record) {
+func (c *core) declarePredecessorDead(p *peer, r record) {
 	if p == nil {
 		p = c.admit(r)
 	}
 	if p.State != host.Dead || p.Incarnation < r.Incarnation {
-		c.bury(p, r.Incarnation)
+		c.declareDead(p, r.Incarnation)
 	}
 }
 
@@ -122,7 +122,7 @@
 	case c.now.Sub(p.heardAt) < c.timing.RecentlyHeard:
 		c.warn(p, r)
 	default:
-		c.bury(p, r.Incarnation)
+		c.declareDead(p, r.Incarnation)
 	}
 }
 
@@ -184,8 +184,8 @@
 	c.news.addRecord(r, rawOf(r), c.isLocal(r.Info.Place), c.transmits())
 }
 
-// bury marks a host as dead and tells the others.
-func (c *core) bury(p *peer, incarnation uint64) {
+// declareDead marks a host as dead and tells the others.
+func (c *core) declareDead(p *peer, incarnation uint64) {
 	p.Incarnation = incarnation
 	p.State = host.Dead
 	p.deadAt = c.now
@@ -265,7 +265,7 @@
 	return b
 }
 
-// needed is how many accusers it takes to bury a host.
+// needed is how many accusers it takes to declare a host dead.
 func (c *core) needed(p *peer) int {
 	if p.State == host.Leaving || c.scopeNow().othersThan(p) == 0 {
 		return 1
@@ -286,7 +286,7 @@
 	}
 }
 
-// expireSuspicions buries the hosts that did not refute in time, if enough
+// expireSuspicions declares dead the hosts that did not refute in time, if enough
 // others missed them too. A host that only this one misses stays suspect: the
 // fault may be with the own link.
 func (c *core) expireSuspicions() {
@@ -296,7 +296,7 @@
 		switch {
 		case c.now.Before(s.deadline):
 		case len(s.accusers) >= c.needed(p), c.now.Sub(s.startedAt) > c.timing.KeepDead:
-			c.bury(p, p.Incarnation)
+			c.declareDead(p, p.Incarnation)
 		case s.accusers[c.self.Info.ID]:
 			s.deadline = c.now.Add(c.timing.SuspicionMax)
 			c.prober.urge(id)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -124,6 +124,15 @@
 // Refused counts a refusal before any stage.
 func (m *Metrics) Refused(cause string) { m.refused.WithLabelValues(cause).Inc() }
 
+// WatchWrongAnswers shows how many answers were discarded because they did not
+// belong to their call.
+func (m *Metrics) WatchWrongAnswers(count func() int64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: namespace, Name: "wrong_answers_total",
+		Help: "Answers of upstreams that did not belong to their call, and were discarded.",
+	}, func() float64 { return float64(count()) }))
+}
+
 // Ready records whether the host takes new work.
 func (m *Metrics) Ready(ready bool) {
 	value := 0.0
