Wait and fill in defaults in one place each

Cause: the wait that a context cuts short and the filling in of a zero field stood four times each, word for word. Change: internal/sleep and internal/defaults; their callers are otherwise as before, tests untouched.

--- a/claim/settings.go
+++ b/claim/settings.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/internal/defaults"
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/platform"
 )
@@ -80,32 +81,25 @@
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (s Settings) withDefaults() Settings {
 	d := DefaultSettings()
-	setDefault(&s.Shards, d.Shards)
-	setDefault(&s.RingSlots, d.RingSlots)
-	setDefault(&s.Retention, d.Retention)
-	setDefault(&s.BatchWindow, d.BatchWindow)
-	setDefault(&s.OutcomeDelay, d.OutcomeDelay)
-	setDefault(&s.ClaimTimeout, d.ClaimTimeout)
-	setDefault(&s.CallTimeout, d.CallTimeout)
-	setDefault(&s.ProbeTimeout, d.ProbeTimeout)
-	setDefault(&s.StoreTimeout, d.StoreTimeout)
-	setDefault(&s.MinTenure, d.MinTenure)
-	setDefault(&s.MaxTenure, d.MaxTenure)
-	setDefault(&s.HandoffDelay, d.HandoffDelay)
-	setDefault(&s.MaxHeldBytes, d.MaxHeldBytes)
-	setDefault(&s.MaxBatchBytes, d.MaxBatchBytes)
-	setDefault(&s.SegmentBytes, d.SegmentBytes)
-	setDefault(&s.MaxSegments, d.MaxSegments)
-	setDefault(&s.MaxOpaqueKeys, d.MaxOpaqueKeys)
+	defaults.Set(&s.Shards, d.Shards)
+	defaults.Set(&s.RingSlots, d.RingSlots)
+	defaults.Set(&s.Retention, d.Retention)
+	defaults.Set(&s.BatchWindow, d.BatchWindow)
+	defaults.Set(&s.OutcomeDelay, d.OutcomeDelay)
+	defaults.Set(&s.ClaimTimeout, d.ClaimTimeout)
+	defaults.Set(&s.CallTimeout, d.CallTimeout)
+	defaults.Set(&s.ProbeTimeout, d.ProbeTimeout)
+	defaults.Set(&s.StoreTimeout, d.StoreTimeout)
+	defaults.Set(&s.MinTenure, d.MinTenure)
+	defaults.Set(&s.MaxTenure, d.MaxTenure)
+	defaults.Set(&s.HandoffDelay, d.HandoffDelay)
+	defaults.Set(&s.MaxHeldBytes, d.MaxHeldBytes)
+	defaults.Set(&s.MaxBatchBytes, d.MaxBatchBytes)
+	defaults.Set(&s.SegmentBytes, d.SegmentBytes)
+	defaults.Set(&s.MaxSegments, d.MaxSegments)
+	defaults.Set(&s.MaxOpaqueKeys, d.MaxOpaqueKeys)
 	return s
 }
 
--- a/internal/drill/account.go
+++ b/internal/drill/account.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/operator/client"
 )
 
@@ -46,7 +47,7 @@
 	for _, f := range r.fleets {
 		f.waitConverged(ctx)
 	}
-	if err := pause(ctx, settleTime); err != nil {
+	if err := sleep.For(ctx, settleTime); err != nil {
 		return err
 	}
 	for _, f := range r.fleets {
@@ -126,7 +127,7 @@
 		if f.converged = f.agree(newest); f.converged {
 			return
 		}
-		if pause(ctx, observeEvery) != nil {
+		if sleep.For(ctx, observeEvery) != nil {
 			return
 		}
 	}
--- a/internal/drill/caller.go
+++ b/internal/drill/caller.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/internal/sleep"
 )
 
 // caller sends requests one after another, and some of them again.
@@ -38,7 +39,7 @@
 }
 
 func (c *caller) run(ctx context.Context) {
-	for pause(ctx, drawTime(c.random, thinkTime)) == nil {
+	for sleep.For(ctx, drawTime(c.random, thinkTime)) == nil {
 		q := c.draw()
 		c.fleet.ledger.open(q)
 		// A request that was begun is brought to its end.
@@ -167,7 +168,7 @@
 		if got.outcome == whole || (got.outcome == ranFailed && !q.poison) {
 			return
 		}
-		if pause(ctx, drawTime(c.random, resendPause)) != nil {
+		if sleep.For(ctx, drawTime(c.random, resendPause)) != nil {
 			return
 		}
 	}
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 )
@@ -119,7 +120,7 @@
 	}
 	err := r.fail(ctx)
 	if err == nil {
-		err = pause(ctx, time.Second) // a last second of load without failures
+		err = sleep.For(ctx, time.Second) // a last second of load without failures
 	}
 	stopLoad()
 	callers.Wait()
@@ -146,7 +147,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	for _, e := range Plan(r.cfg.Seed, len(r.fleets), r.cfg.Length) {
 		group.Go(func() error {
-			if err := pause(ctx, time.Until(started.Add(e.At))); err != nil {
+			if err := sleep.For(ctx, time.Until(started.Add(e.At))); err != nil {
 				return err
 			}
 			return r.fleets[e.Deployment].carryOut(ctx, e)
@@ -154,18 +155,3 @@
 	}
 	return group.Wait()
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/drill/editor.go
+++ b/internal/drill/editor.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/operator"
 	"github.com/galenaseam/galenaseam/operator/client"
 	"github.com/galenaseam/galenaseam/problem"
@@ -75,7 +76,7 @@
 }
 
 func (e *editor) run(ctx context.Context) {
-	for pause(ctx, drawTime(e.random, editPause)) == nil {
+	for sleep.For(ctx, drawTime(e.random, editPause)) == nil {
 		e.edit(context.WithoutCancel(ctx))
 	}
 }
@@ -138,7 +139,7 @@
 			return
 		}
 		wasOpen = true
-		if pause(ctx, drawTime(e.random, resendPause)) != nil {
+		if sleep.For(ctx, drawTime(e.random, resendPause)) != nil {
 			e.fleet.edits.leaveOpen()
 			return
 		}
--- a/internal/drill/fleet.go
+++ b/internal/drill/fleet.go
@@ -15,6 +15,7 @@
 
 	"github.com/galenaseam/galenaseam/config"
 	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/internal/standin"
 	"github.com/galenaseam/galenaseam/internal/standin/fault"
 	"github.com/galenaseam/galenaseam/internal/standin/store"
@@ -225,7 +226,7 @@
 	if err := f.controlCall(ctx, http.MethodPost, "/leave/"+name, nil, nil); err != nil {
 		return err
 	}
-	if err := pause(ctx, e.Length); err != nil {
+	if err := sleep.For(ctx, e.Length); err != nil {
 		return err
 	}
 	return f.controlCall(ctx, http.MethodPost, "/return/"+name, nil, nil)
--- a/internal/drill/host.go
+++ b/internal/drill/host.go
@@ -15,6 +15,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/settings"
 )
 
@@ -146,7 +147,7 @@
 	defer cancel()
 	for _, h := range f.living() {
 		for !f.probe(ctx, h) {
-			if err := pause(ctx, probeEvery); err != nil {
+			if err := sleep.For(ctx, probeEvery); err != nil {
 				return Error.New("%s of %s is not ready; see its log in %s", h.name, f.deployment.Name, f.dir)
 			}
 			if !h.running() {
@@ -208,7 +209,7 @@
 	f.say("%s: killed", h.name)
 	h.killed.Store(true)
 	h.signal(syscall.SIGKILL)
-	if err := pause(ctx, e.Length); err != nil {
+	if err := sleep.For(ctx, e.Length); err != nil {
 		return err
 	}
 	return f.replace(ctx, slot, h)
@@ -223,7 +224,7 @@
 	f.say("%s: told to end", h.name)
 	h.draining.Store(true)
 	h.signal(syscall.SIGTERM)
-	if err := pause(ctx, e.Length); err != nil {
+	if err := sleep.For(ctx, e.Length); err != nil {
 		return err
 	}
 	return f.replace(ctx, slot, h)
@@ -251,7 +252,7 @@
 	}
 	f.say("%s: paused for %s", h.name, e.Length.Round(time.Millisecond))
 	h.signal(syscall.SIGSTOP)
-	err := pause(ctx, e.Length)
+	err := sleep.For(ctx, e.Length)
 	f.mu.Lock()
 	f.resumed = append(f.resumed, time.Now())
 	f.mu.Unlock()
--- a/internal/drill/observer.go
+++ b/internal/drill/observer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/operator/client"
 )
 
@@ -21,7 +22,7 @@
 // startObserver keeps the balancer's view and watches the generations.
 func (f *fleet) startObserver(ctx context.Context, running *sync.WaitGroup) {
 	running.Go(func() {
-		for pause(ctx, observeEvery) == nil {
+		for sleep.For(ctx, observeEvery) == nil {
 			f.observe(ctx)
 		}
 	})
--- a/internal/standin/server/failing.go
+++ b/internal/standin/server/failing.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/internal/standin/fault"
 )
 
@@ -86,7 +87,7 @@
 		return false
 	}
 	u.run(newDiscard(), call)
-	if sleep(call.Request.Context(), delay) != nil {
+	if sleep.For(call.Request.Context(), delay) != nil {
 		return true
 	}
 	other.send(w)
@@ -109,7 +110,7 @@
 	u.timers.Add(1)
 	go func() {
 		defer u.timers.Done()
-		if sleep(u.ctx, length) == nil {
+		if sleep.For(u.ctx, length) == nil {
 			_ = u.Up()
 		}
 	}()
--- a/internal/standin/server/reply.go
+++ b/internal/standin/server/reply.go
@@ -1,28 +1,11 @@
 package server
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
-	"time"
 )
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // ErrorBody is the JSON of an error answer, in the OpenAI shape.
 type ErrorBody struct {
 	Error ErrorDetail `json:"error"`
--- a/internal/standin/server/upstream.go
+++ b/internal/standin/server/upstream.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/internal/standin/fault"
 )
 
@@ -58,7 +59,7 @@
 // Wait lets d, stretched by the call's factor, pass. It returns early with an
 // error when the caller has gone.
 func (c *Call) Wait(d time.Duration) error {
-	return sleep(c.Request.Context(), time.Duration(float64(d)*c.Factor))
+	return sleep.For(c.Request.Context(), time.Duration(float64(d)*c.Factor))
 }
 
 // Work is an upstream's own part. It writes the answer to w.
@@ -215,7 +216,7 @@
 		if f.Factor > 0 {
 			call.Factor = f.Factor
 		}
-		if sleep(r.Context(), f.Delay()) != nil {
+		if sleep.For(r.Context(), f.Delay()) != nil {
 			return
 		}
 	}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/internal/standin/fault"
 	"github.com/galenaseam/galenaseam/internal/standin/server"
 )
@@ -136,7 +137,7 @@
 	s.running.Add(1)
 	go func() {
 		defer s.running.Done()
-		if pause(s.ctx, f.Length()) == nil {
+		if sleep.For(s.ctx, f.Length()) == nil {
 			_ = s.Up()
 		}
 	}()
@@ -232,29 +233,14 @@
 		if wait == 0 {
 			<-r.Context().Done()
 		}
-		_ = pause(r.Context(), wait)
+		_ = sleep.For(r.Context(), wait)
 		panic(http.ErrAbortHandler)
 	}
 	delay := s.cfg.Delay
 	if f, ok := s.faults.Take(fault.Slow); ok {
 		delay += f.Delay()
 	}
-	return pause(r.Context(), delay) == nil
-}
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return sleep.For(r.Context(), delay) == nil
 }
 
 func writeError(w http.ResponseWriter, err error) {
--- a/link/client.go
+++ b/link/client.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenaseam/galenaseam/internal/defaults"
 	"github.com/zeebo/errs"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
@@ -70,10 +71,10 @@
 
 // NewClient returns a client. Close it to close its idle connections.
 func NewClient(config ClientConfig) *Client {
-	setDefault(&config.DialTimeout, DefaultDialTimeout)
-	setDefault(&config.CallTimeout, DefaultCallTimeout)
-	setDefault(&config.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&config.MaxMessageBytes, DefaultMaxMessageBytes)
+	defaults.Set(&config.DialTimeout, DefaultDialTimeout)
+	defaults.Set(&config.CallTimeout, DefaultCallTimeout)
+	defaults.Set(&config.IdleTimeout, DefaultIdleTimeout)
+	defaults.Set(&config.MaxMessageBytes, DefaultMaxMessageBytes)
 	return &Client{
 		config: config,
 		auth:   authenticator{tls: config.TLS, key: config.Key, timeout: config.DialTimeout},
--- a/link/server.go
+++ b/link/server.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/galenaseam/galenaseam/internal/defaults"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
 	"storj.io/drpc"
@@ -65,10 +66,10 @@
 
 // NewServer returns a server that is not yet serving.
 func NewServer(config ServerConfig) *Server {
-	setDefault(&config.MaxMessageBytes, DefaultMaxMessageBytes)
-	setDefault(&config.MaxConnections, DefaultMaxConnections)
-	setDefault(&config.HandshakeTimeout, DefaultHandshakeTimeout)
-	setDefault(&config.DrainTimeout, DefaultDrainTimeout)
+	defaults.Set(&config.MaxMessageBytes, DefaultMaxMessageBytes)
+	defaults.Set(&config.MaxConnections, DefaultMaxConnections)
+	defaults.Set(&config.HandshakeTimeout, DefaultHandshakeTimeout)
+	defaults.Set(&config.DrainTimeout, DefaultDrainTimeout)
 	if config.Logger == nil {
 		config.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -84,13 +85,6 @@
 	return s
 }
 
-func setDefault[T comparable](value *T, standard T) {
-	var zero T
-	if *value == zero {
-		*value = standard
-	}
-}
-
 func managerOptions(maxMessageBytes int) drpcmanager.Options {
 	return drpcmanager.Options{
 		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes + frameOverheadBytes},
--- a/member/membership.go
+++ b/member/membership.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/internal/defaults"
 	"github.com/galenaseam/galenaseam/platform"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
@@ -84,7 +85,7 @@
 		return nil, Error.New("the fleet key is empty")
 	}
 	config.Timing.fillDefaults()
-	setDefault(&config.ListInterval, DefaultListInterval)
+	defaults.Set(&config.ListInterval, DefaultListInterval)
 	if config.Now == nil {
 		config.Now = time.Now
 	}
--- a/member/timing.go
+++ b/member/timing.go
@@ -1,6 +1,10 @@
 package member
 
-import "time"
+import (
+	"time"
+
+	"github.com/galenaseam/galenaseam/internal/defaults"
+)
 
 // Timing holds the times and sizes of the protocol. Zero fields take the
 // defaults.
@@ -64,26 +68,19 @@
 
 func (t *Timing) fillDefaults() {
 	standard := DefaultTiming()
-	setDefault(&t.Tick, standard.Tick)
-	setDefault(&t.ProbeInterval, standard.ProbeInterval)
-	setDefault(&t.DirectTimeout, standard.DirectTimeout)
-	setDefault(&t.ProbeTimeout, standard.ProbeTimeout)
-	setDefault(&t.GossipInterval, standard.GossipInterval)
-	setDefault(&t.SuspicionMin, standard.SuspicionMin)
-	setDefault(&t.SuspicionMax, standard.SuspicionMax)
-	setDefault(&t.RecentlyHeard, standard.RecentlyHeard)
-	setDefault(&t.PauseAfter, standard.PauseAfter)
-	setDefault(&t.MaxAge, standard.MaxAge)
-	setDefault(&t.CentreSilence, standard.CentreSilence)
-	setDefault(&t.KeepDead, standard.KeepDead)
-	setDefault(&t.FactTTL, standard.FactTTL)
-	setDefault(&t.BytesPerSecond, standard.BytesPerSecond)
-	setDefault(&t.DetailLimit, standard.DetailLimit)
-}
-
-func setDefault[T comparable](value *T, standard T) {
-	var zero T
-	if *value == zero {
-		*value = standard
-	}
+	defaults.Set(&t.Tick, standard.Tick)
+	defaults.Set(&t.ProbeInterval, standard.ProbeInterval)
+	defaults.Set(&t.DirectTimeout, standard.DirectTimeout)
+	defaults.Set(&t.ProbeTimeout, standard.ProbeTimeout)
+	defaults.Set(&t.GossipInterval, standard.GossipInterval)
+	defaults.Set(&t.SuspicionMin, standard.SuspicionMin)
+	defaults.Set(&t.SuspicionMax, standard.SuspicionMax)
+	defaults.Set(&t.RecentlyHeard, standard.RecentlyHeard)
+	defaults.Set(&t.PauseAfter, standard.PauseAfter)
+	defaults.Set(&t.MaxAge, standard.MaxAge)
+	defaults.Set(&t.CentreSilence, standard.CentreSilence)
+	defaults.Set(&t.KeepDead, standard.KeepDead)
+	defaults.Set(&t.FactTTL, standard.FactTTL)
+	defaults.Set(&t.BytesPerSecond, standard.BytesPerSecond)
+	defaults.Set(&t.DetailLimit, standard.DetailLimit)
 }
--- a/request/guard.go
+++ b/request/guard.go
@@ -9,6 +9,7 @@
 
 	"github.com/galenaseam/galenaseam/attempt"
 	"github.com/galenaseam/galenaseam/dispatch"
+	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/problem"
 	"github.com/galenaseam/galenaseam/upstream"
 )
@@ -83,7 +84,7 @@
 	s.alone = verdict == RunAlone
 	if s.alone {
 		// A request whose time ends here is refused by the dispatcher.
-		_ = sleep(ctx, newsTime)
+		_ = sleep.For(ctx, newsTime)
 	}
 	if verdict != Refuse {
 		return nil
@@ -106,7 +107,7 @@
 // the other hosts have heard of the loss, so that the same request sent through
 // another of them meets a suspect. The error is a *problem.Problem.
 func (s *screened) mayGoOn(ctx context.Context, ran problem.Ran) (bool, error) {
-	if s.losses >= maxLossesPerRequest || sleep(ctx, newsTime) != nil {
+	if s.losses >= maxLossesPerRequest || sleep.For(ctx, newsTime) != nil {
 		return false, nil
 	}
 	return true, s.ask(ctx, ran)
--- a/request/service.go
+++ b/request/service.go
@@ -12,6 +12,7 @@
 	"github.com/galenaseam/galenaseam/attempt"
 	"github.com/galenaseam/galenaseam/dispatch"
 	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/problem"
 	"github.com/galenaseam/galenaseam/upstream"
 )
@@ -190,7 +191,7 @@
 			}
 		}
 		wait, ok := ticket.MayRetry(0, failed.Failure)
-		if !ok || sleep(ctx, wait) != nil {
+		if !ok || sleep.For(ctx, wait) != nil {
 			return ServiceAnswer{}, failed
 		}
 		avoid = append(avoid, slot.Upstream().ID)
--- a/request/tries.go
+++ b/request/tries.go
@@ -7,6 +7,7 @@
 
 	"github.com/galenaseam/galenaseam/attempt"
 	"github.com/galenaseam/galenaseam/dispatch"
+	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/problem"
 	"github.com/galenaseam/galenaseam/upstream"
 )
@@ -63,7 +64,7 @@
 // mayRetry asks the policy for another attempt and waits as long as it says.
 func (t *tries) mayRetry(ctx context.Context, failed *attempt.Failed) bool {
 	wait, ok := t.pipeline.ticket.MayRetry(t.index, failed.Failure)
-	return ok && sleep(ctx, wait) == nil
+	return ok && sleep.For(ctx, wait) == nil
 }
 
 // reportLosses tells the guard of the upstreams that died under the last race,
@@ -223,18 +224,3 @@
 		return problem.Unknown
 	}
 }
-
-// sleep waits, or returns ctx's error.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/internal/defaults"
 	"github.com/galenaseam/galenaseam/member"
 	"github.com/galenaseam/galenaseam/platform"
 	"github.com/prometheus/client_golang/prometheus"
@@ -99,10 +100,10 @@
 }
 
 func fillDefaults(c *Config) {
-	setDefault(&c.PollInterval, DefaultPollInterval)
-	setDefault(&c.ProbeTimeout, DefaultProbeTimeout)
-	setDefault(&c.SubsetSize, DefaultSubsetSize)
-	setDefault(&c.Timing, DefaultTiming())
+	defaults.Set(&c.PollInterval, DefaultPollInterval)
+	defaults.Set(&c.ProbeTimeout, DefaultProbeTimeout)
+	defaults.Set(&c.SubsetSize, DefaultSubsetSize)
+	defaults.Set(&c.Timing, DefaultTiming())
 	if c.Now == nil {
 		c.Now = time.Now
 	}
@@ -111,13 +112,6 @@
 	}
 }
 
-func setDefault[T comparable](value *T, standard T) {
-	var zero T
-	if *value == zero {
-		*value = standard
-	}
-}
-
 // Run polls, probes and publishes until ctx ends.
 func (t *Table) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
