--- a/build.go
+++ b/build.go
@@ -14,14 +14,14 @@
 	"github.com/galenaseam/galenaseam/dispatch"
 	"github.com/galenaseam/galenaseam/frontend"
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/infra"
+	"github.com/galenaseam/galenaseam/infra/budget"
+	"github.com/galenaseam/galenaseam/infra/kv"
+	"github.com/galenaseam/galenaseam/infra/sd"
 	"github.com/galenaseam/galenaseam/limit"
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/member"
 	"github.com/galenaseam/galenaseam/operator"
-	"github.com/galenaseam/galenaseam/platform"
-	"github.com/galenaseam/galenaseam/platform/budget"
-	"github.com/galenaseam/galenaseam/platform/kv"
-	"github.com/galenaseam/galenaseam/platform/sd"
 	"github.com/galenaseam/galenaseam/quarantine"
 	"github.com/galenaseam/galenaseam/request"
 	"github.com/galenaseam/galenaseam/settings"
@@ -65,9 +65,9 @@
 	if err != nil {
 		return err
 	}
-	h.claimStore = h.budget.Store(store, platform.PriorityClaim)
-	h.configStore = h.budget.Store(store, platform.PriorityConfig)
-	h.otherStore = h.budget.Store(store, platform.PriorityOther)
+	h.claimStore = h.budget.Store(store, infra.PriorityClaim)
+	h.configStore = h.budget.Store(store, infra.PriorityConfig)
+	h.otherStore = h.budget.Store(store, infra.PriorityOther)
 	h.hostList, err = sd.New(sd.Config{URL: p.HostList})
 	return err
 }
--- a/claim/acquire.go
+++ b/claim/acquire.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/link"
-	"github.com/galenaseam/galenaseam/platform"
 )
 
 // tenure spaces out the takeovers of a shard that two hosts keep taking from
@@ -39,7 +39,7 @@
 	}
 	self := processOf(sh.service.cfg.View.Self())
 	owner := found.head.Owner
-	if found.version != platform.NoVersion && !found.head.Vacant && owner.ID != self.ID {
+	if found.version != infra.NoVersion && !found.head.Vacant && owner.ID != self.ID {
 		if sh.service.probe(ctx, owner, sh.index) {
 			sh.learnOwner(owner)
 			return reply{Code: codeRedirect, Owner: owner}, Error.New("shard %d has an owner", sh.index)
--- a/claim/checkpoint.go
+++ b/claim/checkpoint.go
@@ -4,7 +4,7 @@
 	"context"
 	"slices"
 
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // pendingHead is a checkpoint whose segments are written and whose head may
@@ -112,7 +112,7 @@
 func (l *shardLog) deleteSegment(ctx context.Context, name string) error {
 	key := segmentKey(l.shard, name)
 	found, err := l.get(ctx, key)
-	if err != nil || found.Version == platform.NoVersion {
+	if err != nil || found.Version == infra.NoVersion {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.timeout)
--- a/claim/fakestore_test.go
+++ b/claim/fakestore_test.go
@@ -6,14 +6,14 @@
 	"sync"
 	"time"
 
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
-// fakeStore is a platform.Store in memory with faults on demand.
+// fakeStore is a infra.Store in memory with faults on demand.
 type fakeStore struct {
 	mu      sync.Mutex // guards all below
-	values  map[string]platform.Entry
-	version platform.Version
+	values  map[string]infra.Entry
+	version infra.Version
 	rng     *rand.Rand
 	faults  storeFaults
 	reads   int
@@ -39,7 +39,7 @@
 const lateBy = 20 * time.Millisecond
 
 func newFakeStore(seed uint64) *fakeStore {
-	return &fakeStore{values: map[string]platform.Entry{}, rng: rand.New(rand.NewPCG(seed, 1))}
+	return &fakeStore{values: map[string]infra.Entry{}, rng: rand.New(rand.NewPCG(seed, 1))}
 }
 
 func (f *fakeStore) setFaults(faults storeFaults) {
@@ -57,22 +57,22 @@
 	}
 	select {
 	case <-ctx.Done():
-		return platform.ErrUnavailable
+		return infra.ErrUnavailable
 	case <-time.After(delay):
 		return nil
 	}
 }
 
-func (f *fakeStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (f *fakeStore) Get(ctx context.Context, key string) (infra.Entry, error) {
 	if err := f.wait(ctx); err != nil {
-		return platform.Entry{}, err
+		return infra.Entry{}, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
 	// Reads that run side by side must not disturb a replay from a seed.
 	if f.faults.down || (!f.hold && f.rng.Float64() < f.faults.failed) {
-		return platform.Entry{}, platform.ErrUnavailable
+		return infra.Entry{}, infra.ErrUnavailable
 	}
 	found := f.values[key]
 	found.Key = key
@@ -80,9 +80,9 @@
 }
 
 // write is what a call does to the store once it gets there. mu must be held.
-type write func() (platform.Version, error)
+type write func() (infra.Version, error)
 
-func (f *fakeStore) do(ctx context.Context, w write) (platform.Version, error) {
+func (f *fakeStore) do(ctx context.Context, w write) (infra.Version, error) {
 	if err := f.wait(ctx); err != nil {
 		return 0, err
 	}
@@ -90,18 +90,18 @@
 	defer f.mu.Unlock()
 	f.writes++
 	if f.faults.down || f.rng.Float64() < f.faults.failed {
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	}
 	if f.rng.Float64() < f.faults.unsent {
-		return 0, platform.ErrUncertain
+		return 0, infra.ErrUncertain
 	}
 	if f.rng.Float64() < f.faults.late {
 		f.delay(w)
-		return 0, platform.ErrUncertain
+		return 0, infra.ErrUncertain
 	}
 	version, err := w()
 	if f.rng.Float64() < f.faults.lost {
-		return 0, platform.ErrUncertain
+		return 0, infra.ErrUncertain
 	}
 	return version, err
 }
@@ -128,28 +128,28 @@
 	_, _ = w()
 }
 
-func (f *fakeStore) CompareAndSwap(ctx context.Context, key string, expect platform.Version, value []byte, _ platform.LeaseID) (platform.Version, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+func (f *fakeStore) CompareAndSwap(ctx context.Context, key string, expect infra.Version, value []byte, _ infra.LeaseID) (infra.Version, error) {
+	if len(value) > infra.MaxValueBytes {
+		return 0, infra.ErrTooLarge
 	}
-	return f.do(ctx, func() (platform.Version, error) {
+	return f.do(ctx, func() (infra.Version, error) {
 		if f.values[key].Version != expect {
-			return 0, platform.ErrConflict
+			return 0, infra.ErrConflict
 		}
 		f.version++
 		f.bytes += len(value)
 		if f.onWrite != nil {
 			f.onWrite(key, value)
 		}
-		f.values[key] = platform.Entry{Value: append([]byte(nil), value...), Version: f.version}
+		f.values[key] = infra.Entry{Value: append([]byte(nil), value...), Version: f.version}
 		return f.version, nil
 	})
 }
 
-func (f *fakeStore) CompareAndDelete(ctx context.Context, key string, expect platform.Version) error {
-	_, err := f.do(ctx, func() (platform.Version, error) {
+func (f *fakeStore) CompareAndDelete(ctx context.Context, key string, expect infra.Version) error {
+	_, err := f.do(ctx, func() (infra.Version, error) {
 		if f.values[key].Version != expect {
-			return 0, platform.ErrConflict
+			return 0, infra.ErrConflict
 		}
 		f.version++
 		delete(f.values, key)
@@ -158,18 +158,18 @@
 	return err
 }
 
-func (f *fakeStore) GrantLease(context.Context, time.Duration) (platform.LeaseID, error) {
-	return 0, platform.ErrUnavailable
+func (f *fakeStore) GrantLease(context.Context, time.Duration) (infra.LeaseID, error) {
+	return 0, infra.ErrUnavailable
 }
 
-func (f *fakeStore) KeepAlive(context.Context, platform.LeaseID) (time.Duration, error) {
-	return 0, platform.ErrLeaseGone
+func (f *fakeStore) KeepAlive(context.Context, infra.LeaseID) (time.Duration, error) {
+	return 0, infra.ErrLeaseGone
 }
 
-func (f *fakeStore) RevokeLease(context.Context, platform.LeaseID) error { return nil }
+func (f *fakeStore) RevokeLease(context.Context, infra.LeaseID) error { return nil }
 
-func (f *fakeStore) Watch(context.Context, string) (<-chan platform.Entry, error) {
-	return nil, platform.ErrUnavailable
+func (f *fakeStore) Watch(context.Context, string) (<-chan infra.Entry, error) {
+	return nil, infra.ErrUnavailable
 }
 
 // pausable is one host's way to the store, which can be held up: a call that is
@@ -184,12 +184,12 @@
 	defer p.gate.RUnlock()
 }
 
-func (p *pausable) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (p *pausable) Get(ctx context.Context, key string) (infra.Entry, error) {
 	p.pass()
 	return p.fakeStore.Get(ctx, key)
 }
 
-func (p *pausable) CompareAndSwap(ctx context.Context, key string, expect platform.Version, value []byte, lease platform.LeaseID) (platform.Version, error) {
+func (p *pausable) CompareAndSwap(ctx context.Context, key string, expect infra.Version, value []byte, lease infra.LeaseID) (infra.Version, error) {
 	p.pass()
 	return p.fakeStore.CompareAndSwap(context.WithoutCancel(ctx), key, expect, value, lease)
 }
--- a/claim/log_test.go
+++ b/claim/log_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/galenaseam/galenaseam/host"
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // logOwner is one host's hold on the log under test.
@@ -266,7 +266,7 @@
 	do func()
 }
 
-func (i *interposed) CompareAndSwap(ctx context.Context, key string, expect platform.Version, value []byte, lease platform.LeaseID) (platform.Version, error) {
+func (i *interposed) CompareAndSwap(ctx context.Context, key string, expect infra.Version, value []byte, lease infra.LeaseID) (infra.Version, error) {
 	if do := i.do; do != nil && strings.Contains(key, "/log/") {
 		i.do = nil
 		do()
--- a/claim/overtaken_test.go
+++ b/claim/overtaken_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // afterHead is a store that lets something happen right after the first write
@@ -16,7 +16,7 @@
 	do func()
 }
 
-func (a *afterHead) CompareAndSwap(ctx context.Context, key string, expect platform.Version, value []byte, lease platform.LeaseID) (platform.Version, error) {
+func (a *afterHead) CompareAndSwap(ctx context.Context, key string, expect infra.Version, value []byte, lease infra.LeaseID) (infra.Version, error) {
 	version, err := a.fakeStore.CompareAndSwap(ctx, key, expect, value, lease)
 	if do := a.do; do != nil && key == headKey(0) {
 		a.do = nil
--- a/claim/recover.go
+++ b/claim/recover.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // recoveryReads is how many reads a recovery has under way at once.
@@ -24,7 +24,7 @@
 // takeover record stops its claims.
 func (l *shardLog) takeOver(ctx context.Context, found versionedHead, self process, ring int) (*table, error) {
 	next := found.head
-	if found.version == platform.NoVersion {
+	if found.version == infra.NoVersion {
 		next = head{Ring: ring}
 	}
 	if next.Epoch > 0 {
@@ -98,7 +98,7 @@
 	return nil
 }
 
-func (l *shardLog) foldRecord(t *table, rec *record, version platform.Version) {
+func (l *shardLog) foldRecord(t *table, rec *record, version infra.Version) {
 	for i := range rec.Entries {
 		t.apply(&rec.Entries[i])
 	}
@@ -144,7 +144,7 @@
 			if err != nil {
 				return err
 			}
-			if found.Version == platform.NoVersion {
+			if found.Version == infra.NoVersion {
 				// Only a later owner's checkpoint deletes a segment that this
 				// head names.
 				return errDeposed
@@ -155,8 +155,8 @@
 	return segments, group.Wait()
 }
 
-func (l *shardLog) readRing(ctx context.Context) ([]platform.Entry, error) {
-	found := make([]platform.Entry, l.head.Ring)
+func (l *shardLog) readRing(ctx context.Context) ([]infra.Entry, error) {
+	found := make([]infra.Entry, l.head.Ring)
 	var foundMu sync.Mutex
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(recoveryReads)
@@ -177,14 +177,14 @@
 // writeTakeover then finds the record by its conflict. A slot with a record of
 // a later round of the ring shows that another owner has moved the checkpoint
 // since the head was read: writing there would destroy that record.
-func (l *shardLog) foldRing(t *table, found []platform.Entry) error {
-	l.slots = make([]platform.Version, len(found))
+func (l *shardLog) foldRing(t *table, found []infra.Entry) error {
+	l.slots = make([]infra.Version, len(found))
 	for slot, e := range found {
 		l.slots[slot] = e.Version
 	}
 	for range found {
 		e := found[l.slotOf(l.last+1)]
-		if e.Version == platform.NoVersion {
+		if e.Version == infra.NoVersion {
 			return nil
 		}
 		var rec record
--- a/claim/sealing_test.go
+++ b/claim/sealing_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // writer is an owner that writes entries one by one.
@@ -40,9 +40,9 @@
 // headless is a store whose writes of the head get lost on the way.
 type headless struct{ *fakeStore }
 
-func (h headless) CompareAndSwap(ctx context.Context, key string, expect platform.Version, value []byte, lease platform.LeaseID) (platform.Version, error) {
+func (h headless) CompareAndSwap(ctx context.Context, key string, expect infra.Version, value []byte, lease infra.LeaseID) (infra.Version, error) {
 	if key == headKey(0) {
-		return 0, platform.ErrUncertain
+		return 0, infra.ErrUncertain
 	}
 	return h.fakeStore.CompareAndSwap(ctx, key, expect, value, lease)
 }
--- a/claim/service.go
+++ b/claim/service.go
@@ -11,7 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // Service claims requests for this host's callers, and owns its part of the
@@ -116,7 +116,7 @@
 		return layout{}, Error.Wrap(err)
 	}
 	own := layout{Shards: s.cfg.Settings.Shards}
-	if found.Version != platform.NoVersion {
+	if found.Version != infra.NoVersion {
 		var recorded layout
 		err := decode(found.Value, &recorded)
 		return recorded, err
@@ -125,7 +125,7 @@
 	if err != nil {
 		return layout{}, err
 	}
-	_, err = s.cfg.Store.CompareAndSwap(ctx, layoutKey, platform.NoVersion, value, platform.NoLease)
+	_, err = s.cfg.Store.CompareAndSwap(ctx, layoutKey, infra.NoVersion, value, infra.NoLease)
 	return own, Error.Wrap(err)
 }
 
--- a/claim/settings.go
+++ b/claim/settings.go
@@ -9,9 +9,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/internal/defaults"
 	"github.com/galenaseam/galenaseam/link"
-	"github.com/galenaseam/galenaseam/platform"
 )
 
 // Settings tune the claims. Zero fields take the defaults. Shards and
@@ -112,10 +112,10 @@
 		return Error.New("shards must be at least 1")
 	case s.RingSlots < minRingSlots:
 		return Error.New("ring slots must be at least %d", minRingSlots)
-	case s.MaxBatchBytes+s.MaxHeldBytes > platform.MaxValueBytes*3/4:
-		return Error.New("batch and held bytes must leave room in a value of %d bytes", platform.MaxValueBytes)
-	case s.SegmentBytes > platform.MaxValueBytes/2:
-		return Error.New("segment bytes must be at most half a value of %d bytes", platform.MaxValueBytes)
+	case s.MaxBatchBytes+s.MaxHeldBytes > infra.MaxValueBytes*3/4:
+		return Error.New("batch and held bytes must leave room in a value of %d bytes", infra.MaxValueBytes)
+	case s.SegmentBytes > infra.MaxValueBytes/2:
+		return Error.New("segment bytes must be at most half a value of %d bytes", infra.MaxValueBytes)
 	}
 	return nil
 }
@@ -123,7 +123,7 @@
 // Config is what a Service is made of. Logger, Now, Rand and Registerer may be
 // left out.
 type Config struct {
-	Store      platform.Store
+	Store      infra.Store
 	View       host.View
 	Caller     link.Caller
 	Registrar  link.Registrar
--- a/claim/shardlog.go
+++ b/claim/shardlog.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // errDeposed says that another host has taken the shard over.
@@ -14,7 +14,7 @@
 
 // shardLog writes and recovers one shard's log. It is used by one goroutine.
 type shardLog struct {
-	store        platform.Store
+	store        infra.Store
 	shard        int
 	timeout      time.Duration
 	segmentBytes int
@@ -25,9 +25,9 @@
 	tableMu sync.Locker
 
 	head        head
-	headVersion platform.Version
+	headVersion infra.Version
 	// slots are the versions of the ring's keys as this owner knows them.
-	slots []platform.Version
+	slots []infra.Version
 	// last is the newest record that is known to be in the log.
 	last uint64
 	// pending is a checkpoint that is not settled.
@@ -41,17 +41,17 @@
 	return l.head.Ring - int(l.last-l.head.Checkpoint)
 }
 
-func (l *shardLog) get(ctx context.Context, key string) (platform.Entry, error) {
+func (l *shardLog) get(ctx context.Context, key string) (infra.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.timeout)
 	defer cancel()
 	found, err := l.store.Get(ctx, key)
 	return found, Error.Wrap(err)
 }
 
-func (l *shardLog) swap(ctx context.Context, key string, expect platform.Version, value []byte) (platform.Version, error) {
+func (l *shardLog) swap(ctx context.Context, key string, expect infra.Version, value []byte) (infra.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.timeout)
 	defer cancel()
-	return l.store.CompareAndSwap(ctx, key, expect, value, platform.NoLease)
+	return l.store.CompareAndSwap(ctx, key, expect, value, infra.NoLease)
 }
 
 // append writes rec as the next record. It may be called again with the same
@@ -71,7 +71,7 @@
 		l.advance(rec, version)
 		return nil
 	}
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, infra.ErrConflict) {
 		return Error.Wrap(err)
 	}
 	return l.settleConflict(ctx, key, rec)
@@ -95,7 +95,7 @@
 	return errDeposed
 }
 
-func (l *shardLog) advance(rec *record, version platform.Version) {
+func (l *shardLog) advance(rec *record, version infra.Version) {
 	l.slots[l.slotOf(rec.Seq)] = version
 	l.last = rec.Seq
 }
@@ -112,7 +112,7 @@
 		l.head, l.headVersion = next, version
 		return nil
 	}
-	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUncertain) {
+	if !errors.Is(err, infra.ErrConflict) && !errors.Is(err, infra.ErrUncertain) {
 		return Error.Wrap(err)
 	}
 	uncertain := err
@@ -133,7 +133,7 @@
 // versionedHead is a head record as read.
 type versionedHead struct {
 	head    head
-	version platform.Version
+	version infra.Version
 }
 
 func (l *shardLog) readHead(ctx context.Context) (versionedHead, error) {
@@ -142,7 +142,7 @@
 		return versionedHead{}, err
 	}
 	read := versionedHead{version: found.Version}
-	if found.Version == platform.NoVersion {
+	if found.Version == infra.NoVersion {
 		return read, nil
 	}
 	err = decode(found.Value, &read.head)
--- a/config/change.go
+++ b/config/change.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"github.com/galenaseam/galenaseam/document"
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // change carries one edit through its tries.
@@ -20,7 +20,7 @@
 	team  string
 	// pending is the version that a lost write of the head expected. Once the
 	// head has another version, that write can't take effect any more.
-	pending   platform.Version
+	pending   infra.Version
 	uncertain bool
 }
 
@@ -55,7 +55,7 @@
 // retryable says whether another try may decide the edit.
 func retryable(err error) bool {
 	for _, passing := range []error{
-		errAgain, platform.ErrUnavailable, platform.ErrUncertain, platform.ErrBudget, context.DeadlineExceeded,
+		errAgain, infra.ErrUnavailable, infra.ErrUncertain, infra.ErrBudget, context.DeadlineExceeded,
 	} {
 		if errors.Is(err, passing) {
 			return true
@@ -199,14 +199,14 @@
 }
 
 // move moves the head. After a lost answer the next try reads it back.
-func (c *change) move(ctx context.Context, next *head, expect platform.Version) (Result, error) {
-	_, err := c.writer.cfg.Store.CompareAndSwap(ctx, headKey, expect, encode(next), platform.NoLease)
+func (c *change) move(ctx context.Context, next *head, expect infra.Version) (Result, error) {
+	_, err := c.writer.cfg.Store.CompareAndSwap(ctx, headKey, expect, encode(next), infra.NoLease)
 	switch {
 	case err == nil:
 		return Result{Generation: next.generation(), Hash: next.hash()}, nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, infra.ErrConflict):
 		return Result{}, errAgain
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, infra.ErrUnavailable):
 		return Result{}, Error.Wrap(err)
 	}
 	c.uncertain = true
@@ -240,14 +240,14 @@
 const putTries = 5
 
 // putObject writes one object unless the store has it.
-func putObject(ctx context.Context, store platform.Store, o object) error {
+func putObject(ctx context.Context, store infra.Store, o object) error {
 	var err error
 	for range putTries {
-		_, err = store.CompareAndSwap(ctx, objectKey(o.hash), platform.NoVersion, o.content, platform.NoLease)
-		if errors.Is(err, platform.ErrConflict) {
+		_, err = store.CompareAndSwap(ctx, objectKey(o.hash), infra.NoVersion, o.content, infra.NoLease)
+		if errors.Is(err, infra.ErrConflict) {
 			return nil
 		}
-		if !errors.Is(err, platform.ErrUncertain) || ctx.Err() != nil {
+		if !errors.Is(err, infra.ErrUncertain) || ctx.Err() != nil {
 			break
 		}
 	}
--- a/config/learn.go
+++ b/config/learn.go
@@ -8,8 +8,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/link"
-	"github.com/galenaseam/galenaseam/platform"
 )
 
 // Where a head came from, as logs and metrics name it.
@@ -115,9 +115,9 @@
 
 // checkBehind reports a store whose head is older than what this host served
 // before it read it. Heads of watches don't count: they may be late.
-func (s *Syncer) checkBehind(before *Snapshot, entry platform.Entry) {
+func (s *Syncer) checkBehind(before *Snapshot, entry infra.Entry) {
 	shown, err := decodeHead(entry.Value)
-	if entry.Version != platform.NoVersion && err != nil {
+	if entry.Version != infra.NoVersion && err != nil {
 		return
 	}
 	if shown.generation() >= headOf(before).generation() {
@@ -130,8 +130,8 @@
 
 // considerEntry judges the store's head. It returns false when that could not
 // be settled.
-func (s *Syncer) considerEntry(ctx context.Context, entry platform.Entry) bool {
-	if entry.Version == platform.NoVersion {
+func (s *Syncer) considerEntry(ctx context.Context, entry infra.Entry) bool {
+	if entry.Version == infra.NoVersion {
 		return true
 	}
 	shown, err := decodeHead(entry.Value)
@@ -264,18 +264,18 @@
 
 // countedStore counts the calls that a Syncer makes.
 type countedStore struct {
-	platform.Store
+	infra.Store
 	calls *prometheus.CounterVec
 }
 
 // Get counts a read.
-func (c countedStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (c countedStore) Get(ctx context.Context, key string) (infra.Entry, error) {
 	c.calls.WithLabelValues("get").Inc()
 	return c.Store.Get(ctx, key)
 }
 
 // Watch counts a watch.
-func (c countedStore) Watch(ctx context.Context, key string) (<-chan platform.Entry, error) {
+func (c countedStore) Watch(ctx context.Context, key string) (<-chan infra.Entry, error) {
 	c.calls.WithLabelValues("watch").Inc()
 	return c.Store.Watch(ctx, key)
 }
--- a/config/objects.go
+++ b/config/objects.go
@@ -6,7 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // The keys of the store.
@@ -30,7 +30,7 @@
 
 // storeSource reads objects from the platform's store.
 type storeSource struct {
-	store platform.Store
+	store infra.Store
 }
 
 // get reads each object by its key.
@@ -45,7 +45,7 @@
 			if err != nil {
 				return Error.Wrap(err)
 			}
-			if entry.Version != platform.NoVersion && hashOf(entry.Value) == hash {
+			if entry.Version != infra.NoVersion && hashOf(entry.Value) == hash {
 				mu.Lock()
 				defer mu.Unlock()
 				found = append(found, object{hash, entry.Value})
@@ -98,7 +98,7 @@
 }
 
 // putObjects writes objects that the store may have already.
-func putObjects(ctx context.Context, store platform.Store, objects []object) error {
+func putObjects(ctx context.Context, store infra.Store, objects []object) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(storeParallel)
 	for _, o := range objects {
--- a/config/restore.go
+++ b/config/restore.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // Restore writes what is in force on the writer's host into a store that came
@@ -32,8 +32,8 @@
 	if err := putObjects(ctx, w.cfg.Store, append(newObjects(served.sections, Record{}), served.records...)); err != nil {
 		return Result{}, err
 	}
-	_, err = w.cfg.Store.CompareAndSwap(ctx, headKey, version, encode(served.head), platform.NoLease)
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	_, err = w.cfg.Store.CompareAndSwap(ctx, headKey, version, encode(served.head), infra.NoLease)
+	if err != nil && !errors.Is(err, infra.ErrConflict) {
 		return Result{}, Error.Wrap(err)
 	}
 	if err != nil {
--- a/config/syncer.go
+++ b/config/syncer.go
@@ -13,14 +13,14 @@
 
 	"github.com/galenaseam/galenaseam/document"
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/member"
-	"github.com/galenaseam/galenaseam/platform"
 )
 
 // SyncerConfig is what a Syncer works with.
 type SyncerConfig struct {
-	Store     platform.Store
+	Store     infra.Store
 	View      host.View
 	Caller    link.Caller
 	Registrar link.Registrar
@@ -47,7 +47,7 @@
 type Syncer struct {
 	cfg     SyncerConfig
 	metrics *syncerMetrics
-	store   platform.Store
+	store   infra.Store
 	first   document.Bodies
 
 	current atomic.Pointer[Snapshot]
--- a/config/writer.go
+++ b/config/writer.go
@@ -11,7 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenaseam/galenaseam/document"
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // The writer's retries.
@@ -31,7 +31,7 @@
 
 // WriterConfig is what a Writer works with.
 type WriterConfig struct {
-	Store platform.Store
+	Store infra.Store
 	// InForce guards against a store that has fallen back; nil for a program
 	// that runs on no host.
 	InForce InForce
@@ -125,10 +125,10 @@
 }
 
 // readHead reads the head; nil when the store has none.
-func (w *Writer) readHead(ctx context.Context) (*head, platform.Version, error) {
+func (w *Writer) readHead(ctx context.Context) (*head, infra.Version, error) {
 	entry, err := w.cfg.Store.Get(ctx, headKey)
-	if err != nil || entry.Version == platform.NoVersion {
-		return nil, platform.NoVersion, Error.Wrap(err)
+	if err != nil || entry.Version == infra.NoVersion {
+		return nil, infra.NoVersion, Error.Wrap(err)
 	}
 	h, err := decodeHead(entry.Value)
 	return h, entry.Version, err
--- a/config/writer_test.go
+++ b/config/writer_test.go
@@ -16,8 +16,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/internal/fakestore"
-	"github.com/galenaseam/galenaseam/platform"
 )
 
 var teamSections = map[string]document.Section{
@@ -180,12 +180,12 @@
 }
 
 func (s cutAfterHead) CompareAndSwap(
-	ctx context.Context, key string, expect platform.Version, value []byte, lease platform.LeaseID,
-) (platform.Version, error) {
+	ctx context.Context, key string, expect infra.Version, value []byte, lease infra.LeaseID,
+) (infra.Version, error) {
 	version, err := s.Store.CompareAndSwap(ctx, key, expect, value, lease)
 	if key == headKey {
 		s.SetFaults(fakestore.Faults{Down: true})
-		return 0, platform.ErrUncertain
+		return 0, infra.ErrUncertain
 	}
 	return version, err
 }
@@ -225,7 +225,7 @@
 	beforeHead func()
 }
 
-func (s *hookedStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s *hookedStore) Get(ctx context.Context, key string) (infra.Entry, error) {
 	if hook := s.beforeHead; key == headKey && hook != nil {
 		s.beforeHead = nil
 		hook()
--- a/host.go
+++ b/host.go
@@ -22,12 +22,12 @@
 	"github.com/galenaseam/galenaseam/document"
 	"github.com/galenaseam/galenaseam/frontend"
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/infra"
+	"github.com/galenaseam/galenaseam/infra/budget"
 	"github.com/galenaseam/galenaseam/limit"
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/metrics"
 	"github.com/galenaseam/galenaseam/operator"
-	"github.com/galenaseam/galenaseam/platform"
-	"github.com/galenaseam/galenaseam/platform/budget"
 	"github.com/galenaseam/galenaseam/policy"
 	"github.com/galenaseam/galenaseam/quarantine"
 	"github.com/galenaseam/galenaseam/request"
@@ -69,10 +69,10 @@
 	peers  *link.Client
 	budget *budget.Budget
 	// The store, by the priority of the calls.
-	claimStore  platform.Store
-	configStore platform.Store
-	otherStore  platform.Store
-	hostList    platform.HostList
+	claimStore  infra.Store
+	configStore infra.Store
+	otherStore  infra.Store
+	hostList    infra.HostList
 	members     fleet
 	upstreams   *upstream.Table
 	probes      *http.Client
--- a/platform/budget/budget.go
+++ b/infra/budget/budget.go
@@ -18,7 +18,7 @@
 	"github.com/zeebo/errs"
 	"golang.org/x/time/rate"
 
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // Error is the class of every error this package returns.
@@ -179,21 +179,21 @@
 
 // reserved is the part of the burst that each priority leaves to those before
 // it.
-var reserved = map[platform.Priority]float64{
-	platform.PriorityClaim:  0,
-	platform.PriorityConfig: 0.3,
-	platform.PriorityOther:  0.6,
+var reserved = map[infra.Priority]float64{
+	infra.PriorityClaim:  0,
+	infra.PriorityConfig: 0.3,
+	infra.PriorityOther:  0.6,
 }
 
 // admit takes one call from the budget, or says how long to wait for it. An
 // error says that the store is not to be tried now.
-func (b *Budget) admit(p platform.Priority, write bool) (time.Duration, error) {
+func (b *Budget) admit(p infra.Priority, write bool) (time.Duration, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
 	if b.failures > 0 {
 		if now.Before(b.retryAt) {
-			return 0, Error.Wrap(platform.ErrUnavailable)
+			return 0, Error.Wrap(infra.ErrUnavailable)
 		}
 		// One call tries the store; the others wait for what it finds.
 		b.retryAt = now.Add(b.backoff())
@@ -223,26 +223,26 @@
 }
 
 // wait takes one call from the budget, waiting as long as ctx allows.
-func (b *Budget) wait(ctx context.Context, p platform.Priority, write bool) error {
+func (b *Budget) wait(ctx context.Context, p infra.Priority, write bool) error {
 	for {
 		pause, err := b.admit(p, write)
 		if err != nil || pause == 0 {
 			return b.counted(p, err)
 		}
 		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < pause {
-			return b.counted(p, Error.Wrap(platform.ErrBudget))
+			return b.counted(p, Error.Wrap(infra.ErrBudget))
 		}
 		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return b.counted(p, Error.Wrap(platform.ErrBudget))
+			return b.counted(p, Error.Wrap(infra.ErrBudget))
 		case <-timer.C:
 		}
 	}
 }
 
-func (b *Budget) counted(p platform.Priority, err error) error {
+func (b *Budget) counted(p infra.Priority, err error) error {
 	series := b.calls
 	if err != nil {
 		series = b.refused
@@ -251,15 +251,15 @@
 	return err
 }
 
-var priorityNames = map[platform.Priority]string{
-	platform.PriorityClaim:  "claim",
-	platform.PriorityConfig: "config",
-	platform.PriorityOther:  "other",
+var priorityNames = map[infra.Priority]string{
+	infra.PriorityClaim:  "claim",
+	infra.PriorityConfig: "config",
+	infra.PriorityOther:  "other",
 }
 
 // report learns from a call's end whether the store answers.
 func (b *Budget) report(err error) {
-	failed := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUncertain)
+	failed := errors.Is(err, infra.ErrUnavailable) || errors.Is(err, infra.ErrUncertain)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch {
--- a/platform/budget/budget_test.go
+++ b/infra/budget/budget_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // clock is moved by hand.
@@ -32,21 +32,21 @@
 
 // countingStore counts calls and fails while down.
 type countingStore struct {
-	platform.Store
+	infra.Store
 	down   bool
 	calls  int
-	change chan platform.Entry
+	change chan infra.Entry
 }
 
-func (s *countingStore) Get(context.Context, string) (platform.Entry, error) {
+func (s *countingStore) Get(context.Context, string) (infra.Entry, error) {
 	s.calls++
 	if s.down {
-		return platform.Entry{}, platform.ErrUnavailable
+		return infra.Entry{}, infra.ErrUnavailable
 	}
-	return platform.Entry{}, nil
+	return infra.Entry{}, nil
 }
 
-func (s *countingStore) Watch(context.Context, string) (<-chan platform.Entry, error) {
+func (s *countingStore) Watch(context.Context, string) (<-chan infra.Entry, error) {
 	return s.change, nil
 }
 
@@ -71,7 +71,7 @@
 	const hosts = 12
 	c := &clock{now: time.Unix(1000, 0)}
 	inner := &countingStore{}
-	served := map[platform.Priority]int{}
+	served := map[infra.Priority]int{}
 	budgets := make([]*Budget, hosts)
 	for i := range budgets {
 		budgets[i] = newBudget(t, c, uint64(i), hosts)
@@ -84,11 +84,11 @@
 		}
 		for _, b := range budgets {
 			for range 3 {
-				for _, p := range []platform.Priority{platform.PriorityOther, platform.PriorityConfig, platform.PriorityClaim} {
+				for _, p := range []infra.Priority{infra.PriorityOther, infra.PriorityConfig, infra.PriorityClaim} {
 					if _, err := b.Store(inner, p).Get(expired(), "k"); err == nil {
 						served[p]++
 					} else {
-						require.ErrorIs(t, err, platform.ErrBudget)
+						require.ErrorIs(t, err, infra.ErrBudget)
 					}
 				}
 			}
@@ -98,7 +98,7 @@
 	limit := DefaultSettings().ReadsPerSecond * (seconds + burstSeconds)
 	require.LessOrEqual(t, float64(inner.calls), limit)
 	require.Greater(t, float64(inner.calls), 0.9*limit)
-	require.Greater(t, served[platform.PriorityClaim], 50*(served[platform.PriorityConfig]+served[platform.PriorityOther]))
+	require.Greater(t, served[infra.PriorityClaim], 50*(served[infra.PriorityConfig]+served[infra.PriorityOther]))
 }
 
 func TestReturnOfStoreIsNoStampede(t *testing.T) {
@@ -113,7 +113,7 @@
 		before := inner.calls
 		for _, b := range budgets {
 			for range 20 {
-				_, _ = b.Store(inner, platform.PriorityClaim).Get(expired(), "k")
+				_, _ = b.Store(inner, infra.PriorityClaim).Get(expired(), "k")
 			}
 		}
 		c.advance(10 * time.Millisecond)
@@ -139,8 +139,8 @@
 func TestWaitingWatchCounts(t *testing.T) {
 	c := &clock{now: time.Unix(1000, 0)}
 	b := newBudget(t, c, 1, 1000)
-	inner := &countingStore{change: make(chan platform.Entry)}
-	changes, err := b.Store(inner, platform.PriorityConfig).Watch(context.Background(), "k")
+	inner := &countingStore{change: make(chan infra.Entry)}
+	changes, err := b.Store(inner, infra.PriorityConfig).Watch(context.Background(), "k")
 	require.NoError(t, err)
 	full := b.settings.ReadsPerSecond / 1000
 	b.SetHosts(1000)
--- a/platform/budget/store.go
+++ b/infra/budget/store.go
@@ -4,43 +4,43 @@
 	"context"
 	"time"
 
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
-// store is a platform.Store within a Budget.
+// store is a infra.Store within a Budget.
 type store struct {
-	inner    platform.Store
+	inner    infra.Store
 	budget   *Budget
-	priority platform.Priority
+	priority infra.Priority
 }
 
 // Store wraps inner so that its calls have the priority p in the budget. Calls
 // that the budget has no room for before their context ends fail with
-// platform.ErrBudget; calls on a store that fails, with
-// platform.ErrUnavailable. Neither reaches the store.
-func (b *Budget) Store(inner platform.Store, p platform.Priority) platform.Store {
+// infra.ErrBudget; calls on a store that fails, with
+// infra.ErrUnavailable. Neither reaches the store.
+func (b *Budget) Store(inner infra.Store, p infra.Priority) infra.Store {
 	return &store{inner: inner, budget: b, priority: p}
 }
 
-func (s *store) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s *store) Get(ctx context.Context, key string) (infra.Entry, error) {
 	if err := s.budget.wait(ctx, s.priority, false); err != nil {
-		return platform.Entry{}, err
+		return infra.Entry{}, err
 	}
 	found, err := s.inner.Get(ctx, key)
 	s.budget.report(err)
 	return found, err
 }
 
-func (s *store) CompareAndSwap(ctx context.Context, key string, expect platform.Version, value []byte, lease platform.LeaseID) (platform.Version, error) {
+func (s *store) CompareAndSwap(ctx context.Context, key string, expect infra.Version, value []byte, lease infra.LeaseID) (infra.Version, error) {
 	if err := s.budget.wait(ctx, s.priority, true); err != nil {
-		return platform.NoVersion, err
+		return infra.NoVersion, err
 	}
 	version, err := s.inner.CompareAndSwap(ctx, key, expect, value, lease)
 	s.budget.report(err)
 	return version, err
 }
 
-func (s *store) CompareAndDelete(ctx context.Context, key string, expect platform.Version) error {
+func (s *store) CompareAndDelete(ctx context.Context, key string, expect infra.Version) error {
 	if err := s.budget.wait(ctx, s.priority, true); err != nil {
 		return err
 	}
@@ -49,16 +49,16 @@
 	return err
 }
 
-func (s *store) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (s *store) GrantLease(ctx context.Context, ttl time.Duration) (infra.LeaseID, error) {
 	if err := s.budget.wait(ctx, s.priority, true); err != nil {
-		return platform.NoLease, err
+		return infra.NoLease, err
 	}
 	lease, err := s.inner.GrantLease(ctx, ttl)
 	s.budget.report(err)
 	return lease, err
 }
 
-func (s *store) KeepAlive(ctx context.Context, lease platform.LeaseID) (time.Duration, error) {
+func (s *store) KeepAlive(ctx context.Context, lease infra.LeaseID) (time.Duration, error) {
 	if err := s.budget.wait(ctx, s.priority, true); err != nil {
 		return 0, err
 	}
@@ -67,7 +67,7 @@
 	return left, err
 }
 
-func (s *store) RevokeLease(ctx context.Context, lease platform.LeaseID) error {
+func (s *store) RevokeLease(ctx context.Context, lease infra.LeaseID) error {
 	if err := s.budget.wait(ctx, s.priority, true); err != nil {
 		return err
 	}
@@ -77,7 +77,7 @@
 }
 
 // Watch counts as a call for as long as it waits.
-func (s *store) Watch(ctx context.Context, key string) (<-chan platform.Entry, error) {
+func (s *store) Watch(ctx context.Context, key string) (<-chan infra.Entry, error) {
 	if err := s.budget.wait(ctx, s.priority, false); err != nil {
 		return nil, err
 	}
@@ -87,12 +87,12 @@
 		return nil, err
 	}
 	s.budget.watching(1)
-	passed := make(chan platform.Entry)
+	passed := make(chan infra.Entry)
 	go s.pass(ctx, changes, passed)
 	return passed, nil
 }
 
-func (s *store) pass(ctx context.Context, changes <-chan platform.Entry, passed chan<- platform.Entry) {
+func (s *store) pass(ctx context.Context, changes <-chan infra.Entry, passed chan<- infra.Entry) {
 	defer close(passed)
 	defer s.budget.watching(-1)
 	for change := range changes {
--- a/platform/kv/bench_test.go
+++ b/infra/kv/bench_test.go
@@ -3,9 +3,9 @@
 import (
 	"testing"
 
+	"github.com/galenaseam/galenaseam/infra"
+	"github.com/galenaseam/galenaseam/infra/kv"
 	"github.com/galenaseam/galenaseam/internal/standin/store"
-	"github.com/galenaseam/galenaseam/platform"
-	"github.com/galenaseam/galenaseam/platform/kv"
 )
 
 func benchPair(b *testing.B) *kv.Client {
@@ -26,10 +26,10 @@
 func BenchmarkCompareAndSwap(b *testing.B) {
 	c := benchPair(b)
 	value := make([]byte, 4<<10)
-	version := platform.NoVersion
+	version := infra.NoVersion
 	b.ReportAllocs()
 	for b.Loop() {
-		next, err := c.CompareAndSwap(b.Context(), "k", version, value, platform.NoLease)
+		next, err := c.CompareAndSwap(b.Context(), "k", version, value, infra.NoLease)
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -40,7 +40,7 @@
 // BenchmarkGet reads 4 kB.
 func BenchmarkGet(b *testing.B) {
 	c := benchPair(b)
-	if _, err := c.CompareAndSwap(b.Context(), "k", platform.NoVersion, make([]byte, 4<<10), platform.NoLease); err != nil {
+	if _, err := c.CompareAndSwap(b.Context(), "k", infra.NoVersion, make([]byte, 4<<10), infra.NoLease); err != nil {
 		b.Fatal(err)
 	}
 	b.ReportAllocs()
@@ -59,14 +59,14 @@
 		b.Fatal(err)
 	}
 	<-changes
-	version := platform.NoVersion
+	version := infra.NoVersion
 	b.ReportAllocs()
 	for b.Loop() {
-		next, err := c.CompareAndSwap(b.Context(), "k", version, []byte("value"), platform.NoLease)
+		next, err := c.CompareAndSwap(b.Context(), "k", version, []byte("value"), infra.NoLease)
 		if err != nil {
 			b.Fatal(err)
 		}
-		for seen := platform.NoVersion; seen != next; {
+		for seen := infra.NoVersion; seen != next; {
 			seen = (<-changes).Version
 		}
 		version = next
--- a/platform/kv/call.go
+++ b/infra/kv/call.go
@@ -11,7 +11,7 @@
 	"net/http/httptrace"
 	"strings"
 
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // maxAnswerBytes bounds an answer: the largest value in base64 and some room.
@@ -28,9 +28,9 @@
 // failure returns the error for a call whose answer was lost.
 func (e effect) failure(cause error) error {
 	if e == mayEffect {
-		return wrap(platform.ErrUncertain, cause)
+		return wrap(infra.ErrUncertain, cause)
 	}
-	return wrap(platform.ErrUnavailable, cause)
+	return wrap(infra.ErrUnavailable, cause)
 }
 
 // wrap returns an error that is of a kind and tells its cause.
@@ -48,7 +48,7 @@
 	for range c.cfg.Endpoints {
 		endpoint := c.endpoint()
 		err = c.try(ctx, endpoint, path, eff, body, out)
-		if !errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, infra.ErrUnavailable) {
 			return err
 		}
 		c.avoid(endpoint)
@@ -87,7 +87,7 @@
 	traced := httptrace.WithClientTrace(ctx, trace)
 	req, err := http.NewRequestWithContext(traced, http.MethodPost, endpoint+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, wrap(platform.ErrUnavailable, err)
+		return nil, wrap(infra.ErrUnavailable, err)
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
@@ -95,7 +95,7 @@
 		return resp, nil
 	}
 	if !connected {
-		return nil, wrap(platform.ErrUnavailable, err)
+		return nil, wrap(infra.ErrUnavailable, err)
 	}
 	return nil, eff.failure(err)
 }
@@ -118,13 +118,13 @@
 	cause := Error.New("%s: %s", status, body.text())
 	switch text := body.text(); {
 	case strings.Contains(text, textLeaseNotFound):
-		return wrap(platform.ErrLeaseGone, cause)
+		return wrap(infra.ErrLeaseGone, cause)
 	case strings.Contains(text, textTooLarge):
-		return wrap(platform.ErrTooLarge, cause)
+		return wrap(infra.ErrTooLarge, cause)
 	case strings.Contains(text, textNoLeader), strings.Contains(text, textTooManyRequests):
-		return wrap(platform.ErrUnavailable, cause)
+		return wrap(infra.ErrUnavailable, cause)
 	case body.Code == codeInvalidArgument:
-		return wrap(platform.ErrUnavailable, cause)
+		return wrap(infra.ErrUnavailable, cause)
 	}
 	return eff.failure(cause)
 }
--- a/platform/kv/kv.go
+++ b/infra/kv/kv.go
@@ -13,7 +13,7 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // Error is the class of every error this package returns.
@@ -44,7 +44,7 @@
 	WatchRefresh time.Duration
 }
 
-// Client is a platform.Store.
+// Client is a infra.Store.
 type Client struct {
 	cfg  Config
 	http *http.Client
@@ -53,7 +53,7 @@
 	first int // the endpoint to try first
 }
 
-var _ platform.Store = (*Client)(nil)
+var _ infra.Store = (*Client)(nil)
 
 // New returns a client. It makes no call.
 func New(cfg Config) (*Client, error) {
@@ -104,44 +104,44 @@
 }
 
 // Get reads one key.
-func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (c *Client) Get(ctx context.Context, key string) (infra.Entry, error) {
 	entry, _, err := c.read(ctx, key)
 	return entry, err
 }
 
 // read reads one key and returns the service's revision too.
-func (c *Client) read(ctx context.Context, key string) (platform.Entry, int64, error) {
+func (c *Client) read(ctx context.Context, key string) (infra.Entry, int64, error) {
 	var resp rangeResponse
 	if err := c.call(ctx, "/v3/kv/range", noEffect, rangeRequest{Key: []byte(key)}, &resp); err != nil {
-		return platform.Entry{}, 0, err
+		return infra.Entry{}, 0, err
 	}
 	if len(resp.Kvs) == 0 {
-		return platform.Entry{Key: key}, resp.Header.Revision, nil
+		return infra.Entry{Key: key}, resp.Header.Revision, nil
 	}
 	return entryOf(resp.Kvs[0]), resp.Header.Revision, nil
 }
 
-func entryOf(kv keyValue) platform.Entry {
-	return platform.Entry{Key: string(kv.Key), Value: kv.Value, Version: platform.Version(kv.ModRevision)}
+func entryOf(kv keyValue) infra.Entry {
+	return infra.Entry{Key: string(kv.Key), Value: kv.Value, Version: infra.Version(kv.ModRevision)}
 }
 
 // CompareAndSwap writes one key if its version is still expect.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, expect platform.Version, value []byte, lease platform.LeaseID) (platform.Version, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, Error.Wrap(platform.ErrTooLarge)
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expect infra.Version, value []byte, lease infra.LeaseID) (infra.Version, error) {
+	if len(value) > infra.MaxValueBytes {
+		return 0, Error.Wrap(infra.ErrTooLarge)
 	}
 	put := &putRequest{Key: []byte(key), Value: value, Lease: int64(lease)}
 	return c.txn(ctx, key, expect, requestOp{Put: put})
 }
 
 // CompareAndDelete deletes one key if its version is still expect.
-func (c *Client) CompareAndDelete(ctx context.Context, key string, expect platform.Version) error {
+func (c *Client) CompareAndDelete(ctx context.Context, key string, expect infra.Version) error {
 	_, err := c.txn(ctx, key, expect, requestOp{Delete: &deleteRequest{Key: []byte(key)}})
 	return err
 }
 
 // txn runs one operation on a key if its version is still expect.
-func (c *Client) txn(ctx context.Context, key string, expect platform.Version, op requestOp) (platform.Version, error) {
+func (c *Client) txn(ctx context.Context, key string, expect infra.Version, op requestOp) (infra.Version, error) {
 	req := txnRequest{
 		Compare: []compare{{Key: []byte(key), Target: "MOD", Result: "EQUAL", ModRevision: int64(expect)}},
 		Success: []requestOp{op},
@@ -154,27 +154,27 @@
 		return 0, mayEffect.failure(Error.New("answer without a header"))
 	}
 	if !resp.Succeeded {
-		return 0, Error.Wrap(platform.ErrConflict)
+		return 0, Error.Wrap(infra.ErrConflict)
 	}
-	return platform.Version(resp.Header.Revision), nil
+	return infra.Version(resp.Header.Revision), nil
 }
 
 // GrantLease makes a lease. The service counts in whole seconds; ttl is
 // rounded up.
-func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (infra.LeaseID, error) {
 	seconds := int64((ttl + time.Second - 1) / time.Second)
 	var resp leaseResponse
 	if err := c.call(ctx, "/v3/lease/grant", mayEffect, leaseGrantRequest{TTL: seconds}, &resp); err != nil {
-		return platform.NoLease, err
+		return infra.NoLease, err
 	}
 	if resp.ID == 0 {
-		return platform.NoLease, mayEffect.failure(Error.New("answer without a lease"))
+		return infra.NoLease, mayEffect.failure(Error.New("answer without a lease"))
 	}
-	return platform.LeaseID(resp.ID), nil
+	return infra.LeaseID(resp.ID), nil
 }
 
 // KeepAlive renews a lease.
-func (c *Client) KeepAlive(ctx context.Context, lease platform.LeaseID) (time.Duration, error) {
+func (c *Client) KeepAlive(ctx context.Context, lease infra.LeaseID) (time.Duration, error) {
 	var resp keepAliveResponse
 	if err := c.call(ctx, "/v3/lease/keepalive", mayEffect, leaseRequest{ID: int64(lease)}, &resp); err != nil {
 		return 0, err
@@ -183,13 +183,13 @@
 		return 0, mayEffect.failure(Error.New("answer without a result"))
 	}
 	if resp.Result.TTL <= 0 {
-		return 0, Error.Wrap(platform.ErrLeaseGone)
+		return 0, Error.Wrap(infra.ErrLeaseGone)
 	}
 	return time.Duration(resp.Result.TTL) * time.Second, nil
 }
 
 // RevokeLease ends a lease and deletes its keys.
-func (c *Client) RevokeLease(ctx context.Context, lease platform.LeaseID) error {
+func (c *Client) RevokeLease(ctx context.Context, lease infra.LeaseID) error {
 	var resp leaseResponse
 	return c.call(ctx, "/v3/lease/revoke", mayEffect, leaseRequest{ID: int64(lease)}, &resp)
 }
--- a/platform/kv/kv_test.go
+++ b/infra/kv/kv_test.go
@@ -11,10 +11,10 @@
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
+	"github.com/galenaseam/galenaseam/infra"
+	"github.com/galenaseam/galenaseam/infra/kv"
 	"github.com/galenaseam/galenaseam/internal/standin/fault"
 	"github.com/galenaseam/galenaseam/internal/standin/store"
-	"github.com/galenaseam/galenaseam/platform"
-	"github.com/galenaseam/galenaseam/platform/kv"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -42,8 +42,8 @@
 	run := 0
 	rapid.Check(t, func(r *rapid.T) {
 		run++
-		held := map[string]platform.Entry{}
-		highest := platform.NoVersion
+		held := map[string]infra.Entry{}
+		highest := infra.NoVersion
 		for range rapid.IntRange(1, 12).Draw(r, "steps") {
 			key := fmt.Sprintf("run-%d/%s", run, rapid.SampledFrom([]string{"a", "b"}).Draw(r, "key"))
 			value := rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(r, "value")
@@ -54,12 +54,12 @@
 			}
 			if rapid.Bool().Draw(r, "lost") {
 				s.Fault(fault.Fault{Kind: fault.LostAnswer, Count: 1})
-				_, err := c.CompareAndSwap(ctx, key, expect, value, platform.NoLease)
-				require.ErrorIs(r, err, platform.ErrUncertain)
+				_, err := c.CompareAndSwap(ctx, key, expect, value, infra.NoLease)
+				require.ErrorIs(r, err, infra.ErrUncertain)
 			} else {
-				_, err := c.CompareAndSwap(ctx, key, expect, value, platform.NoLease)
+				_, err := c.CompareAndSwap(ctx, key, expect, value, infra.NoLease)
 				if stale {
-					require.ErrorIs(r, err, platform.ErrConflict)
+					require.ErrorIs(r, err, infra.ErrConflict)
 				} else {
 					require.NoError(r, err)
 				}
@@ -85,42 +85,42 @@
 	s, c := newPair(t, kv.Config{Timeout: 300 * time.Millisecond})
 	ctx := t.Context()
 	write := func(key string) error {
-		_, err := c.CompareAndSwap(ctx, key, platform.NoVersion, []byte("x"), platform.NoLease)
+		_, err := c.CompareAndSwap(ctx, key, infra.NoVersion, []byte("x"), infra.NoLease)
 		return err
 	}
 	exists := func(key string) bool {
 		entry, err := c.Get(ctx, key)
 		require.NoError(t, err)
-		return entry.Version != platform.NoVersion
+		return entry.Version != infra.NoVersion
 	}
 
 	s.Fault(fault.Fault{Kind: fault.Refuse, Count: 1})
-	require.ErrorIs(t, write("refused"), platform.ErrUnavailable)
+	require.ErrorIs(t, write("refused"), infra.ErrUnavailable)
 	require.False(t, exists("refused"))
 
 	s.Fault(fault.Fault{Kind: fault.Stall, Count: 1})
-	require.ErrorIs(t, write("stalled"), platform.ErrUncertain)
+	require.ErrorIs(t, write("stalled"), infra.ErrUncertain)
 
 	s.Fault(fault.Fault{Kind: fault.LostAnswer, Count: 1})
-	require.ErrorIs(t, write("lost"), platform.ErrUncertain)
+	require.ErrorIs(t, write("lost"), infra.ErrUncertain)
 	require.True(t, exists("lost"))
 
 	s.Fault(fault.Fault{Kind: fault.LostAnswer, Count: 1})
 	_, err := c.Get(ctx, "lost")
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, infra.ErrUnavailable)
 
-	_, err = c.CompareAndSwap(ctx, "large", platform.NoVersion, make([]byte, platform.MaxValueBytes+1), platform.NoLease)
-	require.ErrorIs(t, err, platform.ErrTooLarge)
+	_, err = c.CompareAndSwap(ctx, "large", infra.NoVersion, make([]byte, infra.MaxValueBytes+1), infra.NoLease)
+	require.ErrorIs(t, err, infra.ErrTooLarge)
 	// The short timeout above is for the stall; a large value takes its time.
 	patient, err := kv.New(kv.Config{Endpoints: []string{s.URL()}, Timeout: 30 * time.Second})
 	require.NoError(t, err)
 	defer patient.Close()
-	_, err = patient.CompareAndSwap(ctx, "largest", platform.NoVersion, make([]byte, platform.MaxValueBytes), platform.NoLease)
+	_, err = patient.CompareAndSwap(ctx, "largest", infra.NoVersion, make([]byte, infra.MaxValueBytes), infra.NoLease)
 	require.NoError(t, err)
 
 	s.Fault(fault.Fault{Kind: fault.Down})
 	c.Close() // a pooled connection that broke would leave the outcome open
-	require.ErrorIs(t, write("down"), platform.ErrUnavailable)
+	require.ErrorIs(t, write("down"), infra.ErrUnavailable)
 	s.Fault(fault.Fault{Kind: fault.Clear})
 	require.False(t, exists("down"))
 }
@@ -133,7 +133,7 @@
 	url := dead.URL()
 	dead.Stop()
 	_, c := newPair(t, kv.Config{Endpoints: []string{url}})
-	_, err = c.CompareAndSwap(t.Context(), "k", platform.NoVersion, []byte("x"), platform.NoLease)
+	_, err = c.CompareAndSwap(t.Context(), "k", infra.NoVersion, []byte("x"), infra.NoLease)
 	require.NoError(t, err)
 }
 
@@ -145,20 +145,20 @@
 	left, err := c.KeepAlive(ctx, lease)
 	require.NoError(t, err)
 	require.Equal(t, 30*time.Second, left)
-	version, err := c.CompareAndSwap(ctx, "held", platform.NoVersion, []byte("me"), lease)
+	version, err := c.CompareAndSwap(ctx, "held", infra.NoVersion, []byte("me"), lease)
 	require.NoError(t, err)
 
 	s.Fault(fault.Fault{Kind: fault.LeaseLapse})
 	_, err = c.KeepAlive(ctx, lease)
-	require.ErrorIs(t, err, platform.ErrLeaseGone)
-	require.ErrorIs(t, c.RevokeLease(ctx, lease), platform.ErrLeaseGone)
-	_, err = c.CompareAndSwap(ctx, "held", version, []byte("me"), platform.NoLease)
-	require.ErrorIs(t, err, platform.ErrConflict, "the key went with its lease")
-	_, err = c.CompareAndSwap(ctx, "held", platform.NoVersion, []byte("me"), lease)
-	require.ErrorIs(t, err, platform.ErrLeaseGone)
+	require.ErrorIs(t, err, infra.ErrLeaseGone)
+	require.ErrorIs(t, c.RevokeLease(ctx, lease), infra.ErrLeaseGone)
+	_, err = c.CompareAndSwap(ctx, "held", version, []byte("me"), infra.NoLease)
+	require.ErrorIs(t, err, infra.ErrConflict, "the key went with its lease")
+	_, err = c.CompareAndSwap(ctx, "held", infra.NoVersion, []byte("me"), lease)
+	require.ErrorIs(t, err, infra.ErrLeaseGone)
 }
 
-func receive(t *testing.T, changes <-chan platform.Entry) (platform.Entry, bool) {
+func receive(t *testing.T, changes <-chan infra.Entry) (infra.Entry, bool) {
 	t.Helper()
 	select {
 	case entry, ok := <-changes:
@@ -166,7 +166,7 @@
 	case <-time.After(patience):
 		require.FailNow(t, "no entry came")
 	}
-	return platform.Entry{}, false
+	return infra.Entry{}, false
 }
 
 func TestWatchSeesNewestAndCloses(t *testing.T) {
@@ -176,15 +176,15 @@
 	changes, err := c.Watch(ctx, "k")
 	require.NoError(t, err)
 	entry, _ := receive(t, changes)
-	require.Equal(t, platform.NoVersion, entry.Version)
+	require.Equal(t, infra.NoVersion, entry.Version)
 
-	version, err := c.CompareAndSwap(ctx, "k", platform.NoVersion, []byte("1"), platform.NoLease)
+	version, err := c.CompareAndSwap(ctx, "k", infra.NoVersion, []byte("1"), infra.NoLease)
 	require.NoError(t, err)
 	entry, _ = receive(t, changes)
 	require.Equal(t, version, entry.Version)
 
 	for i := range 20 { // nobody reads meanwhile: the newest must still come
-		version, err = c.CompareAndSwap(ctx, "k", version, fmt.Append(nil, i), platform.NoLease)
+		version, err = c.CompareAndSwap(ctx, "k", version, fmt.Append(nil, i), infra.NoLease)
 		require.NoError(t, err)
 	}
 	for entry.Version != version {
@@ -192,14 +192,14 @@
 	}
 
 	s.Fault(fault.Fault{Kind: fault.WatchSkip, Count: 1})
-	version, err = c.CompareAndSwap(ctx, "k", version, []byte("skipped"), platform.NoLease)
+	version, err = c.CompareAndSwap(ctx, "k", version, []byte("skipped"), infra.NoLease)
 	require.NoError(t, err)
 	for entry.Version != version {
 		entry, _ = receive(t, changes)
 	}
 
 	require.NoError(t, c.CompareAndDelete(ctx, "k", version))
-	for entry.Version != platform.NoVersion {
+	for entry.Version != infra.NoVersion {
 		entry, _ = receive(t, changes)
 	}
 
@@ -214,10 +214,10 @@
 func TestRestoreGoesBack(t *testing.T) {
 	s, c := newPair(t, kv.Config{})
 	ctx := t.Context()
-	old, err := c.CompareAndSwap(ctx, "k", platform.NoVersion, []byte("old"), platform.NoLease)
+	old, err := c.CompareAndSwap(ctx, "k", infra.NoVersion, []byte("old"), infra.NoLease)
 	require.NoError(t, err)
 	s.Fault(fault.Fault{Kind: fault.Snapshot})
-	_, err = c.CompareAndSwap(ctx, "k", old, []byte("new"), platform.NoLease)
+	_, err = c.CompareAndSwap(ctx, "k", old, []byte("new"), infra.NoLease)
 	require.NoError(t, err)
 	changes, err := c.Watch(ctx, "k")
 	require.NoError(t, err)
--- a/platform/kv/watch.go
+++ b/infra/kv/watch.go
@@ -7,13 +7,13 @@
 	"net/http"
 	"time"
 
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // Watch reads the key and then watches it from the revision of the read, so
 // that no change falls in between. The channel keeps only the newest entry for
 // a slow reader.
-func (c *Client) Watch(ctx context.Context, key string) (<-chan platform.Entry, error) {
+func (c *Client) Watch(ctx context.Context, key string) (<-chan infra.Entry, error) {
 	current, revision, err := c.read(ctx, key)
 	if err != nil {
 		return nil, err
@@ -24,7 +24,7 @@
 		cancel()
 		return nil, err
 	}
-	w := &watch{client: c, key: key, stream: stream, out: make(chan platform.Entry, 1), cancel: cancel}
+	w := &watch{client: c, key: key, stream: stream, out: make(chan infra.Entry, 1), cancel: cancel}
 	w.deliver(current)
 	go w.run(ctx)
 	return w.out, nil
@@ -57,7 +57,7 @@
 	}
 	first, err := s.next()
 	if err == nil && !first.Created {
-		err = wrap(platform.ErrUnavailable, Error.New("watch not created"))
+		err = wrap(infra.ErrUnavailable, Error.New("watch not created"))
 	}
 	if err != nil {
 		_ = resp.Body.Close()
@@ -70,13 +70,13 @@
 func (s *watchStream) next() (*watchResponse, error) {
 	var m watchMessage
 	if err := s.decoder.Decode(&m); err != nil {
-		return nil, wrap(platform.ErrUnavailable, err)
+		return nil, wrap(infra.ErrUnavailable, err)
 	}
 	if m.Error != nil {
-		return nil, wrap(platform.ErrUnavailable, Error.New("%s", m.Error.text()))
+		return nil, wrap(infra.ErrUnavailable, Error.New("%s", m.Error.text()))
 	}
 	if m.Result == nil || m.Result.Canceled {
-		return nil, wrap(platform.ErrUnavailable, Error.New("watch cancelled by the service"))
+		return nil, wrap(infra.ErrUnavailable, Error.New("watch cancelled by the service"))
 	}
 	return m.Result, nil
 }
@@ -86,16 +86,16 @@
 	client *Client
 	key    string
 	stream *watchStream
-	out    chan platform.Entry
+	out    chan infra.Entry
 	cancel context.CancelFunc
-	last   platform.Version
+	last   infra.Version
 }
 
 // run passes changes on until the stream breaks or ctx ends.
 func (w *watch) run(ctx context.Context) {
 	defer close(w.out)
 	defer w.cancel()
-	events := make(chan platform.Entry)
+	events := make(chan infra.Entry)
 	go w.receive(ctx, events)
 	refresh := time.NewTicker(w.client.cfg.WatchRefresh)
 	defer refresh.Stop()
@@ -121,14 +121,14 @@
 }
 
 // drain waits until the receiver has ended.
-func (w *watch) drain(events <-chan platform.Entry) {
+func (w *watch) drain(events <-chan infra.Entry) {
 	for range events {
 		continue
 	}
 }
 
 // receive reads the stream until it breaks.
-func (w *watch) receive(ctx context.Context, events chan<- platform.Entry) {
+func (w *watch) receive(ctx context.Context, events chan<- infra.Entry) {
 	defer close(events)
 	defer w.stream.body.Close()
 	for {
@@ -147,16 +147,16 @@
 }
 
 // entry returns the key as a change leaves it.
-func (w *watch) entry(e watchEvent) platform.Entry {
+func (w *watch) entry(e watchEvent) infra.Entry {
 	if e.Type == eventDelete {
-		return platform.Entry{Key: w.key}
+		return infra.Entry{Key: w.key}
 	}
 	return entryOf(e.Kv)
 }
 
 // deliver hands on an entry in place of one that was not yet taken. Only the
 // run goroutine sends, so the second send can't block.
-func (w *watch) deliver(entry platform.Entry) {
+func (w *watch) deliver(entry infra.Entry) {
 	w.last = entry.Version
 	select {
 	case w.out <- entry:
--- a/platform/kv/wire_test.go
+++ b/infra/kv/wire_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/galenaseam/galenaseam/platform"
-	"github.com/galenaseam/galenaseam/platform/kv"
+	"github.com/galenaseam/galenaseam/infra"
+	"github.com/galenaseam/galenaseam/infra/kv"
 )
 
 // answers is what the service's own documentation shows for each path.
@@ -45,27 +45,27 @@
 
 	entry, err := c.Get(ctx, "foo")
 	require.NoError(t, err)
-	require.Equal(t, platform.Entry{Key: "foo", Value: []byte("bar"), Version: 2}, entry)
+	require.Equal(t, infra.Entry{Key: "foo", Value: []byte("bar"), Version: 2}, entry)
 	require.JSONEq(t, `{"key":"Zm9v"}`, sent["/v3/kv/range"])
 
-	version, err := c.CompareAndSwap(ctx, "foo", 2, []byte("bar"), platform.NoLease)
+	version, err := c.CompareAndSwap(ctx, "foo", 2, []byte("bar"), infra.NoLease)
 	require.NoError(t, err)
-	require.Equal(t, platform.Version(3), version)
+	require.Equal(t, infra.Version(3), version)
 	require.JSONEq(t, `{"compare":[{"key":"Zm9v","target":"MOD","result":"EQUAL","mod_revision":"2"}],
 		"success":[{"request_put":{"key":"Zm9v","value":"YmFy"}}]}`, sent["/v3/kv/txn"])
 
 	lease, err := c.GrantLease(ctx, 10*time.Second)
 	require.NoError(t, err)
 	_, err = c.KeepAlive(ctx, lease)
-	require.ErrorIs(t, err, platform.ErrLeaseGone, "an answer without a TTL")
-	require.ErrorIs(t, c.RevokeLease(ctx, lease), platform.ErrLeaseGone)
+	require.ErrorIs(t, err, infra.ErrLeaseGone, "an answer without a TTL")
+	require.ErrorIs(t, c.RevokeLease(ctx, lease), infra.ErrLeaseGone)
 
 	changes, err := c.Watch(ctx, "foo")
 	require.NoError(t, err)
-	var last platform.Entry
+	var last infra.Entry
 	for entry := range changes {
 		last = entry
 	}
-	require.Equal(t, platform.Entry{Key: "foo", Value: []byte("baz"), Version: 4}, last)
+	require.Equal(t, infra.Entry{Key: "foo", Value: []byte("baz"), Version: 4}, last)
 	require.JSONEq(t, `{"create_request":{"key":"Zm9v","start_revision":"3"}}`, sent["/v3/watch"])
 }
--- a/platform/sd/sd.go
+++ b/infra/sd/sd.go
@@ -14,7 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/galenaseam/galenaseam/host"
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // Error is the class of every error this package returns.
@@ -42,10 +42,10 @@
 	Logger *slog.Logger
 }
 
-// Client is a platform.HostList.
+// Client is a infra.HostList.
 type Client struct{ cfg Config }
 
-var _ platform.HostList = (*Client)(nil)
+var _ infra.HostList = (*Client)(nil)
 
 // New returns a client. It makes no call.
 func New(cfg Config) (*Client, error) {
@@ -81,12 +81,12 @@
 
 // List returns the newest list. A target that is no IP address and port is
 // left out; a list that is not whole is an error.
-func (c *Client) List(ctx context.Context) ([]platform.Listing, error) {
+func (c *Client) List(ctx context.Context) ([]infra.Listing, error) {
 	groups, err := c.fetch(ctx)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	var list []platform.Listing
+	var list []infra.Listing
 	for _, g := range groups {
 		list = append(list, c.listings(g)...)
 	}
@@ -119,15 +119,15 @@
 	return groups, nil
 }
 
-func (c *Client) listings(g group) []platform.Listing {
-	var list []platform.Listing
+func (c *Client) listings(g group) []infra.Listing {
+	var list []infra.Listing
 	for _, target := range g.Targets {
 		addr, err := netip.ParseAddrPort(target)
 		if err != nil {
 			c.cfg.Logger.Warn("host list target left out", "target", target, "error", err)
 			continue
 		}
-		list = append(list, platform.Listing{
+		list = append(list, infra.Listing{
 			Addr:    addr,
 			Place:   host.Place{DataCentre: host.DataCentre(g.Labels.DataCentre), Region: host.Region(g.Labels.Region)},
 			Pool:    g.Labels.Pool,
--- a/platform/sd/sd_test.go
+++ b/infra/sd/sd_test.go
@@ -11,12 +11,12 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenaseam/galenaseam/host"
-	"github.com/galenaseam/galenaseam/platform"
-	"github.com/galenaseam/galenaseam/platform/sd"
+	"github.com/galenaseam/galenaseam/infra"
+	"github.com/galenaseam/galenaseam/infra/sd"
 )
 
 // list serves one body and returns what the client makes of it.
-func list(t *testing.T, status int, body string) ([]platform.Listing, error) {
+func list(t *testing.T, status int, body string) ([]infra.Listing, error) {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(status)
@@ -35,7 +35,7 @@
 	got, err := list(t, http.StatusOK, body)
 	require.NoError(t, err)
 	place := host.Place{DataCentre: "riga-1", Region: "latvia"}
-	require.Equal(t, []platform.Listing{
+	require.Equal(t, []infra.Listing{
 		{Addr: netip.MustParseAddrPort("10.0.0.1:80"), Place: place, Pool: "engines"},
 		{Addr: netip.MustParseAddrPort("10.0.0.2:80"), Place: place, Leaving: true},
 	}, got, "a name is left out, and an unknown state means leaving")
--- a/platform/store.go
+++ b/infra/store.go
@@ -1,7 +1,7 @@
-// Package platform meets the services that the platform gives: the key-value
+// Package infra meets the services that the platform gives: the key-value
 // service, the host list and the weight store. The rest of the system sees
 // only the interfaces here, so that another such service can stand behind them.
-package platform
+package infra
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 )
 
 // Error is the class of every error this package returns.
-var Error = errs.Class("platform")
+var Error = errs.Class("infra")
 
 // The errors a Store returns. Test for them with errors.Is.
 var (
--- a/platform/weights/weights_test.go
+++ b/infra/weights/weights_test.go
@@ -9,9 +9,9 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"github.com/galenaseam/galenaseam/infra/weights"
 	"github.com/galenaseam/galenaseam/internal/standin/fault"
 	standin "github.com/galenaseam/galenaseam/internal/standin/weights"
-	"github.com/galenaseam/galenaseam/platform/weights"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/drill/fleet.go
+++ b/internal/drill/fleet.go
@@ -15,11 +15,11 @@
 
 	"github.com/galenaseam/galenaseam/config"
 	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/infra/kv"
 	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/internal/standin"
 	"github.com/galenaseam/galenaseam/internal/standin/fault"
 	"github.com/galenaseam/galenaseam/internal/standin/store"
-	"github.com/galenaseam/galenaseam/platform/kv"
 )
 
 // The waits for processes.
--- a/internal/fakestore/fakestore.go
+++ b/internal/fakestore/fakestore.go
@@ -1,4 +1,4 @@
-// Package fakestore is a platform.Store in memory for tests. It can be down,
+// Package fakestore is a infra.Store in memory for tests. It can be down,
 // lose answers after a write took effect, break and skip watches, and fall
 // back to an older state.
 package fakestore
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // Faults is how the store misbehaves. Shares are from 0 to 1.
@@ -35,7 +35,7 @@
 
 // State is a copy of the store's content.
 type State struct {
-	entries map[string]platform.Entry
+	entries map[string]infra.Entry
 }
 
 type watch struct {
@@ -50,10 +50,10 @@
 	random   *rand.Rand
 	faults   Faults
 	counts   Counts
-	version  platform.Version
-	entries  map[string]platform.Entry
-	leases   map[platform.LeaseID]*lease
-	attached map[string]platform.LeaseID
+	version  infra.Version
+	entries  map[string]infra.Entry
+	leases   map[infra.LeaseID]*lease
+	attached map[string]infra.LeaseID
 	watches  map[*watch]struct{}
 	observe  func(key string, before, after []byte)
 }
@@ -67,9 +67,9 @@
 func New(seed uint64) *Store {
 	return &Store{
 		random:   rand.New(rand.NewPCG(seed, 1)),
-		entries:  make(map[string]platform.Entry),
-		leases:   make(map[platform.LeaseID]*lease),
-		attached: make(map[string]platform.LeaseID),
+		entries:  make(map[string]infra.Entry),
+		leases:   make(map[infra.LeaseID]*lease),
+		attached: make(map[string]infra.LeaseID),
 		watches:  make(map[*watch]struct{}),
 	}
 }
@@ -145,14 +145,14 @@
 	}
 	s.mu.Unlock()
 	if faults.Down {
-		return faults, platform.ErrUnavailable
+		return faults, infra.ErrUnavailable
 	}
 	if delay > 0 {
 		timer := time.NewTimer(delay)
 		defer timer.Stop()
 		select {
 		case <-ctx.Done():
-			return faults, platform.ErrUnavailable
+			return faults, infra.ErrUnavailable
 		case <-timer.C:
 		}
 	}
@@ -163,10 +163,10 @@
 func countWrite(c *Counts) { c.Writes++ }
 func countWatch(c *Counts) { c.Watches++ }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements infra.Store.
+func (s *Store) Get(ctx context.Context, key string) (infra.Entry, error) {
 	if _, err := s.begin(ctx, countRead); err != nil {
-		return platform.Entry{}, err
+		return infra.Entry{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -174,29 +174,29 @@
 }
 
 // read needs mu.
-func (s *Store) read(key string) platform.Entry {
+func (s *Store) read(key string) infra.Entry {
 	s.expire()
 	entry := s.entries[key]
 	entry.Key = key
 	return entry
 }
 
-// CompareAndSwap implements platform.Store.
+// CompareAndSwap implements infra.Store.
 func (s *Store) CompareAndSwap(
-	ctx context.Context, key string, expect platform.Version, value []byte, id platform.LeaseID,
-) (platform.Version, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+	ctx context.Context, key string, expect infra.Version, value []byte, id infra.LeaseID,
+) (infra.Version, error) {
+	if len(value) > infra.MaxValueBytes {
+		return 0, infra.ErrTooLarge
 	}
 	return s.write(ctx, key, expect, func() error {
-		if id != platform.NoLease {
+		if id != infra.NoLease {
 			if s.leases[id] == nil {
-				return platform.ErrLeaseGone
+				return infra.ErrLeaseGone
 			}
 			s.attached[key] = id
 		}
 		before := s.entries[key].Value
-		s.entries[key] = platform.Entry{Key: key, Value: value, Version: s.version}
+		s.entries[key] = infra.Entry{Key: key, Value: value, Version: s.version}
 		if s.observe != nil {
 			s.observe(key, before, value)
 		}
@@ -204,8 +204,8 @@
 	})
 }
 
-// CompareAndDelete implements platform.Store.
-func (s *Store) CompareAndDelete(ctx context.Context, key string, expect platform.Version) error {
+// CompareAndDelete implements infra.Store.
+func (s *Store) CompareAndDelete(ctx context.Context, key string, expect infra.Version) error {
 	_, err := s.write(ctx, key, expect, func() error {
 		delete(s.entries, key)
 		return nil
@@ -215,8 +215,8 @@
 
 // write makes one compare-and-swap with the faults that are set.
 func (s *Store) write(
-	ctx context.Context, key string, expect platform.Version, effect func() error,
-) (platform.Version, error) {
+	ctx context.Context, key string, expect infra.Version, effect func() error,
+) (infra.Version, error) {
 	faults, err := s.begin(ctx, countWrite)
 	if err != nil {
 		return 0, err
@@ -225,10 +225,10 @@
 	defer s.mu.Unlock()
 	luck := s.random.Float64()
 	if luck < faults.DropWrite {
-		return 0, platform.ErrUncertain
+		return 0, infra.ErrUncertain
 	}
 	if s.read(key).Version != expect {
-		return 0, platform.ErrConflict
+		return 0, infra.ErrConflict
 	}
 	s.version++
 	if err := effect(); err != nil {
@@ -236,7 +236,7 @@
 	}
 	s.wakeWatches(key)
 	if luck < faults.DropWrite+faults.LoseAnswer {
-		return 0, platform.ErrUncertain
+		return 0, infra.ErrUncertain
 	}
 	return s.version, nil
 }
@@ -253,21 +253,21 @@
 	}
 }
 
-// GrantLease implements platform.Store.
-func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// GrantLease implements infra.Store.
+func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (infra.LeaseID, error) {
 	if _, err := s.begin(ctx, countWrite); err != nil {
 		return 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	id := platform.LeaseID(s.version)
+	id := infra.LeaseID(s.version)
 	s.leases[id] = &lease{ttl, time.Now().Add(ttl)}
 	return id, nil
 }
 
-// KeepAlive implements platform.Store.
-func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) (time.Duration, error) {
+// KeepAlive implements infra.Store.
+func (s *Store) KeepAlive(ctx context.Context, id infra.LeaseID) (time.Duration, error) {
 	if _, err := s.begin(ctx, countWrite); err != nil {
 		return 0, err
 	}
@@ -276,14 +276,14 @@
 	s.expire()
 	held := s.leases[id]
 	if held == nil {
-		return 0, platform.ErrLeaseGone
+		return 0, infra.ErrLeaseGone
 	}
 	held.expires = time.Now().Add(held.ttl)
 	return held.ttl, nil
 }
 
-// RevokeLease implements platform.Store.
-func (s *Store) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+// RevokeLease implements infra.Store.
+func (s *Store) RevokeLease(ctx context.Context, id infra.LeaseID) error {
 	if _, err := s.begin(ctx, countWrite); err != nil {
 		return err
 	}
@@ -303,7 +303,7 @@
 }
 
 // end deletes a lease and its keys. It needs mu.
-func (s *Store) end(id platform.LeaseID) {
+func (s *Store) end(id infra.LeaseID) {
 	delete(s.leases, id)
 	for key, attached := range s.attached {
 		if attached == id {
@@ -315,14 +315,14 @@
 	}
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, key string) (<-chan platform.Entry, error) {
+// Watch implements infra.Store.
+func (s *Store) Watch(ctx context.Context, key string) (<-chan infra.Entry, error) {
 	if _, err := s.begin(ctx, countWatch); err != nil {
 		return nil, err
 	}
 	w := &watch{key: key, wake: make(chan struct{}, 1), stop: make(chan struct{})}
 	w.wake <- struct{}{}
-	out := make(chan platform.Entry)
+	out := make(chan infra.Entry)
 	s.mu.Lock()
 	s.watches[w] = struct{}{}
 	s.mu.Unlock()
@@ -331,7 +331,7 @@
 }
 
 // feed sends what a watch sees until it ends.
-func (s *Store) feed(ctx context.Context, w *watch, out chan<- platform.Entry) {
+func (s *Store) feed(ctx context.Context, w *watch, out chan<- infra.Entry) {
 	defer close(out)
 	for {
 		select {
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -10,6 +10,7 @@
 
 	"github.com/galenaseam/galenaseam/document"
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/internal/standin/fault"
 	"github.com/galenaseam/galenaseam/internal/standin/hostlist"
 	"github.com/galenaseam/galenaseam/internal/standin/model"
@@ -17,7 +18,6 @@
 	"github.com/galenaseam/galenaseam/internal/standin/service"
 	"github.com/galenaseam/galenaseam/internal/standin/store"
 	"github.com/galenaseam/galenaseam/internal/standin/weights"
-	"github.com/galenaseam/galenaseam/platform"
 )
 
 // Error is the class of every error this package returns.
@@ -39,7 +39,7 @@
 // Upstream is one running upstream of a deployment.
 type Upstream struct {
 	running
-	Listing platform.Listing
+	Listing infra.Listing
 	Kind    document.Kind
 }
 
@@ -118,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	listing := platform.Listing{
+	listing := infra.Listing{
 		Addr: started.Addr(), Pool: pool.Name, Place: d.spec.Places[index%len(d.spec.Places)],
 	}
 	d.Upstreams = append(d.Upstreams, &Upstream{running: started, Listing: listing, Kind: pool.Kind})
@@ -171,11 +171,11 @@
 
 // AddHost lists an entry host by the address at which other hosts reach it.
 func (d *Deployment) AddHost(addr netip.AddrPort, place host.Place) {
-	d.HostList.Put(platform.Listing{Addr: addr, Place: place})
+	d.HostList.Put(infra.Listing{Addr: addr, Place: place})
 }
 
 // RemoveHost takes an entry host out of the list.
-func (d *Deployment) RemoveHost(addr netip.AddrPort) { d.HostList.Remove(platform.Listing{Addr: addr}) }
+func (d *Deployment) RemoveHost(addr netip.AddrPort) { d.HostList.Remove(infra.Listing{Addr: addr}) }
 
 // Leave makes an upstream refuse new work and marks it in the host list.
 func (d *Deployment) Leave(u *Upstream) {
--- a/internal/standin/deployment_test.go
+++ b/internal/standin/deployment_test.go
@@ -15,12 +15,12 @@
 
 	"github.com/galenaseam/galenaseam/document"
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/infra/sd"
 	"github.com/galenaseam/galenaseam/internal/standin"
 	"github.com/galenaseam/galenaseam/internal/standin/fault"
 	"github.com/galenaseam/galenaseam/internal/standin/model"
 	"github.com/galenaseam/galenaseam/internal/standin/server"
 	"github.com/galenaseam/galenaseam/internal/standin/service"
-	"github.com/galenaseam/galenaseam/platform/sd"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/standin/hostlist/hostlist.go
+++ b/internal/standin/hostlist/hostlist.go
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/internal/standin/fault"
 	"github.com/galenaseam/galenaseam/internal/standin/server"
-	"github.com/galenaseam/galenaseam/platform"
 )
 
 // group is one entry of the list, here always with one target.
@@ -30,7 +30,7 @@
 // version is the list as it stood from a moment on.
 type version struct {
 	from time.Time
-	list []platform.Listing
+	list []infra.Listing
 }
 
 // HostList is a running stand-in.
@@ -104,8 +104,8 @@
 }
 
 // Put adds a machine, or changes one with the same address.
-func (h *HostList) Put(l platform.Listing) {
-	h.change(func(list []platform.Listing) []platform.Listing {
+func (h *HostList) Put(l infra.Listing) {
+	h.change(func(list []infra.Listing) []infra.Listing {
 		for i := range list {
 			if list[i].Addr == l.Addr {
 				list[i] = l
@@ -117,9 +117,9 @@
 }
 
 // Remove takes a machine out of the list.
-func (h *HostList) Remove(l platform.Listing) {
-	h.change(func(list []platform.Listing) []platform.Listing {
-		var rest []platform.Listing
+func (h *HostList) Remove(l infra.Listing) {
+	h.change(func(list []infra.Listing) []infra.Listing {
+		var rest []infra.Listing
 		for _, have := range list {
 			if have.Addr != l.Addr {
 				rest = append(rest, have)
@@ -130,17 +130,17 @@
 }
 
 // change adds a version of the list and drops those that are past.
-func (h *HostList) change(edit func([]platform.Listing) []platform.Listing) {
+func (h *HostList) change(edit func([]infra.Listing) []infra.Listing) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	newest := h.versions[len(h.versions)-1].list
-	next := edit(append([]platform.Listing(nil), newest...))
+	next := edit(append([]infra.Listing(nil), newest...))
 	h.versions = append(h.versions, version{from: time.Now(), list: next})
 	h.visible(time.Now())
 }
 
 // visible returns the list as the lag lets it be seen. The caller holds mu.
-func (h *HostList) visible(now time.Time) []platform.Listing {
+func (h *HostList) visible(now time.Time) []infra.Listing {
 	seen := 0
 	for i, v := range h.versions {
 		if !now.Before(v.from.Add(h.lag)) {
@@ -173,7 +173,7 @@
 	server.WriteJSON(w, http.StatusOK, groups)
 }
 
-func toGroup(l platform.Listing) group {
+func toGroup(l infra.Listing) group {
 	state := "live"
 	if l.Leaving {
 		state = "leaving"
--- a/member/membership.go
+++ b/member/membership.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/internal/defaults"
-	"github.com/galenaseam/galenaseam/platform"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 )
@@ -32,7 +32,7 @@
 	// Seeds are link addresses of other hosts, from the settings.
 	Seeds []netip.AddrPort
 	// HostList gives more seeds: its machines without a pool. It may be nil.
-	HostList platform.HostList
+	HostList infra.HostList
 	// Urgent are topics whose facts go before all others and have a budget of
 	// their own, half as large as the rest's; they must be rare.
 	Urgent []Topic
@@ -245,7 +245,7 @@
 	}
 }
 
-func (m *Membership) setSeeds(listings []platform.Listing) {
+func (m *Membership) setSeeds(listings []infra.Listing) {
 	seeds := append([]netip.AddrPort(nil), m.config.Seeds...)
 	for _, l := range listings {
 		if l.Pool == "" {
--- a/member/membership_test.go
+++ b/member/membership_test.go
@@ -11,16 +11,16 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/host"
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 )
 
 const patience = 20 * time.Second
 
-type fixedList []platform.Listing
+type fixedList []infra.Listing
 
-func (f fixedList) List(context.Context) ([]platform.Listing, error) { return f, nil }
+func (f fixedList) List(context.Context) ([]infra.Listing, error) { return f, nil }
 
 // freeAddr returns a loopback address with a free UDP port.
 func freeAddr(t testing.TB) netip.AddrPort {
@@ -36,7 +36,7 @@
 	done chan error
 }
 
-func start(t testing.TB, id string, list platform.HostList, addr netip.AddrPort, key []byte) *running {
+func start(t testing.TB, id string, list infra.HostList, addr netip.AddrPort, key []byte) *running {
 	m, err := New(Config{
 		Self:       host.Info{ID: host.ID(id), Place: host.Place{DataCentre: "a"}, LinkAddr: addr},
 		ListenAddr: addr.String(), Key: key, HostList: list,
@@ -54,9 +54,9 @@
 func TestHostsOverRealDatagrams(t *testing.T) {
 	var list fixedList
 	for range 5 {
-		list = append(list, platform.Listing{Addr: freeAddr(t)})
+		list = append(list, infra.Listing{Addr: freeAddr(t)})
 	}
-	list = append(list, platform.Listing{Addr: netip.MustParseAddrPort("127.0.0.1:9"), Pool: "engines"})
+	list = append(list, infra.Listing{Addr: netip.MustParseAddrPort("127.0.0.1:9"), Pool: "engines"})
 	var hosts []*running
 	for i := range 4 {
 		hosts = append(hosts, start(t, fmt.Sprintf("h%d", i), list, list[i].Addr, fleetKey))
@@ -122,7 +122,7 @@
 			for b.Loop() {
 				var list fixedList
 				for range size {
-					list = append(list, platform.Listing{Addr: freeAddr(b)})
+					list = append(list, infra.Listing{Addr: freeAddr(b)})
 				}
 				var hosts []*running
 				for i := range size {
--- a/planner/lease.go
+++ b/planner/lease.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // The times of a planner's lease.
@@ -24,7 +24,7 @@
 
 // tenure is one holding of the lease. Its times are monotonic.
 type tenure struct {
-	lease platform.LeaseID
+	lease infra.LeaseID
 	// fencing is the store's version of the leader key, larger for every
 	// later holder.
 	fencing int64
@@ -44,9 +44,9 @@
 func leaderKey(group string) string { return "planner/" + group + "/leader" }
 
 // acquire tries to become the holder; nil when somebody else is.
-func acquire(ctx context.Context, store platform.Store, group, holder string) (*tenure, error) {
+func acquire(ctx context.Context, store infra.Store, group, holder string) (*tenure, error) {
 	entry, err := store.Get(ctx, leaderKey(group))
-	if err != nil || entry.Version != platform.NoVersion {
+	if err != nil || entry.Version != infra.NoVersion {
 		return nil, Error.Wrap(err)
 	}
 	asked := time.Now()
@@ -54,11 +54,11 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	version, err := store.CompareAndSwap(ctx, leaderKey(group), platform.NoVersion, []byte(holder), lease)
+	version, err := store.CompareAndSwap(ctx, leaderKey(group), infra.NoVersion, []byte(holder), lease)
 	if err != nil {
 		// After a lost answer the key, if it is there, ends with its lease.
 		_ = store.RevokeLease(ctx, lease)
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, infra.ErrConflict) {
 			return nil, nil
 		}
 		return nil, Error.Wrap(err)
@@ -70,7 +70,7 @@
 }
 
 // renew lengthens a tenure. The lease counts from before the call was made.
-func (t *tenure) renew(ctx context.Context, store platform.Store) error {
+func (t *tenure) renew(ctx context.Context, store infra.Store) error {
 	asked := time.Now()
 	left, err := store.KeepAlive(ctx, t.lease)
 	if err != nil {
--- a/planner/runner.go
+++ b/planner/runner.go
@@ -15,7 +15,7 @@
 
 	"github.com/galenaseam/galenaseam/document"
 	"github.com/galenaseam/galenaseam/host"
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/upstream"
 )
 
@@ -31,7 +31,7 @@
 type Config struct {
 	// Group names the models that this planner decides on.
 	Group string
-	Store platform.Store
+	Store infra.Store
 	View  host.View
 	// Document returns what is in force; nil before anything is.
 	Document func() *document.Document
@@ -52,7 +52,7 @@
 	metrics *metrics
 	tenure  *tenure
 	plan    Plan
-	planAt  platform.Version
+	planAt  infra.Version
 	// read and written say that this tenure has read the plan that stands, and
 	// has written it, so that no save of an earlier holder can come after.
 	read    bool
@@ -136,7 +136,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	err := r.tenure.renew(ctx, r.cfg.Store)
-	if errors.Is(err, platform.ErrLeaseGone) || !time.Now().Before(r.tenure.validUntil) {
+	if errors.Is(err, infra.ErrLeaseGone) || !time.Now().Before(r.tenure.validUntil) {
 		r.stepDown("the lease ended")
 		return false
 	}
@@ -173,7 +173,7 @@
 		return Error.Wrap(err)
 	}
 	r.planAt, r.plan, r.read = entry.Version, Plan{}, true
-	if entry.Version == platform.NoVersion {
+	if entry.Version == infra.NoVersion {
 		return nil
 	}
 	var stored storedPlan
@@ -200,7 +200,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	version, err := r.cfg.Store.CompareAndSwap(ctx, planKey(r.cfg.Group), r.planAt, value, platform.NoLease)
+	version, err := r.cfg.Store.CompareAndSwap(ctx, planKey(r.cfg.Group), r.planAt, value, infra.NoLease)
 	if err != nil {
 		r.stepDown("the plan was not saved") // whoever leads next reads what stands
 		return Error.Wrap(err)
--- a/upstream/fleet_test.go
+++ b/upstream/fleet_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/host"
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/stretchr/testify/require"
 )
 
@@ -21,7 +21,7 @@
 // server is the truth about one upstream.
 type server struct {
 	id      ID
-	listing platform.Listing
+	listing infra.Listing
 	leaving bool
 	dead    bool
 	// work counts the calls that reached or were meant for it.
@@ -56,7 +56,7 @@
 	}
 	for i := range servers {
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80)
-		f.servers = append(f.servers, &server{id: ID(addr.String()), listing: platform.Listing{Addr: addr, Pool: testPool, Place: host.Place{DataCentre: "a"}}})
+		f.servers = append(f.servers, &server{id: ID(addr.String()), listing: infra.Listing{Addr: addr, Pool: testPool, Place: host.Place{DataCentre: "a"}}})
 	}
 	for i := range hosts {
 		info := host.Info{ID: host.ID(fmt.Sprintf("h%d", i)), Place: host.Place{DataCentre: "a"}}
@@ -67,7 +67,7 @@
 }
 
 func (f *fleet) list() {
-	var listings []platform.Listing
+	var listings []infra.Listing
 	for _, s := range f.servers {
 		listings = append(listings, s.listing)
 	}
--- a/upstream/real_test.go
+++ b/upstream/real_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/member"
-	"github.com/galenaseam/galenaseam/platform"
 	"github.com/stretchr/testify/require"
 )
 
@@ -35,9 +35,9 @@
 	}))
 	addr := netip.MustParseAddrPort(backend.Listener.Addr().String())
 	f.id = ID(addr.String())
-	listings := []platform.Listing{{Addr: addr, Pool: "p"}}
+	listings := []infra.Listing{{Addr: addr, Pool: "p"}}
 	for range size {
-		listings = append(listings, platform.Listing{Addr: freeAddr(t)})
+		listings = append(listings, infra.Listing{Addr: freeAddr(t)})
 	}
 	list := &fakeList{}
 	list.listings.Store(&listings)
--- a/upstream/registry.go
+++ b/upstream/registry.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/host"
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // claimsToCondemn is how many other hosts must say that an upstream is down
@@ -80,7 +80,7 @@
 
 // applyList takes in a new host list. Entry hosts have no pool and are passed
 // over.
-func (r *registry) applyList(now time.Time, listings []platform.Listing) {
+func (r *registry) applyList(now time.Time, listings []infra.Listing) {
 	seen := make(map[ID]bool, len(listings))
 	for _, l := range listings {
 		if l.Pool == "" {
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/internal/defaults"
 	"github.com/galenaseam/galenaseam/member"
-	"github.com/galenaseam/galenaseam/platform"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
@@ -36,7 +36,7 @@
 
 // Config configures a Table. List and View must be set.
 type Config struct {
-	List platform.HostList
+	List infra.HostList
 	View host.View
 	// Gossip spreads claims between hosts; nil keeps them to this host.
 	Gossip member.Gossip
--- a/upstream/table_test.go
+++ b/upstream/table_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/host"
-	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
@@ -21,10 +21,10 @@
 const patience = 10 * time.Second
 
 type fakeList struct {
-	listings atomic.Pointer[[]platform.Listing]
+	listings atomic.Pointer[[]infra.Listing]
 }
 
-func (f *fakeList) List(context.Context) ([]platform.Listing, error) {
+func (f *fakeList) List(context.Context) ([]infra.Listing, error) {
 	if l := f.listings.Load(); l != nil {
 		return *l, nil
 	}
@@ -66,7 +66,7 @@
 		return up.State
 	}
 	require.False(t, table.Ready())
-	list.listings.Store(&[]platform.Listing{{Addr: addr, Pool: "p"}, {Addr: netip.MustParseAddrPort("127.0.0.1:2")}})
+	list.listings.Store(&[]infra.Listing{{Addr: addr, Pool: "p"}, {Addr: netip.MustParseAddrPort("127.0.0.1:2")}})
 	require.Eventually(t, func() bool { return table.Ready() && len(table.Pool("p")) == 1 }, patience, time.Millisecond)
 	list.listings.Store(nil)
 
