--- /dev/null
+++ b/gateway/try.go
@@ -0,0 +1,274 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/galenaseam/galenaseam/balance"
+	"github.com/galenaseam/galenaseam/call"
+	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/transport"
+	"github.com/galenaseam/galenaseam/upstream"
+)
+
+const (
+	// extraTries is how many upstreams beyond the route's bound may be tried
+	// after ones that surely did not run the request.
+	extraTries = 2
+	// maxAnswerBytes bounds an answer that is read whole.
+	maxAnswerBytes = 16 << 20
+)
+
+// try is one sending of a request, as the log shows it.
+type try struct {
+	Upstream string `json:"upstream"`
+	Addr     string `json:"addr"`
+	InFlight int    `json:"in_flight"`
+	SentMS   int64  `json:"sent_ms"`
+	TookMS   int64  `json:"took_ms"`
+	Status   int    `json:"status,omitempty"`
+	Outcome  string `json:"outcome"`
+	Error    string `json:"error,omitempty"`
+}
+
+// result is how one sending ended.
+type result uint8
+
+const (
+	// ended: the caller has its final answer.
+	ended result = iota
+	// notRun: the upstream surely did not run the request.
+	notRun
+	// unknown: the upstream may have run the request.
+	unknown
+)
+
+// sendUntilEnded sends the request to one upstream after another until once
+// has ended it, or no other may be tried.
+func (x *exchange) sendUntilEnded(once func(chosen instance.Status) result) {
+	var tried []instance.ID
+	runs := 0
+	for {
+		if x.ctx.Err() != nil {
+			x.giveUp("deadline_before_upstream")
+			return
+		}
+		chosen, found := x.choose(tried)
+		if !found {
+			x.giveUp("no_upstream")
+			return
+		}
+		if len(tried) > 0 && !x.config.Retries.Take(x.service, time.Now()) {
+			x.giveUp("retry_budget")
+			return
+		}
+		tried = append(tried, chosen.ID)
+		switch once(chosen) {
+		case ended:
+			return
+		case notRun:
+		case unknown:
+			x.mayRun = true
+			runs++
+			if !x.route.Repeatable() || runs >= x.route.MaxUpstreams {
+				x.giveUp("upstream_failed")
+				return
+			}
+		}
+		if len(tried) >= x.route.MaxUpstreams+extraTries {
+			x.giveUp("tries_used_up")
+			return
+		}
+	}
+}
+
+// choose picks the next upstream.
+func (x *exchange) choose(tried []instance.ID) (instance.Status, bool) {
+	all := x.config.Instances.Service(x.service, time.Now())
+	need := balance.Need{Near: x.config.DataCentre, Tried: tried}
+	if s, known := x.table.Service(x.service); known && s.Engine != nil {
+		need.Prefix = x.prefix()
+		return balance.Engine(all, need, x.random)
+	}
+	return balance.Plain(all, need, x.random)
+}
+
+// prefix names the parts of the prompt that other requests may share: all but
+// the last.
+func (x *exchange) prefix() uint64 {
+	parts := x.request.Prompt.Parts
+	if len(parts) < 2 {
+		return 0
+	}
+	name := ""
+	for _, p := range parts[:len(parts)-1] {
+		name += p.ID + ","
+	}
+	return hash(name)
+}
+
+// cost is the memory in tokens that a request takes of an engine.
+func (x *exchange) cost() int {
+	p := x.request.Prompt
+	if p.OutputHint > 0 {
+		return p.Tokens + p.OutputHint
+	}
+	return p.Tokens + p.MaxOutput
+}
+
+// sending is one request under way to one upstream.
+type sending struct {
+	*exchange
+	ctx     context.Context // of this sending alone
+	chosen  instance.Status
+	begun   time.Time
+	answer  *call.Answer
+	closing func()
+}
+
+// send sends the request and reads the head of the answer. A nil sending was
+// not answered; the result says what that means.
+func (x *exchange) send(ctx context.Context, chosen instance.Status, lastEvent int64) (*sending, result) {
+	s := &sending{exchange: x, ctx: ctx, chosen: chosen, begun: time.Now()}
+	if !x.config.Instances.MaySend(chosen.ID) {
+		s.over(instance.Abandoned, 0, "left")
+		return nil, notRun
+	}
+	attempt := call.Attempt{
+		Upstream:  call.Upstream{ID: string(chosen.ID), Addr: chosen.Addr},
+		Remaining: x.deadline.Sub(s.begun),
+		Workspace: x.workspace,
+		LastEvent: lastEvent,
+		Priority:  x.enginePriority(),
+	}
+	if x.inputs != nil {
+		attempt.Inputs = x.inputs.Inputs
+	}
+	x.config.Instances.Begin(chosen.ID, x.cost())
+	got, err := x.config.Transport.Do(ctx, &transport.Call{
+		Addr: chosen.Addr, Method: x.request.Method, Target: x.request.Target, Host: x.request.Host,
+		Header: x.config.Codec.EncodeRequest(x.request, attempt),
+		Body:   x.request.Body, Chunked: x.request.Chunked,
+		Mine:  x.isMine,
+		Idle:  x.config.Codec.IdleTimeout,
+		Fresh: !x.route.Repeatable(),
+	})
+	if err != nil {
+		return nil, s.broken(err)
+	}
+	s.answer = x.config.Codec.DecodeAnswer(got.Response)
+	s.answer.Body = got.Body
+	s.closing = got.Close
+	return s, s.judgeHead()
+}
+
+// enginePriority is the rank at an engine.
+func (x *exchange) enginePriority() int {
+	return min(max(x.priority+enginePriorityBase, 0), 9)
+}
+
+// enginePriorityBase puts the three usual priorities around the rank that
+// requests without one have.
+const enginePriorityBase = 4
+
+// isMine says whether an answer is to this request. Refusals may name none.
+func (x *exchange) isMine(r *http.Response) bool {
+	a := x.config.Codec.DecodeAnswer(r)
+	if a.RequestID == "" {
+		return !a.Signed
+	}
+	return a.RequestID == x.request.ID
+}
+
+// judgeHead takes an answer apart by what its head says.
+func (s *sending) judgeHead() result {
+	a := s.answer
+	switch {
+	case a.NotRun:
+		outcome := instance.Failed
+		if a.WrongUpstream {
+			outcome = instance.Unreachable
+			s.config.Transport.Forget(s.chosen.Addr)
+		}
+		if a.InputGone {
+			outcome = instance.Abandoned
+		}
+		s.over(outcome, a.Status, "not_run")
+		return notRun
+	case !a.Signed || a.Encoded:
+		s.over(instance.Broke, a.Status, "unsigned")
+		return unknown
+	default:
+		return ended
+	}
+}
+
+// broken judges a sending that had no answer.
+func (s *sending) broken(err error) result {
+	switch {
+	case errors.Is(err, transport.ErrNotSent):
+		s.overWith(instance.Unreachable, "not_sent", err)
+		return notRun
+	default:
+		return s.lost("broke", err)
+	}
+}
+
+// lost judges a sending whose answer did not come, or not whole.
+func (s *sending) lost(what string, err error) result {
+	switch {
+	case s.exchange.ctx.Err() != nil:
+		s.overWith(instance.Abandoned, "given_up", err)
+	case s.ctx.Err() != nil:
+		s.overWith(instance.Broke, "stalled", err)
+	default:
+		s.overWith(instance.Broke, what, err)
+		s.reportLoss()
+	}
+	return unknown
+}
+
+// reportLoss tells the quarantine of an upstream that broke off under the
+// request.
+func (s *sending) reportLoss() {
+	s.config.Quarantine.Ended(s.digest, upstream.ID(s.chosen.ID), true)
+}
+
+// body reads the whole answer.
+func (s *sending) body() ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(s.answer.Body, maxAnswerBytes+1))
+	if err == nil && len(raw) > maxAnswerBytes {
+		err = Error.New("answer is over %d bytes", maxAnswerBytes)
+	}
+	return raw, err
+}
+
+// over closes a sending and takes in what it tells of the upstream.
+func (s *sending) over(outcome instance.Outcome, status int, what string) {
+	s.record(outcome, status, what, nil)
+}
+
+func (s *sending) overWith(outcome instance.Outcome, what string, err error) {
+	s.record(outcome, 0, what, err)
+}
+
+func (s *sending) record(outcome instance.Outcome, status int, what string, err error) {
+	now := time.Now()
+	if s.closing != nil {
+		s.closing()
+	}
+	s.config.Instances.End(s.chosen.ID, s.cost(), outcome, now.Sub(s.begun), now)
+	s.config.Metrics.try(s.service, what)
+	t := try{
+		Upstream: string(s.chosen.ID), Addr: s.chosen.Addr.String(), InFlight: s.chosen.InFlight,
+		SentMS: s.begun.Sub(s.request.Arrived).Milliseconds(), TookMS: now.Sub(s.begun).Milliseconds(),
+		Status: status, Outcome: what,
+	}
+	if err != nil {
+		t.Error = err.Error()
+	}
+	s.tries = append(s.tries, t)
+}
--- /dev/null
+++ b/staging/gatherer.go
@@ -0,0 +1,244 @@
+package staging
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenaseam/galenaseam/call"
+	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/retry"
+	"github.com/galenaseam/galenaseam/routing"
+)
+
+// How a gatherer treats its servers.
+const (
+	// maxTries is how often a group's pieces are sent again after failures.
+	maxTries = 3
+	// slowFactor is how many times its usual duration a call may take before
+	// its pieces go elsewhere.
+	slowFactor = 4
+	// slowSlack is added to that, for a queue at the server.
+	slowSlack = 400 * time.Millisecond
+	// roomShare is the part of a server's memory that is planned with: pieces
+	// differ in size.
+	roomShare = 0.92
+	// tickInterval is how often waiting pieces and held results are looked at.
+	tickInterval = 100 * time.Millisecond
+	// freeInterval is how long given-up results wait to be named together.
+	freeInterval = 30 * time.Millisecond
+	// noRoomPause keeps new work from a server that had no memory.
+	noRoomPause = 150 * time.Millisecond
+	// fullPause keeps new work from a server that refused a call.
+	fullPause = 40 * time.Millisecond
+)
+
+// Caller makes calls to stage servers.
+type Caller interface {
+	// RunPieces runs pieces on a server. The outcome says what the call tells
+	// of the server; notRun that the server surely did not begin.
+	RunPieces(ctx context.Context, server instance.Entry, pieces []call.Piece) (results []call.PieceResult, outcome instance.Outcome, notRun bool, err error)
+	// FreeResults gives up results on the server that keeps them.
+	FreeResults(ctx context.Context, handles []string) error
+}
+
+// Gatherer runs the pieces of all hosts for the services that fall to this
+// host. It is safe for concurrent use.
+type Gatherer struct {
+	config  GathererConfig
+	metrics *gathererMetrics
+
+	mu       sync.Mutex // guards what follows
+	services map[string]*gathering
+	freeing  []string
+}
+
+// GathererConfig is what a Gatherer is made of.
+type GathererConfig struct {
+	Servers *instance.Table
+	// Service describes a service of the configuration in force.
+	Service func(name string) (*routing.Service, bool)
+	Caller  Caller
+	Retries *retry.Budget
+	Logger  *slog.Logger
+	// Registerer may be nil.
+	Registerer prometheus.Registerer
+}
+
+// gathering is the work for one service.
+type gathering struct {
+	name    string
+	queue   queue
+	room    *room
+	running map[instance.ID]int
+	paused  map[instance.ID]time.Time
+	pace    map[instance.ID]float64 // duration of a call against the usual
+}
+
+// NewGatherer makes a gatherer. Run it to have its timers work.
+func NewGatherer(config GathererConfig) *Gatherer {
+	return &Gatherer{config: config, metrics: newGathererMetrics(config.Registerer), services: make(map[string]*gathering)}
+}
+
+// Run expires waiting pieces and held results until ctx ends.
+func (g *Gatherer) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			g.tick(now)
+		}
+	}
+}
+
+func (g *Gatherer) tick(now time.Time) {
+	g.mu.Lock()
+	var ended []func()
+	for _, s := range g.services {
+		s.room.expire(now)
+		ended = append(ended, g.pump(s, now)...)
+	}
+	g.mu.Unlock()
+	runAll(ended)
+}
+
+// Gather runs a group's pieces and returns a result for each. When ctx ends
+// pieces that wait are dropped.
+func (g *Gatherer) Gather(ctx context.Context, group Group) []call.PieceResult {
+	answer := make(chan []call.PieceResult, 1)
+	now := time.Now()
+	w := newWork(group, now, func(results []call.PieceResult) { answer <- results })
+	g.mu.Lock()
+	s := g.service(group.Service)
+	s.queue.push(w)
+	ended := g.pump(s, now)
+	g.mu.Unlock()
+	runAll(ended)
+	select {
+	case results := <-answer:
+		return results
+	case <-ctx.Done():
+		g.mu.Lock()
+		w.ended = true
+		g.freeResults(w)
+		g.mu.Unlock()
+		return w.failed(call.PieceLate)
+	}
+}
+
+// failed gives the same failure for every piece.
+func (w *work) failed(f call.PieceFailure) []call.PieceResult {
+	results := make([]call.PieceResult, w.Pieces)
+	for i := range results {
+		results[i].Failure = f
+	}
+	return results
+}
+
+func (g *Gatherer) service(name string) *gathering {
+	s := g.services[name]
+	if s == nil {
+		s = &gathering{
+			name: name, room: newRoom(), running: make(map[instance.ID]int),
+			paused: make(map[instance.ID]time.Time), pace: make(map[instance.ID]float64),
+		}
+		g.services[name] = s
+	}
+	return s
+}
+
+// pump sends waiting pieces to free servers. The caller holds mu and runs what
+// pump returns after it has let go of it.
+func (g *Gatherer) pump(s *gathering, now time.Time) (ended []func()) {
+	if len(s.queue.waiting) == 0 {
+		return nil
+	}
+	described, known := g.config.Service(s.name)
+	if !known || described.Stages == nil {
+		ended = s.failAll(call.PieceRefused)
+		return ended
+	}
+	spec := described.Stages
+	for _, late := range s.queue.expire(now, spec.CallTime) {
+		ended = append(ended, late.end(call.PieceLate))
+	}
+	for len(s.queue.waiting) > 0 {
+		server, found := s.free(g.config.Servers.Service(s.name, now), spec, now)
+		if !found {
+			return ended
+		}
+		room := int64(roomShare*float64(spec.ResultRoom)) - s.room.byServer[server.ID]
+		batch := s.queue.batch(now, spec, room)
+		if len(batch) == 0 {
+			s.paused[server.ID] = now.Add(fullPause)
+			continue
+		}
+		g.start(s, server, spec, batch, now)
+	}
+	return ended
+}
+
+// free returns the server that would be done first among those that can take a
+// call: an idle one, or one with a single call when a whole batch waits.
+func (s *gathering) free(servers []instance.Status, spec *routing.StageServer, now time.Time) (best instance.Status, found bool) {
+	full := s.queue.pieces() >= spec.Batch
+	bestScore := 0.0
+	for _, server := range servers {
+		running := s.running[server.ID]
+		if server.Ejected || now.Before(s.paused[server.ID]) || running > spec.Concurrency {
+			continue
+		}
+		if running == spec.Concurrency && (!full || spec.Queue == 0) {
+			continue
+		}
+		score := s.paceOf(server.ID) * float64(1+running)
+		if !found || score < bestScore {
+			best, bestScore, found = server, score, true
+		}
+	}
+	return best, found
+}
+
+func (s *gathering) paceOf(id instance.ID) float64 {
+	if pace := s.pace[id]; pace > 0 {
+		return pace
+	}
+	return 1
+}
+
+// failAll ends every group that waits.
+func (s *gathering) failAll(f call.PieceFailure) (ended []func()) {
+	for _, w := range s.queue.waiting {
+		ended = append(ended, w.end(f))
+	}
+	s.queue.waiting = nil
+	return ended
+}
+
+// end settles a group: pieces without a result fail. The returned function
+// tells the asker.
+func (w *work) end(f call.PieceFailure) func() {
+	if w.ended {
+		return func() {}
+	}
+	w.ended = true
+	for i := range w.results {
+		if w.results[i].Handle == "" && w.results[i].Failure == call.PieceDone {
+			w.results[i].Failure = f
+		}
+	}
+	results := w.results
+	return func() { w.done(results) }
+}
+
+func runAll(functions []func()) {
+	for _, f := range functions {
+		f()
+	}
+}
--- /dev/null
+++ b/staging/queue.go
@@ -0,0 +1,140 @@
+package staging
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/galenaseam/galenaseam/call"
+	"github.com/galenaseam/galenaseam/routing"
+)
+
+// Group is the pieces of one stage of one request.
+type Group struct {
+	Service   string   `cbor:"1,keyasint"`
+	RequestID string   `cbor:"2,keyasint"`
+	Stage     int      `cbor:"3,keyasint"`
+	Pieces    int      `cbor:"4,keyasint"`
+	Key       string   `cbor:"5,keyasint"`
+	Inputs    []string `cbor:"6,keyasint"`
+	// Remaining is the time to the caller's deadline, Aim the time to the point
+	// at which this stage should be done for the answer to be in time.
+	Remaining time.Duration `cbor:"7,keyasint"`
+	Aim       time.Duration `cbor:"8,keyasint"`
+	// ResultBytes is the size of one piece's result.
+	ResultBytes int64 `cbor:"9,keyasint"`
+	// Priority is the request's rank; 0 is the most urgent.
+	Priority int `cbor:"10,keyasint"`
+}
+
+// work is a group that waits for servers, or runs on some.
+type work struct {
+	Group
+	deadline time.Time
+	aim      time.Time
+	results  []call.PieceResult
+	waiting  []int // pieces that no server has
+	open     int   // pieces without a result
+	tries    int   // times that pieces were sent again
+	ended    bool  // the asker has its answer, or has left
+	done     func([]call.PieceResult)
+}
+
+// newWork starts the clock of a group.
+func newWork(g Group, now time.Time, done func([]call.PieceResult)) *work {
+	w := &work{
+		Group: g, deadline: now.Add(g.Remaining), aim: now.Add(g.Aim),
+		results: make([]call.PieceResult, g.Pieces), open: g.Pieces, done: done,
+	}
+	for i := range g.Pieces {
+		w.waiting = append(w.waiting, i)
+	}
+	return w
+}
+
+// queue is the groups of one service that wait. It does no I/O.
+type queue struct {
+	waiting []*work
+}
+
+func (q *queue) push(w *work) { q.waiting = append(q.waiting, w) }
+
+func (q *queue) pieces() int {
+	n := 0
+	for _, w := range q.waiting {
+		n += len(w.waiting)
+	}
+	return n
+}
+
+// expire takes out the groups that can't be done in time.
+func (q *queue) expire(now time.Time, callTime time.Duration) []*work {
+	var late []*work
+	q.waiting = slices.DeleteFunc(q.waiting, func(w *work) bool {
+		if w.ended {
+			return true
+		}
+		if now.Add(callTime).After(w.deadline) {
+			late = append(late, w)
+			return true
+		}
+		return false
+	})
+	return late
+}
+
+// share is the pieces of one group in a batch.
+type share struct {
+	work   *work
+	pieces []int
+}
+
+// batch takes the most urgent pieces that fit into one call and into the
+// server's memory. Groups are kept whole where they fit; a group that is larger
+// than a batch is split.
+func (q *queue) batch(now time.Time, spec *routing.StageServer, room int64) []share {
+	q.sort(now, spec.CallTime)
+	left := spec.Batch
+	var taken []share
+	for _, w := range q.waiting {
+		if left == 0 {
+			break
+		}
+		n := len(w.waiting)
+		if n > left && (n <= spec.Batch || len(taken) > 0) {
+			continue
+		}
+		n = min(n, left)
+		if bytes := int64(n) * w.ResultBytes; bytes > room {
+			if w.ResultBytes <= 0 || room < w.ResultBytes {
+				continue
+			}
+			n = int(room / w.ResultBytes)
+		}
+		taken = append(taken, share{work: w, pieces: w.waiting[:n:n]})
+		w.waiting = w.waiting[n:]
+		left -= n
+		room -= int64(n) * w.ResultBytes
+	}
+	q.waiting = slices.DeleteFunc(q.waiting, func(w *work) bool { return len(w.waiting) == 0 })
+	return taken
+}
+
+// sort puts the groups that can be in time first, by their aims; the others
+// follow by their deadlines.
+func (q *queue) sort(now time.Time, callTime time.Duration) {
+	inTime := func(w *work) bool { return !now.Add(callTime).After(w.aim) }
+	slices.SortStableFunc(q.waiting, func(a, b *work) int {
+		x, y := inTime(a), inTime(b)
+		switch {
+		case x && !y:
+			return -1
+		case y && !x:
+			return 1
+		case x:
+			return a.aim.Compare(b.aim)
+		default:
+			return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.deadline.Compare(b.deadline))
+		}
+	})
+}
--- /dev/null
+++ b/staging/runner.go
@@ -0,0 +1,336 @@
+package staging
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/galenaseam/galenaseam/call"
+	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/link"
+	"github.com/galenaseam/galenaseam/routing"
+)
+
+// The calls between hosts.
+const (
+	gatherMethod link.Method = "staging.Gather"
+	freeMethod   link.Method = "staging.Free"
+)
+
+// How a host reaches the gatherers.
+const (
+	// avoidFor is how long a gatherer that failed is passed over; by then the
+	// membership has found out whether it lives.
+	avoidFor = 3 * time.Second
+	// gatherSlack is how much longer than the work's own time the way to the
+	// gatherer and back may take.
+	gatherSlack = 150 * time.Millisecond
+	// silentAfter bounds the wait for a gatherer when the caller would wait
+	// much longer: a frozen host does not answer at all.
+	silentAfter = 2500 * time.Millisecond
+	// gatherTries is how many gatherers a group is given to.
+	gatherTries = 3
+)
+
+// Failure is why a request's stages could not be done.
+type Failure struct {
+	Stage   int
+	Service string
+	Reason  call.PieceFailure
+}
+
+// Error makes a Failure an error.
+func (f *Failure) Error() string {
+	return "stage on service " + f.Service + " failed: " + f.Reason.String()
+}
+
+// Runner runs the stages of this host's requests. It is safe for concurrent
+// use.
+type Runner struct {
+	config RunnerConfig
+
+	mu      sync.Mutex // guards avoided
+	avoided map[host.ID]time.Time
+}
+
+// RunnerConfig is what a Runner is made of.
+type RunnerConfig struct {
+	Fleet    host.View
+	Caller   link.Caller
+	Gatherer *Gatherer
+	Logger   *slog.Logger
+}
+
+// NewRunner makes a runner and serves other hosts' groups on the registrar.
+func NewRunner(config RunnerConfig, registrar link.Registrar) *Runner {
+	r := &Runner{config: config, avoided: make(map[host.ID]time.Time)}
+	link.HandleTyped(registrar, gatherMethod, func(ctx context.Context, g Group) (gathered, error) {
+		return gathered{Results: config.Gatherer.Gather(ctx, g)}, nil
+	})
+	link.HandleTyped(registrar, freeMethod, func(_ context.Context, f freed) (struct{}, error) {
+		config.Gatherer.Free(f.Handles)
+		return struct{}{}, nil
+	})
+	return r
+}
+
+type gathered struct {
+	Results []call.PieceResult `cbor:"1,keyasint"`
+}
+
+type freed struct {
+	Handles []string `cbor:"1,keyasint"`
+}
+
+// Work is what a request asks of its stages.
+type Work struct {
+	Request  *call.Request
+	Stages   []routing.Stage
+	Deadline time.Time
+	// Aim is when the stages should be done for the answer to be in time.
+	Aim      time.Time
+	Priority int
+}
+
+// Results are the results of a request's stages. Free them.
+type Results struct {
+	Inputs []string
+	runner *Runner
+	spent  map[string][]string // results by the service that made them
+	mu     sync.Mutex
+}
+
+// Run does the stages of a request and returns the results that it needs. The
+// error is a *Failure, or ctx's.
+func (r *Runner) Run(ctx context.Context, w Work) (*Results, error) {
+	g, err := newGraph(w.Stages, w.Request.Pieces)
+	if err != nil {
+		return nil, err
+	}
+	results := &Results{runner: r, spent: make(map[string][]string)}
+	group, ctx := errgroup.WithContext(ctx)
+	done := make([]chan struct{}, len(w.Stages))
+	for i := range done {
+		done[i] = make(chan struct{})
+	}
+	for i := range w.Stages {
+		group.Go(func() error {
+			for _, before := range w.Stages[i].After {
+				select {
+				case <-done[before]:
+				case <-ctx.Done():
+					return ctx.Err()
+				}
+			}
+			if err := r.runStage(ctx, w, g, i, results); err != nil {
+				return err
+			}
+			close(done[i])
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		results.Free()
+		return nil, err
+	}
+	results.Inputs = g.results()
+	return results, nil
+}
+
+// runStage does one stage whose inputs are there, and gives the inputs up.
+func (r *Runner) runStage(ctx context.Context, w Work, g *graph, stage int, results *Results) error {
+	if g.pieces[stage] == 0 {
+		return nil
+	}
+	inputs := g.inputs(stage)
+	now := time.Now()
+	group := Group{
+		Service: w.Stages[stage].Service, RequestID: w.Request.ID, Stage: stage, Pieces: g.pieces[stage],
+		Inputs: inputs, Remaining: w.Deadline.Sub(now), Aim: w.Aim.Sub(now),
+		ResultBytes: w.Stages[stage].ResultBytes, Priority: w.Priority,
+	}
+	if len(w.Stages[stage].After) == 0 {
+		group.Key = w.Request.PiecesKey
+	}
+	pieces, err := r.gather(ctx, group)
+	if err != nil {
+		return err
+	}
+	handles := make([]string, 0, len(pieces))
+	for _, p := range pieces {
+		if p.Handle != "" {
+			handles = append(handles, p.Handle)
+		}
+	}
+	results.keep(group.Service, handles)
+	if reason := failure(pieces); reason != call.PieceDone {
+		return &Failure{Stage: stage, Service: group.Service, Reason: reason}
+	}
+	g.handles[stage] = handles
+	for _, before := range w.Stages[stage].After {
+		if g.onlyFollower(before, stage) {
+			results.freeOf(w.Stages[before].Service, g.handles[before])
+		}
+	}
+	return nil
+}
+
+// onlyFollower says whether a stage's results serve one other stage alone.
+func (g *graph) onlyFollower(stage, follower int) bool {
+	for i, s := range g.stages {
+		for _, before := range s.After {
+			if before == stage && i != follower {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// gather has a group's pieces run by the host that gathers for their service,
+// or by the next one if that host can't be reached.
+func (r *Runner) gather(ctx context.Context, g Group) ([]call.PieceResult, error) {
+	begun := time.Now()
+	for try := 0; ; try++ {
+		passed := time.Since(begun)
+		left := g
+		left.Remaining -= passed
+		left.Aim -= passed
+		owner := r.gathererOf(g.Service, time.Now())
+		if owner.ID == r.config.Fleet.Self().ID {
+			return r.config.Gatherer.Gather(ctx, left), ctx.Err()
+		}
+		results, err := r.ask(ctx, owner, left)
+		if err == nil {
+			return results, nil
+		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		r.avoid(owner.ID)
+		r.config.Logger.Warn("gatherer failed", "request", g.RequestID, "service", g.Service,
+			"gatherer", string(owner.ID), "stage", g.Stage, "try", try+1, "error", err.Error())
+		if try+1 >= gatherTries {
+			return r.config.Gatherer.Gather(ctx, left), ctx.Err()
+		}
+	}
+}
+
+// ask gives a group to another host.
+func (r *Runner) ask(ctx context.Context, owner host.Info, g Group) ([]call.PieceResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, min(g.Remaining+gatherSlack, silentAfter))
+	defer cancel()
+	got, err := link.CallTyped[Group, gathered](ctx, r.config.Caller, owner.LinkAddr, gatherMethod, g)
+	if err != nil {
+		return nil, err
+	}
+	if len(got.Results) != g.Pieces {
+		return nil, Error.New("gatherer returned %d results for %d pieces", len(got.Results), g.Pieces)
+	}
+	return got.Results, nil
+}
+
+// gathererOf is the host that gathers for a service, by rendezvous hashing
+// over the hosts that live.
+func (r *Runner) gathererOf(service string, now time.Time) host.Info {
+	best, bestRank := r.config.Fleet.Self(), uint64(0)
+	for _, m := range r.config.Fleet.Members() {
+		if m.State != host.Alive || r.isAvoided(m.ID, now) {
+			continue
+		}
+		if rank := xxh3.HashString(service + "\x00" + string(m.ID)); rank >= bestRank {
+			best, bestRank = m.Info, rank
+		}
+	}
+	return best
+}
+
+func (r *Runner) avoid(id host.ID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.avoided[id] = time.Now().Add(avoidFor)
+}
+
+func (r *Runner) isAvoided(id host.ID, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until, there := r.avoided[id]
+	if there && now.After(until) {
+		delete(r.avoided, id)
+		return false
+	}
+	return there
+}
+
+// keep notes results that are to be given up.
+func (s *Results) keep(service string, handles []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spent[service] = append(s.spent[service], handles...)
+}
+
+// freeOf gives up some results of a service.
+func (s *Results) freeOf(service string, handles []string) {
+	s.mu.Lock()
+	named := make(map[string]bool, len(handles))
+	for _, h := range handles {
+		named[h] = true
+	}
+	var rest []string
+	for _, h := range s.spent[service] {
+		if !named[h] {
+			rest = append(rest, h)
+		}
+	}
+	s.spent[service] = rest
+	s.mu.Unlock()
+	s.runner.free(service, handles)
+}
+
+// Free gives up every result that is left. It may be called more than once.
+func (s *Results) Free() {
+	s.mu.Lock()
+	spent := s.spent
+	s.spent = make(map[string][]string)
+	s.mu.Unlock()
+	for service, handles := range spent {
+		s.runner.free(service, handles)
+	}
+}
+
+// free tells the gatherer, which counts the memory of results, in the
+// background.
+func (r *Runner) free(service string, handles []string) {
+	if len(handles) == 0 {
+		return
+	}
+	owner := r.gathererOf(service, time.Now())
+	if owner.ID == r.config.Fleet.Self().ID {
+		r.config.Gatherer.Free(handles)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		defer cancel()
+		_, err := link.CallTyped[freed, struct{}](ctx, r.config.Caller, owner.LinkAddr, freeMethod, freed{Handles: handles})
+		if err != nil {
+			r.config.Logger.Warn("gatherer not told of free results", "service", service,
+				"gatherer", string(owner.ID), "results", len(handles), "error", err.Error())
+			r.config.Gatherer.Free(handles)
+		}
+	}()
+}
+
+// IsFailure returns the failure of a stage in an error, or nil.
+func IsFailure(err error) *Failure {
+	var f *Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	return nil
+}
