--- a/call/call.go
+++ b/call/call.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"github.com/galenaseam/galenaseam/host"
 )
 
 // NoEvent is the event ID before the first event of a stream.
@@ -146,4 +148,6 @@
 	// Handle names the result and the stage server that keeps it.
 	Handle  string
 	Failure PieceFailure
+	// DataCentre is where the result lies.
+	DataCentre host.DataCentre
 }
--- a/cmd/seamedge/main.go
+++ b/cmd/seamedge/main.go
@@ -62,6 +62,9 @@
 
 // run runs one host until it is told to end.
 func run(args []string, out, errOut io.Writer) int {
+	// Taken before anything else: a signal that is not taken ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	f, err := parseFlags(args, errOut)
 	if errors.Is(err, flag.ErrHelp) {
 		return exitOK
@@ -87,6 +90,10 @@
 		logger.Error("host could not be built", "error", err.Error())
 		return exitFailed
 	}
+	go host.FollowSettings(ctx, hangups, func() (edge.Settings, error) {
+		s, err := platform.ReadSettings(f.settings)
+		return hostSettings(s, uint16(f.metricsPort)), err
+	})
 	if err := host.Run(ctx); err != nil {
 		return exitFailed
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,7 +64,12 @@
 
 // Host is one entry host.
 type Host struct {
-	settings Settings
+	settings Settings // as they were at the start
+
+	settingsMu    sync.Mutex // guards newest and settingsError
+	newest        Settings
+	settingsError string
+
 	platform Platform
 	logger   *slog.Logger
 	registry *prometheus.Registry
@@ -78,6 +84,7 @@
 	transport *transport.Client
 	gatherer  *staging.Gatherer
 	gateway   *gateway.Gateway
+	retries   *retry.Budget
 	callers   *callers
 
 	draining atomic.Bool
@@ -92,7 +99,7 @@
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryBytes)))
 	}
-	h := &Host{settings: settings, platform: platform, logger: logger, registry: registry, mux: link.NewMux()}
+	h := &Host{settings: settings, newest: settings, platform: platform, logger: logger, registry: registry, mux: link.NewMux()}
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	h.info = host.Info{
 		ID:       host.ID(settings.Name + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)),
@@ -142,9 +149,9 @@
 
 // buildCallers makes what serves callers.
 func (h *Host) buildCallers() error {
-	retries := retry.New(h.settings.Retries, h.hostCount, time.Now())
+	h.retries = retry.New(h.settings.Retries, h.hostCount, time.Now())
 	h.gatherer = staging.NewGatherer(staging.GathererConfig{
-		Servers: h.instances, Service: h.service, Caller: h.platform.Stages(h.transport), Retries: retries,
+		Servers: h.instances, Service: h.service, Caller: h.platform.Stages(h.transport), Retries: h.retries,
 		Logger: h.logger, Registerer: h.registry,
 	})
 	suspects, err := quarantine.New(quarantine.Config{Gossip: h.members, Registerer: h.registry})
@@ -156,7 +163,7 @@
 		Stages: staging.NewRunner(staging.RunnerConfig{
 			Fleet: h.members, Caller: h.peers, Gatherer: h.gatherer, Logger: h.logger,
 		}, h.mux),
-		Retries: retries, Quarantine: suspects, DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
+		Retries: h.retries, Quarantine: suspects, DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
 		Metrics: gateway.NewMetrics(h.registry),
 	})
 	h.callers = newCallers(h.gateway, h.directory.Routes, h.logger)
--- a/edge/run.go
+++ b/edge/run.go
@@ -142,16 +142,17 @@
 // drain ends the host's service without cutting a request.
 func (h *Host) drain() {
 	begun := time.Now()
+	grace := h.grace()
 	h.draining.Store(true)
 	h.gateway.Drain()
-	h.logger.Info("draining", "grace_ms", h.settings.Grace.Milliseconds())
-	leave, cancel := context.WithTimeout(context.Background(), h.settings.Grace)
+	h.logger.Info("draining", "grace_ms", grace.Milliseconds())
+	leave, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	if err := h.members.Leave(leave); err != nil {
 		h.logger.Warn("fleet not told of the leave", "error", err.Error())
 	}
 	time.Sleep(time.Until(begun.Add(leaveRotation)))
-	end, cancelEnd := context.WithDeadline(context.Background(), begun.Add(h.settings.Grace-endMargin))
+	end, cancelEnd := context.WithDeadline(context.Background(), begun.Add(grace-endMargin))
 	defer cancelEnd()
 	if err := h.callers.server.Shutdown(end); err != nil {
 		h.logger.Warn("requests cut at the end of the grace", "error", err.Error())
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -75,6 +75,7 @@
 	}
 	results, err := x.config.Stages.Run(x.ctx, staging.Work{
 		Request: x.request, Stages: x.route.Stages, Deadline: x.deadline, Aim: x.aim, Priority: x.priority,
+		Home: x.home(),
 	})
 	x.stagesIn = time.Since(x.request.Arrived)
 	if err == nil {
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -9,6 +9,7 @@
 
 	"github.com/galenaseam/galenaseam/balance"
 	"github.com/galenaseam/galenaseam/call"
+	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/transport"
 	"github.com/galenaseam/galenaseam/upstream"
@@ -96,6 +97,14 @@
 	return balance.Plain(all, need, x.random)
 }
 
+// home is the data centre of the engine that is likely to run the request.
+func (x *exchange) home() host.DataCentre {
+	if s, known := x.table.Service(x.service); !known || s.Engine == nil {
+		return ""
+	}
+	return balance.Home(x.config.Instances.Service(x.service, time.Now()), x.prefix())
+}
+
 // prefix names the parts of the prompt that other requests may share: all but
 // the last.
 func (x *exchange) prefix() uint64 {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -27,10 +27,11 @@
 
 // Budget is one host's part of the bounds. It is safe for concurrent use.
 type Budget struct {
+	hosts func() int
+	start time.Time // windows are counted from here, by the monotonic clock
+
+	mu       sync.Mutex // guards what follows
 	bounds   Bounds
-	hosts    func() int
-	start    time.Time // windows are counted from here, by the monotonic clock
-	mu       sync.Mutex
 	services map[string]*window
 }
 
@@ -40,6 +41,13 @@
 	return &Budget{bounds: bounds, hosts: hosts, start: start, services: make(map[string]*window)}
 }
 
+// SetBounds replaces the bounds. What was counted stays.
+func (b *Budget) SetBounds(bounds Bounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bounds = bounds
+}
+
 // window counts the requests and repeats of one service.
 type window struct {
 	slot     int64
--- a/staging/batch.go
+++ b/staging/batch.go
@@ -114,6 +114,7 @@
 				g.freeLater(result.Handle)
 				continue
 			}
+			result.DataCentre = b.server.DataCentre
 			w.results[index] = result
 			w.open--
 		}
@@ -171,9 +172,6 @@
 // freeLater has a result named in the next call to its maker. The caller holds
 // mu.
 func (g *Gatherer) freeLater(handle string) {
-	for _, s := range g.services {
-		s.room.give(handle)
-	}
 	g.freeing = append(g.freeing, handle)
 	if len(g.freeing) == 1 {
 		time.AfterFunc(freeInterval, g.sendFrees)
@@ -193,8 +191,14 @@
 	if err := g.config.Caller.FreeResults(ctx, handles); err != nil {
 		g.config.Logger.Warn("results not given up", "results", len(handles), "error", err.Error())
 	}
-	now := time.Now()
-	g.tick(now)
+	g.mu.Lock()
+	for _, s := range g.services {
+		for _, handle := range handles {
+			s.room.give(handle)
+		}
+	}
+	g.mu.Unlock()
+	g.tick(time.Now())
 }
 
 // freeTimeout bounds giving up results, which then end by themselves.
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -1,14 +1,17 @@
 package staging
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenaseam/galenaseam/call"
+	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/retry"
 	"github.com/galenaseam/galenaseam/routing"
@@ -27,9 +30,9 @@
 	// differ in size.
 	roomShare = 0.92
 	// tickInterval is how often waiting pieces and held results are looked at.
-	tickInterval = 100 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
 	// freeInterval is how long given-up results wait to be named together.
-	freeInterval = 30 * time.Millisecond
+	freeInterval = 5 * time.Millisecond
 	// noRoomPause keeps new work from a server that had no memory.
 	noRoomPause = 150 * time.Millisecond
 	// fullPause keeps new work from a server that refused a call.
@@ -168,41 +171,38 @@
 	for _, late := range s.queue.expire(now, spec.CallTime) {
 		ended = append(ended, late.end(call.PieceLate))
 	}
-	for len(s.queue.waiting) > 0 {
-		server, found := s.free(g.config.Servers.Service(s.name, now), spec, now)
-		if !found {
-			return ended
-		}
+	s.queue.sort(now, spec.CallTime)
+	servers := g.config.Servers.Service(s.name, now)
+	served := make(map[host.DataCentre]bool)
+	for _, server := range servers {
+		served[server.DataCentre] = served[server.DataCentre] || !server.Ejected
+	}
+	for _, server := range s.free(servers, spec, now) {
+		at := place{centre: server.DataCentre, served: served, atCalls: s.running[server.ID] >= spec.Concurrency}
 		room := int64(roomShare*float64(spec.ResultRoom)) - s.room.byServer[server.ID]
-		batch := s.queue.batch(now, spec, room)
-		if len(batch) == 0 {
-			s.paused[server.ID] = now.Add(fullPause)
-			continue
+		if batch := s.queue.batch(now, spec, room, at); len(batch) > 0 {
+			g.start(s, server, spec, batch, now)
 		}
-		g.start(s, server, spec, batch, now)
 	}
 	return ended
 }
 
-// free returns the server that would be done first among those that can take a
-// call: an idle one, or one with a single call when a whole batch waits.
-func (s *gathering) free(servers []instance.Status, spec *routing.StageServer, now time.Time) (best instance.Status, found bool) {
-	full := s.queue.pieces() >= spec.Batch
-	bestScore := 0.0
+// free returns the servers that can take a call, those first that would be
+// done first. One that runs a call may have another wait.
+func (s *gathering) free(servers []instance.Status, spec *routing.StageServer, now time.Time) []instance.Status {
+	var free []instance.Status
 	for _, server := range servers {
 		running := s.running[server.ID]
-		if server.Ejected || now.Before(s.paused[server.ID]) || running > spec.Concurrency {
+		if server.Ejected || now.Before(s.paused[server.ID]) || running > spec.Concurrency ||
+			running == spec.Concurrency && spec.Queue == 0 {
 			continue
 		}
-		if running == spec.Concurrency && (!full || spec.Queue == 0) {
-			continue
-		}
-		score := s.paceOf(server.ID) * float64(1+running)
-		if !found || score < bestScore {
-			best, bestScore, found = server, score, true
-		}
+		free = append(free, server)
 	}
-	return best, found
+	slices.SortStableFunc(free, func(a, b instance.Status) int {
+		return cmp.Compare(s.paceOf(a.ID)*float64(1+s.running[a.ID]), s.paceOf(b.ID)*float64(1+s.running[b.ID]))
+	})
+	return free
 }
 
 func (s *gathering) paceOf(id instance.ID) float64 {
--- a/staging/queue.go
+++ b/staging/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/call"
+	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/routing"
 )
 
@@ -25,11 +26,16 @@
 	ResultBytes int64 `cbor:"9,keyasint"`
 	// Priority is the request's rank; 0 is the most urgent.
 	Priority int `cbor:"10,keyasint"`
+	// Near is the data centre that saves MovedBytes between data centres; ""
+	// for none.
+	Near       host.DataCentre `cbor:"11,keyasint"`
+	MovedBytes int64           `cbor:"12,keyasint"`
 }
 
 // work is a group that waits for servers, or runs on some.
 type work struct {
 	Group
+	queued   time.Time
 	deadline time.Time
 	aim      time.Time
 	results  []call.PieceResult
@@ -43,7 +49,7 @@
 // newWork starts the clock of a group.
 func newWork(g Group, now time.Time, done func([]call.PieceResult)) *work {
 	w := &work{
-		Group: g, deadline: now.Add(g.Remaining), aim: now.Add(g.Aim),
+		Group: g, queued: now, deadline: now.Add(g.Remaining), aim: now.Add(g.Aim),
 		results: make([]call.PieceResult, g.Pieces), open: g.Pieces, done: done,
 	}
 	for i := range g.Pieces {
@@ -59,10 +65,34 @@
 
 func (q *queue) push(w *work) { q.waiting = append(q.waiting, w) }
 
-func (q *queue) pieces() int {
+const (
+	// heavyBytes is the size from which a group waits for a server in its own
+	// data centre: less crosses in no time.
+	heavyBytes = 1 << 20
+	// nearPatience is how long it waits, about the duration of one call.
+	nearPatience = 250 * time.Millisecond
+)
+
+// place is a server's data centre, and which data centres have servers.
+type place struct {
+	centre  host.DataCentre
+	served  map[host.DataCentre]bool
+	atCalls bool // the server has a call already: only a whole batch may wait there
+}
+
+// mayRunAt says whether a group may run in a data centre now.
+func (w *work) mayRunAt(p place, now time.Time) bool {
+	return w.Near == "" || w.Near == p.centre || w.MovedBytes < heavyBytes ||
+		!p.served[w.Near] || now.Sub(w.queued) >= nearPatience
+}
+
+// pieces counts the pieces that may run at a place.
+func (q *queue) pieces(p place, now time.Time) int {
 	n := 0
 	for _, w := range q.waiting {
-		n += len(w.waiting)
+		if w.mayRunAt(p, now) {
+			n += len(w.waiting)
+		}
 	}
 	return n
 }
@@ -92,8 +122,10 @@
 // batch takes the most urgent pieces that fit into one call and into the
 // server's memory. Groups are kept whole where they fit; a group that is larger
 // than a batch is split.
-func (q *queue) batch(now time.Time, spec *routing.StageServer, room int64) []share {
-	q.sort(now, spec.CallTime)
+func (q *queue) batch(now time.Time, spec *routing.StageServer, room int64, at place) []share {
+	if at.atCalls && q.pieces(at, now) < spec.Batch {
+		return nil
+	}
 	left := spec.Batch
 	var taken []share
 	for _, w := range q.waiting {
@@ -101,6 +133,9 @@
 			break
 		}
 		n := len(w.waiting)
+		if !w.mayRunAt(at, now) {
+			continue
+		}
 		if n > left && (n <= spec.Batch || len(taken) > 0) {
 			continue
 		}
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -95,14 +95,18 @@
 	// Aim is when the stages should be done for the answer to be in time.
 	Aim      time.Time
 	Priority int
+	// Home is the data centre of the engine that is likely to run the request.
+	Home host.DataCentre
 }
 
 // Results are the results of a request's stages. Free them.
 type Results struct {
 	Inputs []string
 	runner *Runner
-	spent  map[string][]string // results by the service that made them
-	mu     sync.Mutex
+
+	mu      sync.Mutex              // guards what follows
+	spent   map[string][]string     // results by the service that made them
+	centres map[int]host.DataCentre // where the first result of each stage lies
 }
 
 // Run does the stages of a request and returns the results that it needs. The
@@ -112,7 +116,7 @@
 	if err != nil {
 		return nil, err
 	}
-	results := &Results{runner: r, spent: make(map[string][]string)}
+	results := &Results{runner: r, spent: make(map[string][]string), centres: make(map[int]host.DataCentre)}
 	group, ctx := errgroup.WithContext(ctx)
 	done := make([]chan struct{}, len(w.Stages))
 	for i := range done {
@@ -157,6 +161,7 @@
 	if len(w.Stages[stage].After) == 0 {
 		group.Key = w.Request.PiecesKey
 	}
+	group.Near, group.MovedBytes = results.nearest(w, g, stage)
 	pieces, err := r.gather(ctx, group)
 	if err != nil {
 		return err
@@ -168,6 +173,7 @@
 		}
 	}
 	results.keep(group.Service, handles)
+	results.place(stage, pieces)
 	if reason := failure(pieces); reason != call.PieceDone {
 		return &Failure{Stage: stage, Service: group.Service, Reason: reason}
 	}
@@ -267,6 +273,37 @@
 	return there
 }
 
+// place notes where a stage's results lie.
+func (s *Results) place(stage int, pieces []call.PieceResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range pieces {
+		if p.Handle != "" {
+			s.centres[stage] = p.DataCentre
+			return
+		}
+	}
+}
+
+// nearest is the data centre in which a stage runs with the fewest bytes
+// between data centres, and how many it saves. Every piece reads every input;
+// the results of a last stage are read by the engine.
+func (s *Results) nearest(w Work, g *graph, stage int) (host.DataCentre, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best, saved := w.Home, int64(0)
+	if g.isLast(stage) {
+		saved = int64(g.pieces[stage]) * w.Stages[stage].ResultBytes
+	}
+	for _, before := range w.Stages[stage].After {
+		bytes := int64(g.pieces[stage]*g.pieces[before]) * w.Stages[before].ResultBytes
+		if bytes > saved {
+			best, saved = s.centres[before], bytes
+		}
+	}
+	return best, saved
+}
+
 // keep notes results that are to be given up.
 func (s *Results) keep(service string, handles []string) {
 	s.mu.Lock()
