--- a/edge/edge.go
+++ b/edge/edge.go
@@ -24,6 +24,7 @@
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/member"
+	"github.com/galenaseam/galenaseam/pace"
 	"github.com/galenaseam/galenaseam/quarantine"
 	"github.com/galenaseam/galenaseam/retry"
 	"github.com/galenaseam/galenaseam/routing"
@@ -161,9 +162,9 @@
 	h.gateway = gateway.New(gateway.Config{
 		Codec: h.platform.Codec, Routes: h.directory.Routes, Instances: h.instances, Transport: h.transport,
 		Stages: staging.NewRunner(staging.RunnerConfig{
-			Fleet: h.members, Caller: h.peers, Gatherer: h.gatherer, Logger: h.logger,
+			Fleet: h.members, Caller: h.peers, Gatherer: h.gatherer, Service: h.service, Logger: h.logger,
 		}, h.mux),
-		Retries: h.retries, Quarantine: suspects, DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
+		Retries: h.retries, Paces: pace.NewTable(), Quarantine: suspects, DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
 		Metrics: gateway.NewMetrics(h.registry),
 	})
 	h.callers = newCallers(h.gateway, h.directory.Routes, h.logger)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/pace"
 	"github.com/galenaseam/galenaseam/quarantine"
 	"github.com/galenaseam/galenaseam/retry"
 	"github.com/galenaseam/galenaseam/routing"
@@ -49,6 +50,7 @@
 	Transport  *transport.Client
 	Stages     *staging.Runner
 	Retries    *retry.Budget
+	Paces      *pace.Table
 	Quarantine *quarantine.Quarantine
 	DataCentre host.DataCentre
 	Logger     *slog.Logger
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -74,7 +74,7 @@
 		return refusal{}, true
 	}
 	results, err := x.config.Stages.Run(x.ctx, staging.Work{
-		Request: x.request, Stages: x.route.Stages, Deadline: x.deadline, Aim: x.aim, Priority: x.priority,
+		Request: x.request, Stages: x.route.Stages, Deadline: x.deadline, Aim: x.aim.Add(-x.config.Paces.Of(x.service)), Priority: x.priority,
 		Home: x.home(),
 	})
 	x.stagesIn = time.Since(x.request.Arrived)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -91,6 +91,10 @@
 			stall.Reset(max(stallGaps*r.route.EventGap, minStall))
 		}
 		r.begin(s)
+		if s.first == 0 {
+			s.first = time.Since(s.begun)
+			r.config.Paces.Observe(r.service, s.first)
+		}
 		if err := r.write(event.raw); err != nil {
 			s.overWith(instance.Abandoned, "caller_left", err)
 			r.finish(refusal{reason: "caller_left", hangUp: true})
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -29,6 +29,8 @@
 	Addr     string `json:"addr"`
 	InFlight int    `json:"in_flight"`
 	SentMS   int64  `json:"sent_ms"`
+	HeadMS   int64  `json:"head_ms,omitempty"`
+	FirstMS  int64  `json:"first_event_ms,omitempty"`
 	TookMS   int64  `json:"took_ms"`
 	Status   int    `json:"status,omitempty"`
 	Outcome  string `json:"outcome"`
@@ -134,6 +136,8 @@
 	ctx     context.Context // of this sending alone
 	chosen  instance.Status
 	begun   time.Time
+	head    time.Duration // to the head of the answer
+	first   time.Duration // to the first event
 	answer  *call.Answer
 	closing func()
 }
@@ -171,6 +175,7 @@
 	s.answer = x.config.Codec.DecodeAnswer(got.Response)
 	s.answer.Body = got.Body
 	s.closing = got.Close
+	s.head = time.Since(s.begun)
 	return s, s.judgeHead()
 }
 
@@ -274,7 +279,7 @@
 	t := try{
 		Upstream: string(s.chosen.ID), Addr: s.chosen.Addr.String(), InFlight: s.chosen.InFlight,
 		SentMS: s.begun.Sub(s.request.Arrived).Milliseconds(), TookMS: now.Sub(s.begun).Milliseconds(),
-		Status: status, Outcome: what,
+		HeadMS: s.head.Milliseconds(), FirstMS: s.first.Milliseconds(), Status: status, Outcome: what,
 	}
 	if err != nil {
 		t.Error = err.Error()
--- a/staging/queue.go
+++ b/staging/queue.go
@@ -126,6 +126,8 @@
 	if at.atCalls && q.pieces(at, now) < spec.Batch {
 		return nil
 	}
+	// Calls are filled to the last piece when more waits than one takes.
+	long := q.pieces(at, now) > spec.Batch
 	left := spec.Batch
 	var taken []share
 	for _, w := range q.waiting {
@@ -136,7 +138,7 @@
 		if !w.mayRunAt(at, now) {
 			continue
 		}
-		if n > left && (n <= spec.Batch || len(taken) > 0) {
+		if n > left && !long && (n <= spec.Batch || len(taken) > 0) {
 			continue
 		}
 		n = min(n, left)
@@ -155,10 +157,15 @@
 	return taken
 }
 
-// sort puts the groups that can be in time first, by their aims; the others
-// follow by their deadlines.
+// priorityStep is how much later a group with the next lower priority may as
+// well be done.
+const priorityStep = 150 * time.Millisecond
+
+// sort puts the groups that can be in time first, by their aims and
+// priorities; the others follow by their priorities and deadlines.
 func (q *queue) sort(now time.Time, callTime time.Duration) {
 	inTime := func(w *work) bool { return !now.Add(callTime).After(w.aim) }
+	due := func(w *work) time.Time { return w.aim.Add(time.Duration(w.Priority) * priorityStep) }
 	slices.SortStableFunc(q.waiting, func(a, b *work) int {
 		x, y := inTime(a), inTime(b)
 		switch {
@@ -167,7 +174,7 @@
 		case y && !x:
 			return 1
 		case x:
-			return a.aim.Compare(b.aim)
+			return due(a).Compare(due(b))
 		default:
 			return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.deadline.Compare(b.deadline))
 		}
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,11 +31,14 @@
 	// gatherSlack is how much longer than the work's own time the way to the
 	// gatherer and back may take.
 	gatherSlack = 150 * time.Millisecond
-	// silentAfter bounds the wait for a gatherer when the caller would wait
-	// much longer: a frozen host does not answer at all.
-	silentAfter = 2500 * time.Millisecond
+	// lifeInterval is how often the membership is asked whether a gatherer that
+	// has not answered yet still lives.
+	lifeInterval = 250 * time.Millisecond
 	// gatherTries is how many gatherers a group is given to.
 	gatherTries = 3
+	// waitShare is how many times its fixed duration a stage takes, with the
+	// wait for its turn and other requests' pieces in the call.
+	waitShare = 3 / 2.0
 )
 
 // Failure is why a request's stages could not be done.
@@ -63,7 +67,9 @@
 	Fleet    host.View
 	Caller   link.Caller
 	Gatherer *Gatherer
-	Logger   *slog.Logger
+	// Service describes a service of the configuration in force.
+	Service func(name string) (*routing.Service, bool)
+	Logger  *slog.Logger
 }
 
 // NewRunner makes a runner and serves other hosts' groups on the registrar.
@@ -92,7 +98,7 @@
 	Request  *call.Request
 	Stages   []routing.Stage
 	Deadline time.Time
-	// Aim is when the stages should be done for the answer to be in time.
+	// Aim is when the last stage should be done for the answer to be in time.
 	Aim      time.Time
 	Priority int
 	// Home is the data centre of the engine that is likely to run the request.
@@ -155,7 +161,7 @@
 	now := time.Now()
 	group := Group{
 		Service: w.Stages[stage].Service, RequestID: w.Request.ID, Stage: stage, Pieces: g.pieces[stage],
-		Inputs: inputs, Remaining: w.Deadline.Sub(now), Aim: w.Aim.Sub(now),
+		Inputs: inputs, Remaining: w.Deadline.Sub(now), Aim: w.Aim.Sub(now) - r.following(g, stage),
 		ResultBytes: w.Stages[stage].ResultBytes, Priority: w.Priority,
 	}
 	if len(w.Stages[stage].After) == 0 {
@@ -186,6 +192,23 @@
 	return nil
 }
 
+// following is about how long the stages take that come after one.
+func (r *Runner) following(g *graph, stage int) time.Duration {
+	longest := time.Duration(0)
+	for i, s := range g.stages {
+		if g.pieces[i] == 0 || !slices.Contains(s.After, stage) {
+			continue
+		}
+		took := r.following(g, i)
+		if described, known := r.config.Service(s.Service); known && described.Stages != nil {
+			spec := described.Stages
+			took += time.Duration(waitShare*float64(spec.CallTime)) + time.Duration(g.pieces[i])*spec.PieceTime
+		}
+		longest = max(longest, took)
+	}
+	return longest
+}
+
 // onlyFollower says whether a stage's results serve one other stage alone.
 func (g *graph) onlyFollower(stage, follower int) bool {
 	for i, s := range g.stages {
@@ -229,8 +252,9 @@
 
 // ask gives a group to another host.
 func (r *Runner) ask(ctx context.Context, owner host.Info, g Group) ([]call.PieceResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, min(g.Remaining+gatherSlack, silentAfter))
+	ctx, cancel := context.WithTimeout(ctx, g.Remaining+gatherSlack)
 	defer cancel()
+	go r.cancelWhenDead(ctx, cancel, owner.ID)
 	got, err := link.CallTyped[Group, gathered](ctx, r.config.Caller, owner.LinkAddr, gatherMethod, g)
 	if err != nil {
 		return nil, err
@@ -241,6 +265,24 @@
 	return got.Results, nil
 }
 
+// cancelWhenDead ends a call when the membership no longer hears its peer: a
+// frozen or partitioned host does not answer.
+func (r *Runner) cancelWhenDead(ctx context.Context, cancel context.CancelFunc, peer host.ID) {
+	ticker := time.NewTicker(lifeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if m, known := r.config.Fleet.Lookup(peer); !known || m.State == host.Suspect || m.State == host.Dead {
+				cancel()
+				return
+			}
+		}
+	}
+}
+
 // gathererOf is the host that gathers for a service, by rendezvous hashing
 // over the hosts that live.
 func (r *Runner) gathererOf(service string, now time.Time) host.Info {
