--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,13 +84,17 @@
 // exchange is one request on its way through the gateway.
 type exchange struct {
 	*Gateway
-	w        http.ResponseWriter
-	r        *http.Request
-	request  *call.Request
-	table    *routing.Table
-	route    *routing.Route
-	service  string
-	digest   quarantine.Digest
+	w       http.ResponseWriter
+	r       *http.Request
+	request *call.Request
+	table   *routing.Table
+	route   *routing.Route
+	service string
+	digest  quarantine.Digest
+	// alone says that the request is suspected of crashing upstreams, and runs
+	// on this host alone; cleared that it ran to its end.
+	alone    bool
+	cleared  bool
 	priority int
 	// workspace is the name that upstreams are given, "" for none.
 	workspace string
@@ -200,6 +204,16 @@
 
 // release gives up what the request holds.
 func (x *exchange) release() {
+	if x.alone && x.cleared {
+		x.config.Quarantine.Ended(x.digest, "", false)
+	} else if x.alone {
+		x.config.Quarantine.GiveBack(x.digest)
+	}
+	x.freeInputs()
+}
+
+// freeInputs gives up the results of the stages.
+func (x *exchange) freeInputs() {
 	if x.inputs != nil {
 		x.inputs.Free()
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -37,6 +37,7 @@
 		return ended
 	}
 	s.over(instance.Answered, status, "answered")
+	x.cleared = true
 	x.pass(s.answer, body)
 	return ended
 }
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -48,6 +48,7 @@
 func (x *exchange) screen() (refusal, bool) {
 	x.digest = x.digestOf()
 	verdict := x.config.Quarantine.Check(time.Now(), x.digest)
+	x.alone = verdict == quarantine.RunAlone
 	if verdict != quarantine.Refuse {
 		return refusal{}, true
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -117,7 +117,7 @@
 	r.copyHeader(s.answer)
 	r.w.Header().Del("Content-Length")
 	r.w.WriteHeader(s.answer.Status)
-	r.release()
+	r.freeInputs()
 }
 
 func (r *relay) write(raw []byte) error {
@@ -130,6 +130,7 @@
 // complete ends a stream that came whole.
 func (r *relay) complete(s *sending) result {
 	r.begin(s)
+	r.cleared = true
 	s.over(instance.Answered, s.answer.Status, "answered")
 	r.log("answered", s.answer.Status, "")
 	return ended
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -12,7 +12,6 @@
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/transport"
-	"github.com/galenaseam/galenaseam/upstream"
 )
 
 const (
@@ -240,17 +239,11 @@
 		s.overWith(instance.Broke, "stalled", err)
 	default:
 		s.overWith(instance.Broke, what, err)
-		s.reportLoss()
+		go s.confirmLoss(s.digest, s.chosen)
 	}
 	return unknown
 }
 
-// reportLoss tells the quarantine of an upstream that broke off under the
-// request.
-func (s *sending) reportLoss() {
-	s.config.Quarantine.Ended(s.digest, upstream.ID(s.chosen.ID), true)
-}
-
 // body reads the whole answer.
 func (s *sending) body() ([]byte, error) {
 	raw, err := io.ReadAll(io.LimitReader(s.answer.Body, maxAnswerBytes+1))
--- a/guard.go
+++ b/guard.go
@@ -1,7 +1,6 @@
 package galenaseam
 
 import (
-	"encoding/hex"
 	"log/slog"
 	"time"
 
@@ -20,7 +19,7 @@
 func (g guard) Screen(d request.Digest) request.Screening {
 	verdict := g.quarantine.Check(time.Now(), quarantine.Digest(d))
 	if verdict != quarantine.Allow {
-		g.logger.Warn("suspect request", "digest", short(d), "verdict", verdict.String())
+		g.logger.Warn("suspect request", "digest", quarantine.Digest(d).String(), "verdict", verdict.String())
 	}
 	switch verdict {
 	case quarantine.RunAlone:
@@ -39,7 +38,7 @@
 
 // Lost takes note that an upstream died while it ran a request.
 func (g guard) Lost(d request.Digest, id upstream.ID) {
-	g.logger.Warn("upstream lost under a request", "digest", short(d), "upstream", string(id))
+	g.logger.Warn("upstream lost under a request", "digest", quarantine.Digest(d).String(), "upstream", string(id))
 	g.quarantine.Ended(quarantine.Digest(d), id, true)
 }
 
@@ -52,9 +51,3 @@
 	}
 	g.quarantine.GiveBack(quarantine.Digest(d))
 }
-
-// short is enough of a digest to find a request's lines in the log.
-func short(d request.Digest) string {
-	const shown = 8 // bytes
-	return hex.EncodeToString(d[:shown])
-}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -255,6 +255,11 @@
 	})
 }
 
+// Unreachable notes that nothing listens at an upstream's address.
+func (t *Table) Unreachable(id ID, now time.Time) {
+	t.update(id, func(i *Instance) { i.learn(Unreachable, 0, now) })
+}
+
 // learn updates the belief in an instance's health.
 func (i *Instance) learn(outcome Outcome, took time.Duration, now time.Time) {
 	switch outcome {
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"encoding/hex"
 	"time"
 
 	"github.com/galenaseam/galenaseam/upstream"
@@ -9,6 +10,12 @@
 // Digest names a request by its content.
 type Digest [32]byte
 
+// shownBytes of a digest are enough to find a request's lines in the log.
+const shownBytes = 8
+
+// String returns the first bytes of the digest in hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:shownBytes]) }
+
 // Verdict is what may be done with a request.
 type Verdict uint8
 
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -157,6 +157,16 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
+// Reach opens a connection and closes it, to see whether anything listens.
+func (c *Client) Reach(ctx context.Context, addr netip.AddrPort) error {
+	c.dials.Inc()
+	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp4", addr.String())
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(raw.Close())
+}
+
 // takeIdle returns the connection used last that is still good, or nil.
 func (c *Client) takeIdle(addr netip.AddrPort) *conn {
 	now := time.Now()
