Queue no call at a stage server; refuse by queue; start heavy stages just in time

Calls that waited at a server reserved room that they did not use yet, and quick-answer's heavy stage lay there while the chain of three stages ran. The log now tells each second what waits, at what rate, on what servers and how long results are held. Callers leave a stream that has not begun after four objectives, so that is the deadline of stages now, and a group whose queue is too long is refused at once. Ruled out: results that are never freed (they expire as planned).

--- a/call/call.go
+++ b/call/call.go
@@ -134,13 +134,15 @@
 	PieceNoRoom
 	// PieceError: the stage server failed, or its answer was lost.
 	PieceError
-	// PieceRefused: no stage server took the piece.
+	// PieceRefused: no stage server takes the piece.
 	PieceRefused
+	// PieceOverload: too much waits for the piece to be done in time.
+	PieceOverload
 )
 
 // String returns the lower-case name of the failure.
 func (f PieceFailure) String() string {
-	return [...]string{"done", "late", "input_gone", "no_room", "error", "refused"}[f]
+	return [...]string{"done", "late", "input_gone", "no_room", "error", "refused", "overload"}[f]
 }
 
 // PieceResult is where a piece's result lies, or why there is none.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,6 +81,15 @@
 	defaultMaxBody = 4 << 20
 )
 
+// Callers leave a stream that is silent for the longest of these.
+const (
+	minSilence        = 2 * time.Second
+	silenceObjectives = 4
+	silenceGaps       = 8
+	// startMargin is taken off that for the way of the first event.
+	startMargin = 100 * time.Millisecond
+)
+
 // exchange is one request on its way through the gateway.
 type exchange struct {
 	*Gateway
@@ -100,6 +109,8 @@
 	workspace string
 	deadline  time.Time
 	aim       time.Time
+	// startBy is when a stream must have begun, for its caller leaves then.
+	startBy time.Time
 	// ctx ends with the caller's connection or at the deadline.
 	ctx    context.Context
 	inputs *staging.Results
@@ -174,12 +185,24 @@
 		patience = min(patience, x.route.Timeout)
 	}
 	x.deadline = x.request.Arrived.Add(patience - answerMargin)
+	x.startBy = x.deadline
+	if x.route.Kind == routing.Stream {
+		silence := max(minSilence, silenceObjectives*x.route.Objective, silenceGaps*x.route.EventGap)
+		x.startBy = earlier(x.deadline, x.request.Arrived.Add(silence-startMargin))
+	}
 	x.aim = x.request.Arrived.Add(x.route.Objective)
 	if x.route.Objective <= 0 {
 		x.aim = x.deadline
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // serve runs a request that was read whole.
 func (x *exchange) serve() {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -74,8 +74,9 @@
 	if len(x.route.Stages) == 0 {
 		return refusal{}, true
 	}
+	pace := x.config.Paces.Of(x.service)
 	results, err := x.config.Stages.Run(x.ctx, staging.Work{
-		Request: x.request, Stages: x.route.Stages, Deadline: x.deadline, Aim: x.aim.Add(-x.config.Paces.Of(x.service)), Priority: x.priority,
+		Request: x.request, Stages: x.route.Stages, Deadline: x.startBy.Add(-pace), Aim: x.aim.Add(-pace), Priority: x.priority,
 		Home: x.home(),
 	})
 	x.stagesIn = time.Since(x.request.Arrived)
--- a/staging/batch.go
+++ b/staging/batch.go
@@ -38,12 +38,11 @@
 		}
 	}
 	b.expected = spec.CallTime + time.Duration(len(pieces))*spec.PieceTime
-	waiting := s.running[server.ID]
 	s.running[server.ID]++
 	s.room.reserve(server.ID, b.bytes)
 	g.config.Servers.Begin(server.ID, 0)
 	g.metrics.call(s.name, len(pieces))
-	timeout := slowFactor*time.Duration(1+waiting)*b.expected + slowSlack
+	timeout := slowFactor*b.expected + slowSlack
 	go g.run(b, pieces, timeout)
 }
 
@@ -97,6 +96,7 @@
 		s.pace[b.server.ID] = s.paceOf(b.server.ID) + paceWeight*(pace-s.paceOf(b.server.ID))
 	}
 	at := 0
+	s.drain.done(len(results))
 	for _, share := range b.shares {
 		w := share.work
 		var failed []int
@@ -109,7 +109,7 @@
 				failed, reason = append(failed, index), result.Failure
 				continue
 			}
-			s.room.keep(result.Handle, b.server.ID, w.ResultBytes, now.Add(b.spec.KeepResults))
+			s.room.keep(result.Handle, b.server.ID, w.ResultBytes, now, b.spec.KeepResults)
 			if w.ended {
 				g.freeLater(result.Handle)
 				continue
@@ -191,14 +191,15 @@
 	if err := g.config.Caller.FreeResults(ctx, handles); err != nil {
 		g.config.Logger.Warn("results not given up", "results", len(handles), "error", err.Error())
 	}
+	now := time.Now()
 	g.mu.Lock()
 	for _, s := range g.services {
 		for _, handle := range handles {
-			s.room.give(handle)
+			s.room.give(handle, now)
 		}
 	}
 	g.mu.Unlock()
-	g.tick(time.Now())
+	g.tick(now)
 }
 
 // freeTimeout bounds giving up results, which then end by themselves.
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -79,6 +80,8 @@
 	running map[instance.ID]int
 	paused  map[instance.ID]time.Time
 	pace    map[instance.ID]float64 // duration of a call against the usual
+	drain   drain
+	told    time.Time // when the log was last told of the queue
 }
 
 // NewGatherer makes a gatherer. Run it to have its timers work.
@@ -105,20 +108,60 @@
 	var ended []func()
 	for _, s := range g.services {
 		s.room.expire(now)
+		if spec, known := g.spec(s.name); known {
+			s.drain.tick(now, len(s.queue.waiting) > 0, s.capacity(g.config.Servers.Service(s.name, now), spec))
+		}
 		ended = append(ended, g.pump(s, now)...)
+		g.tell(s, now)
 	}
 	g.mu.Unlock()
 	runAll(ended)
 }
 
+// tellInterval is how often the log is told of a queue that is not empty.
+const tellInterval = time.Second
+
+// serverState is a server as the log shows it.
+type serverState struct {
+	Upstream  string `json:"upstream"`
+	Running   int    `json:"running"`
+	RoomBytes int64  `json:"results_bytes"`
+	Pace      string `json:"pace"`
+	Ejected   bool   `json:"ejected,omitempty"`
+	Paused    bool   `json:"paused,omitempty"`
+}
+
+// tell tells the log what waits and on what servers. The caller holds mu.
+func (g *Gatherer) tell(s *gathering, now time.Time) {
+	if len(s.queue.waiting) == 0 || now.Sub(s.told) < tellInterval {
+		return
+	}
+	s.told = now
+	var states []serverState
+	for _, server := range g.config.Servers.Service(s.name, now) {
+		states = append(states, serverState{
+			Upstream: string(server.ID), Running: s.running[server.ID], RoomBytes: s.room.byServer[server.ID],
+			Pace: strconv.FormatFloat(s.paceOf(server.ID), 'f', 2, 64), Ejected: server.Ejected,
+			Paused: now.Before(s.paused[server.ID]),
+		})
+	}
+	g.config.Logger.Info("stage queue", "service", s.name, "groups", len(s.queue.waiting), "pieces", s.queue.total(),
+		"rate", int(s.drain.rate), "held_ms", s.room.heldFor.Milliseconds(), "oldest_ms", now.Sub(s.queue.oldest()).Milliseconds(), "servers", states)
+}
+
 // Gather runs a group's pieces and returns a result for each. When ctx ends
-// pieces that wait are dropped.
+// pieces that wait are dropped. A group for which too much waits is refused at
+// once.
 func (g *Gatherer) Gather(ctx context.Context, group Group) []call.PieceResult {
 	answer := make(chan []call.PieceResult, 1)
 	now := time.Now()
 	w := newWork(group, now, func(results []call.PieceResult) { answer <- results })
 	g.mu.Lock()
 	s := g.service(group.Service)
+	if spec, known := g.spec(group.Service); known && !s.inTime(w, spec, now) {
+		g.mu.Unlock()
+		return w.failed(call.PieceOverload)
+	}
 	s.queue.push(w)
 	ended := g.pump(s, now)
 	g.mu.Unlock()
@@ -156,18 +199,36 @@
 	return s
 }
 
+// spec describes the servers of a service, if it runs stages.
+func (g *Gatherer) spec(service string) (*routing.StageServer, bool) {
+	described, known := g.config.Service(service)
+	if !known || described.Stages == nil {
+		return nil, false
+	}
+	return described.Stages, true
+}
+
+// Wait is about how long a group that comes now waits for its turn.
+func (g *Gatherer) Wait(service string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.services[service]
+	if s == nil {
+		return 0
+	}
+	return s.drain.wait(s.queue.total())
+}
+
 // pump sends waiting pieces to free servers. The caller holds mu and runs what
 // pump returns after it has let go of it.
 func (g *Gatherer) pump(s *gathering, now time.Time) (ended []func()) {
 	if len(s.queue.waiting) == 0 {
 		return nil
 	}
-	described, known := g.config.Service(s.name)
-	if !known || described.Stages == nil {
-		ended = s.failAll(call.PieceRefused)
-		return ended
+	spec, known := g.spec(s.name)
+	if !known {
+		return s.failAll(call.PieceRefused)
 	}
-	spec := described.Stages
 	for _, late := range s.queue.expire(now, spec.CallTime) {
 		ended = append(ended, late.end(call.PieceLate))
 	}
@@ -178,7 +239,7 @@
 		served[server.DataCentre] = served[server.DataCentre] || !server.Ejected
 	}
 	for _, server := range s.free(servers, spec, now) {
-		at := place{centre: server.DataCentre, served: served, atCalls: s.running[server.ID] >= spec.Concurrency}
+		at := place{centre: server.DataCentre, served: served}
 		room := int64(roomShare*float64(spec.ResultRoom)) - s.room.byServer[server.ID]
 		if batch := s.queue.batch(now, spec, room, at); len(batch) > 0 {
 			g.start(s, server, spec, batch, now)
@@ -187,20 +248,19 @@
 	return ended
 }
 
-// free returns the servers that can take a call, those first that would be
-// done first. One that runs a call may have another wait.
+// free returns the servers that can take a call, the fastest first. None is
+// given a call to queue: what waits here can still be joined and reordered.
 func (s *gathering) free(servers []instance.Status, spec *routing.StageServer, now time.Time) []instance.Status {
 	var free []instance.Status
 	for _, server := range servers {
 		running := s.running[server.ID]
-		if server.Ejected || now.Before(s.paused[server.ID]) || running > spec.Concurrency ||
-			running == spec.Concurrency && spec.Queue == 0 {
+		if server.Ejected || now.Before(s.paused[server.ID]) || running >= spec.Concurrency {
 			continue
 		}
 		free = append(free, server)
 	}
 	slices.SortStableFunc(free, func(a, b instance.Status) int {
-		return cmp.Compare(s.paceOf(a.ID)*float64(1+s.running[a.ID]), s.paceOf(b.ID)*float64(1+s.running[b.ID]))
+		return cmp.Compare(s.paceOf(a.ID), s.paceOf(b.ID))
 	})
 	return free
 }
--- a/staging/queue.go
+++ b/staging/queue.go
@@ -75,9 +75,8 @@
 
 // place is a server's data centre, and which data centres have servers.
 type place struct {
-	centre  host.DataCentre
-	served  map[host.DataCentre]bool
-	atCalls bool // the server has a call already: only a whole batch may wait there
+	centre host.DataCentre
+	served map[host.DataCentre]bool
 }
 
 // mayRunAt says whether a group may run in a data centre now.
@@ -97,6 +96,37 @@
 	return n
 }
 
+// oldest is when the group that waits longest came.
+func (q *queue) oldest() time.Time {
+	oldest := q.waiting[0].queued
+	for _, w := range q.waiting {
+		if w.queued.Before(oldest) {
+			oldest = w.queued
+		}
+	}
+	return oldest
+}
+
+// total counts the pieces that wait.
+func (q *queue) total() int {
+	n := 0
+	for _, w := range q.waiting {
+		n += len(w.waiting)
+	}
+	return n
+}
+
+// ahead counts the pieces that would go before a new group.
+func (q *queue) ahead(w *work, now time.Time, callTime time.Duration) int {
+	n := 0
+	for _, other := range q.waiting {
+		if compare(other, w, now, callTime) <= 0 {
+			n += len(other.waiting)
+		}
+	}
+	return n
+}
+
 // expire takes out the groups that can't be done in time.
 func (q *queue) expire(now time.Time, callTime time.Duration) []*work {
 	var late []*work
@@ -123,9 +153,6 @@
 // server's memory. Groups are kept whole where they fit; a group that is larger
 // than a batch is split.
 func (q *queue) batch(now time.Time, spec *routing.StageServer, room int64, at place) []share {
-	if at.atCalls && q.pieces(at, now) < spec.Batch {
-		return nil
-	}
 	// Calls are filled to the last piece when more waits than one takes.
 	long := q.pieces(at, now) > spec.Batch
 	left := spec.Batch
@@ -161,22 +188,25 @@
 // well be done.
 const priorityStep = 150 * time.Millisecond
 
-// sort puts the groups that can be in time first, by their aims and
-// priorities; the others follow by their priorities and deadlines.
+// sort puts the groups in the order in which they are served.
 func (q *queue) sort(now time.Time, callTime time.Duration) {
+	slices.SortStableFunc(q.waiting, func(a, b *work) int { return compare(a, b, now, callTime) })
+}
+
+// compare orders groups: those that can be in time first, by their aims and
+// priorities; the others follow by their priorities and deadlines.
+func compare(a, b *work, now time.Time, callTime time.Duration) int {
 	inTime := func(w *work) bool { return !now.Add(callTime).After(w.aim) }
 	due := func(w *work) time.Time { return w.aim.Add(time.Duration(w.Priority) * priorityStep) }
-	slices.SortStableFunc(q.waiting, func(a, b *work) int {
-		x, y := inTime(a), inTime(b)
-		switch {
-		case x && !y:
-			return -1
-		case y && !x:
-			return 1
-		case x:
-			return due(a).Compare(due(b))
-		default:
-			return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.deadline.Compare(b.deadline))
-		}
-	})
+	x, y := inTime(a), inTime(b)
+	switch {
+	case x && !y:
+		return -1
+	case y && !x:
+		return 1
+	case x:
+		return due(a).Compare(due(b))
+	default:
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.deadline.Compare(b.deadline))
+	}
 }
--- a/staging/room.go
+++ b/staging/room.go
@@ -11,14 +11,21 @@
 type room struct {
 	byHandle map[string]held
 	byServer map[instance.ID]int64
+	// heldFor is the mean time from the end of a call until its results are
+	// given up.
+	heldFor time.Duration
 }
 
 type held struct {
 	server instance.ID
 	bytes  int64
+	since  time.Time
 	until  time.Time
 }
 
+// heldWeight is the weight of the newest result in the mean.
+const heldWeight = 0.02
+
 func newRoom() *room {
 	return &room{byHandle: make(map[string]held), byServer: make(map[instance.ID]int64)}
 }
@@ -34,17 +41,18 @@
 }
 
 // keep notes a result that a reservation has become.
-func (r *room) keep(handle string, server instance.ID, bytes int64, until time.Time) {
-	r.byHandle[handle] = held{server: server, bytes: bytes, until: until}
+func (r *room) keep(handle string, server instance.ID, bytes int64, now time.Time, life time.Duration) {
+	r.byHandle[handle] = held{server: server, bytes: bytes, since: now, until: now.Add(life)}
 }
 
-// give frees a result and returns its maker.
-func (r *room) give(handle string) {
+// give frees a result.
+func (r *room) give(handle string, now time.Time) {
 	h, known := r.byHandle[handle]
 	if !known {
 		return
 	}
 	delete(r.byHandle, handle)
+	r.heldFor += time.Duration(heldWeight * float64(now.Sub(h.since)-r.heldFor))
 	r.release(h.server, h.bytes)
 }
 
@@ -52,7 +60,7 @@
 func (r *room) expire(now time.Time) {
 	for handle, h := range r.byHandle {
 		if now.After(h.until) {
-			r.give(handle)
+			r.give(handle, now)
 		}
 	}
 }
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -13,6 +13,7 @@
 
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/routing"
 )
@@ -58,8 +59,15 @@
 type Runner struct {
 	config RunnerConfig
 
-	mu      sync.Mutex // guards avoided
+	mu      sync.Mutex // guards what follows
 	avoided map[host.ID]time.Time
+	waits   map[string]wait
+}
+
+// wait is what a service's gatherer said of its queue.
+type wait struct {
+	wait time.Duration
+	at   time.Time
 }
 
 // RunnerConfig is what a Runner is made of.
@@ -74,9 +82,10 @@
 
 // NewRunner makes a runner and serves other hosts' groups on the registrar.
 func NewRunner(config RunnerConfig, registrar link.Registrar) *Runner {
-	r := &Runner{config: config, avoided: make(map[host.ID]time.Time)}
+	r := &Runner{config: config, avoided: make(map[host.ID]time.Time), waits: make(map[string]wait)}
 	link.HandleTyped(registrar, gatherMethod, func(ctx context.Context, g Group) (gathered, error) {
-		return gathered{Results: config.Gatherer.Gather(ctx, g)}, nil
+		results := config.Gatherer.Gather(ctx, g)
+		return gathered{Results: results, Wait: config.Gatherer.Wait(g.Service)}, nil
 	})
 	link.HandleTyped(registrar, freeMethod, func(_ context.Context, f freed) (struct{}, error) {
 		config.Gatherer.Free(f.Handles)
@@ -87,6 +96,8 @@
 
 type gathered struct {
 	Results []call.PieceResult `cbor:"1,keyasint"`
+	// Wait is how long a group that comes now waits for its turn.
+	Wait time.Duration `cbor:"2,keyasint"`
 }
 
 type freed struct {
@@ -95,10 +106,11 @@
 
 // Work is what a request asks of its stages.
 type Work struct {
-	Request  *call.Request
-	Stages   []routing.Stage
+	Request *call.Request
+	Stages  []routing.Stage
+	// Deadline is when the last stage must be done for the request to be of
+	// use, Aim when it should be done for the answer to be in time.
 	Deadline time.Time
-	// Aim is when the last stage should be done for the answer to be in time.
 	Aim      time.Time
 	Priority int
 	// Home is the data centre of the engine that is likely to run the request.
@@ -122,6 +134,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if late := r.foresee(w, g, time.Now()); late != nil {
+		return nil, late
+	}
 	results := &Results{runner: r, spent: make(map[string][]string), centres: make(map[int]host.DataCentre)}
 	group, ctx := errgroup.WithContext(ctx)
 	done := make([]chan struct{}, len(w.Stages))
@@ -157,11 +172,14 @@
 	if g.pieces[stage] == 0 {
 		return nil
 	}
+	if err := sleep.For(ctx, r.startDelay(g, stage)); err != nil {
+		return err
+	}
 	inputs := g.inputs(stage)
 	now := time.Now()
 	group := Group{
 		Service: w.Stages[stage].Service, RequestID: w.Request.ID, Stage: stage, Pieces: g.pieces[stage],
-		Inputs: inputs, Remaining: w.Deadline.Sub(now), Aim: w.Aim.Sub(now) - r.following(g, stage),
+		Inputs: inputs, Remaining: w.Deadline.Sub(now) - r.following(g, stage), Aim: w.Aim.Sub(now) - r.following(g, stage),
 		ResultBytes: w.Stages[stage].ResultBytes, Priority: w.Priority,
 	}
 	if len(w.Stages[stage].After) == 0 {
@@ -199,16 +217,64 @@
 		if g.pieces[i] == 0 || !slices.Contains(s.After, stage) {
 			continue
 		}
-		took := r.following(g, i)
-		if described, known := r.config.Service(s.Service); known && described.Stages != nil {
-			spec := described.Stages
-			took += time.Duration(waitShare*float64(spec.CallTime)) + time.Duration(g.pieces[i])*spec.PieceTime
-		}
-		longest = max(longest, took)
+		longest = max(longest, r.pathTime(g, i))
 	}
 	return longest
 }
 
+// waitMaxAge is how long a gatherer's word on its queue is taken for true.
+const waitMaxAge = 700 * time.Millisecond
+
+// foresee finds the first stage whose queue is known to be too long for the
+// request to be of use, so that it is refused before anything is done for it.
+func (r *Runner) foresee(w Work, g *graph, now time.Time) error {
+	for i, s := range g.stages {
+		if g.pieces[i] == 0 {
+			continue
+		}
+		r.mu.Lock()
+		known := r.waits[s.Service]
+		r.mu.Unlock()
+		if now.Sub(known.at) < waitMaxAge && now.Add(known.wait+r.following(g, i)).After(w.Deadline) {
+			return &Failure{Stage: i, Service: s.Service, Reason: call.PieceOverload}
+		}
+	}
+	return nil
+}
+
+// startDelay is how long a stage off the longest path may wait, so that its
+// results do not take memory while the others are made.
+func (r *Runner) startDelay(g *graph, stage int) time.Duration {
+	if len(g.stages[stage].After) > 0 || g.stages[stage].ResultBytes < heavyBytes {
+		return 0
+	}
+	longest := time.Duration(0)
+	for i, s := range g.stages {
+		if len(s.After) == 0 && g.pieces[i] > 0 {
+			longest = max(longest, r.pathTime(g, i))
+		}
+	}
+	return max(longest-r.pathTime(g, stage)-startMargin, 0)
+}
+
+// startMargin is left for a wait for the stage's turn.
+const startMargin = 150 * time.Millisecond
+
+// pathTime is about how long a stage and what follows it take.
+func (r *Runner) pathTime(g *graph, stage int) time.Duration {
+	return r.stageTime(g, stage) + r.following(g, stage)
+}
+
+// stageTime is about how long a stage takes.
+func (r *Runner) stageTime(g *graph, stage int) time.Duration {
+	described, known := r.config.Service(g.stages[stage].Service)
+	if !known || described.Stages == nil {
+		return 0
+	}
+	spec := described.Stages
+	return time.Duration(waitShare*float64(spec.CallTime)) + time.Duration(g.pieces[stage])*spec.PieceTime
+}
+
 // onlyFollower says whether a stage's results serve one other stage alone.
 func (g *graph) onlyFollower(stage, follower int) bool {
 	for i, s := range g.stages {
@@ -262,6 +328,9 @@
 	if len(got.Results) != g.Pieces {
 		return nil, Error.New("gatherer returned %d results for %d pieces", len(got.Results), g.Pieces)
 	}
+	r.mu.Lock()
+	r.waits[g.Service] = wait{wait: got.Wait, at: time.Now()}
+	r.mu.Unlock()
 	return got.Results, nil
 }
 
