Place requests on engines by one keeper's book of backlogs and cached parts

One host now keeps a book for each engine service; the others ask it, and choose by themselves when it does not answer within 120 ms.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -96,16 +96,6 @@
 	})
 }
 
-// Home is the data centre of the engine that a prefix goes to while none has
-// too much work; "" when there is none.
-func Home(all []instance.Status, prefix uint64) host.DataCentre {
-	candidates := usable(all, Need{})
-	if prefix == 0 || len(candidates) == 0 {
-		return ""
-	}
-	return ranked(candidates, prefix)[0].DataCentre
-}
-
 // usable are the upstreams that may be chosen: healthy ones, or any if none is.
 func usable(all []instance.Status, need Need) []instance.Status {
 	var healthy, others []instance.Status
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -24,7 +24,9 @@
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/member"
+	"github.com/galenaseam/galenaseam/ownership"
 	"github.com/galenaseam/galenaseam/pace"
+	"github.com/galenaseam/galenaseam/placement"
 	"github.com/galenaseam/galenaseam/quarantine"
 	"github.com/galenaseam/galenaseam/retry"
 	"github.com/galenaseam/galenaseam/routing"
@@ -159,12 +161,17 @@
 	if err != nil {
 		return err
 	}
+	owners := ownership.New(h.members)
+	placer := placement.New(placement.Config{
+		Engines: h.instances, Service: h.service, Owners: owners, Caller: h.peers,
+		Near: h.settings.Place.DataCentre, Logger: h.logger,
+	}, h.mux)
 	h.gateway = gateway.New(gateway.Config{
 		Codec: h.platform.Codec, Routes: h.directory.Routes, Instances: h.instances, Transport: h.transport,
 		Stages: staging.NewRunner(staging.RunnerConfig{
-			Fleet: h.members, Caller: h.peers, Gatherer: h.gatherer, Service: h.service, Logger: h.logger,
+			Owners: owners, Caller: h.peers, Gatherer: h.gatherer, Service: h.service, Logger: h.logger,
 		}, h.mux),
-		Retries: h.retries, Paces: pace.NewTable(), Quarantine: suspects, DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
+		Retries: h.retries, Paces: pace.NewTable(), Placer: placer, Quarantine: suspects, DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
 		Metrics: gateway.NewMetrics(h.registry),
 	})
 	h.callers = newCallers(h.gateway, h.directory.Routes, h.logger)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/pace"
+	"github.com/galenaseam/galenaseam/placement"
 	"github.com/galenaseam/galenaseam/quarantine"
 	"github.com/galenaseam/galenaseam/retry"
 	"github.com/galenaseam/galenaseam/routing"
@@ -51,6 +52,7 @@
 	Stages     *staging.Runner
 	Retries    *retry.Budget
 	Paces      *pace.Table
+	Placer     *placement.Placer
 	Quarantine *quarantine.Quarantine
 	DataCentre host.DataCentre
 	Logger     *slog.Logger
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -6,6 +6,7 @@
 
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/placement"
 	"github.com/galenaseam/galenaseam/routing"
 )
 
@@ -15,10 +16,10 @@
 }
 
 // plainOnce sends the request to one upstream.
-func (x *exchange) plainOnce(chosen instance.Status) result {
+func (x *exchange) plainOnce(chosen instance.Status, ticket placement.Ticket) result {
 	ctx, cancel := x.sendContext()
 	defer cancel()
-	s, outcome := x.send(ctx, chosen, call.NoEvent)
+	s, outcome := x.send(ctx, chosen, ticket, call.NoEvent)
 	if outcome != ended {
 		return outcome
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/placement"
 )
 
 const (
@@ -34,12 +35,12 @@
 }
 
 // once runs the stream, or the rest of it, on one upstream.
-func (r *relay) once(chosen instance.Status) result {
+func (r *relay) once(chosen instance.Status, ticket placement.Ticket) result {
 	ctx, cancel := context.WithCancel(r.ctx)
 	defer cancel()
 	stall := r.watch(cancel)
 	defer stall.Stop()
-	s, outcome := r.send(ctx, chosen, r.last)
+	s, outcome := r.send(ctx, chosen, ticket, r.last)
 	if outcome != ended {
 		return outcome
 	}
@@ -93,6 +94,7 @@
 		r.begin(s)
 		if s.first == 0 {
 			s.first = time.Since(s.begun)
+			s.ticket.First()
 			r.config.Paces.Observe(r.service, s.first)
 		}
 		if err := r.write(event.raw); err != nil {
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -11,6 +11,7 @@
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/placement"
 	"github.com/galenaseam/galenaseam/transport"
 )
 
@@ -27,6 +28,8 @@
 	Upstream string `json:"upstream"`
 	Addr     string `json:"addr"`
 	InFlight int    `json:"in_flight"`
+	Keeper   string `json:"keeper,omitempty"`
+	WaitMS   int64  `json:"foreseen_ms,omitempty"`
 	SentMS   int64  `json:"sent_ms"`
 	HeadMS   int64  `json:"head_ms,omitempty"`
 	FirstMS  int64  `json:"first_event_ms,omitempty"`
@@ -50,7 +53,7 @@
 
 // sendUntilEnded sends the request to one upstream after another until once
 // has ended it, or no other may be tried.
-func (x *exchange) sendUntilEnded(once func(chosen instance.Status) result) {
+func (x *exchange) sendUntilEnded(once func(chosen instance.Status, ticket placement.Ticket) result) {
 	var tried []instance.ID
 	runs := 0
 	for {
@@ -58,7 +61,7 @@
 			x.giveUp("deadline_before_upstream")
 			return
 		}
-		chosen, found := x.choose(tried)
+		chosen, ticket, found := x.choose(tried)
 		if !found {
 			x.giveUp("no_upstream")
 			return
@@ -68,7 +71,7 @@
 			return
 		}
 		tried = append(tried, chosen.ID)
-		switch once(chosen) {
+		switch once(chosen, ticket) {
 		case ended:
 			return
 		case notRun:
@@ -87,53 +90,54 @@
 	}
 }
 
-// choose picks the next upstream.
-func (x *exchange) choose(tried []instance.ID) (instance.Status, bool) {
-	all := x.config.Instances.Service(x.service, time.Now())
-	need := balance.Need{Near: x.config.DataCentre, Tried: tried}
-	if s, known := x.table.Service(x.service); known && s.Engine != nil {
-		need.Prefix = x.prefix()
-		return balance.Engine(all, need, x.random)
+// choose picks the next upstream. The ticket is that of an engine.
+func (x *exchange) choose(tried []instance.ID) (instance.Status, placement.Ticket, bool) {
+	if !x.needsEngine() {
+		all := x.config.Instances.Service(x.service, time.Now())
+		chosen, found := balance.Plain(all, balance.Need{Near: x.config.DataCentre, Tried: tried}, x.random)
+		return chosen, placement.Ticket{}, found
 	}
-	return balance.Plain(all, need, x.random)
+	need := placement.Need{
+		RequestID: x.request.ID, Service: x.service, Parts: x.request.Prompt.Parts,
+		Tokens: x.request.Prompt.Tokens, Output: x.output(), Tried: tried,
+	}
+	if x.inputs != nil {
+		need.Inputs = x.inputs.Bytes
+	}
+	ticket, found := x.config.Placer.Place(x.ctx, need, x.random)
+	return ticket.Engine, ticket, found
+}
+
+func (x *exchange) needsEngine() bool {
+	s, known := x.table.Service(x.service)
+	return known && s.Engine != nil
 }
 
 // home is the data centre of the engine that is likely to run the request.
 func (x *exchange) home() host.DataCentre {
-	if s, known := x.table.Service(x.service); !known || s.Engine == nil {
+	if !x.needsEngine() {
 		return ""
 	}
-	return balance.Home(x.config.Instances.Service(x.service, time.Now()), x.prefix())
+	return placement.Home(x.config.Instances.Service(x.service, time.Now()), x.request.Prompt.Parts)
 }
 
-// prefix names the parts of the prompt that other requests may share: all but
-// the last.
-func (x *exchange) prefix() uint64 {
-	parts := x.request.Prompt.Parts
-	if len(parts) < 2 {
-		return 0
-	}
-	name := ""
-	for _, p := range parts[:len(parts)-1] {
-		name += p.ID + ","
+// output is how many tokens are expected to be made.
+func (x *exchange) output() int {
+	if x.request.Prompt.OutputHint > 0 {
+		return x.request.Prompt.OutputHint
 	}
-	return hash(name)
+	return x.request.Prompt.MaxOutput
 }
 
 // cost is the memory in tokens that a request takes of an engine.
-func (x *exchange) cost() int {
-	p := x.request.Prompt
-	if p.OutputHint > 0 {
-		return p.Tokens + p.OutputHint
-	}
-	return p.Tokens + p.MaxOutput
-}
+func (x *exchange) cost() int { return x.request.Prompt.Tokens + x.output() }
 
 // sending is one request under way to one upstream.
 type sending struct {
 	*exchange
 	ctx     context.Context // of this sending alone
 	chosen  instance.Status
+	ticket  placement.Ticket
 	begun   time.Time
 	head    time.Duration // to the head of the answer
 	first   time.Duration // to the first event
@@ -143,8 +147,8 @@
 
 // send sends the request and reads the head of the answer. A nil sending was
 // not answered; the result says what that means.
-func (x *exchange) send(ctx context.Context, chosen instance.Status, lastEvent int64) (*sending, result) {
-	s := &sending{exchange: x, ctx: ctx, chosen: chosen, begun: time.Now()}
+func (x *exchange) send(ctx context.Context, chosen instance.Status, ticket placement.Ticket, lastEvent int64) (*sending, result) {
+	s := &sending{exchange: x, ctx: ctx, chosen: chosen, ticket: ticket, begun: time.Now()}
 	if !x.config.Instances.MaySend(chosen.ID) {
 		s.over(instance.Abandoned, 0, "left")
 		return nil, notRun
@@ -267,10 +271,12 @@
 	if s.closing != nil {
 		s.closing()
 	}
+	s.ticket.End()
 	s.config.Instances.End(s.chosen.ID, s.cost(), outcome, now.Sub(s.begun), now)
 	s.config.Metrics.try(s.service, what)
 	t := try{
 		Upstream: string(s.chosen.ID), Addr: s.chosen.Addr.String(), InFlight: s.chosen.InFlight,
+		Keeper: s.ticket.Keeper, WaitMS: s.ticket.Wait.Milliseconds(),
 		SentMS: s.begun.Sub(s.request.Arrived).Milliseconds(), TookMS: now.Sub(s.begun).Milliseconds(),
 		HeadMS: s.head.Milliseconds(), FirstMS: s.first.Milliseconds(), Status: status, Outcome: what,
 	}
--- /dev/null
+++ b/ownership/ownership.go
@@ -0,0 +1,71 @@
+// Package ownership says which host does a task for the whole fleet. All hosts
+// that see the same members name the same host without a word between them;
+// when they differ for a moment, a task is done by two hosts, which its owner
+// must bear.
+package ownership
+
+import (
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/galenaseam/galenaseam/host"
+)
+
+// avoidFor is how long an owner that failed is passed over; by then the
+// membership has found out whether it lives.
+const avoidFor = 3 * time.Second
+
+// Table names owners. It is safe for concurrent use.
+type Table struct {
+	fleet host.View
+
+	mu      sync.Mutex // guards avoided
+	avoided map[host.ID]time.Time
+}
+
+// New makes a table over the members of a fleet.
+func New(fleet host.View) *Table {
+	return &Table{fleet: fleet, avoided: make(map[host.ID]time.Time)}
+}
+
+// Owner is the host that does a task, by rendezvous hashing over the hosts that
+// live. own says that it is the local one.
+func (t *Table) Owner(task string, now time.Time) (owner host.Info, own bool) {
+	self := t.fleet.Self()
+	best, bestRank := self, uint64(0)
+	for _, m := range t.fleet.Members() {
+		if m.State != host.Alive || t.isAvoided(m.ID, now) {
+			continue
+		}
+		if rank := xxh3.HashString(task + "\x00" + string(m.ID)); rank >= bestRank {
+			best, bestRank = m.Info, rank
+		}
+	}
+	return best, best.ID == self.ID
+}
+
+// Lives says whether the membership hears a host.
+func (t *Table) Lives(id host.ID) bool {
+	m, known := t.fleet.Lookup(id)
+	return known && m.State != host.Suspect && m.State != host.Dead
+}
+
+// Avoid passes an owner over for a while.
+func (t *Table) Avoid(id host.ID, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.avoided[id] = now.Add(avoidFor)
+}
+
+func (t *Table) isAvoided(id host.ID, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	until, there := t.avoided[id]
+	if there && now.After(until) {
+		delete(t.avoided, id)
+		return false
+	}
+	return there
+}
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -8,13 +8,13 @@
 	"sync"
 	"time"
 
-	"github.com/zeebo/xxh3"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/link"
+	"github.com/galenaseam/galenaseam/ownership"
 	"github.com/galenaseam/galenaseam/routing"
 )
 
@@ -26,9 +26,6 @@
 
 // How a host reaches the gatherers.
 const (
-	// avoidFor is how long a gatherer that failed is passed over; by then the
-	// membership has found out whether it lives.
-	avoidFor = 3 * time.Second
 	// gatherSlack is how much longer than the work's own time the way to the
 	// gatherer and back may take.
 	gatherSlack = 150 * time.Millisecond
@@ -59,9 +56,8 @@
 type Runner struct {
 	config RunnerConfig
 
-	mu      sync.Mutex // guards what follows
-	avoided map[host.ID]time.Time
-	waits   map[string]wait
+	mu    sync.Mutex // guards waits
+	waits map[string]wait
 }
 
 // wait is what a service's gatherer said of its queue.
@@ -72,7 +68,7 @@
 
 // RunnerConfig is what a Runner is made of.
 type RunnerConfig struct {
-	Fleet    host.View
+	Owners   *ownership.Table
 	Caller   link.Caller
 	Gatherer *Gatherer
 	// Service describes a service of the configuration in force.
@@ -82,7 +78,7 @@
 
 // NewRunner makes a runner and serves other hosts' groups on the registrar.
 func NewRunner(config RunnerConfig, registrar link.Registrar) *Runner {
-	r := &Runner{config: config, avoided: make(map[host.ID]time.Time), waits: make(map[string]wait)}
+	r := &Runner{config: config, waits: make(map[string]wait)}
 	link.HandleTyped(registrar, gatherMethod, func(ctx context.Context, g Group) (gathered, error) {
 		results := config.Gatherer.Gather(ctx, g)
 		return gathered{Results: results, Wait: config.Gatherer.Wait(g.Service)}, nil
@@ -120,6 +116,8 @@
 // Results are the results of a request's stages. Free them.
 type Results struct {
 	Inputs []string
+	// Bytes is how much of the inputs lies in each data centre.
+	Bytes  map[host.DataCentre]int64
 	runner *Runner
 
 	mu      sync.Mutex              // guards what follows
@@ -137,7 +135,7 @@
 	if late := r.foresee(w, g, time.Now()); late != nil {
 		return nil, late
 	}
-	results := &Results{runner: r, spent: make(map[string][]string), centres: make(map[int]host.DataCentre)}
+	results := &Results{runner: r, spent: make(map[string][]string), centres: make(map[int]host.DataCentre), Bytes: make(map[host.DataCentre]int64)}
 	group, ctx := errgroup.WithContext(ctx)
 	done := make([]chan struct{}, len(w.Stages))
 	for i := range done {
@@ -198,6 +196,9 @@
 	}
 	results.keep(group.Service, handles)
 	results.place(stage, pieces)
+	if g.isLast(stage) {
+		results.count(pieces, group.ResultBytes)
+	}
 	if reason := failure(pieces); reason != call.PieceDone {
 		return &Failure{Stage: stage, Service: group.Service, Reason: reason}
 	}
@@ -296,8 +297,8 @@
 		left := g
 		left.Remaining -= passed
 		left.Aim -= passed
-		owner := r.gathererOf(g.Service, time.Now())
-		if owner.ID == r.config.Fleet.Self().ID {
+		owner, own := r.config.Owners.Owner(g.Service, time.Now())
+		if own {
 			return r.config.Gatherer.Gather(ctx, left), ctx.Err()
 		}
 		results, err := r.ask(ctx, owner, left)
@@ -307,7 +308,7 @@
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
-		r.avoid(owner.ID)
+		r.config.Owners.Avoid(owner.ID, time.Now())
 		r.config.Logger.Warn("gatherer failed", "request", g.RequestID, "service", g.Service,
 			"gatherer", string(owner.ID), "stage", g.Stage, "try", try+1, "error", err.Error())
 		if try+1 >= gatherTries {
@@ -344,7 +345,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if m, known := r.config.Fleet.Lookup(peer); !known || m.State == host.Suspect || m.State == host.Dead {
+			if !r.config.Owners.Lives(peer) {
 				cancel()
 				return
 			}
@@ -352,38 +353,6 @@
 	}
 }
 
-// gathererOf is the host that gathers for a service, by rendezvous hashing
-// over the hosts that live.
-func (r *Runner) gathererOf(service string, now time.Time) host.Info {
-	best, bestRank := r.config.Fleet.Self(), uint64(0)
-	for _, m := range r.config.Fleet.Members() {
-		if m.State != host.Alive || r.isAvoided(m.ID, now) {
-			continue
-		}
-		if rank := xxh3.HashString(service + "\x00" + string(m.ID)); rank >= bestRank {
-			best, bestRank = m.Info, rank
-		}
-	}
-	return best
-}
-
-func (r *Runner) avoid(id host.ID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.avoided[id] = time.Now().Add(avoidFor)
-}
-
-func (r *Runner) isAvoided(id host.ID, now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	until, there := r.avoided[id]
-	if there && now.After(until) {
-		delete(r.avoided, id)
-		return false
-	}
-	return there
-}
-
 // place notes where a stage's results lie.
 func (s *Results) place(stage int, pieces []call.PieceResult) {
 	s.mu.Lock()
@@ -396,6 +365,17 @@
 	}
 }
 
+// count counts the bytes that the engine will read.
+func (s *Results) count(pieces []call.PieceResult, bytes int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range pieces {
+		if p.Handle != "" {
+			s.Bytes[p.DataCentre] += bytes
+		}
+	}
+}
+
 // nearest is the data centre in which a stage runs with the fewest bytes
 // between data centres, and how many it saves. Every piece reads every input;
 // the results of a last stage are read by the engine.
@@ -457,8 +437,8 @@
 	if len(handles) == 0 {
 		return
 	}
-	owner := r.gathererOf(service, time.Now())
-	if owner.ID == r.config.Fleet.Self().ID {
+	owner, own := r.config.Owners.Owner(service, time.Now())
+	if own {
 		r.config.Gatherer.Free(handles)
 		return
 	}
