--- a/staging/batch.go
+++ b/staging/batch.go
@@ -96,7 +96,8 @@
 		s.pace[b.server.ID] = s.paceOf(b.server.ID) + paceWeight*(pace-s.paceOf(b.server.ID))
 	}
 	at := 0
-	s.drain.done(len(results))
+	s.drain.done(float64(len(results)))
+	s.bytes.done(float64(b.bytes))
 	for _, share := range b.shares {
 		w := share.work
 		var failed []int
@@ -119,7 +120,7 @@
 			w.open--
 		}
 		if reason == call.PieceNoRoom {
-			s.paused[b.server.ID] = now.Add(noRoomPause)
+			s.doubt(b.server.ID)
 		}
 		if len(failed) > 0 {
 			g.config.Logger.Warn("pieces failed", "request", w.RequestID, "service", s.name, "stage", w.Stage,
--- a/staging/drain.go
+++ b/staging/drain.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/routing"
 )
@@ -14,21 +15,21 @@
 	// forgetTime is the one with which it returns to the servers' capacity
 	// while none do.
 	forgetTime = 3 * time.Second
-	// minRate, in pieces a second, keeps a wait finite.
+	// minRate, in units a second, keeps a wait finite.
 	minRate = 1
 )
 
-// drain learns at what rate a service does pieces: its servers' capacity, less
-// what their memory and their failures take.
+// drain learns at what rate a service does its work: its servers' capacity,
+// less what failures take.
 type drain struct {
-	rate     float64 // pieces a second
-	finished int     // pieces since the last tick
+	rate     float64 // units a second
+	finished float64 // units since the last tick
 	at       time.Time
-	waited   bool // pieces waited at the last tick
+	waited   bool // work waited at the last tick
 }
 
-// done counts pieces that came back.
-func (d *drain) done(pieces int) { d.finished += pieces }
+// done counts work that came back.
+func (d *drain) done(units float64) { d.finished += units }
 
 // tick takes in what was done since the last tick.
 func (d *drain) tick(now time.Time, waiting bool, capacity float64) {
@@ -39,21 +40,24 @@
 	case d.rate == 0 || passed > learnTime:
 		d.rate = capacity
 	case waiting && waited:
-		seen := float64(finished) / passed.Seconds()
+		seen := finished / passed.Seconds()
 		d.rate += (1 - math.Exp(-passed.Seconds()/learnTime.Seconds())) * (seen - d.rate)
 	default:
 		d.rate += (1 - math.Exp(-passed.Seconds()/forgetTime.Seconds())) * (capacity - d.rate)
 	}
 }
 
-// wait is how long a number of pieces takes.
-func (d *drain) wait(pieces int) time.Duration {
-	if pieces == 0 {
+// wait is how long an amount of work takes.
+func (d *drain) wait(units float64) time.Duration {
+	if units == 0 {
 		return 0
 	}
-	return time.Duration(float64(pieces) / max(d.rate, minRate) * float64(time.Second))
+	return min(time.Duration(units/max(d.rate, minRate)*float64(time.Second)), maxWait)
 }
 
+// maxWait is more than any caller waits.
+const maxWait = time.Minute
+
 // capacity is how many pieces a second the servers can do in full calls.
 func (s *gathering) capacity(servers []instance.Status, spec *routing.StageServer) float64 {
 	full := spec.CallTime + time.Duration(spec.Batch)*spec.PieceTime
@@ -67,10 +71,49 @@
 	return total
 }
 
+// byteCapacity is how many bytes of results a second the servers have memory
+// for, as long as results are held.
+func (s *gathering) byteCapacity(servers []instance.Status, spec *routing.StageServer) float64 {
+	total := 0.0
+	for _, server := range servers {
+		if !server.Ejected {
+			total += roomShare * float64(spec.ResultRoom)
+		}
+	}
+	return total / (spec.CallTime + s.room.heldFor).Seconds()
+}
+
 // inTime says whether a new group can be done before its deadline after what
 // goes before it.
 func (s *gathering) inTime(w *work, spec *routing.StageServer, now time.Time) bool {
-	ahead := s.queue.ahead(w, now, spec.CallTime)
-	needed := s.drain.wait(ahead) + spec.CallTime + time.Duration(w.Pieces)*spec.PieceTime
-	return !now.Add(needed).After(w.deadline)
+	pieces, bytes := s.queue.ahead(w, now, spec.CallTime)
+	return !now.Add(s.needed(w, spec, pieces, bytes)).After(w.deadline)
+}
+
+// needed is how long a group takes after the work before it.
+func (s *gathering) needed(w *work, spec *routing.StageServer, pieces int, bytes int64) time.Duration {
+	wait := s.drain.wait(float64(pieces))
+	if w.ResultBytes >= heavyBytes {
+		wait = max(wait, s.bytes.wait(float64(bytes)))
+	}
+	return wait + spec.CallTime + time.Duration(w.Pieces)*spec.PieceTime
+}
+
+// refuseLate ends the groups that can no longer be done in time, so that their
+// callers learn it at once.
+func (s *gathering) refuseLate(now time.Time, spec *routing.StageServer) (ended []func()) {
+	s.queue.sort(now, spec.CallTime)
+	pieces, bytes := 0, int64(0)
+	kept := s.queue.waiting[:0]
+	for _, w := range s.queue.waiting {
+		if w.open == len(w.waiting) && now.Add(s.needed(w, spec, pieces, bytes)).After(w.deadline) {
+			ended = append(ended, w.end(call.PieceOverload))
+			continue
+		}
+		pieces += len(w.waiting)
+		bytes += int64(len(w.waiting)) * w.ResultBytes
+		kept = append(kept, w)
+	}
+	s.queue.waiting = kept
+	return ended
 }
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -34,8 +34,6 @@
 	tickInterval = 50 * time.Millisecond
 	// freeInterval is how long given-up results wait to be named together.
 	freeInterval = 5 * time.Millisecond
-	// noRoomPause keeps new work from a server that had no memory.
-	noRoomPause = 150 * time.Millisecond
 	// fullPause keeps new work from a server that refused a call.
 	fullPause = 40 * time.Millisecond
 )
@@ -45,6 +43,8 @@
 	// RunPieces runs pieces on a server. The outcome says what the call tells
 	// of the server; notRun that the server surely did not begin.
 	RunPieces(ctx context.Context, server instance.Entry, pieces []call.Piece) (results []call.PieceResult, outcome instance.Outcome, notRun bool, err error)
+	// FreeRoom asks a server how many bytes are free for results.
+	FreeRoom(ctx context.Context, server instance.Entry) (int64, error)
 	// FreeResults gives up results on the server that keeps them.
 	FreeResults(ctx context.Context, handles []string) error
 }
@@ -80,7 +80,9 @@
 	running map[instance.ID]int
 	paused  map[instance.ID]time.Time
 	pace    map[instance.ID]float64 // duration of a call against the usual
-	drain   drain
+	drain   drain                   // in pieces
+	bytes   drain                   // in bytes of results
+	foreign map[instance.ID]foreign
 	told    time.Time // when the log was last told of the queue
 }
 
@@ -109,7 +111,10 @@
 	for _, s := range g.services {
 		s.room.expire(now)
 		if spec, known := g.spec(s.name); known {
-			s.drain.tick(now, len(s.queue.waiting) > 0, s.capacity(g.config.Servers.Service(s.name, now), spec))
+			servers := g.config.Servers.Service(s.name, now)
+			s.drain.tick(now, len(s.queue.waiting) > 0, s.capacity(servers, spec))
+			s.bytes.tick(now, s.queue.heavyWaits(), s.byteCapacity(servers, spec))
+			ended = append(ended, s.refuseLate(now, spec)...)
 		}
 		ended = append(ended, g.pump(s, now)...)
 		g.tell(s, now)
@@ -193,6 +198,7 @@
 		s = &gathering{
 			name: name, room: newRoom(), running: make(map[instance.ID]int),
 			paused: make(map[instance.ID]time.Time), pace: make(map[instance.ID]float64),
+			foreign: make(map[instance.ID]foreign),
 		}
 		g.services[name] = s
 	}
@@ -216,7 +222,7 @@
 	if s == nil {
 		return 0
 	}
-	return s.drain.wait(s.queue.total())
+	return max(s.drain.wait(float64(s.queue.total())), s.bytes.wait(float64(s.queue.totalBytes())))
 }
 
 // pump sends waiting pieces to free servers. The caller holds mu and runs what
@@ -240,7 +246,12 @@
 	}
 	for _, server := range s.free(servers, spec, now) {
 		at := place{centre: server.DataCentre, served: served}
-		room := int64(roomShare*float64(spec.ResultRoom)) - s.room.byServer[server.ID]
+		used, known := s.usedRoom(server.ID, now)
+		if !known {
+			g.askRoom(s, server, spec)
+			continue
+		}
+		room := int64(roomShare*float64(spec.ResultRoom)) - used
 		if batch := s.queue.batch(now, spec, room, at); len(batch) > 0 {
 			g.start(s, server, spec, batch, now)
 		}
--- a/staging/queue.go
+++ b/staging/queue.go
@@ -66,6 +66,9 @@
 func (q *queue) push(w *work) { q.waiting = append(q.waiting, w) }
 
 const (
+	// lateShare is the part of a server's memory that late groups with large
+	// results may fill, so that ones that can be in time find room.
+	lateShare = 0.5
 	// heavyBytes is the size from which a group waits for a server in its own
 	// data centre: less crosses in no time.
 	heavyBytes = 1 << 20
@@ -116,15 +119,30 @@
 	return n
 }
 
-// ahead counts the pieces that would go before a new group.
-func (q *queue) ahead(w *work, now time.Time, callTime time.Duration) int {
-	n := 0
+// totalBytes is the memory that the results of all that waits will take.
+func (q *queue) totalBytes() int64 {
+	n := int64(0)
+	for _, w := range q.waiting {
+		n += int64(len(w.waiting)) * w.ResultBytes
+	}
+	return n
+}
+
+// heavyWaits says whether a group with large results waits.
+func (q *queue) heavyWaits() bool {
+	return slices.ContainsFunc(q.waiting, func(w *work) bool { return w.ResultBytes >= heavyBytes })
+}
+
+// ahead counts the pieces that would go before a new group, and the bytes of
+// their results.
+func (q *queue) ahead(w *work, now time.Time, callTime time.Duration) (pieces int, bytes int64) {
 	for _, other := range q.waiting {
 		if compare(other, w, now, callTime) <= 0 {
-			n += len(other.waiting)
+			pieces += len(other.waiting)
+			bytes += int64(len(other.waiting)) * other.ResultBytes
 		}
 	}
-	return n
+	return pieces, bytes
 }
 
 // expire takes out the groups that can't be done in time.
@@ -156,11 +174,17 @@
 	// Calls are filled to the last piece when more waits than one takes.
 	long := q.pieces(at, now) > spec.Batch
 	left := spec.Batch
+	lateRoom := room - int64((roomShare-lateShare)*float64(spec.ResultRoom))
+	taking := int64(0)
 	var taken []share
 	for _, w := range q.waiting {
 		if left == 0 {
 			break
 		}
+		room := room - taking
+		if w.ResultBytes >= heavyBytes && !w.inTime(now, spec.CallTime) {
+			room = lateRoom - taking
+		}
 		n := len(w.waiting)
 		if !w.mayRunAt(at, now) {
 			continue
@@ -178,7 +202,7 @@
 		taken = append(taken, share{work: w, pieces: w.waiting[:n:n]})
 		w.waiting = w.waiting[n:]
 		left -= n
-		room -= int64(n) * w.ResultBytes
+		taking += int64(n) * w.ResultBytes
 	}
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *work) bool { return len(w.waiting) == 0 })
 	return taken
@@ -193,12 +217,16 @@
 	slices.SortStableFunc(q.waiting, func(a, b *work) int { return compare(a, b, now, callTime) })
 }
 
+// inTime says whether a group that gets its turn now is done by its aim.
+func (w *work) inTime(now time.Time, callTime time.Duration) bool {
+	return !now.Add(callTime).After(w.aim)
+}
+
 // compare orders groups: those that can be in time first, by their aims and
 // priorities; the others follow by their priorities and deadlines.
 func compare(a, b *work, now time.Time, callTime time.Duration) int {
-	inTime := func(w *work) bool { return !now.Add(callTime).After(w.aim) }
 	due := func(w *work) time.Time { return w.aim.Add(time.Duration(w.Priority) * priorityStep) }
-	x, y := inTime(a), inTime(b)
+	x, y := a.inTime(now, callTime), b.inTime(now, callTime)
 	switch {
 	case x && !y:
 		return -1
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -125,9 +125,21 @@
 	centres map[int]host.DataCentre // where the first result of each stage lies
 }
 
-// Run does the stages of a request and returns the results that it needs. The
-// error is a *Failure, or ctx's.
+// Run does the stages of a request and returns the results that it needs. When
+// a result was lost before it was used, all is done once more. The error is a
+// *Failure, or ctx's.
 func (r *Runner) Run(ctx context.Context, w Work) (*Results, error) {
+	results, err := r.runOnce(ctx, w)
+	if f := IsFailure(err); f != nil && f.Reason == call.PieceInputGone {
+		r.config.Logger.Warn("stages begun again", "request", w.Request.ID, "service", f.Service, "stage", f.Stage,
+			"reason", f.Reason.String())
+		return r.runOnce(ctx, w)
+	}
+	return results, err
+}
+
+// runOnce does the stages of a request.
+func (r *Runner) runOnce(ctx context.Context, w Work) (*Results, error) {
 	g, err := newGraph(w.Stages, w.Request.Pieces)
 	if err != nil {
 		return nil, err
