--- a/edge/edge.go
+++ b/edge/edge.go
@@ -22,6 +22,7 @@
 	"github.com/galenaseam/galenaseam/gateway"
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/internal/defaults"
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/member"
 	"github.com/galenaseam/galenaseam/ownership"
@@ -61,8 +62,11 @@
 	FleetKey    []byte
 	MemoryBytes int64
 	// Grace is the time from the order to stop to the end of the process.
-	Grace   time.Duration
-	Retries retry.Bounds
+	Grace time.Duration
+	// LeaveRotation is how long a host that stops goes on taking connections;
+	// 0 takes DefaultLeaveRotation.
+	LeaveRotation time.Duration
+	Retries       retry.Bounds
 }
 
 // Host is one entry host.
@@ -99,6 +103,7 @@
 
 // New builds a host. Nothing is served before Run.
 func New(settings Settings, platform Platform, logger *slog.Logger, registry *prometheus.Registry) (*Host, error) {
+	defaults.Set(&settings.LeaveRotation, DefaultLeaveRotation)
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryBytes)))
 	}
--- /dev/null
+++ b/edge/fleet_test.go
@@ -0,0 +1,205 @@
+package edge_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/edge"
+	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/platform"
+	"github.com/galenaseam/galenaseam/platform/platformtest"
+	"github.com/galenaseam/galenaseam/retry"
+	"github.com/galenaseam/galenaseam/staging"
+	"github.com/galenaseam/galenaseam/transport"
+)
+
+// patience bounds every wait of these tests; each condition comes far sooner.
+const patience = 10 * time.Second
+
+// fleet is a store, upstreams and hosts on loopback.
+type fleet struct {
+	t     *testing.T
+	store *platformtest.Store
+	hosts []*node
+}
+
+// node is one running host.
+type node struct {
+	*edge.Host
+	settings edge.Settings
+	stop     context.CancelFunc
+	ended    chan error
+	storeAt  netip.AddrPort
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, store: platformtest.NewStore()}
+	t.Cleanup(func() {
+		for _, n := range f.hosts {
+			n.stop()
+		}
+		for _, n := range f.hosts {
+			<-n.ended
+		}
+		f.store.Close()
+	})
+	return f
+}
+
+// freeAddr finds an address that is free for TCP and UDP.
+func freeAddr(t *testing.T) netip.AddrPort {
+	for range 50 {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		addr := l.Addr().(*net.TCPAddr).AddrPort()
+		u, err := net.ListenPacket("udp4", addr.String())
+		require.NoError(t, l.Close())
+		if err == nil {
+			require.NoError(t, u.Close())
+			return addr
+		}
+	}
+	t.Fatal("no address is free for TCP and UDP")
+	return netip.AddrPort{}
+}
+
+// start runs another host and waits until it is ready.
+func (f *fleet) start() *node {
+	n := f.startUnready(f.store.Addr())
+	require.Eventually(f.t, n.Ready, patience, 5*time.Millisecond)
+	return n
+}
+
+// startUnready runs another host that looks for its store at an address.
+func (f *fleet) startUnready(store netip.AddrPort) *node {
+	s := edge.Settings{
+		Name: fmt.Sprintf("entry-%d", len(f.hosts)), Place: host.Place{DataCentre: "riga-a", Region: "latvija"},
+		Callers: freeAddr(f.t), Readiness: freeAddr(f.t), Peers: freeAddr(f.t), MetricsPort: freeAddr(f.t).Port(),
+		FleetKey: []byte("test key of the fleet"), Grace: 6 * time.Second, LeaveRotation: 20 * time.Millisecond,
+		Retries: retry.Bounds{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+	}
+	for _, other := range f.hosts {
+		s.Seeds = append(s.Seeds, other.settings.Peers)
+	}
+	client := platform.NewStore(platform.StoreSettings{Addr: store}, 500*time.Millisecond)
+	built, err := edge.New(s, edge.Platform{
+		Codec: platform.Wire{}, Source: platform.Source{Store: client}, Format: platform.Format{},
+		Stages:   func(t *transport.Client) staging.Caller { return platform.StageCalls{Transport: t} },
+		Register: client.Register,
+	}, slog.New(slog.NewJSONHandler(testWriter{f.t}, nil)), prometheus.NewRegistry())
+	require.NoError(f.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	n := &node{Host: built, settings: s, stop: stop, ended: make(chan error, 1), storeAt: store}
+	f.hosts = append(f.hosts, n)
+	go func() {
+		n.ended <- built.Run(ctx)
+		close(n.ended)
+	}()
+	return n
+}
+
+// testWriter shows a host's log with the test that failed.
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(p []byte) (int, error) {
+	w.t.Log(strings.TrimSpace(string(p)))
+	return len(p), nil
+}
+
+// configure writes a configuration with one route of each kind.
+func (f *fleet) configure(version int, change func(config map[string]any)) {
+	stages := []map[string]any{{"service": "pieces", "after": []int{}, "bytes": 100}, {"service": "pieces", "after": []int{0}, "bytes": 100}}
+	route := func(prefix, kind, service string, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": strings.Trim(prefix, "/"), "host": "shop.example", "prefix": prefix, "type": kind, "timeout_ms": 3000,
+			"goal_ms": 500, "priority": 1, "service": service, "max_attempts": 2, "public": false, "itl_target_ms": 100,
+		}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	config := map[string]any{
+		"version": version,
+		"routes": []map[string]any{
+			route("/read/", "safe", "plain", nil),
+			route("/order/", "unsafe", "plain", nil),
+			route("/talk/", "stream", "events", map[string]any{"resumable": true}),
+			route("/tell/", "stream", "events", nil),
+			route("/staged/", "stream", "events", map[string]any{"stages": stages, "resumable": true}),
+		},
+		"services": []map[string]any{
+			{"name": "plain", "max_conns": 50}, {"name": "events", "max_conns": 50},
+			{"name": "pieces", "max_conns": 50, "segments": map[string]any{
+				"concurrency": 1, "queue": 2, "batch": 8, "call_ms": 20, "item_ms": 1, "headroom_mb": 10, "handle_s": 4,
+			}},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{{"name": "welders", "api_keys": []string{"key-of-welders"}}},
+	}
+	if change != nil {
+		change(config)
+	}
+	raw, err := json.Marshal(config)
+	require.NoError(f.t, err)
+	f.store.Put("op/config", raw)
+}
+
+// upstream starts a server and registers it.
+func (f *fleet) upstream(u *platformtest.Upstream) *platformtest.Upstream {
+	u.Zone = "riga-a"
+	u.Start()
+	f.t.Cleanup(u.Close)
+	u.Register(f.store, "ready")
+	return u
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // while the body was read
+}
+
+// ask sends a request to a host as a caller would.
+func (f *fleet) ask(n *node, method, path, id string, more ...string) reply {
+	r, err := http.NewRequest(method, "http://"+n.settings.Callers.String()+path, strings.NewReader("body of "+id))
+	require.NoError(f.t, err)
+	r.Host = "shop.example"
+	r.Header.Set("Attempt-Id", id)
+	r.Header.Set("Deadline-Ms", "3000")
+	r.Header.Set("Authorization", "Bearer key-of-welders")
+	for i := 0; i < len(more); i += 2 {
+		r.Header.Set(more[i], more[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	response, err := client.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+// eventsOf is the whole stream of a stand-in.
+func eventsOf(n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", i, i)
+	}
+	return b.String()
+}
--- a/edge/run.go
+++ b/edge/run.go
@@ -16,9 +16,8 @@
 )
 
 const (
-	// leaveRotation is how long a host that stops goes on taking connections:
-	// the balancer asks once a second and takes two misses.
-	leaveRotation = 2600 * time.Millisecond
+	// DefaultLeaveRotation outlasts the balancer's two misses, a second apart.
+	DefaultLeaveRotation = 2600 * time.Millisecond
 	// endMargin is left of the grace when requests that still run are cut.
 	endMargin = 600 * time.Millisecond
 	// transportSweep is how often idle connections to upstreams are looked at.
@@ -151,7 +150,7 @@
 	if err := h.members.Leave(leave); err != nil {
 		h.logger.Warn("fleet not told of the leave", "error", err.Error())
 	}
-	time.Sleep(time.Until(begun.Add(leaveRotation)))
+	time.Sleep(time.Until(begun.Add(h.settings.LeaveRotation)))
 	end, cancelEnd := context.WithDeadline(context.Background(), begun.Add(grace-endMargin))
 	defer cancelEnd()
 	if err := h.callers.server.Shutdown(end); err != nil {
--- a/staging/drain.go
+++ b/staging/drain.go
@@ -47,9 +47,9 @@
 	}
 }
 
-// wait is how long an amount of work takes.
+// wait is how long an amount of work takes; 0 while nothing is known.
 func (d *drain) wait(units float64) time.Duration {
-	if units == 0 {
+	if units == 0 || d.rate == 0 {
 		return 0
 	}
 	return min(time.Duration(units/max(d.rate, minRate)*float64(time.Second)), maxWait)
