--- a/cmd/seamedge/main.go
+++ b/cmd/seamedge/main.go
@@ -100,6 +100,10 @@
 	return exitOK
 }
 
+// megabitsPerCore is the bandwidth that one core's worth of gathered stage
+// calls takes, from their size on the wire.
+const megabitsPerCore = 250
+
 // hostSettings translates the platform's settings.
 func hostSettings(s platform.Settings, metricsPort uint16) edge.Settings {
 	// Hosts have no secret of their own; the key keeps deployments apart.
@@ -107,6 +111,7 @@
 	return edge.Settings{
 		Name: s.Name, Place: s.Place, Callers: s.Callers, Readiness: s.Readiness, Peers: s.Peers,
 		MetricsPort: metricsPort, Seeds: s.Seeds, FleetKey: key[:], MemoryBytes: s.MemoryBytes, Grace: s.Grace,
+		Capacity: min(s.CPUShare, s.LinkMegabits/megabitsPerCore),
 		Retries: retry.Bounds{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window},
 	}
 }
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -13,11 +13,14 @@
 const (
 	// watchWait is how long one watch waits for changes. A connection that
 	// went silent is noticed soon after.
-	watchWait = 2 * time.Second
+	watchWait = 4 * time.Second
 	// retryPause is the pause after a failed call to the store; it doubles up
 	// to maxRetryPause, so that a store that returns is not flooded.
 	retryPause    = 100 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
+	// gatherPause is the pause after changes, so that those that come together
+	// are read together: every call to the store is counted.
+	gatherPause = 200 * time.Millisecond
 	// lapseInterval is how often entries that lapsed are looked at.
 	lapseInterval = 200 * time.Millisecond
 )
@@ -102,6 +105,7 @@
 	d.advance(asOf)
 	if len(items) > 0 {
 		d.tell()
+		_ = sleep.For(ctx, gatherPause)
 	}
 	return nil
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -61,6 +61,8 @@
 	Seeds       []netip.AddrPort
 	FleetKey    []byte
 	MemoryBytes int64
+	// Capacity is what the host can do for others, in cores.
+	Capacity float64
 	// Grace is the time from the order to stop to the end of the process.
 	Grace time.Duration
 	// LeaveRotation is how long a host that stops goes on taking connections;
@@ -114,6 +116,7 @@
 		Place:    settings.Place,
 		LinkAddr: settings.Peers,
 		HTTPAddr: settings.Callers,
+		Capacity: settings.Capacity,
 	}
 	if err := h.buildFleet(); err != nil {
 		return nil, Error.Wrap(err)
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -51,7 +51,7 @@
 			n.stop()
 		}
 		for _, n := range f.hosts {
-			<-n.ended
+			require.NoError(t, <-n.ended)
 		}
 		f.store.Close()
 	})
--- a/host/host.go
+++ b/host/host.go
@@ -27,6 +27,9 @@
 	LinkAddr netip.AddrPort `cbor:"3,keyasint" json:"link_addr"`
 	// HTTPAddr is where the host takes callers' requests.
 	HTTPAddr netip.AddrPort `cbor:"4,keyasint" json:"http_addr"`
+	// Capacity is what the host can do beside its callers' requests, in cores;
+	// a slow link counts as few cores. 0 is unknown.
+	Capacity float64 `cbor:"5,keyasint,omitempty" json:"capacity,omitempty"`
 }
 
 // State is a host's state in one host's view of the fleet.
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -17,6 +17,10 @@
 // membership has found out whether it lives.
 const avoidFor = 3 * time.Second
 
+// strongShare is the part of the strongest host's capacity from which hosts may
+// own tasks: a weak host would be busy with nothing else.
+const strongShare = 0.6
+
 // Table names owners. It is safe for concurrent use.
 type Table struct {
 	fleet host.View
@@ -31,12 +35,19 @@
 }
 
 // Owner is the host that does a task, by rendezvous hashing over the hosts that
-// live. own says that it is the local one.
+// live and are among the strong ones. own says that it is the local one.
 func (t *Table) Owner(task string, now time.Time) (owner host.Info, own bool) {
 	self := t.fleet.Self()
+	members := t.fleet.Members()
+	strongest := 0.0
+	for _, m := range members {
+		if m.State == host.Alive {
+			strongest = max(strongest, m.Capacity)
+		}
+	}
 	best, bestRank := self, uint64(0)
-	for _, m := range t.fleet.Members() {
-		if m.State != host.Alive || t.isAvoided(m.ID, now) {
+	for _, m := range members {
+		if m.State != host.Alive || m.Capacity < strongShare*strongest || t.isAvoided(m.ID, now) {
 			continue
 		}
 		if rank := xxh3.HashString(task + "\x00" + string(m.ID)); rank >= bestRank {
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -126,7 +126,7 @@
 	sent, err := connection.send(call)
 	if err == nil {
 		var response *http.Response
-		if response, err = connection.receive(call); err == nil {
+		if response, err = connection.receive(call); err == nil { //nolint:bodyclose // the caller closes the Answer
 			a := &Answer{Response: response, client: c, conn: connection, call: call, stop: stop, sent: sent}
 			a.Body = &body{ReadCloser: response.Body, answer: a}
 			return a, nil
