--- /dev/null
+++ b/instance/instance_test.go
@@ -0,0 +1,69 @@
+package instance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/instance"
+)
+
+func ids(t *instance.Table, now time.Time) (all []instance.ID) {
+	for _, s := range t.Service("s", now) {
+		if !s.Ejected {
+			all = append(all, s.ID)
+		}
+	}
+	return all
+}
+
+func TestOlderNewsChangesNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := instance.NewTable(nil)
+	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 5})
+	table.Put(instance.Entry{ID: "a", Service: "s", Leaving: true, Revision: 7})
+	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 6})
+	require.False(t, table.MaySend("a"), "an upstream that leaves does not come back by older news")
+	table.Remove("a", 9)
+	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 8})
+	require.Empty(t, ids(table, now))
+	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 10})
+	require.Equal(t, []instance.ID{"a"}, ids(table, now))
+}
+
+func TestReplaceTakesOutWhatIsMissingButNotWhatCameLater(t *testing.T) {
+	table := instance.NewTable(nil)
+	table.Put(instance.Entry{ID: "old", Service: "s", Revision: 3})
+	table.Put(instance.Entry{ID: "new", Service: "s", Revision: 20})
+	table.Replace([]instance.Entry{{ID: "kept", Service: "s", Revision: 8}}, 10)
+	require.Equal(t, []instance.ID{"kept", "new"}, ids(table, time.Unix(1000, 0)))
+}
+
+func TestNewProcessUnderAnOldIDStartsClean(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := instance.NewTable(nil)
+	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 1, Born: time.UnixMilli(1)})
+	table.Begin("a", 100)
+	table.Unreachable("a", now)
+	require.Empty(t, ids(table, now))
+	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 2, Born: time.UnixMilli(2)})
+	all := table.Service("s", now)
+	require.Len(t, all, 1)
+	require.False(t, all[0].Ejected)
+	require.Zero(t, all[0].InFlight)
+}
+
+func TestFailuresEjectForAWhile(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := instance.NewTable(nil)
+	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 1})
+	table.Begin("a", 0)
+	table.End("a", 0, instance.Broke, 0, now)
+	require.Equal(t, []instance.ID{"a"}, ids(table, now), "one broken call may be the request's fault")
+	table.Begin("a", 0)
+	table.End("a", 0, instance.Broke, 0, now)
+	require.Empty(t, ids(table, now))
+	require.Equal(t, []instance.ID{"a"}, ids(table, now.Add(5*time.Second)))
+	require.True(t, table.MaySend("a"), "ejection keeps work away only while others can take it")
+}
