A group is in time only if a full call is done by its aim

Groups were taken for in time while a call without pieces would have been; the ones that were done just too late went first.

--- a/routing/routing.go
+++ b/routing/routing.go
@@ -128,6 +128,11 @@
 	KeepResults time.Duration
 }
 
+// FullCall is how long a call takes that is full.
+func (s *StageServer) FullCall() time.Duration {
+	return s.CallTime + time.Duration(s.Batch)*s.PieceTime
+}
+
 // Limits bound what callers send and how long they take.
 type Limits struct {
 	MaxHeaderBytes int
--- a/staging/drain.go
+++ b/staging/drain.go
@@ -60,7 +60,7 @@
 
 // capacity is how many pieces a second the servers can do in full calls.
 func (s *gathering) capacity(servers []instance.Status, spec *routing.StageServer) float64 {
-	full := spec.CallTime + time.Duration(spec.Batch)*spec.PieceTime
+	full := spec.FullCall()
 	perServer := float64(spec.Concurrency*spec.Batch) / full.Seconds()
 	total := 0.0
 	for _, server := range servers {
@@ -86,7 +86,7 @@
 // inTime says whether a new group can be done before its deadline after what
 // goes before it.
 func (s *gathering) inTime(w *work, spec *routing.StageServer, now time.Time) bool {
-	pieces, bytes := s.queue.ahead(w, now, spec.CallTime)
+	pieces, bytes := s.queue.ahead(w, now, spec.FullCall())
 	return !now.Add(s.needed(w, spec, pieces, bytes)).After(w.deadline)
 }
 
@@ -102,7 +102,7 @@
 // refuseLate ends the groups that can no longer be done in time, so that their
 // callers learn it at once.
 func (s *gathering) refuseLate(now time.Time, spec *routing.StageServer) (ended []func()) {
-	s.queue.sort(now, spec.CallTime)
+	s.queue.sort(now, spec.FullCall())
 	pieces, bytes := 0, int64(0)
 	kept := s.queue.waiting[:0]
 	for _, w := range s.queue.waiting {
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -238,7 +238,7 @@
 	for _, late := range s.queue.expire(now, spec.CallTime) {
 		ended = append(ended, late.end(call.PieceLate))
 	}
-	s.queue.sort(now, spec.CallTime)
+	s.queue.sort(now, spec.FullCall())
 	servers := g.config.Servers.Service(s.name, now)
 	served := make(map[host.DataCentre]bool)
 	for _, server := range servers {
--- /dev/null
+++ b/staging/gatherer_test.go
@@ -0,0 +1,226 @@
+package staging
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/call"
+	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/retry"
+	"github.com/galenaseam/galenaseam/routing"
+)
+
+// fakeServers are stage servers on the test's clock. They keep their results'
+// memory and refuse what does not fit.
+type fakeServers struct {
+	spec *routing.StageServer
+	slow map[instance.ID]float64
+	fail map[instance.ID]error
+
+	mu    sync.Mutex
+	used  map[instance.ID]int64
+	owner map[string]instance.ID
+	bytes int64
+	calls int
+	full  int
+}
+
+func (f *fakeServers) RunPieces(ctx context.Context, server instance.Entry, pieces []call.Piece) ([]call.PieceResult, instance.Outcome, bool, error) {
+	if err := f.fail[server.ID]; err != nil {
+		return nil, instance.Broke, false, err
+	}
+	f.mu.Lock()
+	f.calls++
+	results := make([]call.PieceResult, len(pieces))
+	for i, p := range pieces {
+		if f.used[server.ID]+f.bytes > f.spec.ResultRoom {
+			results[i].Failure = call.PieceNoRoom
+			f.full++
+			continue
+		}
+		f.used[server.ID] += f.bytes
+		results[i].Handle = fmt.Sprintf("%s/%s-%d", server.ID, p.RequestID, p.Index)
+		f.owner[results[i].Handle] = server.ID
+	}
+	f.mu.Unlock()
+	slow := max(f.slow[server.ID], 1)
+	took := time.Duration(slow * float64(f.spec.CallTime+time.Duration(len(pieces))*f.spec.PieceTime))
+	select {
+	case <-time.After(took):
+		return results, instance.Answered, false, nil
+	case <-ctx.Done():
+		return nil, instance.Broke, false, ctx.Err()
+	}
+}
+
+func (f *fakeServers) FreeRoom(_ context.Context, server instance.Entry) (int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.spec.ResultRoom - f.used[server.ID], nil
+}
+
+func (f *fakeServers) FreeResults(_ context.Context, handles []string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range handles {
+		if id, there := f.owner[h]; there {
+			f.used[id] -= f.bytes
+			delete(f.owner, h)
+		}
+	}
+	return nil
+}
+
+// newTestGatherer runs a gatherer over some servers of one service.
+func newTestGatherer(t *testing.T, servers int, f *fakeServers) *Gatherer {
+	table := instance.NewTable(nil)
+	for i := range servers {
+		table.Put(instance.Entry{ID: instance.ID(fmt.Sprint("s", i)), Service: "pieces", Revision: 1})
+	}
+	f.used, f.owner = make(map[instance.ID]int64), make(map[string]instance.ID)
+	ctx, stop := context.WithCancel(t.Context())
+	t.Cleanup(stop)
+	g := NewGatherer(GathererConfig{
+		Servers: table, Caller: f, Logger: slog.New(slog.DiscardHandler),
+		Service: func(string) (*routing.Service, bool) { return &routing.Service{Name: "pieces", Stages: f.spec}, true },
+		Retries: retry.New(retry.Bounds{Ratio: 0.2, Slack: 104, Window: 10 * time.Second}, func() int { return 1 }, time.Now()),
+	})
+	go func() { _ = g.Run(ctx) }()
+	return g
+}
+
+// loadOf sends groups at a steady rate and counts those done by their aims.
+func loadOf(g *Gatherer, seconds int, perSecond int, pieces int, aim time.Duration, hold time.Duration, bytes int64) (inTime, all int) {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	for i := range seconds * perSecond {
+		all++
+		group.Go(func() {
+			time.Sleep(time.Duration(i) * time.Second / time.Duration(perSecond))
+			begun := time.Now()
+			results := g.Gather(context.Background(), Group{
+				Service: "pieces", RequestID: fmt.Sprint(i), Pieces: pieces, Aim: aim, Remaining: 5 * aim, ResultBytes: bytes,
+			})
+			took := time.Since(begun)
+			time.Sleep(hold)
+			var handles []string
+			for _, r := range results {
+				if r.Handle != "" {
+					handles = append(handles, r.Handle)
+				}
+			}
+			g.Free(handles)
+			mu.Lock()
+			defer mu.Unlock()
+			if took <= aim && failure(results) == call.PieceDone {
+				inTime++
+			}
+		})
+	}
+	group.Wait()
+	return inTime, all
+}
+
+// The pattern of safety-sheet: 25 groups of 8 pieces a second over 5 servers
+// that do 22 pieces a call. One piece a call would need 13 times the servers.
+func TestSteadyLoadIsServedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeServers{bytes: 60e3, spec: &routing.StageServer{
+			Concurrency: 1, Batch: 22, CallTime: 150 * time.Millisecond, PieceTime: 5800 * time.Microsecond, ResultRoom: 38e5, KeepResults: 4 * time.Second,
+		}}
+		inTime, all := loadOf(newTestGatherer(t, 5, f), 20, 25, 8, 500*time.Millisecond, 200*time.Millisecond, 60e3)
+		require.GreaterOrEqual(t, inTime, all*95/100)
+	})
+}
+
+// The pattern of contract-summary in a burst: results of 3 MB fill the memory
+// of four servers when they are held too long or planned twice.
+func TestLargeResultsAreNotRefusedForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeServers{bytes: 3e6, spec: &routing.StageServer{
+			Concurrency: 1, Batch: 8, CallTime: 150 * time.Millisecond, PieceTime: 16 * time.Millisecond, ResultRoom: 36e6, KeepResults: 4 * time.Second,
+		}}
+		inTime, all := loadOf(newTestGatherer(t, 4, f), 20, 14, 2, 700*time.Millisecond, 300*time.Millisecond, 3e6)
+		require.GreaterOrEqual(t, inTime, all*95/100)
+		require.Zero(t, f.full, "pieces that a server had no room for")
+	})
+}
+
+// Twice what the servers can do: those that are served are in time, the others
+// are refused, not held.
+func TestOverloadRefusesInsteadOfHolding(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeServers{bytes: 8e3, spec: &routing.StageServer{
+			Concurrency: 1, Batch: 8, CallTime: 150 * time.Millisecond, PieceTime: 16 * time.Millisecond, ResultRoom: 36e6, KeepResults: 4 * time.Second,
+		}}
+		const capacity = 4 * 8 * 1000 / 278 // pieces a second
+		inTime, all := loadOf(newTestGatherer(t, 4, f), 20, capacity, 2, 700*time.Millisecond, 0, 8e3)
+		require.GreaterOrEqual(t, inTime, all*35/100, "half of the load fits")
+	})
+}
+
+func TestSlowServerDoesNotHoldUpTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeServers{bytes: 8e3, slow: map[instance.ID]float64{"s0": 5}, spec: &routing.StageServer{
+			Concurrency: 1, Batch: 22, CallTime: 150 * time.Millisecond, PieceTime: 5800 * time.Microsecond, ResultRoom: 38e5, KeepResults: 4 * time.Second,
+		}}
+		inTime, all := loadOf(newTestGatherer(t, 5, f), 20, 12, 8, 700*time.Millisecond, 0, 8e3)
+		require.GreaterOrEqual(t, inTime, all*85/100)
+	})
+}
+
+func TestDeadServerCostsOneTryNotTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeServers{bytes: 8e3, fail: map[instance.ID]error{"s0": errors.New("reset")}, spec: &routing.StageServer{
+			Concurrency: 1, Batch: 22, CallTime: 150 * time.Millisecond, PieceTime: 5800 * time.Microsecond, ResultRoom: 38e5, KeepResults: 4 * time.Second,
+		}}
+		inTime, all := loadOf(newTestGatherer(t, 5, f), 10, 12, 8, 700*time.Millisecond, 0, 8e3)
+		require.GreaterOrEqual(t, inTime, all*90/100)
+	})
+}
+
+// A gatherer that takes over finds the memory full of results it does not
+// know; it asks instead of having pieces refused.
+func TestSuccessorAsksForTheMemoryThatIsTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeServers{bytes: 3e6, spec: &routing.StageServer{
+			Concurrency: 1, Batch: 8, CallTime: 150 * time.Millisecond, PieceTime: 16 * time.Millisecond, ResultRoom: 36e6, KeepResults: 4 * time.Second,
+		}}
+		g := newTestGatherer(t, 2, f)
+		f.used["s0"], f.used["s1"] = 33e6, 33e6
+		go func() {
+			time.Sleep(time.Second)
+			f.mu.Lock()
+			f.used["s0"], f.used["s1"] = 0, 0
+			f.mu.Unlock()
+		}()
+		results := g.Gather(t.Context(), Group{Service: "pieces", RequestID: "r", Pieces: 4, Aim: time.Second, Remaining: 4 * time.Second, ResultBytes: 3e6})
+		require.Equal(t, call.PieceDone, failure(results))
+		require.Zero(t, f.full)
+	})
+}
+
+func TestGroupWhoseAskerLeftGivesItsResultsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeServers{bytes: 8e3, spec: &routing.StageServer{
+			Concurrency: 1, Batch: 8, CallTime: 150 * time.Millisecond, PieceTime: 16 * time.Millisecond, ResultRoom: 36e6, KeepResults: 4 * time.Second,
+		}}
+		g := newTestGatherer(t, 1, f)
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		results := g.Gather(ctx, Group{Service: "pieces", RequestID: "r", Pieces: 3, Aim: time.Second, Remaining: 3 * time.Second, ResultBytes: 8e3})
+		require.NotEqual(t, call.PieceDone, failure(results))
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		require.Empty(t, f.owner)
+	})
+}
--- a/staging/queue.go
+++ b/staging/queue.go
@@ -182,7 +182,7 @@
 			break
 		}
 		room := room - taking
-		if w.ResultBytes >= heavyBytes && !w.inTime(now, spec.CallTime) {
+		if w.ResultBytes >= heavyBytes && !w.inTime(now, spec.FullCall()) {
 			room = lateRoom - taking
 		}
 		n := len(w.waiting)
@@ -217,7 +217,9 @@
 	slices.SortStableFunc(q.waiting, func(a, b *work) int { return compare(a, b, now, callTime) })
 }
 
-// inTime says whether a group that gets its turn now is done by its aim.
+// inTime says whether a group that gets its turn now is done by its aim, also in
+// a full call: under overload the groups that would be done just too late must
+// not go before those that can be in time.
 func (w *work) inTime(now time.Time, callTime time.Duration) bool {
 	return !now.Add(callTime).After(w.aim)
 }
