--- a/call/call.go
+++ b/call/call.go
@@ -138,11 +138,13 @@
 	PieceRefused
 	// PieceOverload: too much waits for the piece to be done in time.
 	PieceOverload
+	// PieceMoved: another host gathers for the service now.
+	PieceMoved
 )
 
 // String returns the lower-case name of the failure.
 func (f PieceFailure) String() string {
-	return [...]string{"done", "late", "input_gone", "no_room", "error", "refused", "overload"}[f]
+	return [...]string{"done", "late", "input_gone", "no_room", "error", "refused", "overload", "moved"}[f]
 }
 
 // PieceResult is where a piece's result lies, or why there is none.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -88,6 +88,7 @@
 	links     *link.Server
 	peers     *link.Client
 	members   *member.Membership
+	owners    *ownership.Table
 	instances *instance.Table
 	directory *directory.Directory
 	transport *transport.Client
@@ -161,23 +162,26 @@
 // buildCallers makes what serves callers.
 func (h *Host) buildCallers() error {
 	h.retries = retry.New(h.settings.Retries, h.hostCount, time.Now())
+	h.owners = ownership.New(h.members, time.Now())
 	h.gatherer = staging.NewGatherer(staging.GathererConfig{
-		Servers: h.instances, Service: h.service, Caller: h.platform.Stages(h.transport), Retries: h.retries,
+		Servers: h.instances, Service: h.service, Owns: func(service string) bool {
+			_, own := h.owners.Owner(service, time.Now())
+			return own
+		}, Caller: h.platform.Stages(h.transport), Retries: h.retries,
 		Logger: h.logger, Registerer: h.registry,
 	})
 	suspects, err := quarantine.New(quarantine.Config{Gossip: h.members, Registerer: h.registry})
 	if err != nil {
 		return err
 	}
-	owners := ownership.New(h.members)
 	placer := placement.New(placement.Config{
-		Engines: h.instances, Service: h.service, Owners: owners, Caller: h.peers,
+		Engines: h.instances, Service: h.service, Owners: h.owners, Caller: h.peers,
 		Near: h.settings.Place.DataCentre, Logger: h.logger,
 	}, h.mux)
 	h.gateway = gateway.New(gateway.Config{
 		Codec: h.platform.Codec, Routes: h.directory.Routes, Instances: h.instances, Transport: h.transport,
 		Stages: staging.NewRunner(staging.RunnerConfig{
-			Owners: owners, Caller: h.peers, Gatherer: h.gatherer, Service: h.service, Logger: h.logger,
+			Owners: h.owners, Caller: h.peers, Gatherer: h.gatherer, Service: h.service, Logger: h.logger,
 		}, h.mux),
 		Retries: h.retries, Paces: pace.NewTable(), Placer: placer, Quarantine: suspects, DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
 		Metrics: gateway.NewMetrics(h.registry),
@@ -223,7 +227,7 @@
 
 // Ready says whether the host takes new connections.
 func (h *Host) Ready() bool {
-	return !h.draining.Load() && h.directory.Routes() != nil && h.directory.AsOf() > 0
+	return !h.draining.Load() && h.directory.Routes() != nil && h.directory.AsOf() > 0 && h.owners.Formed(time.Now())
 }
 
 // ServeReadiness answers the platform's question whether the host is ready.
--- a/member/sync.go
+++ b/member/sync.go
@@ -14,7 +14,7 @@
 	syncPerTick      = 8 // datagrams
 	syncEvery        = 3 * time.Second
 	maxSyncQueue     = 1024
-	joinEvery        = time.Second
+	joinEvery        = 250 * time.Millisecond
 	joinTargets      = 3
 	seedEvery        = 10 * time.Second
 	aloneAfter       = 3 * time.Second
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -24,14 +24,16 @@
 // Table names owners. It is safe for concurrent use.
 type Table struct {
 	fleet host.View
+	start time.Time
 
 	mu      sync.Mutex // guards avoided
 	avoided map[host.ID]time.Time
 }
 
-// New makes a table over the members of a fleet.
-func New(fleet host.View) *Table {
-	return &Table{fleet: fleet, avoided: make(map[host.ID]time.Time)}
+// New makes a table over the members of a fleet that the local host begins to
+// learn at start.
+func New(fleet host.View, start time.Time) *Table {
+	return &Table{fleet: fleet, start: start, avoided: make(map[host.ID]time.Time)}
 }
 
 // Owner is the host that does a task, by rendezvous hashing over the hosts that
@@ -57,6 +59,20 @@
 	return best, best.ID == self.ID
 }
 
+const (
+	// formTime is about how long hosts that start together take to find each
+	// other; until then each takes itself for the owner of everything.
+	formTime = 400 * time.Millisecond
+	// aloneTime is after how long a host that has found no other is alone.
+	aloneTime = 1200 * time.Millisecond
+)
+
+// Formed says whether the local host has had the time to find the others.
+func (t *Table) Formed(now time.Time) bool {
+	age := now.Sub(t.start)
+	return age > aloneTime || age > formTime && len(t.fleet.Members()) > 1
+}
+
 // Lives says whether the membership hears a host.
 func (t *Table) Lives(id host.ID) bool {
 	m, known := t.fleet.Lookup(id)
--- a/staging/batch.go
+++ b/staging/batch.go
@@ -120,7 +120,7 @@
 			w.open--
 		}
 		if reason == call.PieceNoRoom {
-			s.doubt(b.server.ID)
+			s.doubt(b.server.ID, b.spec, now)
 		}
 		if len(failed) > 0 {
 			g.config.Logger.Warn("pieces failed", "request", w.RequestID, "service", s.name, "stage", w.Stage,
@@ -139,9 +139,17 @@
 	if w.ended {
 		return nil
 	}
-	canHelp := reason == call.PieceError || reason == call.PieceNoRoom
-	w.tries++
-	if !canHelp || w.tries > maxTries || !g.config.Retries.TakeMany(s.name, len(pieces), 1, now) {
+	mayGoAgain := false
+	switch reason {
+	case call.PieceNoRoom:
+		// Nothing was run; the server was taken for emptier than it is.
+		w.refusals++
+		mayGoAgain = w.refusals <= maxRefusals
+	case call.PieceError:
+		w.tries++
+		mayGoAgain = w.tries <= maxTries && g.config.Retries.TakeMany(s.name, len(pieces), 1, now)
+	}
+	if !mayGoAgain {
 		g.freeResults(w)
 		return []func(){w.end(reason)}
 	}
--- a/staging/drain.go
+++ b/staging/drain.go
@@ -93,12 +93,16 @@
 // needed is how long a group takes after the work before it.
 func (s *gathering) needed(w *work, spec *routing.StageServer, pieces int, bytes int64) time.Duration {
 	wait := s.drain.wait(float64(pieces))
-	if w.ResultBytes >= heavyBytes {
+	if w.ResultBytes > 0 && w.ResultBytes >= s.queue.largest()/lightPart {
 		wait = max(wait, s.bytes.wait(float64(bytes)))
 	}
 	return wait + spec.CallTime + time.Duration(w.Pieces)*spec.PieceTime
 }
 
+// lightPart is the part of the largest results below which a group finds room
+// between the others.
+const lightPart = 8
+
 // refuseLate ends the groups that can no longer be done in time, so that their
 // callers learn it at once.
 func (s *gathering) refuseLate(now time.Time, spec *routing.StageServer) (ended []func()) {
--- a/staging/foreign.go
+++ b/staging/foreign.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/galenaseam/galenaseam/instance"
@@ -15,6 +16,11 @@
 	// foreignLife is how long a server's word on its memory is used before it
 	// is asked again.
 	foreignLife = 400 * time.Millisecond
+	// smallRoom is the memory below which a report in whole megabytes tells too
+	// little.
+	smallRoom = 8 << 20
+	// guessHalfLife is about how long results are held.
+	guessHalfLife = 300 * time.Millisecond
 	// reportGrain is how far a report may be below the truth: servers report
 	// whole megabytes.
 	reportGrain = 1 << 20
@@ -28,6 +34,8 @@
 	asking bool
 	// settled says that all of the server's results are known here.
 	settled bool
+	// guessed bytes become fewer by themselves.
+	guessed bool
 }
 
 // usedRoom is the memory that results take on a server; known is false while
@@ -37,11 +45,22 @@
 	if !asked || !f.settled && now.Sub(f.at) > foreignLife {
 		return 0, false
 	}
-	return s.room.byServer[id] + f.bytes, true
+	bytes := f.bytes
+	if f.guessed {
+		bytes = int64(float64(bytes) * math.Exp2(-now.Sub(f.at).Seconds()/guessHalfLife.Seconds()))
+	}
+	return s.room.byServer[id] + bytes, true
 }
 
-// doubt has a server asked again, because it had less memory than was thought.
-func (s *gathering) doubt(id instance.ID) { delete(s.foreign, id) }
+// doubt takes note that a server had less memory than was thought. It is asked
+// again; one whose memory is too small for its report to tell is taken to be
+// full of results that leave one after the other.
+func (s *gathering) doubt(id instance.ID, spec *routing.StageServer, now time.Time) {
+	delete(s.foreign, id)
+	if spec.ResultRoom < smallRoom {
+		s.foreign[id] = foreign{at: now, settled: true, guessed: true, bytes: max(spec.ResultRoom-s.room.byServer[id], 0)}
+	}
+}
 
 // askRoom asks a server for its free memory, in the background. The caller
 // holds mu.
@@ -59,6 +78,8 @@
 		known := s.room.byServer[server.ID]
 		f := foreign{at: now, bytes: max(spec.ResultRoom-free-known-reportGrain, 0)}
 		f.settled = f.bytes < spec.ResultRoom/settledPart
+		g.config.Logger.Debug("stage server told its free memory", "upstream", string(server.ID), "free_bytes", free,
+			"known_bytes", known, "room_bytes", spec.ResultRoom)
 		if err != nil {
 			g.config.Logger.Warn("stage server did not tell its free memory", "upstream", string(server.ID), "error", err.Error())
 			f = foreign{at: now}
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -22,6 +22,8 @@
 const (
 	// maxTries is how often a group's pieces are sent again after failures.
 	maxTries = 3
+	// maxRefusals is how often they are sent again after a server had no memory.
+	maxRefusals = 6
 	// slowFactor is how many times its usual duration a call may take before
 	// its pieces go elsewhere.
 	slowFactor = 4
@@ -67,7 +69,9 @@
 	Service func(name string) (*routing.Service, bool)
 	Caller  Caller
 	Retries *retry.Budget
-	Logger  *slog.Logger
+	// Owns says whether this host is to gather for a service; nil if always.
+	Owns   func(service string) bool
+	Logger *slog.Logger
 	// Registerer may be nil.
 	Registerer prometheus.Registerer
 }
@@ -84,6 +88,8 @@
 	bytes   drain                   // in bytes of results
 	foreign map[instance.ID]foreign
 	told    time.Time // when the log was last told of the queue
+	// strange is since when another host owns the service; zero if none does.
+	strange time.Time
 }
 
 // NewGatherer makes a gatherer. Run it to have its timers work.
@@ -110,10 +116,11 @@
 	var ended []func()
 	for _, s := range g.services {
 		s.room.expire(now)
+		ended = append(ended, g.handOver(s, now)...)
 		if spec, known := g.spec(s.name); known {
 			servers := g.config.Servers.Service(s.name, now)
 			s.drain.tick(now, len(s.queue.waiting) > 0, s.capacity(servers, spec))
-			s.bytes.tick(now, s.queue.heavyWaits(), s.byteCapacity(servers, spec))
+			s.bytes.tick(now, len(s.queue.waiting) > 0, s.byteCapacity(servers, spec))
 			ended = append(ended, s.refuseLate(now, spec)...)
 		}
 		ended = append(ended, g.pump(s, now)...)
@@ -154,6 +161,38 @@
 		"rate", int(s.drain.rate), "held_ms", s.room.heldFor.Milliseconds(), "oldest_ms", now.Sub(s.queue.oldest()).Milliseconds(), "servers", states)
 }
 
+// handOverAfter is how long another host must own a service before what waits
+// goes there: views of the members differ for a moment.
+const handOverAfter = 150 * time.Millisecond
+
+// handOver ends the groups that wait when another host gathers for the service
+// now. Their hosts ask that one. What a server has begun stays.
+func (g *Gatherer) handOver(s *gathering, now time.Time) (ended []func()) {
+	if g.config.Owns == nil || g.config.Owns(s.name) {
+		s.strange = time.Time{}
+		return nil
+	}
+	if s.strange.IsZero() {
+		s.strange = now
+	}
+	if now.Sub(s.strange) < handOverAfter {
+		return nil
+	}
+	kept := s.queue.waiting[:0]
+	for _, w := range s.queue.waiting {
+		if w.Stay || w.open > len(w.waiting) {
+			kept = append(kept, w)
+		} else {
+			ended = append(ended, w.end(call.PieceMoved))
+		}
+	}
+	if len(ended) > 0 {
+		g.config.Logger.Info("stage queue handed over", "service", s.name, "groups", len(ended), "kept", len(kept))
+	}
+	s.queue.waiting = kept
+	return ended
+}
+
 // Gather runs a group's pieces and returns a result for each. When ctx ends
 // pieces that wait are dropped. A group for which too much waits is refused at
 // once.
--- a/staging/queue.go
+++ b/staging/queue.go
@@ -30,6 +30,9 @@
 	// for none.
 	Near       host.DataCentre `cbor:"11,keyasint"`
 	MovedBytes int64           `cbor:"12,keyasint"`
+	// Stay keeps the group with a gatherer that no longer owns the service:
+	// its host can't reach the owner.
+	Stay bool `cbor:"13,keyasint"`
 }
 
 // work is a group that waits for servers, or runs on some.
@@ -41,7 +44,8 @@
 	results  []call.PieceResult
 	waiting  []int // pieces that no server has
 	open     int   // pieces without a result
-	tries    int   // times that pieces were sent again
+	tries    int   // times that pieces were sent again after failures
+	refusals int   // times that a server had no memory for pieces
 	ended    bool  // the asker has its answer, or has left
 	done     func([]call.PieceResult)
 }
@@ -128,9 +132,13 @@
 	return n
 }
 
-// heavyWaits says whether a group with large results waits.
-func (q *queue) heavyWaits() bool {
-	return slices.ContainsFunc(q.waiting, func(w *work) bool { return w.ResultBytes >= heavyBytes })
+// largest is the size of the largest result that waits to be made.
+func (q *queue) largest() int64 {
+	n := int64(0)
+	for _, w := range q.waiting {
+		n = max(n, w.ResultBytes)
+	}
+	return n
 }
 
 // ahead counts the pieces that would go before a new group, and the bytes of
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -129,6 +129,11 @@
 // a result was lost before it was used, all is done once more. The error is a
 // *Failure, or ctx's.
 func (r *Runner) Run(ctx context.Context, w Work) (*Results, error) {
+	for !r.config.Owners.Formed(time.Now()) {
+		if err := sleep.For(ctx, moveInterval); err != nil {
+			return nil, err
+		}
+	}
 	results, err := r.runOnce(ctx, w)
 	if f := IsFailure(err); f != nil && f.Reason == call.PieceInputGone {
 		r.config.Logger.Warn("stages begun again", "request", w.Request.ID, "service", f.Service, "stage", f.Stage,
@@ -304,16 +309,20 @@
 // or by the next one if that host can't be reached.
 func (r *Runner) gather(ctx context.Context, g Group) ([]call.PieceResult, error) {
 	begun := time.Now()
+	var before host.ID
 	for try := 0; ; try++ {
 		passed := time.Since(begun)
 		left := g
 		left.Remaining -= passed
 		left.Aim -= passed
 		owner, own := r.config.Owners.Owner(g.Service, time.Now())
-		if own {
-			return r.config.Gatherer.Gather(ctx, left), ctx.Err()
+		left.Stay = owner.ID == before
+		before = owner.ID
+		results, err := r.gatherAt(ctx, owner, own, left)
+		if err == nil && failure(results) == call.PieceMoved && !left.Stay {
+			_ = sleep.For(ctx, moveInterval)
+			continue
 		}
-		results, err := r.ask(ctx, owner, left)
 		if err == nil {
 			return results, nil
 		}
@@ -329,6 +338,18 @@
 	}
 }
 
+// moveInterval is left to the membership to name the new gatherer.
+const moveInterval = 30 * time.Millisecond
+
+// gatherAt gives a group to a host, which may be the local one.
+func (r *Runner) gatherAt(ctx context.Context, owner host.Info, own bool, g Group) ([]call.PieceResult, error) {
+	if !own {
+		return r.ask(ctx, owner, g)
+	}
+	results := r.config.Gatherer.Gather(ctx, g)
+	return results, ctx.Err()
+}
+
 // ask gives a group to another host.
 func (r *Runner) ask(ctx context.Context, owner host.Info, g Group) ([]call.PieceResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, g.Remaining+gatherSlack)
