--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,73 @@
+package balance_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/balance"
+	"github.com/galenaseam/galenaseam/instance"
+)
+
+func status(id string, change func(*instance.Status)) instance.Status {
+	s := instance.Status{Entry: instance.Entry{ID: instance.ID(id), Slots: 6, DataCentre: "a"}, Latency: 15 * time.Millisecond}
+	if change != nil {
+		change(&s)
+	}
+	return s
+}
+
+func shares(all []instance.Status, need balance.Need) map[instance.ID]int {
+	random, counts := rand.New(rand.NewPCG(1, 2)), map[instance.ID]int{}
+	for range 1000 {
+		if s, found := balance.Plain(all, need, random); found {
+			counts[s.ID]++
+		}
+	}
+	return counts
+}
+
+func TestEqualUpstreamsShareTheWork(t *testing.T) {
+	for id, n := range shares([]instance.Status{status("x", nil), status("y", nil), status("z", nil)}, balance.Need{Near: "a"}) {
+		require.InDelta(t, 333, n, 70, id)
+	}
+}
+
+func TestSlowFailingAndBusyUpstreamsGetLess(t *testing.T) {
+	for what, change := range map[string]func(*instance.Status){
+		"slow":    func(s *instance.Status) { s.Latency *= 5 },
+		"failing": func(s *instance.Status) { s.ErrorRate = 0.4 },
+		"busy":    func(s *instance.Status) { s.InFlight = 6 },
+		"ejected": func(s *instance.Status) { s.Ejected = true },
+		"far":     func(s *instance.Status) { s.DataCentre = "b" },
+	} {
+		counts := shares([]instance.Status{status("worse", change), status("better", nil)}, balance.Need{Near: "a"})
+		require.Less(t, counts["worse"], 50, what)
+	}
+}
+
+func TestTriedUpstreamsAreNeverChosenAndEjectedOnesLast(t *testing.T) {
+	all := []instance.Status{status("x", nil), status("y", func(s *instance.Status) { s.Ejected = true })}
+	require.Equal(t, map[instance.ID]int{"y": 1000}, shares(all, balance.Need{Tried: []instance.ID{"x"}}))
+	require.Empty(t, shares(all, balance.Need{Tried: []instance.ID{"x", "y"}}))
+}
+
+func TestEngineWithoutAKeeperFollowsThePrefix(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	all := []instance.Status{status("x", nil), status("y", nil), status("z", nil)}
+	first, found := balance.Engine(all, balance.Need{Prefix: 42}, random)
+	require.True(t, found)
+	for range 20 {
+		again, _ := balance.Engine(all, balance.Need{Prefix: 42}, random)
+		require.Equal(t, first.ID, again.ID)
+	}
+	for i := range all {
+		if all[i].ID == first.ID {
+			all[i].Tokens = 1_000_000
+		}
+	}
+	other, _ := balance.Engine(all, balance.Need{Prefix: 42}, random)
+	require.NotEqual(t, first.ID, other.ID)
+}
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -18,9 +18,13 @@
 	// to maxRetryPause, so that a store that returns is not flooded.
 	retryPause    = 100 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
-	// gatherPause is the pause after changes, so that those that come together
-	// are read together: every call to the store is counted.
-	gatherPause = 200 * time.Millisecond
+	// pausePerHost is the pause after changes for each host of the fleet, so
+	// that those that come together are read together: every host's call to the
+	// store is counted, and its rates grow more slowly than the fleet.
+	pausePerHost = 8 * time.Millisecond
+	// minPause and maxPause bound it; a change must be in force in 2 s.
+	minPause = 200 * time.Millisecond
+	maxPause = 900 * time.Millisecond
 	// lapseInterval is how often entries that lapsed are looked at.
 	lapseInterval = 200 * time.Millisecond
 )
@@ -76,6 +80,12 @@
 	return nil
 }
 
+// pause is how long changes are gathered before they are read.
+func (d *Directory) pause() time.Duration {
+	hosts := len(d.config.Fleet.Members())
+	return min(max(time.Duration(hosts)*pausePerHost, minPause), maxPause)
+}
+
 // step makes one call to the store and takes in what it says.
 func (d *Directory) step(ctx context.Context, read *bool) error {
 	if *read {
@@ -105,7 +115,7 @@
 	d.advance(asOf)
 	if len(items) > 0 {
 		d.tell()
-		_ = sleep.For(ctx, gatherPause)
+		_ = sleep.For(ctx, d.pause())
 	}
 	return nil
 }
--- /dev/null
+++ b/ownership/ownership_test.go
@@ -0,0 +1,85 @@
+package ownership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/ownership"
+)
+
+// fleet is a fixed list of members; the first is the local host.
+type fleet []host.Member
+
+func (f fleet) Self() host.Info        { return f[0].Info }
+func (f fleet) Members() []host.Member { return f }
+func (f fleet) Lookup(id host.ID) (host.Member, bool) {
+	for _, m := range f {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return host.Member{}, false
+}
+
+func members(n int) fleet {
+	var f fleet
+	for i := range n {
+		f = append(f, host.Member{Info: host.Info{ID: host.ID(fmt.Sprint("h", i)), Capacity: 0.27}})
+	}
+	return f
+}
+
+var start = time.Unix(1000, 0)
+
+func TestAllHostsNameTheSameOwner(t *testing.T) {
+	f := members(12)
+	want, _ := ownership.New(f, start).Owner("stage", start)
+	for i := range f {
+		view := append(fleet{f[i]}, append(append(fleet{}, f[:i]...), f[i+1:]...)...)
+		got, own := ownership.New(view, start).Owner("stage", start)
+		require.Equal(t, want, got)
+		require.Equal(t, got.ID == f[i].ID, own)
+	}
+}
+
+func TestWeakLeavingAndSilentHostsOwnNothing(t *testing.T) {
+	f := members(12)
+	for i := range f {
+		switch i % 4 {
+		case 0:
+			f[i].Capacity = 0.04
+		case 1:
+			f[i].State = host.Leaving
+		case 2:
+			f[i].State = host.Suspect
+		}
+	}
+	table := ownership.New(f, start)
+	for i := range 100 {
+		owner, _ := table.Owner(fmt.Sprint("stage", i), start)
+		m, _ := f.Lookup(owner.ID)
+		require.Equal(t, host.Alive, m.State)
+		require.Equal(t, 0.27, m.Capacity)
+	}
+}
+
+func TestOwnerThatFailedIsPassedOverForAWhile(t *testing.T) {
+	table := ownership.New(members(12), start)
+	owner, _ := table.Owner("stage", start)
+	table.Avoid(owner.ID, start)
+	other, _ := table.Owner("stage", start)
+	require.NotEqual(t, owner.ID, other.ID)
+	again, _ := table.Owner("stage", start.Add(4*time.Second))
+	require.Equal(t, owner.ID, again.ID)
+}
+
+func TestHostsThatStartWaitForTheOthers(t *testing.T) {
+	require.False(t, ownership.New(members(12), start).Formed(start.Add(100*time.Millisecond)))
+	require.True(t, ownership.New(members(12), start).Formed(start.Add(500*time.Millisecond)))
+	require.False(t, ownership.New(members(1), start).Formed(start.Add(500*time.Millisecond)))
+	require.True(t, ownership.New(members(1), start).Formed(start.Add(1500*time.Millisecond)))
+}
--- /dev/null
+++ b/transport/transport_test.go
@@ -0,0 +1,227 @@
+package transport_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/transport"
+)
+
+// server answers the n-th request of all its connections with what answer says,
+// byte for byte; "" closes the connection.
+func server(t *testing.T, answer func(n int, r *http.Request) string) (addr netip.AddrPort, accepted *atomic.Int32) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	accepted = &atomic.Int32{}
+	var requests atomic.Int32
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if r.Header.Get("Early") == "" {
+						_, _ = io.Copy(io.Discard, r.Body)
+					}
+					text := answer(int(requests.Add(1)), r)
+					if text == "" {
+						return
+					}
+					_, _ = io.WriteString(c, text)
+					if strings.Contains(text, "until the end") {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().(*net.TCPAddr).AddrPort(), accepted
+}
+
+func plain(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string { return string(rune('0'+n/10)) + string(rune('0'+n%10)) }
+
+func do(t *testing.T, c *transport.Client, call *transport.Call) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	if call.Mine == nil {
+		call.Mine = func(r *http.Response) bool { return r.Header.Get("Id") == call.Header.Get("Id") }
+	}
+	a, err := c.Do(ctx, call)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a.Body)
+	return string(body), err
+}
+
+func get(addr netip.AddrPort, id string) *transport.Call {
+	return &transport.Call{Addr: addr, Method: http.MethodGet, Target: "/x%2fy?z", Host: "h", Header: http.Header{"Id": {id}}}
+}
+
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	addr, accepted := server(t, func(_ int, r *http.Request) string { return plain(r.Header.Get("Id"), r.RequestURI) })
+	c := transport.New(nil)
+	for range 5 {
+		body, err := do(t, c, get(addr, "a"))
+		require.NoError(t, err)
+		require.Equal(t, "/x%2fy?z", body)
+	}
+	require.EqualValues(t, 1, accepted.Load())
+	fresh := get(addr, "a")
+	fresh.Fresh = true
+	_, err := do(t, c, fresh)
+	require.NoError(t, err)
+	require.EqualValues(t, 2, accepted.Load())
+}
+
+func TestAnswerToAnEarlierCallIsReadAway(t *testing.T) {
+	addr, _ := server(t, func(n int, r *http.Request) string {
+		if n == 2 {
+			return plain("stray", "of another") + plain(r.Header.Get("Id"), "own")
+		}
+		return plain(r.Header.Get("Id"), "own")
+	})
+	c := transport.New(nil)
+	for _, id := range []string{"a", "b", "c"} {
+		body, err := do(t, c, get(addr, id))
+		require.NoError(t, err)
+		require.Equal(t, "own", body)
+	}
+}
+
+func TestBytesThatNobodyAskedForEndAConnection(t *testing.T) {
+	addr, accepted := server(t, func(n int, r *http.Request) string {
+		if n == 1 {
+			return plain(r.Header.Get("Id"), "own") + plain(r.Header.Get("Id"), "again")
+		}
+		return plain(r.Header.Get("Id"), "own")
+	})
+	c := transport.New(nil)
+	for range 2 {
+		body, err := do(t, c, get(addr, "a"))
+		require.NoError(t, err)
+		require.Equal(t, "own", body)
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.EqualValues(t, 2, accepted.Load())
+}
+
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	addr, accepted := server(t, func(_ int, r *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\nContent-Length: 0\r\nX: until the end\r\n\r\n"
+	})
+	c := transport.New(nil)
+	for range 3 {
+		_, err := do(t, c, get(addr, "a"))
+		require.NoError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.EqualValues(t, 3, accepted.Load())
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	addr, _ := server(t, func(_ int, r *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\n\r\nuntil the end"
+	})
+	body, err := do(t, transport.New(nil), get(addr, "a"))
+	require.NoError(t, err)
+	require.Equal(t, "until the end", body)
+}
+
+func TestShortAnswerIsAnError(t *testing.T) {
+	addr, _ := server(t, func(_ int, r *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\nContent-Length: 99\r\n\r\nuntil the end"
+	})
+	_, err := do(t, transport.New(nil), get(addr, "a"))
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+func TestOnlyACallThatWasNotSentSaysSo(t *testing.T) {
+	addr, _ := server(t, func(int, *http.Request) string { return "" })
+	_, err := do(t, transport.New(nil), get(addr, "a"))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, transport.ErrNotSent)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	gone := l.Addr().(*net.TCPAddr).AddrPort()
+	require.NoError(t, l.Close())
+	_, err = do(t, transport.New(nil), get(gone, "a"))
+	require.ErrorIs(t, err, transport.ErrNotSent)
+}
+
+// A server may answer before it has read a long body. What is left of the body
+// must not be taken for the next request.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	addr, accepted := server(t, func(_ int, r *http.Request) string { return plain(r.Header.Get("Id"), "too long") })
+	c := transport.New(nil)
+	for range 2 {
+		call := get(addr, "a")
+		call.Method, call.Body = http.MethodPost, make([]byte, 16<<20)
+		call.Header.Set("Early", "1")
+		body, err := do(t, c, call)
+		require.NoError(t, err)
+		require.Equal(t, "too long", body)
+	}
+	require.EqualValues(t, 2, accepted.Load())
+}
+
+func TestEndOfTheContextClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, c)
+		close(closed)
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = transport.New(nil).Do(ctx, get(l.Addr().(*net.TCPAddr).AddrPort(), "a"))
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the upstream still works for a caller that has left")
+	}
+}
+
+func TestChunkedBodyArrivesWhole(t *testing.T) {
+	addr, _ := server(t, func(_ int, r *http.Request) string {
+		return plain(r.Header.Get("Id"), strings.Join(r.TransferEncoding, ",")+" "+r.Header.Get("Host"))
+	})
+	call := get(addr, "a")
+	call.Method, call.Body, call.Chunked = http.MethodPost, []byte("body"), true
+	body, err := do(t, transport.New(nil), call)
+	require.NoError(t, err)
+	require.Equal(t, "chunked ", body)
+}
