--- /dev/null
+++ b/edge/drain_test.go
@@ -0,0 +1,159 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/edge"
+	"github.com/galenaseam/galenaseam/platform/platformtest"
+)
+
+func TestGracefulShutdownCutsNothing(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, nil)
+	f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Events: 20, EventPause: 50 * time.Millisecond})
+	f.upstream(&platformtest.Upstream{ID: "u2", Service: "plain", Work: 700 * time.Millisecond})
+	n := f.start()
+	answers := make(chan reply, 2)
+	go func() { answers <- f.ask(n, http.MethodPost, "/tell/1", "r1") }()
+	go func() { answers <- f.ask(n, http.MethodPost, "/order/1", "r2") }()
+	time.Sleep(200 * time.Millisecond)
+	n.stop()
+	require.Eventually(t, func() bool { return !n.Ready() }, time.Second, time.Millisecond)
+	for range 2 {
+		got := <-answers
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusOK, got.status)
+	}
+	require.NoError(t, <-n.ended)
+}
+
+func TestHostThatDrainsStillServesAndClosesConnections(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, nil)
+	f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
+	n := f.start()
+	f.upstream(&platformtest.Upstream{ID: "u2", Service: "events", Events: 10, EventPause: 50 * time.Millisecond})
+	require.Eventually(t, func() bool { return f.ask(n, http.MethodPost, "/tell/1", "r0").status == http.StatusOK }, patience, 10*time.Millisecond)
+	n.stop()
+	require.Eventually(t, func() bool { return !n.Ready() }, time.Second, time.Millisecond)
+	kept, err := net.Dial("tcp4", n.settings.Callers.String())
+	require.NoError(t, err)
+	defer kept.Close()
+	_, err = io.WriteString(kept, "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: a\r\nAuthorization: Bearer key-of-welders\r\n\r\n")
+	require.NoError(t, err)
+	got, err := http.ReadResponse(bufio.NewReader(kept), nil)
+	require.NoError(t, err)
+	defer got.Body.Close()
+	require.Equal(t, http.StatusOK, got.StatusCode)
+	require.True(t, got.Close)
+}
+
+func TestUpstreamStopsWhenItsCallerLeaves(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, nil)
+	u := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
+	n := f.start()
+	u.Do(platformtest.Hang)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.settings.Callers.String()+"/read/1", nil)
+	require.NoError(t, err)
+	r.Host = "shop.example"
+	r.Header.Set("Attempt-Id", "r1")
+	r.Header.Set("Authorization", "Bearer key-of-welders")
+	response, err := http.DefaultClient.Do(r)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return u.Left() == 1 }, 500*time.Millisecond, 5*time.Millisecond)
+	require.Len(t, u.Runs(), 1, "a request whose caller has left is not sent again")
+}
+
+func TestDeadlineEndsARequest(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, nil)
+	u := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
+	n := f.start()
+	u.Do(platformtest.Hang)
+	begun := time.Now()
+	got := f.ask(n, http.MethodPost, "/order/1", "r1", "Deadline-Ms", "300")
+	require.Equal(t, http.StatusGatewayTimeout, got.status)
+	require.Less(t, time.Since(begun), 500*time.Millisecond)
+}
+
+func TestLimitsOfTheConfigurationHold(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, func(c map[string]any) {
+		c["limits"] = map[string]any{"max_body_bytes": 10, "idle_timeout_ms": 300}
+	})
+	u := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
+	n := f.start()
+	require.Equal(t, http.StatusRequestEntityTooLarge, f.ask(n, http.MethodPost, "/order/1", "longer-than-ten").status)
+	require.Empty(t, u.Runs())
+	idle, err := net.Dial("tcp4", n.settings.Callers.String())
+	require.NoError(t, err)
+	defer idle.Close()
+	_, err = io.WriteString(idle, "GET /nowhere/ HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: a\r\n\r\n")
+	require.NoError(t, err)
+	require.NoError(t, idle.SetReadDeadline(time.Now().Add(3*time.Second)))
+	_, err = io.Copy(io.Discard, idle)
+	require.False(t, errors.Is(err, os.ErrDeadlineExceeded), "an idle connection is closed after the configuration's timeout")
+}
+
+func TestSettingsAreReloadedOnASignalAndWithout(t *testing.T) {
+	f := newFleet(t)
+	n := f.startUnready(f.store.Addr())
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	signals := make(chan os.Signal, 1)
+	reads := make(chan struct{}, 10)
+	go n.FollowSettings(ctx, signals, func() (edge.Settings, error) {
+		select {
+		case reads <- struct{}{}:
+		default:
+		}
+		return edge.Settings{}, errors.New("the file is being written")
+	})
+	signals <- syscall.SIGHUP
+	for range 2 {
+		select {
+		case <-reads:
+		case <-time.After(patience):
+			t.Fatal("settings not read again")
+		}
+	}
+}
+
+func TestMetricsAndReadinessAreServed(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, nil)
+	f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
+	n := f.start()
+	require.Equal(t, http.StatusOK, f.ask(n, http.MethodGet, "/read/1", "r1").status)
+	fetch := func(url string) (int, string) {
+		response, err := http.Get(url)
+		require.NoError(t, err)
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		return response.StatusCode, string(body)
+	}
+	_, text := fetch("http://127.0.0.1:" + strings.TrimPrefix(n.metricsAddr(), "127.0.0.1:") + "/metrics")
+	require.Contains(t, text, `seam_requests_total{outcome="answered",route="read"} 1`)
+	require.Contains(t, text, `seam_request_seconds_count{workspace="welders"} 1`)
+	status, _ := fetch("http://" + n.settings.Readiness.String() + "/v1/readyz")
+	require.Equal(t, http.StatusOK, status)
+}
