Look at an upstream that is silent: callers of a dark one learn it soon, idempotent calls go elsewhere

Silence alone ends nothing: the address is tried twice, and only when it can't be reached the caller gets its final answer.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -17,8 +17,13 @@
 
 // plainOnce sends the request to one upstream.
 func (x *exchange) plainOnce(chosen instance.Status, ticket placement.Ticket) result {
-	ctx, cancel := x.sendContext()
-	defer cancel()
+	ctx, end := x.sendContext()
+	defer end()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silent := x.plainSilence(chosen)
+	watch := x.watchSilence(ctx, cancel, chosen, x.movesOn(), silent, silent)
+	defer watch.stop()
 	s, outcome := x.send(ctx, chosen, ticket, call.NoEvent)
 	if outcome != ended {
 		return outcome
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -12,16 +12,6 @@
 	"github.com/galenaseam/galenaseam/placement"
 )
 
-const (
-	// stallGaps is after how many of a route's longest pauses a resumable
-	// stream goes on elsewhere, at least minStall.
-	stallGaps = 6
-	minStall  = 1200 * time.Millisecond
-	// firstEventObjectives is the same before the first event, in objectives:
-	// a prompt may wait for others to be read.
-	firstEventObjectives = 2
-)
-
 // relay is the progress of one caller's stream over all its upstreams.
 type relay struct {
 	*exchange
@@ -36,10 +26,11 @@
 
 // once runs the stream, or the rest of it, on one upstream.
 func (r *relay) once(chosen instance.Status, ticket placement.Ticket) result {
-	ctx, cancel := context.WithCancel(r.ctx)
-	defer cancel()
-	stall := r.watch(cancel)
-	defer stall.Stop()
+	ctx, cancel := context.WithCancelCause(r.ctx)
+	defer cancel(nil)
+	first, between := r.streamSilences()
+	watch := r.watchSilence(ctx, cancel, chosen, r.route.Resumable, first, between)
+	defer watch.stop()
 	s, outcome := r.send(ctx, chosen, ticket, r.last)
 	if outcome != ended {
 		return outcome
@@ -47,16 +38,7 @@
 	if s.answer.Status != http.StatusOK {
 		return r.passFailure(s)
 	}
-	return r.forward(s, stall)
-}
-
-// watch gives an upstream up that is silent for too long, if another may go on.
-func (r *relay) watch(giveUp context.CancelFunc) *time.Timer {
-	if !r.route.Resumable {
-		return time.AfterFunc(time.Until(r.deadline), giveUp)
-	}
-	first := max(firstEventObjectives*r.route.Objective, minStall)
-	return time.AfterFunc(first, giveUp)
+	return r.forward(s, watch)
 }
 
 // passFailure returns an answer that is no stream.
@@ -75,7 +57,7 @@
 }
 
 // forward passes events on as they come.
-func (r *relay) forward(s *sending, stall *time.Timer) result {
+func (r *relay) forward(s *sending, watch *silence) result {
 	events := newEvents(s.answer.Body)
 	for {
 		event, err := events.next()
@@ -88,9 +70,7 @@
 		if event.id != call.NoEvent && r.last != call.NoEvent && event.id <= r.last {
 			continue
 		}
-		if r.route.Resumable {
-			stall.Reset(max(stallGaps*r.route.EventGap, minStall))
-		}
+		watch.sign()
 		r.begin(s)
 		if s.first == 0 {
 			s.first = time.Since(s.begun)
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -239,8 +239,11 @@
 	switch {
 	case s.exchange.ctx.Err() != nil:
 		s.overWith(instance.Abandoned, "given_up", err)
+	case errors.Is(context.Cause(s.ctx), errDead):
+		s.overWith(instance.Unreachable, "dark", errDead)
+		go s.confirmLoss(s.digest, s.chosen)
 	case s.ctx.Err() != nil:
-		s.overWith(instance.Broke, "stalled", err)
+		s.overWith(instance.Broke, "stalled", errStalled)
 	default:
 		s.overWith(instance.Broke, what, err)
 		go s.confirmLoss(s.digest, s.chosen)
