Make lost stage results once more; make large ones when they are needed; no owner without a configuration

Causes, from the logs of the incidents: a request whose stage result had expired was offered to four engines, which all refused it (409); the large stage beside a slow chain was made first and expired after 4 s; a host that had just started owned a stage service before it knew the configuration and refused its pieces. Tests: TestLostResultsAreMadeOnceMore, TestLargeResultsAreMadeWhenTheyAreNeeded, TestHostWithoutAConfigurationOwnsNothing.

--- a/cmd/seamedge/main.go
+++ b/cmd/seamedge/main.go
@@ -112,7 +112,7 @@
 		Name: s.Name, Place: s.Place, Callers: s.Callers, Readiness: s.Readiness, Peers: s.Peers,
 		MetricsPort: metricsPort, Seeds: s.Seeds, FleetKey: key[:], MemoryBytes: s.MemoryBytes, Grace: s.Grace,
 		Capacity: min(s.CPUShare, s.LinkMegabits/megabitsPerCore),
-		Retries: retry.Bounds{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window},
+		Retries:  retry.Bounds{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window},
 	}
 }
 
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -5,6 +5,8 @@
 	"os"
 	"reflect"
 	"time"
+
+	"github.com/galenaseam/galenaseam/internal/defaults"
 )
 
 // reloadInterval is how often the settings are read again: they may change
@@ -32,6 +34,7 @@
 // reload takes in changed settings.
 func (h *Host) reload(signalled bool, read func() (Settings, error)) {
 	next, err := read()
+	defaults.Set(&next.LeaveRotation, DefaultLeaveRotation)
 	h.settingsMu.Lock()
 	defer h.settingsMu.Unlock()
 	if err != nil {
--- a/edge/serve_test.go
+++ b/edge/serve_test.go
@@ -184,6 +184,23 @@
 	require.Eventually(t, func() bool { return len(pieces.Freed()) == 36 }, patience, 10*time.Millisecond)
 }
 
+func TestLostResultsAreMadeOnceMore(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, nil)
+	engine := f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Events: 3})
+	pieces := f.upstream(&platformtest.Upstream{ID: "u2", Service: "pieces"})
+	n := f.start()
+	engine.Do(platformtest.LoseInputs)
+	got := f.ask(n, http.MethodPost, "/staged/1", "r1", "Chunks", "1,1", "Chunk-Key", "k")
+	require.Equal(t, eventsOf(3), got.body)
+	require.Len(t, pieces.Calls(), 4)
+	engine.Do(platformtest.LoseInputs, platformtest.LoseInputs)
+	got = f.ask(n, http.MethodPost, "/staged/1", "r2", "Chunks", "1,1", "Chunk-Key", "k")
+	require.Equal(t, http.StatusServiceUnavailable, got.status, "nothing ran, and the answer says so")
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	require.Len(t, engine.Runs(), 1)
+}
+
 func TestFailedPiecesAreDoneAgain(t *testing.T) {
 	f := newFleet(t)
 	f.configure(1, nil)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,6 +116,7 @@
 	// ctx ends with the caller's connection or at the deadline.
 	ctx    context.Context
 	inputs *staging.Results
+	redone bool // the stages were done a second time
 	random *rand.Rand
 
 	mayRun  bool // an upstream may have run the request
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -69,6 +69,17 @@
 	return d
 }
 
+// redoStages has the stages done once more, when there is time for it.
+func (x *exchange) redoStages() bool {
+	if x.redone || time.Until(x.startBy) < x.stagesIn/2 {
+		return false
+	}
+	x.redone = true
+	x.freeInputs()
+	_, done := x.runStages()
+	return done
+}
+
 // runStages has the work done that must come first.
 func (x *exchange) runStages() (refusal, bool) {
 	if len(x.route.Stages) == 0 {
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -49,6 +49,9 @@
 	notRun
 	// unknown: the upstream may have run the request.
 	unknown
+	// inputGone: the upstream surely did not run the request, since a stage's
+	// result no longer exists.
+	inputGone
 )
 
 // sendUntilEnded sends the request to one upstream after another until once
@@ -75,6 +78,12 @@
 		case ended:
 			return
 		case notRun:
+		case inputGone:
+			if !x.redoStages() {
+				x.giveUp("inputs_gone")
+				return
+			}
+			tried = nil
 		case unknown:
 			x.mayRun = true
 			runs++
@@ -205,16 +214,7 @@
 	a := s.answer
 	switch {
 	case a.NotRun:
-		outcome := instance.Failed
-		if a.WrongUpstream {
-			outcome = instance.Unreachable
-			s.config.Transport.Forget(s.chosen.Addr)
-		}
-		if a.InputGone {
-			outcome = instance.Abandoned
-		}
-		s.over(outcome, a.Status, "not_run")
-		return notRun
+		return s.refused()
 	case !a.Signed || a.Encoded:
 		s.over(instance.Broke, a.Status, "unsigned")
 		return unknown
@@ -223,6 +223,21 @@
 	}
 }
 
+// refused judges an answer that says that the request did not run.
+func (s *sending) refused() result {
+	switch {
+	case s.answer.InputGone:
+		s.over(instance.Abandoned, s.answer.Status, "input_gone")
+		return inputGone
+	case s.answer.WrongUpstream:
+		s.over(instance.Unreachable, s.answer.Status, "wrong_upstream")
+		s.config.Transport.Forget(s.chosen.Addr)
+	default:
+		s.over(instance.Failed, s.answer.Status, "not_run")
+	}
+	return notRun
+}
+
 // broken judges a sending that had no answer.
 func (s *sending) broken(err error) result {
 	switch {
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -41,14 +41,18 @@
 func (t *Table) Owner(task string, now time.Time) (owner host.Info, own bool) {
 	self := t.fleet.Self()
 	members := t.fleet.Members()
-	strongest := 0.0
+	strongest, newest := 0.0, uint64(0)
 	for _, m := range members {
 		if m.State == host.Alive {
 			strongest = max(strongest, m.Capacity)
+			newest = max(newest, m.Generation)
 		}
 	}
 	best, bestRank := self, uint64(0)
 	for _, m := range members {
+		if newest > 0 && m.Generation == 0 {
+			continue // it knows no configuration yet
+		}
 		if m.State != host.Alive || m.Capacity < strongShare*strongest || t.isAvoided(m.ID, now) {
 			continue
 		}
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -67,6 +67,16 @@
 	}
 }
 
+func TestHostWithoutAConfigurationOwnsNothing(t *testing.T) {
+	f := members(3)
+	f[0].Generation, f[1].Generation = 7, 9
+	table := ownership.New(f, start)
+	for i := range 100 {
+		owner, _ := table.Owner(fmt.Sprint("stage", i), start)
+		require.NotEqual(t, host.ID("h2"), owner.ID)
+	}
+}
+
 func TestOwnerThatFailedIsPassedOverForAWhile(t *testing.T) {
 	table := ownership.New(members(12), start)
 	owner, _ := table.Owner("stage", start)
--- a/staging/queue_test.go
+++ b/staging/queue_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/routing"
 )
 
@@ -171,6 +172,25 @@
 	require.Empty(t, r.byHandle)
 }
 
+// The pattern of quick-answer: a stage with large results beside a chain of
+// three. It waits for the second of them, so that both end together.
+func TestLargeResultsAreMadeWhenTheyAreNeeded(t *testing.T) {
+	r := NewRunner(RunnerConfig{Service: func(string) (*routing.Service, bool) {
+		return &routing.Service{Stages: testSpec}, true
+	}}, link.NewMux())
+	stages := []routing.Stage{
+		{Service: "a", ResultBytes: 3e6}, {Service: "a", ResultBytes: 8e3},
+		{Service: "b", After: []int{1}, ResultBytes: 6e4}, {Service: "c", After: []int{2}, ResultBytes: 6e3},
+	}
+	g, err := newGraph(stages, []int{1, 1, 8, 16})
+	require.NoError(t, err)
+	require.Equal(t, 2, r.startAfter(g, 0))
+	require.Equal(t, -1, r.startAfter(g, 1), "small results take no room")
+	alone, err := newGraph(stages[:1], []int{3})
+	require.NoError(t, err)
+	require.Equal(t, -1, r.startAfter(alone, 0))
+}
+
 func TestGraphGivesEachStageItsInputs(t *testing.T) {
 	stages := []routing.Stage{{Service: "a"}, {Service: "b", After: []int{0}}, {Service: "c", After: []int{1}}, {Service: "a"}}
 	g, err := newGraph(stages, []int{1, 2, 1, 0})
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -160,7 +160,11 @@
 	}
 	for i := range w.Stages {
 		group.Go(func() error {
-			for _, before := range w.Stages[i].After {
+			waits := w.Stages[i].After
+			if after := r.startAfter(g, i); after >= 0 {
+				waits = []int{after}
+			}
+			for _, before := range waits {
 				select {
 				case <-done[before]:
 				case <-ctx.Done():
@@ -187,9 +191,6 @@
 	if g.pieces[stage] == 0 {
 		return nil
 	}
-	if err := sleep.For(ctx, r.startDelay(g, stage)); err != nil {
-		return err
-	}
 	inputs := g.inputs(stage)
 	now := time.Now()
 	group := Group{
@@ -260,23 +261,39 @@
 	return nil
 }
 
-// startDelay is how long a stage off the longest path may wait, so that its
-// results do not take memory while the others are made.
-func (r *Runner) startDelay(g *graph, stage int) time.Duration {
+// startAfter is the stage whose end a stage with large results waits for, so
+// that they do not take memory while slower stages beside it run: the last one
+// on their path after which there is as much to do still. It is -1 for none.
+func (r *Runner) startAfter(g *graph, stage int) int {
 	if len(g.stages[stage].After) > 0 || g.stages[stage].ResultBytes < heavyBytes {
-		return 0
+		return -1
 	}
-	longest := time.Duration(0)
+	own := r.pathTime(g, stage)
+	next, longest := -1, own
 	for i, s := range g.stages {
-		if len(s.After) == 0 && g.pieces[i] > 0 {
-			longest = max(longest, r.pathTime(g, i))
+		if len(s.After) == 0 && g.pieces[i] > 0 && r.pathTime(g, i) > longest {
+			next, longest = i, r.pathTime(g, i)
 		}
 	}
-	return max(longest-r.pathTime(g, stage)-startMargin, 0)
+	after := -1
+	for next >= 0 && r.following(g, next) >= own {
+		after = next
+		next = r.longestFollower(g, after)
+	}
+	return after
 }
 
-// startMargin is left for a wait for the stage's turn.
-const startMargin = 150 * time.Millisecond
+// longestFollower is the stage after one that takes longest to the end; -1 for
+// none.
+func (r *Runner) longestFollower(g *graph, stage int) int {
+	best, longest := -1, time.Duration(0)
+	for i, s := range g.stages {
+		if g.pieces[i] > 0 && slices.Contains(s.After, stage) && r.pathTime(g, i) > longest {
+			best, longest = i, r.pathTime(g, i)
+		}
+	}
+	return best
+}
 
 // pathTime is about how long a stage and what follows it take.
 func (r *Runner) pathTime(g *graph, stage int) time.Duration {
