--- a/cmd/seamedge/main.go
+++ b/cmd/seamedge/main.go
@@ -110,7 +110,7 @@
 	key := sha256.Sum256([]byte("galenaseam fleet " + s.Store.Addr.String()))
 	return edge.Settings{
 		Name: s.Name, Place: s.Place, Callers: s.Callers, Readiness: s.Readiness, Peers: s.Peers,
-		MetricsPort: metricsPort, Seeds: s.Seeds, FleetKey: key[:], MemoryBytes: s.MemoryBytes, Grace: s.Grace,
+		MetricsPort: metricsPort, Seeds: s.Seeds, FleetKey: key[:], MemoryBytes: s.MemoryBytes, Grace: s.Grace, ChangesWithin: s.ChangesWithin,
 		Capacity: min(s.CPUShare, s.LinkMegabits/megabitsPerCore),
 		Retries:  retry.Bounds{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window},
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -67,7 +67,9 @@
 	Fleet     host.View
 	Gossip    member.Gossip
 	Caller    link.Caller
-	Logger    *slog.Logger
+	// ChangesWithin is the time within which a change must be in force.
+	ChangesWithin time.Duration
+	Logger        *slog.Logger
 	// Adopted is called with each configuration that comes into force.
 	Adopted func(*routing.Table)
 }
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -21,10 +21,11 @@
 	// pausePerHost is the pause after changes for each host of the fleet, so
 	// that those that come together are read together: every host's call to the
 	// store is counted, and its rates grow more slowly than the fleet.
-	pausePerHost = 8 * time.Millisecond
-	// minPause and maxPause bound it; a change must be in force in 2 s.
-	minPause = 200 * time.Millisecond
-	maxPause = 900 * time.Millisecond
+	pausePerHost = 12 * time.Millisecond
+	// minPause bounds it from below, boundShare of the time within which a
+	// change must be in force from above.
+	minPause   = 200 * time.Millisecond
+	boundShare = 0.45
 	// lapseInterval is how often entries that lapsed are looked at.
 	lapseInterval = 200 * time.Millisecond
 )
@@ -83,7 +84,8 @@
 // pause is how long changes are gathered before they are read.
 func (d *Directory) pause() time.Duration {
 	hosts := len(d.config.Fleet.Members())
-	return min(max(time.Duration(hosts)*pausePerHost, minPause), maxPause)
+	most := time.Duration(boundShare * float64(d.config.ChangesWithin))
+	return min(max(time.Duration(hosts)*pausePerHost, minPause), max(most, minPause))
 }
 
 // step makes one call to the store and takes in what it says.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -65,6 +65,9 @@
 	Capacity float64
 	// Grace is the time from the order to stop to the end of the process.
 	Grace time.Duration
+	// ChangesWithin is the time within which a change of the configuration or
+	// of an upstream's state must be in force.
+	ChangesWithin time.Duration
 	// LeaveRotation is how long a host that stops goes on taking connections;
 	// 0 takes DefaultLeaveRotation.
 	LeaveRotation time.Duration
@@ -146,7 +149,7 @@
 	}
 	h.directory = directory.New(directory.Config{
 		Source: h.platform.Source, Format: h.platform.Format, Instances: h.instances, Fleet: h.members,
-		Gossip: h.members, Caller: h.peers, Logger: h.logger, Adopted: h.adopt,
+		Gossip: h.members, Caller: h.peers, ChangesWithin: h.settings.ChangesWithin, Logger: h.logger, Adopted: h.adopt,
 	}, h.mux)
 	lister.set(h.directory)
 	return nil
