--- a/call/call.go
+++ b/call/call.go
@@ -95,18 +95,7 @@
 	InputGone bool
 	// Encoded says that the body is not the upstream's plain body.
 	Encoded bool
-	// EventStream says that the body is a series of events.
-	EventStream bool
-	Load        Load
-	HasLoad     bool
-	Body        io.Reader
-}
-
-// Load is what an upstream says of its own load.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
+	Body    io.Reader
 }
 
 // Piece is one piece of a stage's work for a request.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"log/slog"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -127,17 +126,6 @@
 	return all, nil
 }
 
-// Peers returns the link addresses of the hosts that registered themselves.
-func (d *Directory) Peers() []netip.AddrPort {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var all []netip.AddrPort
-	for _, h := range d.hosts {
-		all = append(all, h.LinkAddr)
-	}
-	return all
-}
-
 // applyAll takes in a whole reading.
 func (d *Directory) applyAll(items []Item, asOf int64, now time.Time) {
 	listed := make(map[instance.ID]bool)
--- a/edge/run.go
+++ b/edge/run.go
@@ -116,6 +116,24 @@
 	return nil
 }
 
+// idlePart is the part of the connections an upstream takes that hosts keep
+// idle; the rest is for calls under way.
+const idlePart = 2
+
+// idleShare is how many idle connections to one upstream are this host's share.
+func (h *Host) idleShare() int {
+	table, least := h.directory.Routes(), 0
+	if table == nil {
+		return 1
+	}
+	for _, s := range table.Services() {
+		if s.MaxConnections > 0 && (least == 0 || s.MaxConnections < least) {
+			least = s.MaxConnections
+		}
+	}
+	return least / idlePart / h.hostCount()
+}
+
 func (h *Host) sweepTransport(ctx context.Context) error {
 	ticker := time.NewTicker(transportSweep)
 	defer ticker.Stop()
@@ -125,6 +143,7 @@
 			return nil
 		case now := <-ticker.C:
 			h.transport.Sweep(now)
+			h.transport.LimitIdle(h.idleShare())
 		}
 	}
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -25,8 +25,6 @@
 	Slots int `cbor:"5,keyasint"`
 	// Leaving upstreams get no new work.
 	Leaving bool `cbor:"6,keyasint"`
-	// WarmUp is how much longer it is slow after its start.
-	WarmUp time.Duration `cbor:"7,keyasint"`
 	// Born tells apart two processes with the same ID. Its zero value is unknown.
 	Born time.Time `cbor:"8,keyasint"`
 	// Revision is the store's revision of the entry.
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,118 @@
+// Package soak runs hosts as separate processes and injects faults from outside
+// them, by a seed: signals, connections that are delayed, reset or silenced by a
+// loopback proxy, upstreams and a store that misbehave. It checks the promises
+// from what callers and upstreams see.
+package soak
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// proxyState is what a proxy does to its connections.
+type proxyState struct {
+	delay  time.Duration
+	silent bool // nothing passes towards the caller
+}
+
+// proxy stands between a host and a server on loopback.
+type proxy struct {
+	listener net.Listener
+	target   netip.AddrPort
+
+	mu    sync.Mutex // guards what follows
+	state proxyState
+	conns map[net.Conn]bool
+}
+
+func newProxy(target netip.AddrPort) (*proxy, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]bool)}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) addr() netip.AddrPort { return p.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+func (p *proxy) accept() {
+	for {
+		from, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		to, err := net.Dial("tcp4", p.target.String())
+		if err != nil {
+			_ = from.Close()
+			continue
+		}
+		p.track(from, to)
+		go p.pipe(to, from, false)
+		go p.pipe(from, to, true)
+	}
+}
+
+func (p *proxy) track(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		p.conns[c] = true
+	}
+}
+
+// pipe copies one direction; back is the one towards the caller.
+func (p *proxy) pipe(to, from net.Conn, back bool) {
+	defer func() {
+		_ = to.Close()
+		_ = from.Close()
+		p.mu.Lock()
+		delete(p.conns, to)
+		delete(p.conns, from)
+		p.mu.Unlock()
+	}()
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		for p.now().silent && back && n > 0 {
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(p.now().delay)
+		if _, failed := to.Write(buffer[:n]); failed != nil || err != nil {
+			return
+		}
+	}
+}
+
+func (p *proxy) now() proxyState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state
+}
+
+func (p *proxy) set(s proxyState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state = s
+}
+
+// reset closes every connection, with a reset where the system allows it.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // without it the close is orderly, which is a fault too
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.set(proxyState{})
+	p.reset()
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -58,9 +58,6 @@
 	MaxUpstreams int
 	// Public routes need no key.
 	Public bool
-	// SharesPrompts says that requests carry the parts of their prompts, which
-	// engines cache.
-	SharesPrompts bool
 	// Stages must be done before a request can run.
 	Stages []Stage
 }
@@ -88,8 +85,7 @@
 
 // Service is a group of interchangeable upstreams.
 type Service struct {
-	Name       string
-	HealthPath string
+	Name string
 	// MaxConnections bounds the connections that one upstream takes from all
 	// hosts together.
 	MaxConnections int
@@ -105,18 +101,12 @@
 	Concurrency int
 	// CacheTokens is the memory for running requests and cached prompt parts.
 	CacheTokens int
-	// CacheBytes is the size of one token in that memory.
-	CacheBytes int
-	// TokensPerEvent is how many tokens an event of a stream holds.
-	TokensPerEvent int
 }
 
 // StageServer describes one stage server of a service.
 type StageServer struct {
 	// Concurrency is how many calls run at once.
 	Concurrency int
-	// Queue is how many calls may wait.
-	Queue int
 	// Batch is how many pieces one call takes.
 	Batch int
 	// CallTime is the fixed time of a call, PieceTime what each piece adds.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -70,16 +70,18 @@
 
 // Client makes calls. It is safe for concurrent use.
 type Client struct {
-	mu    sync.Mutex // guards idle
-	idle  map[netip.AddrPort][]*conn
-	dials prometheus.Counter
-	reuse prometheus.Counter
+	mu      sync.Mutex // guards idle and maxIdle
+	idle    map[netip.AddrPort][]*conn
+	maxIdle int
+	dials   prometheus.Counter
+	reuse   prometheus.Counter
 }
 
 // New makes a client. registerer may be nil.
 func New(registerer prometheus.Registerer) *Client {
 	c := &Client{
-		idle: make(map[netip.AddrPort][]*conn),
+		idle:    make(map[netip.AddrPort][]*conn),
+		maxIdle: maxIdlePerUpstream,
 		dials: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "seam_upstream_dials_total", Help: "Connections opened to upstreams.",
 		}),
@@ -193,13 +195,21 @@
 	kept.expiry = time.Now().Add(idle)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[addr]) >= maxIdlePerUpstream {
+	if len(c.idle[addr]) >= c.maxIdle {
 		_ = kept.Close()
 		return
 	}
 	c.idle[addr] = append(c.idle[addr], kept)
 }
 
+// LimitIdle bounds the idle connections that are kept to one upstream, which
+// takes a number of connections from all hosts together.
+func (c *Client) LimitIdle(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxIdle = min(max(n, 1), maxIdlePerUpstream)
+}
+
 // Forget closes the idle connections to an address.
 func (c *Client) Forget(addr netip.AddrPort) {
 	c.mu.Lock()
