--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -26,8 +26,12 @@
 	fleet host.View
 	start time.Time
 
-	mu      sync.Mutex // guards avoided
+	mu      sync.Mutex // guards what follows
 	avoided map[host.ID]time.Time
+	// members is how many there were when Formed was last asked, and grownAt
+	// when that last changed.
+	members int
+	grownAt time.Time
 }
 
 // New makes a table over the members of a fleet that the local host begins to
@@ -64,17 +68,34 @@
 }
 
 const (
-	// formTime is about how long hosts that start together take to find each
-	// other; until then each takes itself for the owner of everything.
+	// formTime is the least time that hosts that start together take to find
+	// each other; until then each takes itself for the owner of everything.
 	formTime = 400 * time.Millisecond
-	// aloneTime is after how long a host that has found no other is alone.
+	// quietTime is how long no other host must have been found: a large fleet
+	// forms over several rounds of datagrams.
+	quietTime = 300 * time.Millisecond
+	// aloneTime is after how long a host that has found no other is alone, and
+	// longest after how long one that finds more and more goes on.
 	aloneTime = 1200 * time.Millisecond
+	longest   = 3 * time.Second
 )
 
 // Formed says whether the local host has had the time to find the others.
 func (t *Table) Formed(now time.Time) bool {
 	age := now.Sub(t.start)
-	return age > aloneTime || age > formTime && len(t.fleet.Members()) > 1
+	if age > longest {
+		return true
+	}
+	members := len(t.fleet.Members())
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if members != t.members {
+		t.members, t.grownAt = members, now
+	}
+	if members == 1 {
+		return age > aloneTime
+	}
+	return age > formTime && now.Sub(t.grownAt) > quietTime
 }
 
 // Lives says whether the membership hears a host.
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -35,6 +35,9 @@
 
 var start = time.Unix(1000, 0)
 
+// growingFleet is a fleet whose members become more.
+type growingFleet struct{ fleet }
+
 func TestAllHostsNameTheSameOwner(t *testing.T) {
 	f := members(12)
 	want, _ := ownership.New(f, start).Owner("stage", start)
@@ -88,8 +91,17 @@
 }
 
 func TestHostsThatStartWaitForTheOthers(t *testing.T) {
-	require.False(t, ownership.New(members(12), start).Formed(start.Add(100*time.Millisecond)))
-	require.True(t, ownership.New(members(12), start).Formed(start.Add(500*time.Millisecond)))
+	table := ownership.New(members(12), start)
+	require.False(t, table.Formed(start.Add(100*time.Millisecond)))
+	require.False(t, table.Formed(start.Add(350*time.Millisecond)))
+	require.True(t, table.Formed(start.Add(500*time.Millisecond)))
+	growing := &growingFleet{fleet: members(1)}
+	table = ownership.New(growing, start)
+	for at := time.Duration(0); at < 2*time.Second; at += 100 * time.Millisecond {
+		growing.fleet = members(1 + int(at/(100*time.Millisecond)))
+		require.False(t, table.Formed(start.Add(at)), "other hosts are still being found")
+	}
+	require.True(t, table.Formed(start.Add(2500*time.Millisecond)))
 	require.False(t, ownership.New(members(1), start).Formed(start.Add(500*time.Millisecond)))
 	require.True(t, ownership.New(members(1), start).Formed(start.Add(1500*time.Millisecond)))
 }
