--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/call"
+	"github.com/galenaseam/galenaseam/staging"
 )
 
 // Pauses after which a refused caller may come back.
@@ -19,6 +20,9 @@
 	// overloadPause is about the time in which a queue of calls to stage
 	// servers drains; it is spread to keep callers from coming back together.
 	overloadPause = 600 * time.Millisecond
+	// maxOverloadPause is a third of the deadline that most callers have: none
+	// waits longer.
+	maxOverloadPause = 3 * time.Second
 	// noUpstreamPause is about the time in which a crashed upstream is back.
 	noUpstreamPause = 700 * time.Millisecond
 )
@@ -36,9 +40,14 @@
 	hangUp bool
 }
 
-// pauseAfterOverload spreads callers that were refused together.
-func (x *exchange) pauseAfterOverload() time.Duration {
-	return overloadPause + time.Duration(x.random.Int64N(int64(overloadPause)))
+// pauseAfterOverload is about as long as the queue that the caller was refused
+// for, spread for callers that were refused together.
+func (x *exchange) pauseAfterOverload(err error) time.Duration {
+	pause := overloadPause
+	if f := staging.IsFailure(err); f != nil {
+		pause = min(max(f.Wait, overloadPause), maxOverloadPause)
+	}
+	return pause + time.Duration(x.random.Int64N(int64(overloadPause)))
 }
 
 // finish sends a refusal and tells the log.
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -100,6 +100,6 @@
 	}
 	return refusal{
 		status: http.StatusServiceUnavailable, reason: "stages_failed", detail: err.Error(),
-		pause: x.pauseAfterOverload(),
+		pause: x.pauseAfterOverload(err),
 	}, false
 }
--- a/staging/queue.go
+++ b/staging/queue.go
@@ -33,6 +33,9 @@
 	// Stay keeps the group with a gatherer that no longer owns the service:
 	// its host can't reach the owner.
 	Stay bool `cbor:"13,keyasint"`
+	// Scarce says that the inputs take much of the memory of the servers that
+	// keep them: others wait until this group is done.
+	Scarce bool `cbor:"14,keyasint"`
 }
 
 // work is a group that waits for servers, or runs on some.
@@ -228,8 +231,11 @@
 // inTime says whether a group that gets its turn now is done by its aim, also in
 // a full call: under overload the groups that would be done just too late must
 // not go before those that can be in time.
+//
+// One whose inputs are scarce always counts as in time: while it waits, it holds
+// up the stage before.
 func (w *work) inTime(now time.Time, callTime time.Duration) bool {
-	return !now.Add(callTime).After(w.aim)
+	return w.Scarce || !now.Add(callTime).After(w.aim)
 }
 
 // compare orders groups: those that can be in time first, by their aims and
--- a/staging/queue_test.go
+++ b/staging/queue_test.go
@@ -130,6 +130,24 @@
 	require.False(t, s.inTime(extra, testSpec, now))
 }
 
+// The pattern of billing before notify: results of the stage before fill its
+// servers until this stage is done, so what holds them does not go last.
+func TestGroupsThatHoldScarceInputsAreNotPutOff(t *testing.T) {
+	now := time.Unix(1000, 0)
+	holder := group("holder", 8, 0)
+	holder.Scarce = true
+	q, _ := queueOf(now, group("fresh", 8, time.Second), holder)
+	require.Equal(t, []string{"holder:8"}, taken(q.batch(now, testSpec, wholeRoom, place{})))
+	r := NewRunner(RunnerConfig{Service: func(string) (*routing.Service, bool) {
+		return &routing.Service{Stages: &routing.StageServer{ResultRoom: 18e5}}, true
+	}}, link.NewMux())
+	g, err := newGraph([]routing.Stage{{Service: "gate", ResultBytes: 8e3}, {Service: "billing", After: []int{0}, ResultBytes: 6e4},
+		{Service: "notify", After: []int{1}, ResultBytes: 6e3}}, []int{1, 6, 16})
+	require.NoError(t, err)
+	require.False(t, r.holdsScarce(g, 1))
+	require.True(t, r.holdsScarce(g, 2))
+}
+
 func TestUnknownRateRefusesNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := &gathering{}
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -44,6 +44,8 @@
 	Stage   int
 	Service string
 	Reason  call.PieceFailure
+	// Wait is how long the service's queue was; 0 when not known.
+	Wait time.Duration
 }
 
 // Error makes a Failure an error.
@@ -202,6 +204,7 @@
 		group.Key = w.Request.PiecesKey
 	}
 	group.Near, group.MovedBytes = results.nearest(w, g, stage)
+	group.Scarce = r.holdsScarce(g, stage)
 	pieces, err := r.gather(ctx, group)
 	if err != nil {
 		return err
@@ -218,7 +221,7 @@
 		results.count(pieces, group.ResultBytes)
 	}
 	if reason := failure(pieces); reason != call.PieceDone {
-		return &Failure{Stage: stage, Service: group.Service, Reason: reason}
+		return &Failure{Stage: stage, Service: group.Service, Reason: reason, Wait: r.waitOf(group.Service)}
 	}
 	g.handles[stage] = handles
 	for _, before := range w.Stages[stage].After {
@@ -255,12 +258,22 @@
 		known := r.waits[s.Service]
 		r.mu.Unlock()
 		if now.Sub(known.at) < waitMaxAge && now.Add(known.wait+r.following(g, i)).After(w.Deadline) {
-			return &Failure{Stage: i, Service: s.Service, Reason: call.PieceOverload}
+			return &Failure{Stage: i, Service: s.Service, Reason: call.PieceOverload, Wait: known.wait}
 		}
 	}
 	return nil
 }
 
+// waitOf is how long a service's queue was of late; 0 when not known.
+func (r *Runner) waitOf(service string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w := r.waits[service]; time.Since(w.at) < waitMaxAge {
+		return w.wait
+	}
+	return 0
+}
+
 // startAfter is the stage whose end a stage with large results waits for, so
 // that they do not take memory while slower stages beside it run: the last one
 // on their path after which there is as much to do still. It is -1 for none.
@@ -310,6 +323,25 @@
 	return time.Duration(waitShare*float64(spec.CallTime)) + time.Duration(g.pieces[stage])*spec.PieceTime
 }
 
+// scarcePart is the part of one server's memory from which a group's inputs are
+// scarce.
+const scarcePart = 20
+
+// holdsScarce says whether a stage's inputs take much of the memory of the
+// servers that keep them.
+func (r *Runner) holdsScarce(g *graph, stage int) bool {
+	for _, before := range g.stages[stage].After {
+		described, known := r.config.Service(g.stages[before].Service)
+		if !known || described.Stages == nil {
+			continue
+		}
+		if int64(g.pieces[before])*g.stages[before].ResultBytes >= described.Stages.ResultRoom/scarcePart {
+			return true
+		}
+	}
+	return false
+}
+
 // onlyFollower says whether a stage's results serve one other stage alone.
 func (g *graph) onlyFollower(stage, follower int) bool {
 	for i, s := range g.stages {
