--- a/directory/follow.go
+++ b/directory/follow.go
@@ -35,18 +35,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return d.followStore(ctx) })
 	group.Go(func() error { return d.followPeers(ctx) })
-	group.Go(func() error {
-		ticker := time.NewTicker(lapseInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case now := <-ticker.C:
-				d.dropLapsed(now)
-			}
-		}
-	})
+	group.Go(func() error { return sleep.Every(ctx, lapseInterval, d.dropLapsed) })
 	return group.Wait()
 }
 
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/routing"
 )
 
@@ -89,16 +90,7 @@
 
 // sweep closes the connections that were idle for too long, until ctx ends.
 func (c *callers) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			c.closeIdle(now, c.idleTimeout())
-		}
-	}
+	return sleep.Every(ctx, sweepInterval, func(now time.Time) { c.closeIdle(now, c.idleTimeout()) })
 }
 
 func (c *callers) idleTimeout() time.Duration {
--- a/edge/run.go
+++ b/edge/run.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenaseam/galenaseam/directory"
+	"github.com/galenaseam/galenaseam/internal/sleep"
 )
 
 const (
@@ -135,17 +136,10 @@
 }
 
 func (h *Host) sweepTransport(ctx context.Context) error {
-	ticker := time.NewTicker(transportSweep)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			h.transport.Sweep(now)
-			h.transport.LimitIdle(h.idleShare())
-		}
-	}
+	return sleep.Every(ctx, transportSweep, func(now time.Time) {
+		h.transport.Sweep(now)
+		h.transport.LimitIdle(h.idleShare())
+	})
 }
 
 // register keeps the host's entry in the store, by which others find it.
--- a/edge/serve_test.go
+++ b/edge/serve_test.go
@@ -184,6 +184,22 @@
 	require.Eventually(t, func() bool { return len(pieces.Freed()) == 36 }, patience, 10*time.Millisecond)
 }
 
+func TestSecondAnswerOfAStageServerReachesNoOtherRequest(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, nil)
+	engine := f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Events: 3})
+	pieces := f.upstream(&platformtest.Upstream{ID: "u2", Service: "pieces"})
+	n := f.start()
+	pieces.Do(platformtest.Twice, platformtest.Twice, platformtest.Twice, platformtest.Twice)
+	for i := range 4 {
+		got := f.ask(n, http.MethodPost, "/staged/1", "r"+strconv.Itoa(i), "Chunks", "1,1", "Chunk-Key", "k")
+		require.Equal(t, eventsOf(3), got.body)
+	}
+	for _, run := range engine.Runs() {
+		require.Equal(t, pieces.Addr().String()+"/"+run.RequestID+"-1-0", run.Header.Get("Inputs"))
+	}
+}
+
 func TestLostResultsAreMadeOnceMore(t *testing.T) {
 	f := newFleet(t)
 	f.configure(1, nil)
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -32,6 +32,7 @@
 	// when that last changed.
 	members int
 	grownAt time.Time
+	formed  bool // Formed said yes once
 }
 
 // New makes a table over the members of a fleet that the local host begins to
@@ -80,22 +81,25 @@
 	longest   = 3 * time.Second
 )
 
-// Formed says whether the local host has had the time to find the others.
+// Formed says whether the local host has had the time to find the others. Once
+// it has, it stays so.
 func (t *Table) Formed(now time.Time) bool {
-	age := now.Sub(t.start)
-	if age > longest {
-		return true
-	}
 	members := len(t.fleet.Members())
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if members != t.members {
 		t.members, t.grownAt = members, now
 	}
-	if members == 1 {
-		return age > aloneTime
+	age := now.Sub(t.start)
+	switch {
+	case t.formed || age > longest:
+		t.formed = true
+	case members == 1:
+		t.formed = age > aloneTime
+	default:
+		t.formed = age > formTime && now.Sub(t.grownAt) > quietTime
 	}
-	return age > formTime && now.Sub(t.grownAt) > quietTime
+	return t.formed
 }
 
 // Lives says whether the membership hears a host.
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -14,6 +14,7 @@
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/retry"
 	"github.com/galenaseam/galenaseam/routing"
 )
@@ -99,16 +100,7 @@
 
 // Run expires waiting pieces and held results until ctx ends.
 func (g *Gatherer) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			g.tick(now)
-		}
-	}
+	return sleep.Every(ctx, tickInterval, g.tick)
 }
 
 func (g *Gatherer) tick(now time.Time) {
