--- a/config/fleet_test.go
+++ b/config/fleet_test.go
@@ -72,7 +72,7 @@
 	return started
 }
 
-func (f *fleet) startOne(id string, dataCentre int) *testHost {
+func (f *fleet) startOne(id string, dataCentre int, changes ...func(*testHost)) *testHost {
 	f.mu.Lock()
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(f.started >> 8), byte(f.started)}), 1)
 	h := &testHost{fleet: f, calls: make(map[link.Method]link.Handler), done: make(chan struct{}), info: host.Info{
@@ -90,7 +90,12 @@
 	h.syncer, err = NewSyncer(cfg)
 	require.NoError(f.t, err)
 	h.syncer.Subscribe(h.applied)
-	f.set(h, func(*testHost) { f.hosts[addr], f.sorted = h, nil })
+	f.set(h, func(*testHost) {
+		f.hosts[addr], f.sorted = h, nil
+		for _, change := range changes {
+			change(h)
+		}
+	})
 	var ctx context.Context
 	ctx, h.cancel = context.WithCancel(context.Background())
 	go func() {
--- a/config/syncer_test.go
+++ b/config/syncer_test.go
@@ -89,8 +89,7 @@
 		generation := accept(f, hosts[0], "before")
 		f.waitAll(hosts, generation)
 		f.store.SetFaults(fakestore.Faults{Down: true})
-		lonely := f.startOne("lonely", 0)
-		f.set(lonely, func(h *testHost) { h.cut = true })
+		lonely := f.startOne("lonely", 0, func(h *testHost) { h.cut = true })
 		for i, h := range hosts { // every host but one is replaced, one at a time
 			if i == 11 {
 				break
