--- a/staging/runner.go
+++ b/staging/runner.go
@@ -221,7 +221,8 @@
 		results.count(pieces, group.ResultBytes)
 	}
 	if reason := failure(pieces); reason != call.PieceDone {
-		return &Failure{Stage: stage, Service: group.Service, Reason: reason, Wait: r.waitOf(group.Service)}
+		wait, _ := r.waitOf(group.Service)
+		return &Failure{Stage: stage, Service: group.Service, Reason: reason, Wait: wait}
 	}
 	g.handles[stage] = handles
 	for _, before := range w.Stages[stage].After {
@@ -254,24 +255,22 @@
 		if g.pieces[i] == 0 {
 			continue
 		}
-		r.mu.Lock()
-		known := r.waits[s.Service]
-		r.mu.Unlock()
-		if now.Sub(known.at) < waitMaxAge && now.Add(known.wait+r.following(g, i)).After(w.Deadline) {
-			return &Failure{Stage: i, Service: s.Service, Reason: call.PieceOverload, Wait: known.wait}
+		wait, known := r.waitOf(s.Service)
+		if known && now.Add(wait+r.following(g, i)).After(w.Deadline) {
+			return &Failure{Stage: i, Service: s.Service, Reason: call.PieceOverload, Wait: wait}
 		}
 	}
 	return nil
 }
 
-// waitOf is how long a service's queue was of late; 0 when not known.
-func (r *Runner) waitOf(service string) time.Duration {
+// waitOf is how long a service's queue was of late, if that is known.
+func (r *Runner) waitOf(service string) (wait time.Duration, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if w := r.waits[service]; time.Since(w.at) < waitMaxAge {
-		return w.wait
+		return w.wait, true
 	}
-	return 0
+	return 0, false
 }
 
 // startAfter is the stage whose end a stage with large results waits for, so
