Let hosts that start together know each other before they serve

Beside it: the byte budget for urgent news was nearly empty at the start, and losses of requests beside the crashing one made its crashes look like a rack's death. Ruled out: news lost between hosts that know each other.

A host is ready once the list shows it and the listed hosts answered or had a second (10 s at most); one unknown listed host is asked each second; the urgent budget begins full; upstreams that the suspect lost are no rack's death.

--- a/member/core.go
+++ b/member/core.go
@@ -52,6 +52,7 @@
 	facts  factStore
 	syncer syncer
 
+	startedAt time.Time
 	heardAt   time.Time // when any other host was heard
 	lastTick  time.Time
 	nextClean time.Time
@@ -77,6 +78,7 @@
 		news:      newNews(),
 		facts:     newFactStore(),
 		syncer:    newSyncer(),
+		startedAt: now,
 		lastTick:  now,
 		changed:   true,
 	}
--- a/member/membership.go
+++ b/member/membership.go
@@ -102,7 +102,10 @@
 		core:        newCore(config.Self, config.Timing, config.Rand, config.Now()),
 		subscribers: make(map[Topic][]func(Fact)),
 	}
-	m.core.syncer.seeds = config.Seeds
+	m.core.setSeeds(config.Now(), config.Seeds)
+	if config.HostList == nil {
+		m.core.syncer.listedAt = config.Now()
+	}
 	m.core.news.urgent = make(map[Topic]bool, len(config.Urgent))
 	for _, topic := range config.Urgent {
 		m.core.news.urgent[topic] = true
@@ -254,7 +257,7 @@
 	}
 	m.coreMu.Lock()
 	defer m.coreMu.Unlock()
-	m.core.syncer.seeds = seeds
+	m.core.setSeeds(m.config.Now(), seeds)
 }
 
 // Leave announces that the host is leaving and gives the news time to spread.
@@ -306,6 +309,14 @@
 	return found, ok
 }
 
+// Met says whether this host knows the hosts that started before it, and with
+// them what they tell. It waits ten seconds at most for a host list that lags.
+func (m *Membership) Met() bool {
+	m.coreMu.Lock()
+	defer m.coreMu.Unlock()
+	return m.core.met(m.config.Now())
+}
+
 // Publish spreads a fact of the local host.
 func (m *Membership) Publish(topic Topic, key string, payload []byte) error {
 	var err error
--- a/member/news.go
+++ b/member/news.go
@@ -124,13 +124,17 @@
 
 // refill adds the budget of the time that went by.
 func (n *news) refill(now time.Time, rate float64) {
+	urgentRate := rate * urgentShare
 	elapsed := now.Sub(n.refilledAt).Seconds()
+	if n.refilledAt.IsZero() {
+		// Hosts that have just started tell of crashes as fast as others.
+		n.urgentTokens = urgentSeconds * urgentRate
+	}
 	if n.refilledAt.IsZero() || elapsed > burstSeconds {
 		elapsed = burstSeconds
 	}
 	n.refilledAt = now
 	n.tokens = min(n.tokens+elapsed*rate, burstSeconds*rate)
-	urgentRate := rate * urgentShare
 	n.urgentTokens = min(n.urgentTokens+elapsed*urgentRate, urgentSeconds*urgentRate)
 }
 
--- a/member/sync.go
+++ b/member/sync.go
@@ -16,10 +16,12 @@
 	maxSyncQueue     = 1024
 	joinEvery        = 250 * time.Millisecond
 	joinTargets      = 3
-	seedEvery        = 10 * time.Second
+	seedEvery        = time.Second
 	aloneAfter       = 3 * time.Second
 	maxJoinsAtOnce   = 4
 	joinForgetsAfter = 10 * time.Second
+	meetPatience     = time.Second      // for listed hosts that don't answer
+	listPatience     = 10 * time.Second // for a host list that doesn't show the host
 )
 
 // syncer holds what is owed to hosts that miss something, and how this host
@@ -27,7 +29,7 @@
 type syncer struct {
 	seeds    []netip.AddrPort
 	lastJoin time.Time
-	nextJoin time.Time
+	listedAt time.Time // when the seeds first showed this host, or had no list to wait for
 	queue    []outgoing
 	lastTo   map[host.ID]time.Time
 }
@@ -54,34 +56,49 @@
 	c.join()
 }
 
-// join asks seeds for everything: often while alone or without any datagram from
-// others, else now and then, to heal partitions.
+// join asks seeds for everything: several at a time while alone or without any
+// datagram from others, else one now and then. Hosts that start together meet
+// in small groups first, and partitions end, so that any listed host that is
+// not known is worth asking.
 func (c *core) join() {
 	if c.stopping {
 		return
 	}
-	alone := len(c.scopeNow().peers) == 0 || c.now.Sub(c.heardAt) > aloneAfter
-	due := c.syncer.nextJoin
-	if alone {
-		due = minTime(due, c.syncer.lastJoin.Add(joinEvery))
+	count, pace := 1, seedEvery
+	if len(c.scopeNow().peers) == 0 || c.now.Sub(c.heardAt) > aloneAfter {
+		count, pace = joinTargets, joinEvery
 	}
-	if c.now.Before(due) {
+	if c.now.Before(c.syncer.lastJoin.Add(pace)) {
 		return
 	}
+	c.syncer.lastJoin = c.now
 	strangers := c.strangeSeeds()
-	if alone && len(strangers) == 0 {
-		return
-	}
-	count, wait := 1, seedEvery
-	if alone {
-		count, wait = joinTargets, joinEvery
-	}
-	c.syncer.lastJoin, c.syncer.nextJoin = c.now, c.now.Add(wait)
 	for _, i := range c.rand.Perm(len(strangers))[:min(count, len(strangers))] {
 		c.sendTo("", strangers[i], &message{Kind: kindJoin})
 	}
 }
 
+// setSeeds replaces the addresses at which hosts are looked for.
+func (c *core) setSeeds(now time.Time, seeds []netip.AddrPort) {
+	c.syncer.seeds = seeds
+	if c.syncer.listedAt.IsZero() && slices.Contains(seeds, c.self.Info.LinkAddr) {
+		c.syncer.listedAt = now
+	}
+}
+
+// met says whether the host knows the others that started before it. A list
+// that does not show the host itself yet may miss others just as well.
+func (c *core) met(now time.Time) bool {
+	switch listedAt := c.syncer.listedAt; {
+	case now.Sub(c.startedAt) >= listPatience:
+		return true
+	case listedAt.IsZero():
+		return false
+	default:
+		return now.Sub(listedAt) >= meetPatience || len(c.strangeSeeds()) == 0
+	}
+}
+
 // strangeSeeds returns the seeds at which no host is known that answers.
 func (c *core) strangeSeeds() []netip.AddrPort {
 	taken := map[netip.AddrPort]bool{c.self.Info.LinkAddr: true}
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -198,7 +198,7 @@
 	var counted []Loss
 	upstreams := make(map[upstream.ID]bool)
 	for _, loss := range s.losses {
-		if now.Sub(loss.At) > l.settings.SuspectFor || l.amongMany(loss) {
+		if now.Sub(loss.At) > l.settings.SuspectFor || l.amongMany(loss, s) {
 			continue
 		}
 		upstreams[loss.Upstream] = true
@@ -266,15 +266,18 @@
 }
 
 // amongMany says whether many upstreams were lost together with this one by
-// other requests.
-func (l *Ledger) amongMany(loss Loss) bool {
+// other requests. Upstreams that the suspect lost too are its own: the other
+// requests were beside it.
+func (l *Ledger) amongMany(loss Loss, s *suspect) bool {
 	seen := make(map[upstream.ID]bool)
 	for _, other := range l.recent {
 		if other.At.Sub(loss.At).Abs() < l.settings.Together && other.Digest != loss.Digest {
 			seen[other.Upstream] = true
 		}
 	}
-	delete(seen, loss.Upstream)
+	for _, own := range s.losses {
+		delete(seen, own.Upstream)
+	}
 	return len(seen)+1 >= l.settings.ManyUpstreams
 }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -171,3 +171,23 @@
 	}
 	require.Equal(t, RunAlone, l.Check(now.Add(2*time.Minute), Digest{1}))
 }
+
+// TestBystandersDoNotExcuseACrashingRequest lets a request crash upstreams that
+// run others too. The losses of those others on the same upstreams must not
+// make the crashes look like the death of a rack.
+func TestBystandersDoNotExcuseACrashingRequest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := NewLedger(Settings{})
+	crashing := Digest{1}
+	// Another request crashes an upstream at the same time.
+	l.Lose(now, Loss{Digest: Digest{3}, Upstream: "up-other", At: now})
+	for crash := range 2 {
+		at := now.Add(time.Duration(crash) * 600 * time.Millisecond)
+		id := upstream.ID(fmt.Sprint("up-", crash))
+		for bystander := range 3 {
+			l.Lose(at, Loss{Digest: Digest{2, byte(crash), byte(bystander)}, Upstream: id, At: at})
+		}
+		l.Lose(at, Loss{Digest: crashing, Upstream: id, At: at})
+	}
+	require.Equal(t, Refuse, l.Check(now.Add(time.Second), crashing))
+}
