--- a/directory/lapse.go
+++ b/directory/lapse.go
@@ -13,7 +13,7 @@
 // lose takes an upstream out. An entry that may have lapsed only because the
 // store was away is kept until its upstream has had the time to come back.
 func (d *Directory) lose(id instance.ID, revision int64, now time.Time) {
-	entry, known := d.entry(id)
+	entry, known := d.config.Instances.Lookup(id)
 	if !known {
 		d.config.Instances.Remove(id, revision)
 		return
@@ -33,15 +33,6 @@
 	d.config.Instances.Remove(id, revision)
 }
 
-func (d *Directory) entry(id instance.ID) (instance.Entry, bool) {
-	for _, e := range d.config.Instances.Entries() {
-		if e.ID == id {
-			return e, true
-		}
-	}
-	return instance.Entry{}, false
-}
-
 // dropLapsed takes out the upstreams that have not come back.
 func (d *Directory) dropLapsed(now time.Time) {
 	d.mu.Lock()
@@ -55,7 +46,7 @@
 	asOf := d.asOf
 	d.mu.Unlock()
 	for _, id := range gone {
-		if e, known := d.entry(id); known {
+		if e, known := d.config.Instances.Lookup(id); known {
 			d.config.Instances.Remove(id, max(asOf, e.Revision+1))
 		}
 	}
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -19,6 +19,9 @@
 	// extraTries is how many upstreams beyond the route's bound may be tried
 	// after ones that surely did not run the request.
 	extraTries = 2
+	// slowConnect is how long connecting may take before the upstream is doubted:
+	// far above a round trip between data centres.
+	slowConnect = 200 * time.Millisecond
 	// maxAnswerBytes bounds an answer that is read whole.
 	maxAnswerBytes = 16 << 20
 )
@@ -152,13 +155,15 @@
 	first   time.Duration // to the first event
 	answer  *call.Answer
 	closing func()
+	use     *instance.Use // nil if the upstream left before the sending began
 }
 
 // send sends the request and reads the head of the answer. A nil sending was
 // not answered; the result says what that means.
 func (x *exchange) send(ctx context.Context, chosen instance.Status, ticket placement.Ticket, lastEvent int64) (*sending, result) {
 	s := &sending{exchange: x, ctx: ctx, chosen: chosen, ticket: ticket, begun: time.Now()}
-	if !x.config.Instances.MaySend(chosen.ID) {
+	var begun bool
+	if s.use, begun = x.config.Instances.Begin(chosen.ID, x.cost()); !begun {
 		s.over(instance.Abandoned, 0, "left")
 		return nil, notRun
 	}
@@ -172,7 +177,6 @@
 	if x.inputs != nil {
 		attempt.Inputs = x.inputs.Inputs
 	}
-	x.config.Instances.Begin(chosen.ID, x.cost())
 	got, err := x.config.Transport.Do(ctx, &transport.Call{
 		Addr: chosen.Addr, Method: x.request.Method, Target: x.request.Target, Host: x.request.Host,
 		Header: x.config.Codec.EncodeRequest(x.request, attempt),
@@ -241,6 +245,10 @@
 // broken judges a sending that had no answer.
 func (s *sending) broken(err error) result {
 	switch {
+	case errors.Is(err, transport.ErrNotSent) && s.ctx.Err() != nil && time.Since(s.begun) < slowConnect:
+		// The end of the request cut the connecting short.
+		s.overWith(instance.Abandoned, "given_up", err)
+		return notRun
 	case errors.Is(err, transport.ErrNotSent):
 		s.overWith(instance.Unreachable, "not_sent", err)
 		return notRun
@@ -290,7 +298,9 @@
 		s.closing()
 	}
 	s.ticket.End()
-	s.config.Instances.End(s.chosen.ID, s.cost(), outcome, now.Sub(s.begun), now)
+	if s.use != nil {
+		s.use.End(outcome, now.Sub(s.begun), now)
+	}
 	s.config.Metrics.try(s.service, what)
 	t := try{
 		Upstream: string(s.chosen.ID), Addr: s.chosen.Addr.String(), InFlight: s.chosen.InFlight,
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -3,6 +3,7 @@
 package instance
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -31,6 +32,10 @@
 	Revision int64 `cbor:"9,keyasint"`
 }
 
+// maxRemoved bounds the removals that are remembered: several times the
+// upstreams of a large fleet that are replaced within the life of any news.
+const maxRemoved = 4096
+
 // How an instance that fails is kept from work.
 const (
 	// failuresToEject is how many calls in a row fail before an instance is
@@ -143,12 +148,23 @@
 		t.drop(old)
 	}
 	t.removed[id] = max(t.removed[id], revision)
+	if len(t.removed) > maxRemoved {
+		t.forgetRemovals()
+	}
 	t.mu.Unlock()
 	if gone {
 		t.changed(Change{Entry: old.Entry, What: "removed"})
 	}
 }
 
+// forgetRemovals drops the older half of the removals. News of them, which
+// takes seconds, has long arrived.
+func (t *Table) forgetRemovals() {
+	revisions := slices.Sorted(maps.Values(t.removed))
+	median := revisions[len(revisions)/2]
+	maps.DeleteFunc(t.removed, func(_ ID, revision int64) bool { return revision < median })
+}
+
 // Replace takes in a whole reading as of a revision: what it lacks is gone,
 // unless it came later.
 func (t *Table) Replace(entries []Entry, asOf int64) {
@@ -205,20 +221,46 @@
 	return all
 }
 
-// MaySend says whether an upstream still may get new work.
-func (t *Table) MaySend(id ID) bool {
+// Lookup returns the entry of an upstream.
+func (t *Table) Lookup(id ID) (Entry, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i := t.byID[id]
+	if i == nil {
+		return Entry{}, false
+	}
+	return i.Entry, true
+}
+
+// Use is one request that counts as running on one upstream process.
+type Use struct {
+	table  *Table
+	on     *Instance
+	tokens int
+}
+
+// Begin counts a request as running on an upstream, unless the upstream is
+// gone or leaving and must get no new work.
+func (t *Table) Begin(id ID, tokens int) (*Use, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	i := t.byID[id]
-	return i != nil && !i.Leaving
+	if i == nil || i.Leaving {
+		return nil, false
+	}
+	i.inFlight++
+	i.tokens += tokens
+	return &Use{table: t, on: i, tokens: tokens}, true
 }
 
-// Begin counts a request as running on an upstream.
-func (t *Table) Begin(id ID, tokens int) {
-	t.update(id, func(i *Instance) {
-		i.inFlight++
-		i.tokens += tokens
-	})
+// End counts the request as no longer running and learns from its outcome. took
+// is the time to the answer, 0 if there was none.
+func (u *Use) End(outcome Outcome, took time.Duration, now time.Time) {
+	u.table.mu.Lock()
+	defer u.table.mu.Unlock()
+	u.on.inFlight--
+	u.on.tokens -= u.tokens
+	u.on.learn(outcome, took, now)
 }
 
 // Outcome is how a call to an upstream ended.
@@ -243,19 +285,13 @@
 	return [...]string{"answered", "failed", "broke", "abandoned", "unreachable"}[o]
 }
 
-// End counts a request as no longer running and learns from its outcome. took
-// is the time to the answer, 0 if there was none.
-func (t *Table) End(id ID, tokens int, outcome Outcome, took time.Duration, now time.Time) {
-	t.update(id, func(i *Instance) {
-		i.inFlight = max(i.inFlight-1, 0)
-		i.tokens = max(i.tokens-tokens, 0)
-		i.learn(outcome, took, now)
-	})
-}
-
 // Unreachable notes that nothing listens at an upstream's address.
 func (t *Table) Unreachable(id ID, now time.Time) {
-	t.update(id, func(i *Instance) { i.learn(Unreachable, 0, now) })
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if i := t.byID[id]; i != nil {
+		i.learn(Unreachable, 0, now)
+	}
 }
 
 // learn updates the belief in an instance's health.
@@ -289,11 +325,3 @@
 	i.ejectedUntil = now.Add(min(firstEjection<<min(i.ejections, 4), maxEjection))
 	i.ejections++
 }
-
-func (t *Table) update(id ID, f func(*Instance)) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if i := t.byID[id]; i != nil {
-		f(i)
-	}
-}
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -18,13 +18,22 @@
 	return all
 }
 
+// begin counts a request on upstream "a".
+func begin(t *testing.T, table *instance.Table, tokens int) *instance.Use {
+	t.Helper()
+	use, begun := table.Begin("a", tokens)
+	require.True(t, begun)
+	return use
+}
+
 func TestOlderNewsChangesNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
 	table := instance.NewTable(nil)
 	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 5})
 	table.Put(instance.Entry{ID: "a", Service: "s", Leaving: true, Revision: 7})
 	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 6})
-	require.False(t, table.MaySend("a"), "an upstream that leaves does not come back by older news")
+	_, begun := table.Begin("a", 0)
+	require.False(t, begun, "an upstream that leaves does not come back by older news")
 	table.Remove("a", 9)
 	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 8})
 	require.Empty(t, ids(table, now))
@@ -44,7 +53,7 @@
 	now := time.Unix(1000, 0)
 	table := instance.NewTable(nil)
 	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 1, Born: time.UnixMilli(1)})
-	table.Begin("a", 100)
+	former := begin(t, table, 100)
 	table.Unreachable("a", now)
 	require.Empty(t, ids(table, now))
 	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 2, Born: time.UnixMilli(2)})
@@ -52,18 +61,35 @@
 	require.Len(t, all, 1)
 	require.False(t, all[0].Ejected)
 	require.Zero(t, all[0].InFlight)
+	begin(t, table, 50)
+	former.End(instance.Unreachable, 0, now)
+	all = table.Service("s", now)
+	require.Equal(t, 1, all[0].InFlight, "a request to the former process says nothing of this one")
+	require.Equal(t, 50, all[0].Tokens)
+	require.False(t, all[0].Ejected)
 }
 
 func TestFailuresEjectForAWhile(t *testing.T) {
 	now := time.Unix(1000, 0)
 	table := instance.NewTable(nil)
 	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 1})
-	table.Begin("a", 0)
-	table.End("a", 0, instance.Broke, 0, now)
+	begin(t, table, 0).End(instance.Broke, 0, now)
 	require.Equal(t, []instance.ID{"a"}, ids(table, now), "one broken call may be the request's fault")
-	table.Begin("a", 0)
-	table.End("a", 0, instance.Broke, 0, now)
+	begin(t, table, 0).End(instance.Broke, 0, now)
 	require.Empty(t, ids(table, now))
 	require.Equal(t, []instance.ID{"a"}, ids(table, now.Add(5*time.Second)))
-	require.True(t, table.MaySend("a"), "ejection keeps work away only while others can take it")
+	_, begun := table.Begin("a", 0)
+	require.True(t, begun, "ejection keeps work away only while others can take it")
+}
+
+func TestRequestNotBegunCountsNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := instance.NewTable(nil)
+	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 1})
+	begin(t, table, 100)
+	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 2, Leaving: true})
+	_, begun := table.Begin("a", 100)
+	require.False(t, begun, "an upstream that leaves gets no new work")
+	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 3})
+	require.Equal(t, 1, table.Service("s", now)[0].InFlight)
 }
--- a/staging/batch.go
+++ b/staging/batch.go
@@ -18,6 +18,7 @@
 	server   instance.Status
 	spec     *routing.StageServer
 	shares   []share
+	use      *instance.Use // nil if the server left just before the call
 	bytes    int64
 	started  time.Time
 	expected time.Duration
@@ -40,7 +41,7 @@
 	b.expected = spec.CallTime + time.Duration(len(pieces))*spec.PieceTime
 	s.running[server.ID]++
 	s.room.reserve(server.ID, b.bytes)
-	g.config.Servers.Begin(server.ID, 0)
+	b.use, _ = g.config.Servers.Begin(server.ID, 0)
 	g.metrics.call(s.name, len(pieces))
 	timeout := slowFactor*b.expected + slowSlack
 	go g.run(b, pieces, timeout)
@@ -53,7 +54,9 @@
 	cancel()
 	now := time.Now()
 	took := now.Sub(b.started)
-	g.config.Servers.End(b.server.ID, 0, outcome, took, now)
+	if b.use != nil {
+		b.use.End(outcome, took, now)
+	}
 	if err != nil {
 		g.config.Logger.Warn("stage call failed", "service", b.service.name, "upstream", string(b.server.ID),
 			"addr", b.server.Addr.String(), "pieces", len(pieces), "took_ms", took.Milliseconds(),
