Apply the configuration's header limits to callers

Header size and header time were fixed (64 KB, 5 s) whatever the configuration said: a request over the bound now gets 431 and slow headers end their connection; a connection without a request stays idle, not slow.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -1,12 +1,14 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/galenaseam/galenaseam/internal/sleep"
@@ -14,107 +16,117 @@
 )
 
 const (
-	// maxHeaderBytes is over what configurations allow.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes bounds the memory for a request's headers, whatever a
+	// configuration allows.
+	maxHeaderBytes = 256 << 10
+	// maxHeaderTimeout bounds the reading of headers, whatever a configuration
+	// allows.
+	maxHeaderTimeout = 30 * time.Second
 	// defaultHeaderTimeout and defaultIdleTimeout hold until a configuration
 	// says otherwise.
 	defaultHeaderTimeout = 5 * time.Second
 	defaultIdleTimeout   = 30 * time.Second
-	// sweepInterval is how often idle connections are looked at.
+	// sweepInterval is how often connections are looked at.
 	sweepInterval = 500 * time.Millisecond
 )
 
-// callers serves the callers' connections. The idle timeout is the
-// configuration's, which changes while connections are open, so idle ones are
-// closed here.
+// callers serves the callers' connections. The timeouts are the
+// configuration's, which change while connections are open, so idle and slow
+// ones are closed here.
 type callers struct {
 	server  *http.Server
 	handler http.Handler
 	routes  func() *routing.Table
 
-	mu   sync.Mutex // guards idle
-	idle map[net.Conn]time.Time
+	mu   sync.Mutex // guards open
+	open map[*callerConn]struct{}
 }
 
-// connection says whether a caller's connection was closed as idle.
-type connection struct {
-	closed atomic.Bool
-}
-
-type connectionKey struct{}
-
 func newCallers(handler http.Handler, routes func() *routing.Table, logger *slog.Logger) *callers {
-	c := &callers{handler: handler, routes: routes, idle: make(map[net.Conn]time.Time)}
+	c := &callers{handler: handler, routes: routes, open: make(map[*callerConn]struct{})}
 	c.server = &http.Server{
 		Handler:           c,
-		ReadHeaderTimeout: defaultHeaderTimeout,
+		ReadHeaderTimeout: maxHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         c.track,
-		ConnContext:       markConnection,
+		ConnContext:       withCallerConn,
 		ErrorLog:          slog.NewLogLogger(logger.Handler(), slog.LevelDebug),
 	}
 	return c
 }
 
-// trackedConns finds the mark of a connection.
-var trackedConns sync.Map // net.Conn to *connection
-
-func markConnection(ctx context.Context, n net.Conn) context.Context {
-	mark := &connection{}
-	trackedConns.Store(n, mark)
-	return context.WithValue(ctx, connectionKey{}, mark)
-}
-
-// ServeHTTP serves a request, unless its connection was closed as idle in the
-// same moment: such a request has not been taken.
+// ServeHTTP serves a request, unless its connection was closed in the same
+// moment: such a request has not been taken.
 func (c *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if mark, ok := r.Context().Value(connectionKey{}).(*connection); ok && mark.closed.Load() {
+	if conn := callerConnOf(r.Context()); conn != nil && !conn.begin() {
 		panic(http.ErrAbortHandler)
 	}
+	if limit := c.limits().MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
+		return
+	}
 	c.handler.ServeHTTP(w, r)
 }
 
-// track notes since when a connection is idle.
+// headerBytes is the size of a request's line and headers as they were sent.
+func headerBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
+// track notes which connections are open and since when they are idle.
 func (c *callers) track(n net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if state == http.StateIdle {
-		c.idle[n] = time.Now()
+	conn, ok := n.(*callerConn)
+	if !ok {
 		return
 	}
-	delete(c.idle, n)
-	if state == http.StateClosed || state == http.StateHijacked {
-		trackedConns.Delete(n)
+	switch state {
+	case http.StateNew:
+		c.mu.Lock()
+		c.open[conn] = struct{}{}
+		c.mu.Unlock()
+	case http.StateIdle:
+		conn.rest(time.Now())
+	case http.StateClosed, http.StateHijacked:
+		c.mu.Lock()
+		delete(c.open, conn)
+		c.mu.Unlock()
 	}
 }
 
-// sweep closes the connections that were idle for too long, until ctx ends.
+// sweep closes the connections that were idle or slow for too long, until ctx
+// ends.
 func (c *callers) sweep(ctx context.Context) error {
-	return sleep.Every(ctx, sweepInterval, func(now time.Time) { c.closeIdle(now, c.idleTimeout()) })
+	return sleep.Every(ctx, sweepInterval, func(now time.Time) { c.closeOver(now, c.limits()) })
 }
 
-func (c *callers) idleTimeout() time.Duration {
-	if t := c.routes(); t != nil && t.Limits().IdleTimeout > 0 {
-		return t.Limits().IdleTimeout
+// limits are the configuration's, or the defaults where it has none.
+func (c *callers) limits() routing.Limits {
+	l := routing.Limits{HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	if t := c.routes(); t != nil {
+		l.MaxHeaderBytes = t.Limits().MaxHeaderBytes
+		l.HeaderTimeout = cmp.Or(t.Limits().HeaderTimeout, l.HeaderTimeout)
+		l.IdleTimeout = cmp.Or(t.Limits().IdleTimeout, l.IdleTimeout)
 	}
-	return defaultIdleTimeout
+	return l
 }
 
-// closeIdle closes what has been idle for longer than the timeout.
-func (c *callers) closeIdle(now time.Time, timeout time.Duration) {
+// closeOver closes what has been idle, or sending one request's headers, for
+// longer than the limits allow.
+func (c *callers) closeOver(now time.Time, limits routing.Limits) {
 	c.mu.Lock()
-	var over []net.Conn
-	for n, since := range c.idle {
-		if now.Sub(since) > timeout {
-			over = append(over, n)
-			delete(c.idle, n)
-			if mark, ok := trackedConns.Load(n); ok {
-				mark.(*connection).closed.Store(true)
-			}
-		}
-	}
+	open := slices.Collect(maps.Keys(c.open))
 	c.mu.Unlock()
-	for _, n := range over {
-		_ = n.Close()
+	for _, conn := range open {
+		if conn.end(now, limits.IdleTimeout, limits.HeaderTimeout) {
+			_ = conn.Close()
+		}
 	}
 }
--- a/edge/drain_test.go
+++ b/edge/drain_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -113,6 +114,40 @@
 	require.False(t, errors.Is(err, os.ErrDeadlineExceeded), "an idle connection is closed after the configuration's timeout")
 }
 
+// TestHeaderLimitsOfTheConfigurationHold sends headers that are longer, and
+// slower, than the configuration allows, and headers within both bounds.
+func TestHeaderLimitsOfTheConfigurationHold(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, func(c map[string]any) {
+		c["limits"] = map[string]any{"max_header_bytes": 2000, "header_timeout_ms": 400, "idle_timeout_ms": 20_000}
+	})
+	u := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
+	n := f.start()
+	send := func(filler int, pause time.Duration) (status string, took time.Duration) {
+		conn, err := net.Dial("tcp4", n.settings.Callers.String())
+		require.NoError(t, err)
+		defer conn.Close()
+		time.Sleep(600 * time.Millisecond) // a connection without a request is idle, not slow
+		begun := time.Now()
+		_, err = io.WriteString(conn, "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n")
+		require.NoError(t, err)
+		time.Sleep(pause)
+		// A connection that is closed already gives no answer below.
+		_, _ = fmt.Fprintf(conn, "Attempt-Id: a\r\nAuthorization: Bearer key-of-welders\r\nX-Filler: %s\r\n\r\n", strings.Repeat("x", filler))
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(3*time.Second)))
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+		return strings.TrimSpace(line), time.Since(begun)
+	}
+	status, _ := send(1000, 0)
+	require.Equal(t, "HTTP/1.1 200 OK", status)
+	status, _ = send(2000, 0)
+	require.Equal(t, "HTTP/1.1 431 Request Header Fields Too Large", status)
+	status, _ = send(0, 1500*time.Millisecond)
+	require.Empty(t, status, "a connection whose headers are late is closed")
+	require.Len(t, u.Runs(), 1)
+}
+
 func TestSettingsAreReloadedOnASignalAndWithout(t *testing.T) {
 	f := newFleet(t)
 	n := f.startUnready(f.store.Addr())
--- a/edge/run.go
+++ b/edge/run.go
@@ -92,7 +92,7 @@
 		ReadHeaderTimeout: defaultHeaderTimeout,
 	}
 	for _, part := range []func() error{
-		func() error { return serve(ctx, h.callers.server, s.callers) },
+		func() error { return serve(ctx, h.callers.server, callerListener{s.callers}) },
 		func() error { return serve(ctx, readiness, s.readiness) },
 		func() error { return serve(ctx, metrics, s.metrics) },
 		func() error { return h.links.Serve(ctx, s.links) },
