Keep the gatherer when a connection breaks; count the results of cut calls

Cause 1, from the log: hosts whose call broke passed the gatherer over for 3 s, the others did not, so that two gatherers ran calls against each other on the same servers (pace 1.8) and handed the queue to and fro. Cause 2: servers work on after a cut and keep results that no one can name; their memory was taken for free, so that 199 pieces were refused for room. Ruled out: dialing again (new connections stand within 20 ms).

Calls between hosts that may run twice are made again when their connection broke; a call that broke keeps its memory until the results expire.

--- a/directory/peers.go
+++ b/directory/peers.go
@@ -158,7 +158,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	a, err := link.CallTyped[fetchRequest, fetchAnswer](ctx, d.config.Caller, peer, fetchMethod, q)
+	a, err := link.CallRepeatable[fetchRequest, fetchAnswer](ctx, d.config.Caller, peer, fetchMethod, q)
 	if err != nil {
 		d.config.Logger.Warn("host not asked for its directory", "peer", peer.String(), "error", err.Error())
 		return
--- a/link/errors.go
+++ b/link/errors.go
@@ -37,7 +37,7 @@
 	case codeHandler:
 		return Error.Wrap(&RemoteError{Method: method, Message: err.Error()})
 	}
-	return Error.Wrap(err)
+	return Error.Wrap(errs.Combine(ErrBroken, err))
 }
 
 // notSent marks an error as one after which the peer surely never saw the call.
--- a/link/link.go
+++ b/link/link.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 
 	"github.com/zeebo/errs"
@@ -17,6 +18,10 @@
 // of a call leaves open whether the peer acted on it.
 var ErrNotSent = errs.New("call not sent")
 
+// ErrBroken says that the connection broke under a call. The peer may live, and
+// may have acted on it.
+var ErrBroken = errs.New("connection broke")
+
 // Method names a call, for example "claim.Claim".
 type Method string
 
@@ -55,3 +60,18 @@
 	err := c.Call(ctx, peer, method, req, &resp)
 	return resp, err
 }
+
+// breaksRepeated is how often a repeatable call outlives its connection: a peer
+// whose connections all break at once costs each pooled one a try.
+const breaksRepeated = 2
+
+// CallRepeatable makes a typed call that may run twice without harm: it is made
+// again when its connection broke, since that does not mean that the peer died.
+func CallRepeatable[Req, Resp any](ctx context.Context, c Caller, peer netip.AddrPort, method Method, req Req) (Resp, error) {
+	for broke := 0; ; broke++ {
+		resp, err := CallTyped[Req, Resp](ctx, c, peer, method, req)
+		if err == nil || broke == breaksRepeated || ctx.Err() != nil || !errors.Is(err, ErrBroken) {
+			return resp, err
+		}
+	}
+}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,6 +95,79 @@
 	server.wait(t)
 }
 
+// cutting passes connections on to a server and cuts all at will.
+type cutting struct {
+	net.Listener
+	mu   sync.Mutex // guards open
+	open []net.Conn
+}
+
+func (c *cutting) Accept() (net.Conn, error) {
+	accepted, err := c.Listener.Accept()
+	if err == nil {
+		c.mu.Lock()
+		c.open = append(c.open, accepted)
+		c.mu.Unlock()
+	}
+	return accepted, err
+}
+
+func (c *cutting) cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.open {
+		_ = conn.(*net.TCPConn).SetLinger(0) // so that the close resets
+		_ = conn.Close()
+	}
+	c.open = nil
+}
+
+// TestRepeatableCallOutlivesItsConnection resets every connection while calls
+// are under way, once: repeatable ones are made again, others say that they
+// broke.
+func TestRepeatableCallOutlivesItsConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	connections := &cutting{Listener: listener}
+	var runs atomic.Int64
+	cut := make(chan struct{})
+	mux := NewMux()
+	HandleTyped(mux, "test.Cut", func(_ context.Context, in echo) (echo, error) {
+		if runs.Add(1) <= 4 {
+			<-cut
+		}
+		return in, nil
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	server := NewServer(ServerConfig{Mux: mux, Key: fleetKey})
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, connections) }()
+	client, addr := newTestClient(t), listener.Addr().(*net.TCPAddr).AddrPort()
+	var calls sync.WaitGroup
+	for i := range 4 {
+		calls.Go(func() {
+			if i == 0 {
+				_, err := CallTyped[echo, echo](t.Context(), client, addr, "test.Cut", echo{Seq: i})
+				if !errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent) {
+					t.Errorf("call that may not be repeated: %v", err)
+				}
+				return
+			}
+			got, err := CallRepeatable[echo, echo](t.Context(), client, addr, "test.Cut", echo{Seq: i})
+			if err != nil || got.Seq != i {
+				t.Errorf("repeatable call %d: %v", i, err)
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return runs.Load() == 4 }, patience, time.Millisecond)
+	connections.cut()
+	calls.Wait()
+	close(cut)
+	require.EqualValues(t, 7, runs.Load())
+	stop()
+	require.NoError(t, <-done)
+}
+
 func TestPeerWithoutTheKeyIsRefusedAndCounted(t *testing.T) {
 	server := serve(t, echoMux(), ServerConfig{Key: fleetKey})
 	stranger := NewClient(ClientConfig{Key: []byte("another key")})
--- a/placement/keeper.go
+++ b/placement/keeper.go
@@ -125,7 +125,7 @@
 func (p *Placer) ask(ctx context.Context, owner host.Info, need Need) (placed, error) {
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
-	return link.CallTyped[Need, placed](ctx, p.config.Caller, owner.LinkAddr, placeMethod, need)
+	return link.CallRepeatable[Need, placed](ctx, p.config.Caller, owner.LinkAddr, placeMethod, need)
 }
 
 func find(all []instance.Status, id instance.ID) (instance.Status, bool) {
@@ -200,7 +200,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), noteTimeout)
 		defer cancel()
-		_, err := link.CallTyped[note, struct{}](ctx, t.placer.config.Caller, owner.LinkAddr, noteMethod, n)
+		_, err := link.CallRepeatable[note, struct{}](ctx, t.placer.config.Caller, owner.LinkAddr, noteMethod, n)
 		if err != nil {
 			t.placer.config.Logger.Debug("keeper of engines not told", "request", n.RequestID,
 				"keeper", string(owner.ID), "error", err.Error())
--- a/staging/batch.go
+++ b/staging/batch.go
@@ -69,7 +69,7 @@
 	}
 	var ended []func()
 	if err != nil {
-		ended = g.failBatch(b, notRun, now)
+		ended = g.failBatch(b, outcome, notRun, now)
 	} else {
 		ended = g.settleBatch(b, results, now)
 	}
@@ -79,9 +79,14 @@
 }
 
 // failBatch sends the pieces of a failed call again, or fails their groups.
-func (g *Gatherer) failBatch(b *batchCall, notRun bool, now time.Time) (ended []func()) {
+func (g *Gatherer) failBatch(b *batchCall, outcome instance.Outcome, notRun bool, now time.Time) (ended []func()) {
 	s := b.service
-	s.room.release(b.server.ID, b.bytes)
+	if outcome == instance.Broke && !notRun {
+		// The server may work on. Nobody can name its results to free them.
+		s.room.lose(b.server.ID, b.bytes, b.started.Add(b.expected+b.spec.KeepResults))
+	} else {
+		s.room.release(b.server.ID, b.bytes)
+	}
 	if notRun {
 		s.paused[b.server.ID] = now.Add(fullPause)
 	}
--- a/staging/gatherer_test.go
+++ b/staging/gatherer_test.go
@@ -24,6 +24,9 @@
 	spec *routing.StageServer
 	slow map[instance.ID]float64
 	fail map[instance.ID]error
+	// cutAt is when every call under way loses its connection; the servers work
+	// on and keep the results.
+	cutAt time.Time
 
 	mu    sync.Mutex
 	used  map[instance.ID]int64
@@ -47,12 +50,21 @@
 			continue
 		}
 		f.used[server.ID] += f.bytes
-		results[i].Handle = fmt.Sprintf("%s/%s-%d", server.ID, p.RequestID, p.Index)
+		results[i].Handle = fmt.Sprintf("%s/%d-%s-%d", server.ID, f.calls, p.RequestID, p.Index)
 		f.owner[results[i].Handle] = server.ID
 	}
 	f.mu.Unlock()
 	slow := max(f.slow[server.ID], 1)
 	took := time.Duration(slow * float64(f.spec.CallTime+time.Duration(len(pieces))*f.spec.PieceTime))
+	if left := time.Until(f.cutAt); left > 0 && left < took {
+		var kept []string
+		for _, r := range results {
+			kept = append(kept, r.Handle)
+		}
+		time.AfterFunc(took+f.spec.KeepResults, func() { _ = f.FreeResults(context.Background(), kept) })
+		time.Sleep(left)
+		return nil, instance.Broke, false, errors.New("connection reset by peer")
+	}
 	select {
 	case <-time.After(took):
 		return results, instance.Answered, false, nil
@@ -208,6 +220,19 @@
 	})
 }
 
+// The pattern of billing after all connections were reset: servers whose memory
+// holds 30 results keep those of the calls that were cut, which no one can name
+// and free. Pieces must not be sent to where there is no room for them.
+func TestResultsOfCutCallsTakeRoomUntilTheyExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeServers{bytes: 60e3, cutAt: time.Now().Add(5 * time.Second), spec: &routing.StageServer{
+			Concurrency: 1, Batch: 10, CallTime: 150 * time.Millisecond, PieceTime: 13 * time.Millisecond, ResultRoom: 18e5, KeepResults: 4 * time.Second,
+		}}
+		loadOf(newTestGatherer(t, 5, f), 12, 36, 4, 700*time.Millisecond, 450*time.Millisecond, 60e3)
+		require.Zero(t, f.full, "pieces that a server had no room for")
+	})
+}
+
 func TestGroupWhoseAskerLeftGivesItsResultsUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeServers{bytes: 8e3, spec: &routing.StageServer{
--- a/staging/room.go
+++ b/staging/room.go
@@ -1,6 +1,7 @@
 package staging
 
 import (
+	"slices"
 	"time"
 
 	"github.com/galenaseam/galenaseam/instance"
@@ -14,6 +15,8 @@
 	// heldFor is the mean time from the end of a call until its results are
 	// given up.
 	heldFor time.Duration
+	// lost are results whose handles never came.
+	lost []held
 }
 
 type held struct {
@@ -45,6 +48,11 @@
 	r.byHandle[handle] = held{server: server, bytes: bytes, since: now, until: now.Add(life)}
 }
 
+// lose notes that a reservation may have become results that nobody can free.
+func (r *room) lose(server instance.ID, bytes int64, until time.Time) {
+	r.lost = append(r.lost, held{server: server, bytes: bytes, until: until})
+}
+
 // give frees a result.
 func (r *room) give(handle string, now time.Time) {
 	h, known := r.byHandle[handle]
@@ -63,4 +71,11 @@
 			r.give(handle, now)
 		}
 	}
+	r.lost = slices.DeleteFunc(r.lost, func(h held) bool {
+		over := now.After(h.until)
+		if over {
+			r.release(h.server, h.bytes)
+		}
+		return over
+	})
 }
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -403,7 +403,7 @@
 	ctx, cancel := context.WithTimeout(ctx, g.Remaining+gatherSlack)
 	defer cancel()
 	go r.cancelWhenDead(ctx, cancel, owner.ID)
-	got, err := link.CallTyped[Group, gathered](ctx, r.config.Caller, owner.LinkAddr, gatherMethod, g)
+	got, err := link.CallRepeatable[Group, gathered](ctx, r.config.Caller, owner.LinkAddr, gatherMethod, g)
 	if err != nil {
 		return nil, err
 	}
@@ -526,7 +526,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 		defer cancel()
-		_, err := link.CallTyped[freed, struct{}](ctx, r.config.Caller, owner.LinkAddr, freeMethod, freed{Handles: handles})
+		_, err := link.CallRepeatable[freed, struct{}](ctx, r.config.Caller, owner.LinkAddr, freeMethod, freed{Handles: handles})
 		if err != nil {
 			r.config.Logger.Warn("gatherer not told of free results", "service", service,
 				"gatherer", string(owner.ID), "results", len(handles), "error", err.Error())
