Few hosts of a large fleet watch the store; the others follow them

Four hosts and one for each 40 watch now, by rank; each of the others has one call waiting at one of them, which answers with what changed. A host whose watcher is silent or out of touch with the store takes another, then the store itself; tests cause both on a synthetic clock, and bound the calls of 120 hosts.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,30 +79,49 @@
 	config Config
 	routes atomic.Pointer[routing.Table]
 
-	mu        sync.Mutex // guards what follows
+	mu        sync.Mutex // guards what follows; taken before the instance table's
 	rawConfig []byte
 	configAt  int64 // the store's revision of the configuration
 	asOf      int64 // changes up to here are applied
-	hosts     map[string]host.Info
+	hosts     map[string]hostEntry
 	doubtful  map[instance.ID]time.Time // entries that lapsed in an outage, and when they count as gone
 	troubleAt time.Time                 // the last failed call to the store
 	heard     int64                     // the newest revision that another host told of
 	heardFrom host.ID
 	published int64
+	// freshAt is when the store last said, here or to the host that this one
+	// follows, that nothing else had changed.
+	freshAt time.Time
+	// changed is closed and replaced when changes were applied.
+	changed chan struct{}
+	// passedOver are watchers that did not answer, until when.
+	passedOver map[host.ID]time.Time
 
 	wake chan struct{}
 }
 
+// hostEntry is a host's entry in the store, or its removal.
+type hostEntry struct {
+	Key      string    `cbor:"1,keyasint"`
+	Info     host.Info `cbor:"2,keyasint"`
+	Revision int64     `cbor:"3,keyasint"`
+	Gone     bool      `cbor:"4,keyasint"`
+}
+
 // New makes an empty directory and serves other hosts on the registrar.
 func New(config Config, registrar link.Registrar) *Directory {
 	d := &Directory{
 		config:   config,
-		hosts:    make(map[string]host.Info),
+		hosts:    make(map[string]hostEntry),
 		doubtful: make(map[instance.ID]time.Time),
+		changed:  make(chan struct{}),
 		wake:     make(chan struct{}, 1),
+
+		passedOver: make(map[host.ID]time.Time),
 	}
 	config.Gossip.Subscribe(revisionTopic, d.hear)
 	link.HandleTyped(registrar, fetchMethod, d.serveFetch)
+	link.HandleTyped(registrar, followMethod, d.serveFollow)
 	return d
 }
 
@@ -121,7 +141,9 @@
 	defer d.mu.Unlock()
 	var all []infra.Listing
 	for _, h := range d.hosts {
-		all = append(all, infra.Listing{Addr: h.LinkAddr, Place: h.Place})
+		if !h.Gone {
+			all = append(all, infra.Listing{Addr: h.Info.LinkAddr, Place: h.Info.Place})
+		}
 	}
 	return all, nil
 }
@@ -143,13 +165,14 @@
 		}
 	}
 	d.mu.Lock()
-	for key := range d.hosts {
-		if !hosts[key] {
-			delete(d.hosts, key)
+	for key, h := range d.hosts {
+		if !hosts[key] && !h.Gone && h.Revision <= asOf {
+			d.hosts[key] = hostEntry{Key: key, Revision: asOf + 1, Gone: true}
 		}
 	}
 	d.mu.Unlock()
-	d.advance(asOf)
+	d.advance(asOf, now)
+	d.announce()
 }
 
 // apply takes in one item.
@@ -218,23 +241,49 @@
 
 // applyHost takes in the entry of another host.
 func (d *Directory) applyHost(item Item) {
+	entry := hostEntry{Key: item.Key, Revision: item.Revision, Gone: item.Removed}
+	if !item.Removed {
+		if err := cbor.Unmarshal(item.Value, &entry.Info); err != nil || !entry.Info.LinkAddr.IsValid() {
+			d.config.Logger.Warn("host entry ignored", "key", item.Key, "revision", item.Revision)
+			return
+		}
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if item.Removed {
-		delete(d.hosts, item.Key)
+	d.putHost(entry)
+}
+
+// maxHostEntries bounds the hosts' entries that are kept, removals included.
+const maxHostEntries = 16_384
+
+// putHost takes in a host's entry unless a newer one is known. The caller holds
+// mu.
+func (d *Directory) putHost(entry hostEntry) {
+	old, known := d.hosts[entry.Key]
+	if known && old.Revision >= entry.Revision {
 		return
 	}
-	var info host.Info
-	if err := cbor.Unmarshal(item.Value, &info); err != nil || !info.LinkAddr.IsValid() {
-		d.config.Logger.Warn("host entry ignored", "key", item.Key, "revision", item.Revision)
-		return
+	if !known && len(d.hosts) >= maxHostEntries {
+		maps.DeleteFunc(d.hosts, func(_ string, h hostEntry) bool { return h.Gone })
 	}
-	d.hosts[item.Key] = info
+	d.hosts[entry.Key] = entry
 }
 
-// advance notes up to which revision changes are applied.
-func (d *Directory) advance(asOf int64) {
+// advance notes up to which revision changes are applied, and when the store
+// knew of no other.
+func (d *Directory) advance(asOf int64, freshAt time.Time) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.asOf = max(d.asOf, asOf)
-	d.mu.Unlock()
+	if freshAt.After(d.freshAt) {
+		d.freshAt = freshAt
+	}
+}
+
+// announce tells the hosts that follow this one of changes.
+func (d *Directory) announce() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.changed)
+	d.changed = make(chan struct{})
 }
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// watchWait is how long one watch waits for changes. A connection that
-	// went silent is noticed soon after.
-	watchWait = 4 * time.Second
+	// smallWatchWait is how long one watch of a small fleet's hosts waits for
+	// changes. A connection that went silent is noticed soon after.
+	smallWatchWait = 4 * time.Second
 	// retryPause is the pause after a failed call to the store; it doubles up
 	// to maxRetryPause, so that a store that returns is not flooded.
 	retryPause    = 100 * time.Millisecond
@@ -45,6 +45,9 @@
 	read := true
 	inTouch := true
 	for ctx.Err() == nil {
+		if w, follows := d.watcher(time.Now()); follows && d.AsOf() > 0 && d.follow(ctx, w) {
+			continue
+		}
 		err := d.step(ctx, &read)
 		if err == nil {
 			if !inTouch {
@@ -72,6 +75,9 @@
 
 // pause is how long changes are gathered before they are read.
 func (d *Directory) pause() time.Duration {
+	if d.isLarge() {
+		return d.share(gatherShare)
+	}
 	hosts := len(d.config.Fleet.Members())
 	most := time.Duration(boundShare * float64(d.config.ChangesWithin))
 	return min(max(time.Duration(hosts)*pausePerHost, minPause), max(most, minPause))
@@ -89,7 +95,7 @@
 		d.tell()
 		return nil
 	}
-	items, asOf, err := d.config.Source.Changes(ctx, d.AsOf(), watchWait)
+	items, asOf, err := d.config.Source.Changes(ctx, d.AsOf(), d.watchWait())
 	if errors.Is(err, ErrHistoryGone) {
 		d.config.Logger.Warn("store forgot its history", "as_of", d.AsOf())
 		*read = true
@@ -103,8 +109,9 @@
 	for _, item := range items {
 		d.apply(item, now)
 	}
-	d.advance(asOf)
+	d.advance(asOf, now)
 	if len(items) > 0 {
+		d.announce()
 		d.tell()
 		_ = sleep.For(ctx, d.pause())
 	}
--- a/directory/peers.go
+++ b/directory/peers.go
@@ -168,7 +168,8 @@
 	}
 	if a.AsOf > q.AsOf {
 		d.config.Instances.Replace(a.Entries, a.AsOf)
-		d.advance(a.AsOf)
+		d.advance(a.AsOf, time.Time{})
+		d.announce()
 		d.config.Logger.Info("directory taken from another host", "peer", peer.String(), "as_of", a.AsOf, "was", q.AsOf)
 	}
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -80,6 +80,7 @@
 	byID      map[ID]*Instance
 	byService map[string][]*Instance // ordered by ID
 	removed   map[ID]int64           // revision of the removal, so that older news changes nothing
+	forgotten int64                  // removals before this revision are forgotten
 	changed   func(Change)
 }
 
@@ -162,6 +163,7 @@
 func (t *Table) forgetRemovals() {
 	revisions := slices.Sorted(maps.Values(t.removed))
 	median := revisions[len(revisions)/2]
+	t.forgotten = max(t.forgotten, median)
 	maps.DeleteFunc(t.removed, func(_ ID, revision int64) bool { return revision < median })
 }
 
@@ -221,6 +223,33 @@
 	return all
 }
 
+// Removal is an upstream that was taken out.
+type Removal struct {
+	ID       ID    `cbor:"1,keyasint"`
+	Revision int64 `cbor:"2,keyasint"`
+}
+
+// Since returns what changed after a revision. known is false when some of it
+// is forgotten.
+func (t *Table) Since(revision int64) (entries []Entry, removals []Removal, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if revision < t.forgotten {
+		return nil, nil, false
+	}
+	for _, i := range t.byID {
+		if i.Revision > revision {
+			entries = append(entries, i.Entry)
+		}
+	}
+	for id, at := range t.removed {
+		if at > revision {
+			removals = append(removals, Removal{ID: id, Revision: at})
+		}
+	}
+	return entries, removals, true
+}
+
 // Lookup returns the entry of an upstream.
 func (t *Table) Lookup(id ID) (Entry, bool) {
 	t.mu.Lock()
