--- a/directory/follow.go
+++ b/directory/follow.go
@@ -12,8 +12,9 @@
 
 const (
 	// smallWatchWait is how long one watch of a small fleet's hosts waits for
-	// changes. A connection that went silent is noticed soon after.
-	smallWatchWait = 4 * time.Second
+	// changes. A watch that went silent is noticed a second after that, within
+	// the time in which the store counts as unstable.
+	smallWatchWait = 2500 * time.Millisecond
 	// retryPause is the pause after a failed call to the store; it doubles up
 	// to maxRetryPause, so that a store that returns is not flooded.
 	retryPause    = 100 * time.Millisecond
--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -314,3 +314,27 @@
 		require.LessOrEqual(t, f.lacking("u5", false), 0)
 	})
 }
+
+// A store whose watches fall silent without an end still answers other calls.
+// A host of any fleet notices soon after the store is itself again.
+func TestSilentWatchIsNoticed(t *testing.T) {
+	const silence, stable = time.Second, 3 * time.Second
+	for _, size := range []int{12, 60} {
+		for phase := time.Duration(0); phase < 3*time.Second; phase += 370 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, size)
+				time.Sleep(phase)
+				f.store.mu.Lock()
+				f.store.silent = true
+				f.store.mu.Unlock()
+				f.store.put("up/u3", instance.Entry{Service: "s", Leaving: true}, false)
+				time.Sleep(silence)
+				f.store.mu.Lock()
+				f.store.silent = false
+				f.store.mu.Unlock()
+				time.Sleep(stable)
+				require.Zero(t, f.lacking("u3", false), "%d hosts, after %s", size, phase)
+			})
+		}
+	}
+}
