--- a/cmd/seamdrill/main.go
+++ b/cmd/seamdrill/main.go
@@ -62,7 +62,7 @@
 	upstreams := fs.Int("upstreams", 4, "upstreams of each pool")
 	seamd := fs.String("seamd", "", "path of the seamd program; needed")
 	poison := fs.Bool("poison", true, "send requests that crash the engines which run them")
-	examples := fs.String("examples", "examples", "folder of the example documents")
+	examples := fs.String("examples", "", "folder of the example documents; those built in when empty")
 	dir := fs.String("dir", "", "folder for settings and logs; a new one when empty")
 	return &ffcli.Command{
 		Name:       "run",
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -45,7 +45,8 @@
 // Deployment is one of the example deployments.
 type Deployment struct {
 	Name string
-	// Path is the file of the operators' document.
+	// Path is the file of the operators' document; empty takes the example of
+	// the name.
 	Path string
 	// Upstreams is how many each pool has.
 	Upstreams int
--- a/internal/drill/fleet.go
+++ b/internal/drill/fleet.go
@@ -15,6 +15,7 @@
 
 	"github.com/galenaseam/galenaseam/config"
 	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/examples"
 	"github.com/galenaseam/galenaseam/infra/kv"
 	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/internal/standin"
@@ -60,6 +61,20 @@
 	started int
 }
 
+// readDocument reads the operators' document. An example that is built in is
+// written down for the stand-ins.
+func (f *fleet) readDocument() ([]byte, error) {
+	if f.deployment.Path != "" {
+		return os.ReadFile(f.deployment.Path)
+	}
+	text, err := examples.Document(f.deployment.Name)
+	if err != nil {
+		return nil, err
+	}
+	f.deployment.Path = filepath.Join(f.dir, "document.yaml")
+	return text, os.WriteFile(f.deployment.Path, text, 0o600)
+}
+
 // startFleet starts a deployment and waits until its hosts take work. The
 // fleet is returned also with an error, so that its processes can be ended.
 func startFleet(ctx context.Context, cfg Config, index int, d Deployment) (*fleet, error) {
@@ -67,14 +82,14 @@
 		cfg: cfg, index: index, deployment: d, dir: filepath.Join(cfg.Dir, d.Name),
 		callers: newCallersClient(), ledger: newLedger(), edits: newEdits(),
 	}
-	text, err := os.ReadFile(d.Path)
-	if err != nil {
+	if err := os.MkdirAll(f.dir, 0o755); err != nil {
 		return f, Error.Wrap(err)
 	}
-	if f.doc, err = document.Parse(text); err != nil {
+	text, err := f.readDocument()
+	if err != nil {
 		return f, Error.Wrap(err)
 	}
-	if err := os.MkdirAll(f.dir, 0o755); err != nil {
+	if f.doc, err = document.Parse(text); err != nil {
 		return f, Error.Wrap(err)
 	}
 	if err := f.startStandins(ctx); err != nil {
--- a/internal/drill/standins.go
+++ b/internal/drill/standins.go
@@ -22,12 +22,16 @@
 // hostListLag is how late the host list shows a change.
 const hostListLag = 2 * time.Second
 
-// Examples returns the two example deployments from a folder.
+// Examples returns the two example deployments, with the documents of a folder
+// or, if it is empty, with those that the program was built with.
 func Examples(folder string, upstreams int) []Deployment {
-	return []Deployment{
-		{Name: "cylinder", Path: filepath.Join(folder, "cylinder.yaml"), Upstreams: upstreams},
-		{Name: "yardline", Path: filepath.Join(folder, "yardline.yaml"), Upstreams: upstreams},
+	all := []Deployment{{Name: "cylinder", Upstreams: upstreams}, {Name: "yardline", Upstreams: upstreams}}
+	if folder != "" {
+		for i := range all {
+			all[i].Path = filepath.Join(folder, all[i].Name+".yaml")
+		}
 	}
+	return all
 }
 
 // Standins runs the stand-ins of a deployment until ctx ends. It prints their
