Ask other hosts for changes in one way, with or without a wait

A host in trouble fetched all entries of another, and followers asked for what changed: one call serves both, and sends all entries only when some changes are forgotten. Lapsed entries are told with their revision, so that a host that is behind takes out no upstream that is back (test).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -84,9 +84,9 @@
 	configAt  int64 // the store's revision of the configuration
 	asOf      int64 // changes up to here are applied
 	hosts     map[string]hostEntry
-	doubtful  map[instance.ID]time.Time // entries that lapsed in an outage, and when they count as gone
-	troubleAt time.Time                 // the last failed call to the store
-	heard     int64                     // the newest revision that another host told of
+	lapsed    map[instance.ID]lapse // entries that lapsed in an outage
+	troubleAt time.Time             // the last failed call to the store
+	heard     int64                 // the newest revision that another host told of
 	heardFrom host.ID
 	published int64
 	// freshAt is when the store last said, here or to the host that this one
@@ -111,16 +111,15 @@
 // New makes an empty directory and serves other hosts on the registrar.
 func New(config Config, registrar link.Registrar) *Directory {
 	d := &Directory{
-		config:   config,
-		hosts:    make(map[string]hostEntry),
-		doubtful: make(map[instance.ID]time.Time),
-		changed:  make(chan struct{}),
-		wake:     make(chan struct{}, 1),
+		config:  config,
+		hosts:   make(map[string]hostEntry),
+		lapsed:  make(map[instance.ID]lapse),
+		changed: make(chan struct{}),
+		wake:    make(chan struct{}, 1),
 
 		passedOver: make(map[host.ID]time.Time),
 	}
 	config.Gossip.Subscribe(revisionTopic, d.hear)
-	link.HandleTyped(registrar, fetchMethod, d.serveFetch)
 	link.HandleTyped(registrar, followMethod, d.serveFollow)
 	return d
 }
@@ -206,7 +205,7 @@
 	}
 	entry.Revision = item.Revision
 	d.mu.Lock()
-	delete(d.doubtful, id)
+	delete(d.lapsed, id)
 	d.mu.Unlock()
 	d.config.Instances.Put(entry)
 }
--- a/directory/lapse.go
+++ b/directory/lapse.go
@@ -10,6 +10,12 @@
 // it was away may still come back. The platform promises about two seconds.
 const lapseGrace = 2300 * time.Millisecond
 
+// lapse is an upstream whose entry lapsed in an outage.
+type lapse struct {
+	until    time.Time // when it counts as gone
+	revision int64     // of the entry that lapsed; a newer one is the upstream's return
+}
+
 // lose takes an upstream out. An entry that may have lapsed only because the
 // store was away is kept until its upstream has had the time to come back.
 func (d *Directory) lose(id instance.ID, revision int64, now time.Time) {
@@ -21,8 +27,8 @@
 	d.mu.Lock()
 	inOutage := !d.troubleAt.IsZero() && now.Sub(d.troubleAt) < lapseGrace
 	if inOutage && !entry.Leaving {
-		if _, waiting := d.doubtful[id]; !waiting {
-			d.doubtful[id] = d.troubleAt.Add(lapseGrace)
+		if _, waiting := d.lapsed[id]; !waiting {
+			d.lapsed[id] = lapse{until: d.troubleAt.Add(lapseGrace), revision: entry.Revision}
 		}
 		d.mu.Unlock()
 		d.config.Logger.Info("upstream entry lapsed during an outage of the store", "upstream", string(id),
@@ -36,17 +42,17 @@
 // dropLapsed takes out the upstreams that have not come back.
 func (d *Directory) dropLapsed(now time.Time) {
 	d.mu.Lock()
-	var gone []instance.ID
-	for id, until := range d.doubtful {
-		if now.After(until) {
-			gone = append(gone, id)
-			delete(d.doubtful, id)
+	gone := make(map[instance.ID]lapse)
+	for id, l := range d.lapsed {
+		if now.After(l.until) {
+			gone[id] = l
+			delete(d.lapsed, id)
 		}
 	}
 	asOf := d.asOf
 	d.mu.Unlock()
-	for _, id := range gone {
-		if e, known := d.config.Instances.Lookup(id); known {
+	for id, l := range gone {
+		if e, known := d.config.Instances.Lookup(id); known && e.Revision <= l.revision {
 			d.config.Instances.Remove(id, max(asOf, e.Revision+1))
 		}
 	}
--- a/directory/peers.go
+++ b/directory/peers.go
@@ -8,15 +8,11 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/host"
-	"github.com/galenaseam/galenaseam/instance"
-	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/member"
-	"github.com/galenaseam/galenaseam/routing"
 )
 
 const (
 	revisionTopic member.Topic = "directory"
-	fetchMethod   link.Method  = "directory.Fetch"
 	revisionKey                = "revision"
 
 	// ownChance is how long a host waits for its own watch after another told
@@ -122,54 +118,16 @@
 	}
 }
 
-// fetchRequest says what the asking host has.
-type fetchRequest struct {
-	AsOf    int64           `cbor:"1,keyasint"`
-	Version routing.Version `cbor:"2,keyasint"`
-}
-
-// fetchAnswer is what another host knows, without what the asker has.
-type fetchAnswer struct {
-	AsOf     int64            `cbor:"1,keyasint"`
-	Config   []byte           `cbor:"2,keyasint"`
-	ConfigAt int64            `cbor:"3,keyasint"`
-	Entries  []instance.Entry `cbor:"4,keyasint"`
-}
-
-// serveFetch answers another host.
-func (d *Directory) serveFetch(_ context.Context, q fetchRequest) (fetchAnswer, error) {
-	d.mu.Lock()
-	a := fetchAnswer{AsOf: d.asOf}
-	if current := d.routes.Load(); current != nil && current.Version() > q.Version {
-		a.Config, a.ConfigAt = d.rawConfig, d.configAt
-	}
-	d.mu.Unlock()
-	if a.AsOf > q.AsOf {
-		a.Entries = d.config.Instances.Entries()
-	}
-	return a, nil
-}
-
 // fetch takes in what another host knows.
 func (d *Directory) fetch(ctx context.Context, peer netip.AddrPort) {
-	q := fetchRequest{AsOf: d.AsOf()}
-	if current := d.routes.Load(); current != nil {
-		q.Version = current.Version()
-	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	a, err := link.CallRepeatable[fetchRequest, fetchAnswer](ctx, d.config.Caller, peer, fetchMethod, q)
+	was := d.AsOf()
+	a, err := d.ask(ctx, peer, 0, fetchTimeout)
 	if err != nil {
 		d.config.Logger.Warn("host not asked for its directory", "peer", peer.String(), "error", err.Error())
 		return
 	}
-	if len(a.Config) > 0 {
-		d.applyConfig(a.Config, a.ConfigAt)
-	}
-	if a.AsOf > q.AsOf {
-		d.config.Instances.Replace(a.Entries, a.AsOf)
-		d.advance(a.AsOf, time.Time{})
-		d.announce()
-		d.config.Logger.Info("directory taken from another host", "peer", peer.String(), "as_of", a.AsOf, "was", q.AsOf)
+	d.takeIn(a)
+	if a.AsOf > was {
+		d.config.Logger.Info("directory taken from another host", "peer", peer.String(), "as_of", a.AsOf, "was", was)
 	}
 }
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -105,19 +105,25 @@
 
 // followAnswer is what changed since.
 type followAnswer struct {
-	AsOf     int64              `cbor:"1,keyasint"`
-	Config   []byte             `cbor:"2,keyasint"`
-	ConfigAt int64              `cbor:"3,keyasint"`
-	Entries  []instance.Entry   `cbor:"4,keyasint"`
+	AsOf     int64            `cbor:"1,keyasint"`
+	Config   []byte           `cbor:"2,keyasint"`
+	ConfigAt int64            `cbor:"3,keyasint"`
+	Entries  []instance.Entry `cbor:"4,keyasint"`
+	// Whole says that Entries are all there are, since some of the changes are
+	// forgotten.
+	Whole    bool               `cbor:"8,keyasint"`
 	Removals []instance.Removal `cbor:"5,keyasint"`
 	Hosts    []hostEntry        `cbor:"6,keyasint"`
 	// Age is the time since the store last said that nothing else had changed.
 	Age time.Duration `cbor:"7,keyasint"`
-	// Lapsed are the upstreams whose entries lapsed in an outage, and how long
-	// they may take to come back.
-	Lapsed map[instance.ID]time.Duration `cbor:"9,keyasint"`
-	// Forgotten says that some of the changes are not known any more.
-	Forgotten bool `cbor:"8,keyasint"`
+	// Lapsed are the upstreams whose entries lapsed in an outage.
+	Lapsed map[instance.ID]lapsedEntry `cbor:"9,keyasint"`
+}
+
+// lapsedEntry is an entry that lapsed, and how long it may take to come back.
+type lapsedEntry struct {
+	Left     time.Duration `cbor:"1,keyasint"`
+	Revision int64         `cbor:"2,keyasint"`
 }
 
 // serveFollow answers a host that follows this one, when something changed or
@@ -149,9 +155,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	a := followAnswer{AsOf: d.asOf, Age: now.Sub(d.freshAt), Lapsed: make(map[instance.ID]time.Duration)}
-	for id, until := range d.doubtful {
-		a.Lapsed[id] = until.Sub(now)
+	a := followAnswer{AsOf: d.asOf, Age: now.Sub(d.freshAt), Lapsed: make(map[instance.ID]lapsedEntry)}
+	for id, l := range d.lapsed {
+		a.Lapsed[id] = lapsedEntry{Left: l.until.Sub(now), Revision: l.revision}
 	}
 	if current := d.routes.Load(); current != nil && current.Version() > q.Version {
 		a.Config, a.ConfigAt = d.rawConfig, d.configAt
@@ -162,57 +168,61 @@
 		}
 	}
 	var known bool
-	a.Entries, a.Removals, known = d.config.Instances.Since(q.AsOf)
-	a.Forgotten = !known
+	if a.Entries, a.Removals, known = d.config.Instances.Since(q.AsOf); !known {
+		a.Entries, a.Whole = d.config.Instances.Entries(), true
+	}
 	return a
 }
 
 func (a *followAnswer) isEmpty() bool {
-	return len(a.Config) == 0 && len(a.Entries) == 0 && len(a.Removals) == 0 && len(a.Hosts) == 0 && !a.Forgotten
+	return len(a.Config) == 0 && len(a.Entries) == 0 && len(a.Removals) == 0 && len(a.Hosts) == 0
 }
 
 // follow asks a watcher once and takes in what it says. ok is false when the
 // watcher is not to be relied on.
 func (d *Directory) follow(ctx context.Context, w host.Info) (ok bool) {
-	q := followRequest{AsOf: d.AsOf(), Wait: d.share(followShare)}
-	if current := d.routes.Load(); current != nil {
-		q.Version = current.Version()
-	}
-	a, err := d.askWatcher(ctx, w.LinkAddr, q)
+	wait := d.share(followShare)
+	a, err := d.ask(ctx, w.LinkAddr, wait, wait+d.share(answerShare))
 	reason := ""
 	switch {
 	case ctx.Err() != nil:
 		return true
 	case err != nil:
 		reason = err.Error()
-	case a.Forgotten:
-		reason = "changes not known"
 	case a.Age >= d.share(maxAgeShare):
 		reason = "out of touch with the store"
+	default:
+		d.takeIn(a)
+		return true
 	}
-	if reason != "" {
-		d.mu.Lock()
-		d.passedOver[w.ID] = time.Now().Add(passOverFor)
-		d.mu.Unlock()
-		d.config.Logger.Warn("watcher of the store passed over", "watcher", string(w.ID), "as_of", q.AsOf,
-			"watcher_as_of", a.AsOf, "age_ms", a.Age.Milliseconds(), "reason", reason)
-		return false
-	}
-	d.takeIn(a)
-	return true
+	d.mu.Lock()
+	asOf := d.asOf
+	d.passedOver[w.ID] = time.Now().Add(passOverFor)
+	d.mu.Unlock()
+	d.config.Logger.Warn("watcher of the store passed over", "watcher", string(w.ID), "as_of", asOf,
+		"watcher_as_of", a.AsOf, "age_ms", a.Age.Milliseconds(), "reason", reason)
+	return false
 }
 
-func (d *Directory) askWatcher(ctx context.Context, addr netip.AddrPort, q followRequest) (followAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, q.Wait+d.share(answerShare))
+// ask asks another host for what this one lacks, and lets it wait for a change.
+func (d *Directory) ask(ctx context.Context, peer netip.AddrPort, wait, timeout time.Duration) (followAnswer, error) {
+	q := followRequest{AsOf: d.AsOf(), Wait: wait}
+	if current := d.routes.Load(); current != nil {
+		q.Version = current.Version()
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return link.CallRepeatable[followRequest, followAnswer](ctx, d.config.Caller, addr, followMethod, q)
+	return link.CallRepeatable[followRequest, followAnswer](ctx, d.config.Caller, peer, followMethod, q)
 }
 
-// takeIn applies what a watcher said.
+// takeIn applies what another host said.
 func (d *Directory) takeIn(a followAnswer) {
 	if len(a.Config) > 0 {
 		d.applyConfig(a.Config, a.ConfigAt)
 	}
+	if a.Whole && a.AsOf > d.AsOf() {
+		d.config.Instances.Replace(a.Entries, a.AsOf)
+	}
 	for _, r := range a.Removals {
 		d.config.Instances.Remove(r.ID, r.Revision)
 	}
@@ -222,11 +232,11 @@
 	now := time.Now()
 	d.mu.Lock()
 	for _, e := range a.Entries {
-		delete(d.doubtful, e.ID)
+		delete(d.lapsed, e.ID)
 	}
-	for id, left := range a.Lapsed {
-		if _, waiting := d.doubtful[id]; !waiting {
-			d.doubtful[id] = now.Add(left)
+	for id, l := range a.Lapsed {
+		if _, waiting := d.lapsed[id]; !waiting {
+			d.lapsed[id] = lapse{until: now.Add(l.Left), revision: l.Revision}
 		}
 	}
 	for _, h := range a.Hosts {
--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -315,6 +315,43 @@
 	})
 }
 
+// An upstream whose entry lapsed in an outage and that does not come back is
+// gone also at a host that the store still turns away.
+func TestLapsedUpstreamIsGoneAtAHostWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 12)
+		f.store.mu.Lock()
+		f.store.turnAway, f.store.hangs[0] = true, true
+		f.store.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		f.store.put("up/u5", instance.Entry{}, true)
+		f.store.mu.Lock()
+		f.store.turnAway = false
+		f.store.mu.Unlock()
+		time.Sleep(lapseGrace + time.Second)
+		f.store.put("up/new", instance.Entry{Service: "s"}, false)
+		time.Sleep(changesWithin)
+		require.Zero(t, f.lacking("new", true))
+		require.Zero(t, f.lacking("u5", false))
+	})
+}
+
+// A host that is behind tells of a lapse although the upstream is back. The
+// newer entry stays.
+func TestLapseOfAnOlderEntryTakesOutNoNewerOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newTestFleet(t, 2).hosts[0]
+		before, known := h.config.Instances.Lookup("u3")
+		require.True(t, known)
+		h.store.put("up/u3", instance.Entry{Service: "s"}, false)
+		time.Sleep(changesWithin)
+		h.takeIn(followAnswer{Lapsed: map[instance.ID]lapsedEntry{"u3": {Left: time.Second, Revision: before.Revision}}})
+		time.Sleep(changesWithin)
+		_, known = h.config.Instances.Lookup("u3")
+		require.True(t, known)
+	})
+}
+
 // A store whose watches fall silent without an end still answers other calls.
 // A host of any fleet notices soon after the store is itself again.
 func TestSilentWatchIsNoticed(t *testing.T) {
