--- a/directory/peers.go
+++ b/directory/peers.go
@@ -11,9 +11,11 @@
 	"github.com/galenaseam/galenaseam/member"
 )
 
+// revisionTopic is where hosts tell each other how new their directory is.
+const revisionTopic member.Topic = "directory"
+
 const (
-	revisionTopic member.Topic = "directory"
-	revisionKey                = "revision"
+	revisionKey = "revision"
 
 	// ownChance is how long a host waits for its own watch after another told
 	// of a newer revision.
