--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -145,7 +146,7 @@
 	*testFleet
 	index    int
 	handlers map[link.Method]link.Handler
-	frozen   bool
+	frozen   atomic.Bool
 }
 
 func (h *testHost) Handle(method link.Method, handler link.Handler) { h.handlers[method] = handler }
@@ -164,7 +165,7 @@
 
 func (h *testHost) Call(ctx context.Context, peer netip.AddrPort, method link.Method, in, out any) error {
 	to := h.byAddr[peer]
-	if to.frozen {
+	if to.frozen.Load() {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -236,7 +237,7 @@
 func (f *testFleet) lacking(id instance.ID, wanted bool) (count int) {
 	for _, h := range f.hosts {
 		entry, known := h.config.Instances.Lookup(id)
-		if !h.frozen && (known && !entry.Leaving) != wanted {
+		if !h.frozen.Load() && (known && !entry.Leaving) != wanted {
 			count++
 		}
 	}
@@ -270,7 +271,7 @@
 // store without a word, is in force at the other hosts in time all the same.
 func TestHostsWhoseWatchersAreOutOfTouchAskTheStore(t *testing.T) {
 	for name, harm := range map[string]func(f *testFleet, w *testHost){
-		"frozen":         func(_ *testFleet, w *testHost) { w.frozen = true },
+		"frozen":         func(_ *testFleet, w *testHost) { w.frozen.Store(true) },
 		"store is quiet": func(f *testFleet, w *testHost) { f.store.hangs[w.index] = true },
 	} {
 		for phase := time.Duration(0); phase < time.Second; phase += 130 * time.Millisecond {
