--- a/link/link.go
+++ b/link/link.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -61,17 +62,33 @@
 	return resp, err
 }
 
-// breaksRepeated is how often a repeatable call outlives its connection: a peer
-// whose connections all break at once costs each pooled one a try.
-const breaksRepeated = 2
+const (
+	// breaksRepeated is how often a repeatable call outlives its connection: a
+	// peer whose connections all break at once costs each pooled one a try.
+	breaksRepeated = 2
+	// answersWithin is how soon a peer that lives answers on a new connection,
+	// many times the round trip inside a region.
+	answersWithin = 100 * time.Millisecond
+	// lifeMethod is one that no host serves: to be told so is a sign of life.
+	lifeMethod Method = "link.Life"
+)
 
 // CallRepeatable makes a typed call that may run twice without harm: it is made
-// again when its connection broke, since that does not mean that the peer died.
+// again when its connection broke and the peer answers on a new one. A cut
+// breaks connections too, and then a new one would hang.
 func CallRepeatable[Req, Resp any](ctx context.Context, c Caller, peer netip.AddrPort, method Method, req Req) (Resp, error) {
 	for broke := 0; ; broke++ {
 		resp, err := CallTyped[Req, Resp](ctx, c, peer, method, req)
-		if err == nil || broke == breaksRepeated || ctx.Err() != nil || !errors.Is(err, ErrBroken) {
+		if err == nil || broke == breaksRepeated || !errors.Is(err, ErrBroken) || !answers(ctx, c, peer) {
 			return resp, err
 		}
 	}
 }
+
+// answers says whether a peer answers at once.
+func answers(ctx context.Context, c Caller, peer netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, answersWithin)
+	defer cancel()
+	err := c.Call(ctx, peer, lifeMethod, struct{}{}, nil)
+	return err == nil || errors.Is(err, ErrUnknownMethod) || errors.Is(err, ErrBroken)
+}
