--- a/directory/directory.go
+++ b/directory/directory.go
@@ -20,6 +20,7 @@
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/member"
+	"github.com/galenaseam/galenaseam/ownership"
 	"github.com/galenaseam/galenaseam/routing"
 )
 
@@ -94,8 +95,8 @@
 	freshAt time.Time
 	// changed is closed and replaced when changes were applied.
 	changed chan struct{}
-	// passedOver are watchers that did not answer, until when.
-	passedOver map[host.ID]time.Time
+
+	passedOver ownership.Avoided // watchers that did not answer
 
 	wake chan struct{}
 }
@@ -116,8 +117,6 @@
 		lapsed:  make(map[instance.ID]lapse),
 		changed: make(chan struct{}),
 		wake:    make(chan struct{}, 1),
-
-		passedOver: make(map[host.ID]time.Time),
 	}
 	config.Gossip.Subscribe(revisionTopic, d.hear)
 	link.HandleTyped(registrar, followMethod, d.serveFollow)
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -19,14 +19,9 @@
 	// to maxRetryPause, so that a store that returns is not flooded.
 	retryPause    = 100 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
-	// pausePerHost is the pause after changes for each host of the fleet, so
-	// that those that come together are read together: every host's call to the
-	// store is counted, and its rates grow more slowly than the fleet.
-	pausePerHost = 12 * time.Millisecond
-	// minPause bounds it from below, boundShare of the time within which a
-	// change must be in force from above.
-	minPause   = 200 * time.Millisecond
-	boundShare = 0.45
+	// smallPause is the pause after changes in a small fleet, so that those that
+	// come together are read together: the store counts every call.
+	smallPause = 200 * time.Millisecond
 	// lapseInterval is how often entries that lapsed are looked at.
 	lapseInterval = 200 * time.Millisecond
 )
@@ -79,9 +74,7 @@
 	if d.isLarge() {
 		return d.share(gatherShare)
 	}
-	hosts := len(d.config.Fleet.Members())
-	most := time.Duration(boundShare * float64(d.config.ChangesWithin))
-	return min(max(time.Duration(hosts)*pausePerHost, minPause), max(most, minPause))
+	return smallPause
 }
 
 // step makes one call to the store and takes in what it says.
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -28,8 +28,6 @@
 	// hosts that follow one.
 	leastWatchers   = 4
 	hostsPerWatcher = 40
-	// passOverFor is how long a watcher is passed over that did not answer.
-	passOverFor = 3 * time.Second
 )
 
 // Parts of the time within which a change must be in force. A watcher that
@@ -58,8 +56,11 @@
 	if len(alive) <= smallFleet {
 		return alive
 	}
-	rank := func(h host.Info) uint64 { return xxh3.HashString("watcher\x00" + string(h.ID)) }
-	slices.SortFunc(alive, func(a, b host.Info) int { return cmp.Compare(rank(a), rank(b)) })
+	rank := make(map[host.ID]uint64, len(alive))
+	for _, h := range alive {
+		rank[h.ID] = xxh3.HashString("watcher\x00" + string(h.ID))
+	}
+	slices.SortFunc(alive, func(a, b host.Info) int { return cmp.Compare(rank[a.ID], rank[b.ID]) })
 	return alive[:leastWatchers+len(alive)/hostsPerWatcher]
 }
 
@@ -68,13 +69,11 @@
 func (d *Directory) watcher(now time.Time) (chosen host.Info, found bool) {
 	self := d.config.Fleet.Self().ID
 	best := uint64(0)
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	for _, w := range watchers(d.config.Fleet.Members()) {
 		if w.ID == self {
 			return host.Info{}, false
 		}
-		if now.Before(d.passedOver[w.ID]) {
+		if d.passedOver.Has(w.ID, now) {
 			continue
 		}
 		if rank := xxh3.HashString(string(self) + "\x00" + string(w.ID)); !found || rank > best {
@@ -111,11 +110,11 @@
 	Entries  []instance.Entry `cbor:"4,keyasint"`
 	// Whole says that Entries are all there are, since some of the changes are
 	// forgotten.
-	Whole    bool               `cbor:"8,keyasint"`
-	Removals []instance.Removal `cbor:"5,keyasint"`
-	Hosts    []hostEntry        `cbor:"6,keyasint"`
+	Whole    bool               `cbor:"5,keyasint"`
+	Removals []instance.Removal `cbor:"6,keyasint"`
+	Hosts    []hostEntry        `cbor:"7,keyasint"`
 	// Age is the time since the store last said that nothing else had changed.
-	Age time.Duration `cbor:"7,keyasint"`
+	Age time.Duration `cbor:"8,keyasint"`
 	// Lapsed are the upstreams whose entries lapsed in an outage.
 	Lapsed map[instance.ID]lapsedEntry `cbor:"9,keyasint"`
 }
@@ -195,11 +194,8 @@
 		d.takeIn(a)
 		return true
 	}
-	d.mu.Lock()
-	asOf := d.asOf
-	d.passedOver[w.ID] = time.Now().Add(passOverFor)
-	d.mu.Unlock()
-	d.config.Logger.Warn("watcher of the store passed over", "watcher", string(w.ID), "as_of", asOf,
+	d.passedOver.Add(w.ID, time.Now())
+	d.config.Logger.Warn("watcher of the store passed over", "watcher", string(w.ID), "as_of", d.AsOf(),
 		"watcher_as_of", a.AsOf, "age_ms", a.Age.Milliseconds(), "reason", reason)
 	return false
 }
--- a/gateway/try.go
+++ b/gateway/try.go
@@ -298,9 +298,7 @@
 		s.closing()
 	}
 	s.ticket.End()
-	if s.use != nil {
-		s.use.End(outcome, now.Sub(s.begun), now)
-	}
+	s.use.End(outcome, now.Sub(s.begun), now)
 	s.config.Metrics.try(s.service, what)
 	t := try{
 		Upstream: string(s.chosen.ID), Addr: s.chosen.Addr.String(), InFlight: s.chosen.InFlight,
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -283,8 +283,11 @@
 }
 
 // End counts the request as no longer running and learns from its outcome. took
-// is the time to the answer, 0 if there was none.
+// is the time to the answer, 0 if there was none. A nil use counts nothing.
 func (u *Use) End(outcome Outcome, took time.Duration, now time.Time) {
+	if u == nil {
+		return
+	}
 	u.table.mu.Lock()
 	defer u.table.mu.Unlock()
 	u.on.inFlight--
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -35,6 +35,15 @@
 // newWorld starts the store, the upstreams and the hosts.
 func newWorld(binary, dir string) (*world, error) {
 	w := &world{store: platformtest.NewStore(), keys: []string{"key-0", "kept"}}
+	if err := w.start(binary, dir); err != nil {
+		w.close()
+		return nil, err
+	}
+	return w, nil
+}
+
+// start starts the upstreams and the hosts.
+func (w *world) start(binary, dir string) error {
 	for service, n := range map[string]int{"plain": plainServers, "events": engineServers, platformtest.StageService: pieceServers} {
 		for i := range n {
 			u := &platformtest.Upstream{ID: fmt.Sprintf("%s-%d", service, i), Service: service, Zone: "riga-a", Work: 5 * time.Millisecond}
@@ -42,7 +51,7 @@
 				u.Events, u.EventPause = eventCount, 10*time.Millisecond
 			}
 			if err := w.add(u); err != nil {
-				return nil, err
+				return err
 			}
 		}
 	}
@@ -57,15 +66,14 @@
 		seeds = append(seeds, s.Peers)
 		h, err := newHost(binary, dir, s, freeAddr().Port(), front)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		w.hosts = append(w.hosts, h)
 		if err := h.start(); err != nil {
-			w.close()
-			return nil, err
+			return err
 		}
 	}
-	return w, nil
+	return nil
 }
 
 // freeAddr finds an address that is free for TCP and UDP; the zero address if
--- /dev/null
+++ b/ownership/avoided.go
@@ -0,0 +1,39 @@
+package ownership
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/galenaseam/galenaseam/host"
+)
+
+// avoidFor is how long a host that failed is passed over; by then the
+// membership has found out whether it lives.
+const avoidFor = 3 * time.Second
+
+// Avoided are hosts that failed and are passed over for a while. Its zero value
+// is empty. It is safe for concurrent use.
+type Avoided struct {
+	mu    sync.Mutex // guards until
+	until map[host.ID]time.Time
+}
+
+// Add has a host passed over from now on.
+func (a *Avoided) Add(id host.ID, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.until == nil {
+		a.until = make(map[host.ID]time.Time)
+	}
+	maps.DeleteFunc(a.until, func(_ host.ID, until time.Time) bool { return now.After(until) })
+	a.until[id] = now.Add(avoidFor)
+}
+
+// Has says whether a host is passed over.
+func (a *Avoided) Has(id host.ID, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	until, there := a.until[id]
+	return there && !now.After(until)
+}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -13,10 +13,6 @@
 	"github.com/galenaseam/galenaseam/host"
 )
 
-// avoidFor is how long an owner that failed is passed over; by then the
-// membership has found out whether it lives.
-const avoidFor = 3 * time.Second
-
 // strongShare is the part of the strongest host's capacity from which hosts may
 // own tasks: a weak host would be busy with nothing else.
 const strongShare = 0.6
@@ -26,8 +22,9 @@
 	fleet host.View
 	start time.Time
 
-	mu      sync.Mutex // guards what follows
-	avoided map[host.ID]time.Time
+	avoided Avoided
+
+	mu sync.Mutex // guards what follows
 	// members is how many there were when Formed was last asked, and grownAt
 	// when that last changed.
 	members int
@@ -38,7 +35,7 @@
 // New makes a table over the members of a fleet that the local host begins to
 // learn at start.
 func New(fleet host.View, start time.Time) *Table {
-	return &Table{fleet: fleet, start: start, avoided: make(map[host.ID]time.Time)}
+	return &Table{fleet: fleet, start: start}
 }
 
 // Owner is the host that does a task, by rendezvous hashing over the hosts that
@@ -58,7 +55,7 @@
 		if newest > 0 && m.Generation == 0 {
 			continue // it knows no configuration yet
 		}
-		if m.State != host.Alive || m.Capacity < strongShare*strongest || t.isAvoided(m.ID, now) {
+		if m.State != host.Alive || m.Capacity < strongShare*strongest || t.avoided.Has(m.ID, now) {
 			continue
 		}
 		if rank := xxh3.HashString(task + "\x00" + string(m.ID)); rank >= bestRank {
@@ -109,19 +106,4 @@
 }
 
 // Avoid passes an owner over for a while.
-func (t *Table) Avoid(id host.ID, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.avoided[id] = now.Add(avoidFor)
-}
-
-func (t *Table) isAvoided(id host.ID, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	until, there := t.avoided[id]
-	if there && now.After(until) {
-		delete(t.avoided, id)
-		return false
-	}
-	return there
-}
+func (t *Table) Avoid(id host.ID, now time.Time) { t.avoided.Add(id, now) }
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -8,22 +8,11 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/host/hosttest"
 	"github.com/galenaseam/galenaseam/ownership"
 )
 
-// fleet is a fixed list of members; the first is the local host.
-type fleet []host.Member
-
-func (f fleet) Self() host.Info        { return f[0].Info }
-func (f fleet) Members() []host.Member { return f }
-func (f fleet) Lookup(id host.ID) (host.Member, bool) {
-	for _, m := range f {
-		if m.ID == id {
-			return m, true
-		}
-	}
-	return host.Member{}, false
-}
+type fleet = hosttest.Fleet
 
 func members(n int) fleet {
 	var f fleet
--- a/staging/batch.go
+++ b/staging/batch.go
@@ -54,9 +54,7 @@
 	cancel()
 	now := time.Now()
 	took := now.Sub(b.started)
-	if b.use != nil {
-		b.use.End(outcome, took, now)
-	}
+	b.use.End(outcome, took, now)
 	if err != nil {
 		g.config.Logger.Warn("stage call failed", "service", b.service.name, "upstream", string(b.server.ID),
 			"addr", b.server.Addr.String(), "pieces", len(pieces), "took_ms", took.Milliseconds(),
--- a/staging/runner_test.go
+++ b/staging/runner_test.go
@@ -14,24 +14,11 @@
 
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/host/hosttest"
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/ownership"
 )
 
-// fixedFleet is a list of members; the first is the local host.
-type fixedFleet []host.Member
-
-func (f fixedFleet) Self() host.Info        { return f[0].Info }
-func (f fixedFleet) Members() []host.Member { return f }
-func (f fixedFleet) Lookup(id host.ID) (host.Member, bool) {
-	for _, m := range f {
-		if m.ID == id {
-			return m, true
-		}
-	}
-	return host.Member{}, false
-}
-
 // peers answer calls between hosts; the first calls fail as told.
 type peers struct {
 	fail  []error
@@ -58,7 +45,7 @@
 
 // gatherOnce has a group gathered whose first calls fail.
 func gatherOnce(t *testing.T, cut bool, fail ...error) (p *peers, owners *ownership.Table, err error) {
-	var fleet fixedFleet
+	var fleet hosttest.Fleet
 	for i := range 12 {
 		info := host.Info{ID: host.ID(fmt.Sprint("h", i)), LinkAddr: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:1", i+1))}
 		fleet = append(fleet, host.Member{Info: info})
