gateway, edge: tell aborted answers, silence and closed connections apart in the logs

A request that got an error answer and one whose connection was closed in the middle of the answer were both logged with status 502, so the log could not tell what callers saw. The request line now says aborted, with status 0, and seam_requests_aborted_total counts them by route and outcome. An attempt says how long its upstream had been silent when it ended (silent_ms). Connections that the idle or header timeout closes are logged, and so is a request that such a close drops.

These separate the three hypotheses of docs/incidents/lost-silent-upstream.md. No change of behaviour.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -38,13 +38,14 @@
 	server  *http.Server
 	handler http.Handler
 	routes  func() *routing.Table
+	logger  *slog.Logger
 
 	mu   sync.Mutex // guards open
 	open map[*callerConn]struct{}
 }
 
 func newCallerServer(handler http.Handler, routes func() *routing.Table, logger *slog.Logger) *callerServer {
-	c := &callerServer{handler: handler, routes: routes, open: make(map[*callerConn]struct{})}
+	c := &callerServer{handler: handler, routes: routes, logger: logger, open: make(map[*callerConn]struct{})}
 	c.server = &http.Server{
 		Handler:           c,
 		ReadHeaderTimeout: maxHeaderTimeout,
@@ -60,6 +61,7 @@
 // moment, the request is dropped without being run.
 func (c *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if conn := callerConnOf(r.Context()); conn != nil && !conn.beginRequest() {
+		c.logger.Warn("request dropped: a timeout closed its connection", "caller", r.RemoteAddr, "target", r.RequestURI)
 		panic(http.ErrAbortHandler)
 	}
 	if limit := c.limits().MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
@@ -127,9 +129,15 @@
 	c.mu.Lock()
 	open := slices.Collect(maps.Keys(c.open))
 	c.mu.Unlock()
+	expired := 0
 	for _, conn := range open {
 		if conn.expire(now, limits.IdleTimeout, limits.HeaderTimeout) {
 			_ = conn.Close()
+			expired++
 		}
 	}
+	if expired > 0 {
+		c.logger.Info("connections closed by a timeout", "connections", expired, "idle_ms", limits.IdleTimeout.Milliseconds(),
+			"header_ms", limits.HeaderTimeout.Milliseconds())
+	}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,6 +38,7 @@
 	HeadMS          int64  `json:"head_ms,omitempty"`
 	FirstEventMS    int64  `json:"first_event_ms,omitempty"`
 	TookMS          int64  `json:"took_ms"`
+	SilentMS        int64  `json:"silent_ms,omitempty"`
 	Status          int    `json:"status,omitempty"`
 	Outcome         string `json:"outcome"`
 	Error           string `json:"error,omitempty"`
@@ -157,6 +158,7 @@
 	sentAt         time.Time
 	headTime       time.Duration // time to the status and headers of the answer
 	firstEventTime time.Duration // time to the first event
+	lastHeardAt    time.Time     // when the upstream last sent something; the zero value if it never did
 	answer         *call.Answer
 	closeBody      func()
 	use            *instance.Use // nil if the upstream left before the attempt began
@@ -196,7 +198,8 @@
 	s.answer = x.config.Codec.DecodeAnswer(got.Response)
 	s.answer.Body = got.Body
 	s.closeBody = got.Close
-	s.headTime = time.Since(s.sentAt)
+	s.lastHeardAt = time.Now()
+	s.headTime = s.lastHeardAt.Sub(s.sentAt)
 	return s, s.checkHead()
 }
 
@@ -313,10 +316,19 @@
 		Upstream: string(s.chosen.ID), Addr: s.chosen.Addr.String(), InFlight: s.chosen.InFlight,
 		Owner: s.ticket.Owner, EstimatedWaitMS: s.ticket.Wait.Milliseconds(),
 		SentMS: s.sentAt.Sub(s.request.Arrived).Milliseconds(), TookMS: now.Sub(s.sentAt).Milliseconds(),
-		HeadMS: s.headTime.Milliseconds(), FirstEventMS: s.firstEventTime.Milliseconds(), Status: status, Outcome: label,
+		SilentMS: s.silence(now).Milliseconds(), HeadMS: s.headTime.Milliseconds(), FirstEventMS: s.firstEventTime.Milliseconds(),
+		Status: status, Outcome: label,
 	}
 	if err != nil {
 		record.Error = err.Error()
 	}
 	s.attempts = append(s.attempts, record)
 }
+
+// silence returns how long the upstream has sent nothing.
+func (s *upstreamAttempt) silence(now time.Time) time.Duration {
+	if s.lastHeardAt.IsZero() {
+		return now.Sub(s.sentAt)
+	}
+	return now.Sub(s.lastHeardAt)
+}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -56,10 +56,12 @@
 
 // refuse logs a refusal and sends it.
 func (x *exchange) refuse(f refusal) {
-	x.log(f.reason, f.status, f.detail)
 	if f.abort || x.started {
+		x.aborted = true
+		x.log(f.reason, 0, f.detail)
 		panic(http.ErrAbortHandler)
 	}
+	x.log(f.reason, f.status, f.detail)
 	x.config.Codec.EncodeRefusal(x.w.Header(), x.request.ID, f.retryAfter)
 	x.w.Header().Set("Content-Length", "0")
 	x.w.WriteHeader(f.status)
@@ -140,6 +142,10 @@
 	if x.events > 0 {
 		attrs = append(attrs, slog.Int("events", x.events))
 	}
+	if x.aborted {
+		attrs = append(attrs, slog.Bool("aborted", true))
+		x.config.Metrics.countAborted(route, outcome)
+	}
 	if len(x.attempts) > 0 {
 		attrs = append(attrs, slog.Any("tries", x.attempts))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -128,6 +128,7 @@
 
 	mayHaveRun bool // an upstream may have run the request
 	started    bool // the status and headers of the answer were sent
+	aborted    bool // the connection is closed without a complete answer
 	// fallbackAnswer is an upstream's error answer, which the caller gets if no
 	// other upstream succeeds.
 	fallbackAnswer *wholeAnswer
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -11,6 +11,7 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	attempts *prometheus.CounterVec
+	aborted  *prometheus.CounterVec
 }
 
 // NewMetrics registers the gateway's metrics; registerer may be nil.
@@ -26,9 +27,12 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "seam_upstream_tries_total", Help: "Sendings to upstreams by service and outcome.",
 		}, []string{"service", "outcome"}),
+		aborted: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "seam_requests_aborted_total", Help: "Requests whose connection was closed without a complete answer, by route and outcome.",
+		}, []string{"route", "outcome"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.requests, m.latency, m.attempts)
+		registerer.MustRegister(m.requests, m.latency, m.attempts, m.aborted)
 	}
 	return m
 }
@@ -41,3 +45,7 @@
 func (m *Metrics) countAttempt(service, outcome string) {
 	m.attempts.WithLabelValues(service, outcome).Inc()
 }
+
+func (m *Metrics) countAborted(route, outcome string) {
+	m.aborted.WithLabelValues(route, outcome).Inc()
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -74,6 +74,7 @@
 			continue
 		}
 		monitor.recordActivity()
+		s.lastHeardAt = time.Now()
 		r.writeHead(s)
 		if s.firstEventTime == 0 {
 			s.firstEventTime = time.Since(s.sentAt)
