--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -30,9 +30,10 @@
 
 // fleet runs a store, upstreams and hosts on loopback addresses.
 type fleet struct {
-	t     *testing.T
-	store *platformtest.Store
-	hosts []*node
+	t       *testing.T
+	store   *platformtest.Store
+	retries retry.Bounds
+	hosts   []*node
 }
 
 // node is a running host.
@@ -45,7 +46,7 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, store: platformtest.NewStore()}
+	f := &fleet{t: t, store: platformtest.NewStore(), retries: retry.Bounds{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}}
 	t.Cleanup(func() {
 		for _, n := range f.hosts {
 			n.stop()
@@ -89,7 +90,7 @@
 		Name: fmt.Sprintf("entry-%d", len(f.hosts)), Place: host.Place{DataCentre: "riga-a", Region: "latvija"},
 		CallerAddr: freeAddr(f.t), ReadinessAddr: freeAddr(f.t), PeerAddr: freeAddr(f.t), MetricsPort: freeAddr(f.t).Port(),
 		FleetKey: []byte("test key of the fleet"), Grace: 6 * time.Second, DrainDelay: 300 * time.Millisecond,
-		Retries: retry.Bounds{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+		Retries: f.retries,
 	}
 	for _, other := range f.hosts {
 		s.Seeds = append(s.Seeds, other.settings.PeerAddr)
--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenaseam/galenaseam/platform/platformtest"
+	"github.com/galenaseam/galenaseam/retry"
 )
 
 // upstreamSilence is longer than every silence after which a host looks for another
@@ -145,3 +146,20 @@
 	require.Len(t, b.Runs(), 1)
 	require.Eventually(t, func() bool { return a.CancelledRequests() == 1 }, waitTimeout, 5*time.Millisecond)
 }
+
+// A silent upstream must not be replaced beyond the retry budget, and its stream must
+// not be cut for that.
+func TestReplacementOfSilentUpstreamNeedsRetryBudget(t *testing.T) {
+	f := newFleet(t)
+	f.retries = retry.Bounds{Window: 10 * time.Second}
+	f.configure(1, eachRoute("timeout_ms", 8000))
+	a, b := silentUpstream("u1"), silentUpstream("u2")
+	a.Silence = 3 * time.Second
+	f.upstream(a).QueueFaults(platformtest.FallSilentMidway)
+	f.secondChoice(b)
+	n := f.start()
+	got := f.send(n, http.MethodPost, "/talk/1", "r1", "Deadline-Ms", "8000")
+	require.NoError(t, got.err)
+	require.Equal(t, eventsOf(8), got.body)
+	require.Empty(t, b.Runs())
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,21 +4,20 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
-	"github.com/galenaseam/galenaseam/balance"
 	"github.com/galenaseam/galenaseam/call"
-	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/placement"
+	"github.com/galenaseam/galenaseam/routing"
+	"github.com/galenaseam/galenaseam/staging"
 	"github.com/galenaseam/galenaseam/transport"
 )
 
 const (
-	// maxExtraAttempts is how many attempts beyond the route's limit are
-	// allowed after upstreams that certainly did not run the request.
-	maxExtraAttempts = 2
 	// slowConnectTime is how long connecting must have taken for the upstream to
 	// count as unreachable when this host ends the attempt before the connection
 	// is made. It is far above the round trip between data centres.
@@ -27,308 +26,240 @@
 	maxAnswerBytes = 16 << 20
 )
 
-// attemptRecord describes one attempt in the request's log line.
-type attemptRecord struct {
-	Upstream        string `json:"upstream"`
-	Addr            string `json:"addr"`
-	InFlight        int    `json:"in_flight"`
-	Owner           string `json:"keeper,omitempty"`
-	EstimatedWaitMS int64  `json:"foreseen_ms,omitempty"`
-	SentMS          int64  `json:"sent_ms"`
-	HeadMS          int64  `json:"head_ms,omitempty"`
-	FirstEventMS    int64  `json:"first_event_ms,omitempty"`
-	TookMS          int64  `json:"took_ms"`
-	SilentMS        int64  `json:"silent_ms,omitempty"`
-	Status          int    `json:"status,omitempty"`
-	Outcome         string `json:"outcome"`
-	Error           string `json:"error,omitempty"`
+// attemptPlan is what an attempt needs to know before it chooses an upstream.
+type attemptPlan struct {
+	// tried are the upstreams that must not be chosen again.
+	tried []instance.ID
+	// retry is true if the request was sent to an upstream before. Such an attempt
+	// needs an allowance of the retry budget.
+	retry bool
+	// lastEvent is the ID of the last event that the caller has, or call.NoEvent.
+	lastEvent int64
+	// inputs are the results of the stages; nil if there are none.
+	inputs *staging.Results
+	// rerunStages is true if the results of the stages are gone. They then run
+	// again, until stageDeadline.
+	rerunStages   bool
+	stageDeadline time.Time
+	random        *rand.Rand
 }
 
-// attemptResult is how one attempt ended.
-type attemptResult uint8
+// upstreamAttempt is one attempt to have one upstream run the request. Its own
+// goroutine talks to the upstream and reports to the race, which decides and ends it.
+type upstreamAttempt struct {
+	*race
+	plan    attemptPlan
+	ctx     context.Context // of this attempt only
+	cancel  context.CancelCauseFunc
+	monitor *silenceMonitor
+	// silences counts the silences that the monitor reported since the upstream last
+	// sent something. Only the race's goroutine uses it.
+	silences int
 
-const (
-	// callerAnswered: the caller has its final answer, or has left. From send
-	// it only means that the answer can be read.
-	callerAnswered attemptResult = iota
-	// notRun: the upstream certainly did not run the request.
-	notRun
-	// outcomeUnknown: the upstream may have run the request.
-	outcomeUnknown
-	// inputGone: the upstream certainly did not run the request, because a
-	// stage's result no longer exists.
-	inputGone
-)
+	mu             sync.Mutex // guards the fields below
+	ended          bool       // the race no longer needs this attempt
+	begun          bool       // an upstream was chosen
+	chosen         instance.Status
+	ticket         placement.Ticket
+	use            *instance.Use // nil if the upstream left before the attempt began
+	ownInputs      *staging.Results
+	sentAt         time.Time
+	headTime       time.Duration // time to the status and headers of the answer
+	firstEventTime time.Duration // time to the first event; 0 before it
+	lastHeardAt    time.Time     // when the upstream last sent something; the zero value if it never did
+}
 
-// runAttempts makes attempts on one upstream after another until the caller is
-// answered or no further attempt is allowed.
-func (x *exchange) runAttempts(attempt func(chosen instance.Status, ticket placement.Ticket) attemptResult) {
-	var tried []instance.ID
-	possibleRuns := 0
-	for {
-		if x.ctx.Err() != nil {
-			x.giveUp("deadline_before_upstream")
-			return
-		}
-		chosen, ticket, found := x.chooseUpstream(tried)
-		if !found {
-			x.giveUp("no_upstream")
-			return
-		}
-		if len(tried) > 0 && !x.config.Retries.AllowRetry(x.service, time.Now()) {
-			x.giveUp("retry_budget")
-			return
-		}
-		tried = append(tried, chosen.ID)
-		switch attempt(chosen, ticket) {
-		case callerAnswered:
-			return
-		case notRun:
-		case inputGone:
-			if !x.redoStages() {
-				x.giveUp("inputs_gone")
-				return
-			}
-			tried = nil
-		case outcomeUnknown:
-			x.mayHaveRun = true
-			possibleRuns++
-			if !x.route.Repeatable() || possibleRuns >= x.route.MaxUpstreams {
-				x.giveUp("upstream_failed")
-				return
-			}
-		}
-		if len(tried) >= x.route.MaxUpstreams+maxExtraAttempts {
-			x.giveUp("tries_used_up")
-			return
-		}
+// newAttempt returns an attempt that has not begun.
+func (r *race) newAttempt(plan attemptPlan) *upstreamAttempt {
+	s := &upstreamAttempt{race: r, plan: plan}
+	ctx := r.ctx
+	// A call that may run only once is not cancelled when its caller leaves, since it
+	// may already be running.
+	if r.route.Kind == routing.AtMostOnce {
+		ctx = context.WithoutCancel(ctx)
 	}
+	ctx, stop := context.WithDeadline(ctx, r.deadline)
+	ctx, cancel := context.WithCancelCause(ctx)
+	s.ctx, s.cancel = ctx, func(cause error) { cancel(cause); stop() }
+	return s
 }
 
-// chooseUpstream chooses the next upstream. The ticket is empty unless the
-// upstream is an engine.
-func (x *exchange) chooseUpstream(tried []instance.ID) (instance.Status, placement.Ticket, bool) {
-	if !x.needsEngine() {
-		all := x.config.Instances.Service(x.service, time.Now())
-		chosen, found := balance.ChooseUpstream(all, balance.Need{PreferredDataCentre: x.config.DataCentre, Tried: tried}, x.random)
-		return chosen, placement.Ticket{}, found
+// run makes the attempt and reports its progress and its end.
+func (s *upstreamAttempt) run() {
+	if problem := s.choose(); problem != "" {
+		s.report(report{kind: notStarted, problem: problem})
+		return
+	}
+	if !s.isBegun() {
+		s.report(report{kind: attemptEnded, result: notRun, outcome: instance.Abandoned, label: "left"})
+		return
 	}
-	need := placement.Need{
-		RequestID: x.request.ID, Service: x.service, Parts: x.request.Prompt.Parts,
-		Tokens: x.request.Prompt.Tokens, ExpectedOutputTokens: x.expectedOutputTokens(), Tried: tried,
+	answer, err := s.send()
+	if err != nil {
+		s.report(s.sendFailure(err))
+		return
 	}
-	if x.inputs != nil {
-		need.Inputs = x.inputs.Bytes
+	defer answer.Close()
+	decoded := s.config.Codec.DecodeAnswer(answer.Response)
+	decoded.Body = answer.Body
+	if failed, unusable := s.checkHead(decoded); unusable {
+		s.report(failed)
+		return
 	}
-	ticket, found := x.config.Placer.Place(x.ctx, need, x.random)
-	return ticket.Engine, ticket, found
-}
-
-func (x *exchange) needsEngine() bool {
-	s, known := x.table.Service(x.service)
-	return known && s.Engine != nil
+	if s.route.Kind == routing.Stream && decoded.Status == http.StatusOK {
+		s.readEvents(decoded, answer.Close)
+		return
+	}
+	body, err := readAnswerBody(decoded)
+	if err != nil {
+		s.report(s.lostAnswer("broke_in_body", err))
+		return
+	}
+	answer.Close()
+	s.report(report{kind: answerArrived, answer: decoded, body: body})
 }
 
-// engineDataCentre returns the data centre of the engine that is likely to run
-// the request; "" if the service has no engines.
-func (x *exchange) engineDataCentre() host.DataCentre {
-	if !x.needsEngine() {
-		return ""
+// choose chooses an upstream and counts the request there, after running the stages
+// again if their results are gone. It returns why there is none, or "".
+func (s *upstreamAttempt) choose() (problem string) {
+	inputs := s.plan.inputs
+	if s.plan.rerunStages {
+		var err error
+		if inputs, err = s.runStagesUntil(s.ctx, s.plan.stageDeadline); err != nil {
+			return "inputs_gone"
+		}
+		s.plan.inputs = inputs
+		if !s.own(inputs) {
+			return "superseded"
+		}
 	}
-	return placement.HomeDataCentre(x.config.Instances.Service(x.service, time.Now()), x.request.Prompt.Parts)
+	chosen, ticket, found := s.chooseUpstream(s.ctx, s.plan.tried, inputs, s.plan.random)
+	switch {
+	case !found:
+		return "no_upstream"
+	case s.plan.retry && !s.config.Retries.AllowRetry(s.service, time.Now()):
+		ticket.ReportEnd()
+		return "retry_budget"
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		ticket.ReportEnd()
+		return "superseded"
+	}
+	s.begun, s.chosen, s.ticket, s.sentAt = true, chosen, ticket, time.Now()
+	s.use, _ = s.config.Instances.Begin(chosen.ID, s.tokenCost())
+	s.monitor = s.newSilenceMonitor(chosen)
+	s.monitor.start()
+	return ""
 }
 
-// expectedOutputTokens estimates the number of generated tokens.
-func (x *exchange) expectedOutputTokens() int {
-	if x.request.Prompt.OutputHint > 0 {
-		return x.request.Prompt.OutputHint
+// own makes the attempt free the results of its stages at its end. It returns false,
+// and frees them, if the attempt has already ended.
+func (s *upstreamAttempt) own(inputs *staging.Results) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		inputs.Free()
+		return false
 	}
-	return x.request.Prompt.MaxOutputTokens
+	s.ownInputs = inputs
+	return true
 }
 
-// tokenCost is the engine memory that the request needs, in tokens.
-func (x *exchange) tokenCost() int { return x.request.Prompt.Tokens + x.expectedOutputTokens() }
-
-// upstreamAttempt is one attempt to have one upstream run the request.
-type upstreamAttempt struct {
-	*exchange
-	ctx            context.Context // of this attempt only
-	chosen         instance.Status
-	ticket         placement.Ticket
-	sentAt         time.Time
-	headTime       time.Duration // time to the status and headers of the answer
-	firstEventTime time.Duration // time to the first event
-	lastHeardAt    time.Time     // when the upstream last sent something; the zero value if it never did
-	answer         *call.Answer
-	closeBody      func()
-	use            *instance.Use // nil if the upstream left before the attempt began
+// isBegun reports whether the request counts as running on the chosen upstream. If
+// not, the upstream has left since it was chosen.
+func (s *upstreamAttempt) isBegun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.use != nil
 }
 
-// send sends the request and reads the status and headers of the answer. If the
-// result is callerAnswered, the answer can be read; otherwise the attempt has
-// ended, and the returned attempt is nil if no answer arrived.
-func (x *exchange) send(ctx context.Context, chosen instance.Status, ticket placement.Ticket, lastEvent int64) (*upstreamAttempt, attemptResult) {
-	s := &upstreamAttempt{exchange: x, ctx: ctx, chosen: chosen, ticket: ticket, sentAt: time.Now()}
-	var begun bool
-	if s.use, begun = x.config.Instances.Begin(chosen.ID, x.tokenCost()); !begun {
-		s.end(instance.Abandoned, 0, "left")
-		return nil, notRun
-	}
+// send sends the request and waits for the status and headers of the answer.
+func (s *upstreamAttempt) send() (*transport.Answer, error) {
 	attempt := call.Attempt{
-		Upstream:  call.Upstream{ID: string(chosen.ID), Addr: chosen.Addr},
-		Remaining: x.deadline.Sub(s.sentAt),
-		Workspace: x.workspace,
-		LastEvent: lastEvent,
-		Priority:  x.enginePriority(),
+		Upstream:  call.Upstream{ID: string(s.chosen.ID), Addr: s.chosen.Addr},
+		Remaining: s.deadline.Sub(s.sentAt),
+		Workspace: s.workspace,
+		LastEvent: s.plan.lastEvent,
+		Priority:  s.enginePriority(),
 	}
-	if x.inputs != nil {
-		attempt.Inputs = x.inputs.Inputs
+	if s.plan.inputs != nil {
+		attempt.Inputs = s.plan.inputs.Inputs
 	}
-	got, err := x.config.Transport.Do(ctx, &transport.Call{
-		Addr: chosen.Addr, Method: x.request.Method, Target: x.request.Target, Host: x.request.Host,
-		Header: x.config.Codec.EncodeRequest(x.request, attempt),
-		Body:   x.request.Body, Chunked: x.request.Chunked,
-		Matches:       x.isMine,
-		IdleTimeout:   x.config.Codec.IdleTimeout,
-		NewConnection: !x.route.Repeatable(),
+	answer, err := s.config.Transport.Do(s.ctx, &transport.Call{
+		Addr: s.chosen.Addr, Method: s.request.Method, Target: s.request.Target, Host: s.request.Host,
+		Header: s.config.Codec.EncodeRequest(s.request, attempt),
+		Body:   s.request.Body, Chunked: s.request.Chunked,
+		Matches:       s.isMine,
+		IdleTimeout:   s.config.Codec.IdleTimeout,
+		NewConnection: !s.route.Repeatable(),
 	})
-	if err != nil {
-		return nil, s.handleSendError(err)
-	}
-	s.answer = x.config.Codec.DecodeAnswer(got.Response)
-	s.answer.Body = got.Body
-	s.closeBody = got.Close
-	s.lastHeardAt = time.Now()
-	s.headTime = s.lastHeardAt.Sub(s.sentAt)
-	return s, s.checkHead()
-}
-
-// enginePriority converts the request's priority to an engine's scale of 0 to 9.
-func (x *exchange) enginePriority() int {
-	return min(max(x.priority+enginePriorityBase, 0), 9)
-}
-
-// enginePriorityBase is the priority that engines give to requests without one;
-// the three usual priorities lie around it.
-const enginePriorityBase = 4
-
-// isMine reports whether an answer belongs to this request. An unsigned answer,
-// such as a refusal, may name no request.
-func (x *exchange) isMine(r *http.Response) bool {
-	a := x.config.Codec.DecodeAnswer(r)
-	if a.RequestID == "" {
-		return !a.Signed
+	if err == nil {
+		s.mu.Lock()
+		s.lastHeardAt = time.Now()
+		s.headTime = s.lastHeardAt.Sub(s.sentAt)
+		s.mu.Unlock()
 	}
-	return a.RequestID == x.request.ID
+	return answer, err
 }
 
-// checkHead ends the attempt if the answer's status and headers say that the
-// request did not run, or if the answer can't be used.
-func (s *upstreamAttempt) checkHead() attemptResult {
-	a := s.answer
+// checkHead returns the report that ends the attempt if the answer's status and
+// headers say that the request did not run, or if the answer can't be used.
+func (s *upstreamAttempt) checkHead(a *call.Answer) (failed report, unusable bool) {
+	failed = report{kind: attemptEnded, result: notRun, status: a.Status, outcome: instance.Failed, label: "not_run"}
 	switch {
+	case a.NotRun && a.InputGone:
+		failed.result, failed.outcome, failed.label = inputGone, instance.Abandoned, "input_gone"
+	case a.NotRun && a.WrongUpstream:
+		failed.outcome, failed.label = instance.Unreachable, "wrong_upstream"
+		s.config.Transport.CloseIdle(s.chosen.Addr)
 	case a.NotRun:
-		return s.handleNotRun()
 	case !a.Signed || a.Encoded:
-		s.end(instance.Broke, a.Status, "unsigned")
-		return outcomeUnknown
+		failed.result, failed.outcome, failed.label = outcomeUnknown, instance.Broke, "unsigned"
 	default:
-		return callerAnswered
+		return report{}, false
 	}
+	return failed, true
 }
 
-// handleNotRun ends an attempt whose answer says that the request did not run.
-func (s *upstreamAttempt) handleNotRun() attemptResult {
-	switch {
-	case s.answer.InputGone:
-		s.end(instance.Abandoned, s.answer.Status, "input_gone")
-		return inputGone
-	case s.answer.WrongUpstream:
-		s.end(instance.Unreachable, s.answer.Status, "wrong_upstream")
-		s.config.Transport.CloseIdle(s.chosen.Addr)
-	default:
-		s.end(instance.Failed, s.answer.Status, "not_run")
-	}
-	return notRun
-}
-
-// handleSendError ends an attempt that got no answer.
-func (s *upstreamAttempt) handleSendError(err error) attemptResult {
+// sendFailure returns the report of an attempt that got no answer.
+func (s *upstreamAttempt) sendFailure(err error) report {
+	notSent := report{kind: attemptEnded, result: notRun, err: err}
 	switch {
 	case errors.Is(err, transport.ErrNotSent) && s.ctx.Err() != nil && time.Since(s.sentAt) < slowConnectTime:
 		// This host ended the attempt soon after it began to connect, which says
 		// nothing about the upstream.
-		s.endWithError(instance.Abandoned, "given_up", err)
-		return notRun
+		notSent.outcome, notSent.label = instance.Abandoned, "given_up"
+		return notSent
 	case errors.Is(err, transport.ErrNotSent):
-		s.endWithError(instance.Unreachable, "not_sent", err)
-		return notRun
+		notSent.outcome, notSent.label = instance.Unreachable, "not_sent"
+		return notSent
 	default:
-		return s.handleLostAnswer("broke", err)
+		return s.lostAnswer("broke", err)
 	}
 }
 
-// handleLostAnswer ends an attempt whose answer did not arrive, or not completely.
-func (s *upstreamAttempt) handleLostAnswer(label string, err error) attemptResult {
+// lostAnswer returns the report of an attempt whose answer did not arrive, or not
+// completely.
+func (s *upstreamAttempt) lostAnswer(label string, err error) report {
+	lost := report{kind: attemptEnded, result: outcomeUnknown, outcome: instance.Broke, label: label, err: err}
 	switch {
-	case s.exchange.ctx.Err() != nil:
-		s.endWithError(instance.Abandoned, "given_up", err)
 	case errors.Is(context.Cause(s.ctx), errUnreachable):
-		s.endWithError(instance.Unreachable, "dark", errUnreachable)
-		go s.confirmCrash(s.digest, s.chosen)
+		lost.outcome, lost.label, lost.err, lost.mayHaveCrashed = instance.Unreachable, "dark", errUnreachable, true
 	case s.ctx.Err() != nil:
-		s.endWithError(instance.Broke, "stalled", errStalled)
+		lost.outcome, lost.label = instance.Abandoned, "given_up"
 	default:
-		s.endWithError(instance.Broke, label, err)
-		go s.confirmCrash(s.digest, s.chosen)
+		lost.mayHaveCrashed = true
 	}
-	return outcomeUnknown
+	return lost
 }
 
-// readAnswerBody reads the complete body of the answer.
-func (s *upstreamAttempt) readAnswerBody() ([]byte, error) {
-	raw, err := io.ReadAll(io.LimitReader(s.answer.Body, maxAnswerBytes+1))
+// readAnswerBody reads the complete body of an answer.
+func readAnswerBody(a *call.Answer) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
 	if err == nil && len(raw) > maxAnswerBytes {
 		err = Error.New("answer body is over %d bytes", maxAnswerBytes)
 	}
 	return raw, err
 }
-
-// end closes the attempt and records its outcome for the upstream, the metrics
-// and the log.
-func (s *upstreamAttempt) end(outcome instance.Outcome, status int, label string) {
-	s.recordEnd(outcome, status, label, nil)
-}
-
-func (s *upstreamAttempt) endWithError(outcome instance.Outcome, label string, err error) {
-	s.recordEnd(outcome, 0, label, err)
-}
-
-func (s *upstreamAttempt) recordEnd(outcome instance.Outcome, status int, label string, err error) {
-	now := time.Now()
-	if s.closeBody != nil {
-		s.closeBody()
-	}
-	s.ticket.ReportEnd()
-	s.use.End(outcome, now.Sub(s.sentAt), now)
-	s.config.Metrics.countAttempt(s.service, label)
-	record := attemptRecord{
-		Upstream: string(s.chosen.ID), Addr: s.chosen.Addr.String(), InFlight: s.chosen.InFlight,
-		Owner: s.ticket.Owner, EstimatedWaitMS: s.ticket.Wait.Milliseconds(),
-		SentMS: s.sentAt.Sub(s.request.Arrived).Milliseconds(), TookMS: now.Sub(s.sentAt).Milliseconds(),
-		SilentMS: s.silence(now).Milliseconds(), HeadMS: s.headTime.Milliseconds(), FirstEventMS: s.firstEventTime.Milliseconds(),
-		Status: status, Outcome: label,
-	}
-	if err != nil {
-		record.Error = err.Error()
-	}
-	s.attempts = append(s.attempts, record)
-}
-
-// silence returns how long the upstream has sent nothing.
-func (s *upstreamAttempt) silence(now time.Time) time.Duration {
-	if s.lastHeardAt.IsZero() {
-		return now.Sub(s.sentAt)
-	}
-	return now.Sub(s.lastHeardAt)
-}
--- a/gateway/attempt_test.go
+++ b/gateway/attempt_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/routing"
 	"github.com/galenaseam/galenaseam/transport"
 )
 
@@ -28,13 +29,17 @@
 		require.True(t, begun)
 		ctx, leave := context.WithCancel(t.Context())
 		leave()
-		s := &upstreamAttempt{
-			exchange: &exchange{
-				Gateway: New(Config{Instances: table, Metrics: NewMetrics(nil)}), request: &call.Request{}, ctx: ctx,
-			},
-			ctx: ctx, use: use, sentAt: time.Now().Add(-c.took),
-		}
-		require.Equal(t, notRun, s.handleSendError(transport.ErrNotSent), name)
+		r := &race{exchange: &exchange{
+			Gateway: New(Config{Instances: table, Metrics: NewMetrics(nil)}), request: &call.Request{}, ctx: ctx,
+			route: &routing.Route{}, deadline: time.Now().Add(time.Minute),
+		}}
+		s := r.newAttempt(attemptPlan{})
+		s.begun, s.use, s.sentAt = true, use, time.Now().Add(-c.took)
+		s.monitor = s.newSilenceMonitor(instance.Status{})
+		s.monitor.start()
+		what := s.sendFailure(transport.ErrNotSent)
+		require.Equal(t, notRun, what.result, name)
+		s.end(what.outcome, what.status, what.label, what.err)
 		require.Equal(t, c.ejected, table.Service("s", time.Now())[0].Ejected, name)
 		require.Zero(t, table.Service("s", time.Now())[0].InFlight, name)
 	}
--- /dev/null
+++ b/gateway/choose.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/galenaseam/galenaseam/balance"
+	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/placement"
+	"github.com/galenaseam/galenaseam/staging"
+)
+
+// chooseUpstream chooses the next upstream. The ticket is empty unless the
+// upstream is an engine.
+func (x *exchange) chooseUpstream(ctx context.Context, tried []instance.ID, inputs *staging.Results, random *rand.Rand) (instance.Status, placement.Ticket, bool) {
+	if !x.needsEngine() {
+		all := x.config.Instances.Service(x.service, time.Now())
+		chosen, found := balance.ChooseUpstream(all, balance.Need{PreferredDataCentre: x.config.DataCentre, Tried: tried}, random)
+		return chosen, placement.Ticket{}, found
+	}
+	need := placement.Need{
+		RequestID: x.request.ID, Service: x.service, Parts: x.request.Prompt.Parts,
+		Tokens: x.request.Prompt.Tokens, ExpectedOutputTokens: x.expectedOutputTokens(), Tried: tried,
+	}
+	if inputs != nil {
+		need.Inputs = inputs.Bytes
+	}
+	ticket, found := x.config.Placer.Place(ctx, need, random)
+	return ticket.Engine, ticket, found
+}
+
+func (x *exchange) needsEngine() bool {
+	s, known := x.table.Service(x.service)
+	return known && s.Engine != nil
+}
+
+// engineDataCentre returns the data centre of the engine that is likely to run
+// the request; "" if the service has no engines.
+func (x *exchange) engineDataCentre() host.DataCentre {
+	if !x.needsEngine() {
+		return ""
+	}
+	return placement.HomeDataCentre(x.config.Instances.Service(x.service, time.Now()), x.request.Prompt.Parts)
+}
+
+// expectedOutputTokens estimates the number of generated tokens.
+func (x *exchange) expectedOutputTokens() int {
+	if x.request.Prompt.OutputHint > 0 {
+		return x.request.Prompt.OutputHint
+	}
+	return x.request.Prompt.MaxOutputTokens
+}
+
+// tokenCost is the engine memory that the request needs, in tokens.
+func (x *exchange) tokenCost() int { return x.request.Prompt.Tokens + x.expectedOutputTokens() }
+
+// enginePriority converts the request's priority to an engine's scale of 0 to 9.
+func (x *exchange) enginePriority() int {
+	return min(max(x.priority+enginePriorityBase, 0), 9)
+}
+
+// enginePriorityBase is the priority that engines give to requests without one;
+// the three usual priorities lie around it.
+const enginePriorityBase = 4
+
+// isMine reports whether an answer belongs to this request. An unsigned answer,
+// such as a refusal, may name no request.
+func (x *exchange) isMine(r *http.Response) bool {
+	a := x.config.Codec.DecodeAnswer(r)
+	if a.RequestID == "" {
+		return !a.Signed
+	}
+	return a.RequestID == x.request.ID
+}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -76,7 +76,7 @@
 // giveUp ends a request for which no further upstream is tried, with the error
 // answer of an upstream if there is one.
 func (x *exchange) giveUp(reason string) {
-	if x.fallbackAnswer != nil && x.r.Context().Err() == nil {
+	if x.fallbackAnswer != nil && !x.started && x.r.Context().Err() == nil {
 		x.writeAnswer(x.fallbackAnswer.answer, x.fallbackAnswer.body)
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,10 +121,9 @@
 	// startBy is when a stream must have begun, since its caller gives up then.
 	startBy time.Time
 	// ctx is done when the caller's connection closes or the deadline passes.
-	ctx          context.Context
-	inputs       *staging.Results
-	stagesRedone bool // the stages were run a second time
-	random       *rand.Rand
+	ctx    context.Context
+	inputs *staging.Results
+	random *rand.Rand
 
 	mayHaveRun bool // an upstream may have run the request
 	started    bool // the status and headers of the answer were sent
@@ -200,8 +199,7 @@
 	x.deadline = x.request.Arrived.Add(timeout - answerMargin)
 	x.startBy = x.deadline
 	if x.route.Kind == routing.Stream {
-		maxSilence := max(minCallerSilence, callerSilenceObjectives*x.route.Objective, callerSilenceGaps*x.route.EventGap)
-		x.startBy = earlier(x.deadline, x.request.Arrived.Add(maxSilence-firstEventMargin))
+		x.startBy = earlier(x.deadline, x.request.Arrived.Add(callerPatience(x.route)-firstEventMargin))
 	}
 	x.targetTime = x.request.Arrived.Add(x.route.Objective)
 	if x.route.Objective <= 0 {
@@ -209,6 +207,11 @@
 	}
 }
 
+// callerPatience returns the silence after which callers give up a stream of a route.
+func callerPatience(route *routing.Route) time.Duration {
+	return max(minCallerSilence, callerSilenceObjectives*route.Objective, callerSilenceGaps*route.EventGap)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -231,11 +234,7 @@
 		return
 	}
 	x.config.Retries.RecordRequest(x.service, time.Now())
-	if x.route.Kind == routing.Stream {
-		x.serveStream()
-		return
-	}
-	x.servePlain()
+	x.runAttempts()
 }
 
 // release gives up the right to run alone and the stages' results.
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -70,28 +71,12 @@
 	return d
 }
 
-// redoStages runs the stages once more, if there is time for it: at least half the
-// time from the arrival of the request to the end of the first run.
-func (x *exchange) redoStages() bool {
-	if x.stagesRedone || time.Until(x.startBy) < x.stagesTook/2 {
-		return false
-	}
-	x.stagesRedone = true
-	x.freeInputs()
-	_, done := x.runStages()
-	return done
-}
-
 // runStages runs the stages that the route requires before the request itself.
 func (x *exchange) runStages() (refusal, bool) {
 	if len(x.route.Stages) == 0 {
 		return refusal{}, true
 	}
-	meanResponseTime := x.config.ResponseTimes.Mean(x.service)
-	results, err := x.config.Stages.Run(x.ctx, staging.Work{
-		Request: x.request, Stages: x.route.Stages, Deadline: x.startBy.Add(-meanResponseTime), TargetTime: x.targetTime.Add(-meanResponseTime), Priority: x.priority,
-		EngineDataCentre: x.engineDataCentre(),
-	})
+	results, err := x.runStagesUntil(x.ctx, x.startBy)
 	x.stagesTook = time.Since(x.request.Arrived)
 	if err == nil {
 		x.inputs = results
@@ -105,3 +90,12 @@
 		retryAfter: x.retryAfterOverload(err),
 	}, false
 }
+
+// runStagesUntil runs the stages so that the upstream can send its first event by a time.
+func (x *exchange) runStagesUntil(ctx context.Context, firstEventBy time.Time) (*staging.Results, error) {
+	meanResponseTime := x.config.ResponseTimes.Mean(x.service)
+	return x.config.Stages.Run(ctx, staging.Work{
+		Request: x.request, Stages: x.route.Stages, Deadline: firstEventBy.Add(-meanResponseTime),
+		TargetTime: x.targetTime.Add(-meanResponseTime), Priority: x.priority, EngineDataCentre: x.engineDataCentre(),
+	})
+}
--- /dev/null
+++ b/gateway/race.go
@@ -0,0 +1,363 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/galenaseam/galenaseam/call"
+	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/routing"
+)
+
+const (
+	// maxExtraAttempts is how many attempts beyond the route's limit are
+	// allowed after upstreams that certainly did not run the request.
+	maxExtraAttempts = 2
+	// maxParallelAttempts is how many attempts may run at the same time: a silent one
+	// and its possible replacement.
+	maxParallelAttempts = 2
+)
+
+// attemptResult is what an attempt that failed means for the request.
+type attemptResult uint8
+
+const (
+	// notRun: the upstream certainly did not run the request.
+	notRun attemptResult = iota
+	// outcomeUnknown: the upstream may have run the request.
+	outcomeUnknown
+	// inputGone: the upstream certainly did not run the request, because a
+	// stage's result no longer exists.
+	inputGone
+)
+
+// reportKind is what an attempt reports.
+type reportKind uint8
+
+const (
+	// notStarted: no upstream was chosen. The report says why in problem.
+	notStarted reportKind = iota
+	// attemptEnded: the attempt failed.
+	attemptEnded
+	// answerArrived: the whole answer is there; it is not a stream.
+	answerArrived
+	// eventArrived: the next event of a stream is there.
+	eventArrived
+	// streamEnded: the stream is complete.
+	streamEnded
+	// upstreamSilent: the upstream has sent nothing for a while.
+	upstreamSilent
+	// probeFailed: a silent upstream did not accept a connection.
+	probeFailed
+)
+
+// report is what an attempt's goroutine tells the race.
+type report struct {
+	from *upstreamAttempt
+	kind reportKind
+	// problem is why no upstream was chosen.
+	problem string
+	// result, outcome, status, label and err describe a failed attempt.
+	result  attemptResult
+	outcome instance.Outcome
+	status  int
+	label   string
+	err     error
+	// mayHaveCrashed means that the upstream's process may be gone.
+	mayHaveCrashed bool
+	answer         *call.Answer
+	body           []byte
+	event          event
+	// activity is the monitor's count of activity when the silence began.
+	activity uint64
+	// probes is how many probes in a row have failed.
+	probes int
+}
+
+// race runs a request's attempts until the caller is answered or no further attempt
+// is allowed. Usually there is one attempt at a time. When its upstream falls silent, a
+// second attempt may begin, and the silent one goes on until the second has something
+// for the caller: silence is no proof that the first one's answer is lost.
+//
+// The goroutine that calls run decides everything and writes to the caller.
+type race struct {
+	*exchange
+	reports chan report
+	done    chan struct{} // closed when run returns
+	running []*upstreamAttempt
+	// serving is the attempt whose events the caller gets; nil if there is none now.
+	serving      *upstreamAttempt
+	tried        []instance.ID // upstreams of attempts that ended
+	possibleRuns int           // ended attempts whose upstream may have run the request
+	lastEventID  int64         // ID of the last event sent to the caller, or call.NoEvent
+	lastEventAt  time.Time     // when it was sent
+	stagesRerun  bool          // the stages ran again before the answer began
+}
+
+// runAttempts serves the request from one or more upstreams.
+func (x *exchange) runAttempts() {
+	r := &race{exchange: x, reports: make(chan report), done: make(chan struct{}), lastEventID: call.NoEvent}
+	defer r.stop()
+	if r.ctx.Err() != nil {
+		r.giveUp("deadline_before_upstream")
+		return
+	}
+	r.start()
+	for !r.handle(<-r.reports) {
+	}
+}
+
+// stop ends the attempts that still run. The caller has its answer, or none.
+func (r *race) stop() {
+	close(r.done)
+	for _, s := range r.running {
+		s.end(instance.Abandoned, 0, "superseded", nil)
+	}
+}
+
+// report tells the race what happened, unless the race is over.
+func (s *upstreamAttempt) report(what report) {
+	what.from = s
+	select {
+	case s.reports <- what:
+	case <-s.done:
+	}
+}
+
+// handle processes one report. It returns true if the request is finished.
+func (r *race) handle(what report) (finished bool) {
+	s := what.from
+	if !slices.Contains(r.running, s) {
+		return false
+	}
+	switch what.kind {
+	case notStarted:
+		return r.onNotStarted(s, what.problem)
+	case attemptEnded:
+		return r.onAttemptEnded(s, what)
+	case answerArrived:
+		return r.onAnswer(s, what)
+	case eventArrived:
+		return r.onEvent(s, what.answer, what.event)
+	case streamEnded:
+		return r.onStreamEnd(s, what.answer)
+	case upstreamSilent, probeFailed:
+		r.onSuspicion(s, what)
+	}
+	return false
+}
+
+// start begins an attempt on another upstream.
+func (r *race) start() {
+	plan := attemptPlan{
+		tried: r.unavailable(), retry: len(r.tried)+len(r.running) > 0, lastEvent: r.lastEventID, inputs: r.inputs,
+		random: rand.New(rand.NewPCG(r.random.Uint64(), r.random.Uint64())),
+	}
+	if r.started && len(r.route.Stages) > 0 {
+		// The results were freed when the answer began.
+		plan.rerunStages, plan.stageDeadline = true, r.callerPatienceEnd()
+	}
+	r.startWith(plan)
+}
+
+// startWith begins an attempt.
+func (r *race) startWith(plan attemptPlan) {
+	s := r.newAttempt(plan)
+	r.running = append(r.running, s)
+	go s.run()
+}
+
+// unavailable returns the upstreams that must not be chosen: those tried, and those
+// of attempts that still run.
+func (r *race) unavailable() []instance.ID {
+	all := slices.Clone(r.tried)
+	for _, s := range r.running {
+		s.mu.Lock()
+		if s.begun {
+			all = append(all, s.chosen.ID)
+		}
+		s.mu.Unlock()
+	}
+	return all
+}
+
+// callerPatienceEnd returns when the caller gives up an answer that goes on no further.
+func (r *race) callerPatienceEnd() time.Time {
+	return earlier(r.deadline, r.lastEventAt.Add(callerPatience(r.route)-firstEventMargin))
+}
+
+// attemptsLeft reports whether the route allows another attempt.
+func (r *race) attemptsLeft() bool {
+	running := len(r.running)
+	return r.possibleRuns+running < r.route.MaxUpstreams && len(r.tried)+running < r.route.MaxUpstreams+maxExtraAttempts
+}
+
+// onNotStarted processes an attempt for which no upstream was chosen.
+func (r *race) onNotStarted(s *upstreamAttempt, problem string) (finished bool) {
+	r.remove(s)
+	if len(r.running) > 0 {
+		return false
+	}
+	r.giveUp(problem)
+	return true
+}
+
+// next starts the next attempt after one that has ended, unless another one still runs
+// or the request has to be given up.
+func (r *race) next() (finished bool) {
+	switch {
+	case len(r.running) > 0:
+		return false
+	case r.possibleRuns > 0 && !r.route.Repeatable(), r.possibleRuns >= r.route.MaxUpstreams:
+		r.giveUp("upstream_failed")
+	case r.ctx.Err() != nil:
+		r.giveUp("deadline_before_upstream")
+	case !r.attemptsLeft():
+		r.giveUp("tries_used_up")
+	default:
+		r.start()
+		return false
+	}
+	return true
+}
+
+// remove takes an attempt that has ended out of those that run. Its fields no longer
+// change.
+func (r *race) remove(s *upstreamAttempt) {
+	s.end(instance.Abandoned, 0, "superseded", nil)
+	r.running = slices.DeleteFunc(r.running, func(o *upstreamAttempt) bool { return o == s })
+	if r.serving == s {
+		r.serving = nil
+	}
+	if s.begun {
+		r.tried = append(r.tried, s.chosen.ID)
+	}
+}
+
+// onAttemptEnded processes the failure of an attempt.
+func (r *race) onAttemptEnded(s *upstreamAttempt, what report) (finished bool) {
+	s.end(what.outcome, what.status, what.label, what.err)
+	if what.mayHaveCrashed {
+		go r.confirmCrash(r.digest, s.chosen)
+	}
+	switch what.result {
+	case outcomeUnknown:
+		r.mayHaveRun = true
+		r.possibleRuns++
+	case inputGone:
+		if len(r.running) == 1 {
+			return r.rerunStages(s)
+		}
+	case notRun:
+	}
+	r.remove(s)
+	return r.next()
+}
+
+// rerunStages replaces an attempt whose upstream found that a stage's result is gone by
+// one that runs the stages again, once and if there is time for it: at least half the
+// time from the arrival of the request to the end of the first run.
+func (r *race) rerunStages(s *upstreamAttempt) (finished bool) {
+	r.remove(s)
+	if r.stagesRerun || r.started || time.Until(r.startBy) < r.stagesTook/2 {
+		r.giveUp("inputs_gone")
+		return true
+	}
+	r.stagesRerun = true
+	r.freeInputs()
+	r.tried = nil
+	r.startWith(attemptPlan{
+		retry: true, lastEvent: r.lastEventID, rerunStages: true, stageDeadline: r.startBy,
+		random: rand.New(rand.NewPCG(r.random.Uint64(), r.random.Uint64())),
+	})
+	return false
+}
+
+// onSuspicion processes a silence or a failed probe, unless the upstream has sent
+// something meanwhile.
+func (r *race) onSuspicion(s *upstreamAttempt, what report) {
+	switch {
+	case what.activity != s.monitor.activityCount():
+	case what.kind == upstreamSilent:
+		r.onSilence(s)
+	default:
+		r.onProbeFailed(s, what.probes)
+	}
+}
+
+// onSilence decides what to do about a silent upstream. Another upstream may be asked
+// at once before the answer has begun. Afterwards it costs a second run of the stages and
+// of the prompt, so the upstream is only checked at the first silence.
+func (r *race) onSilence(s *upstreamAttempt) {
+	s.silences++
+	if r.mayReplace() && (!r.started || s.silences > 1) {
+		r.start()
+		return
+	}
+	go s.monitor.probe()
+}
+
+// onProbeFailed decides what to do about a silent upstream that accepts no connection.
+// It is given up only if no other may take over.
+func (r *race) onProbeFailed(s *upstreamAttempt, probes int) {
+	switch {
+	case r.mayReplace():
+		r.start()
+	case probes >= unreachableProbes && len(r.running) == 1:
+		s.cancel(errUnreachable)
+	}
+}
+
+// mayReplace reports whether another upstream may be asked while one is silent.
+func (r *race) mayReplace() bool {
+	return r.route.Repeatable() && len(r.running) < maxParallelAttempts && r.attemptsLeft() && r.ctx.Err() == nil
+}
+
+// win ends the other attempts in favour of one that has something for the caller.
+func (r *race) win(winner *upstreamAttempt) {
+	for _, s := range slices.Clone(r.running) {
+		if s == winner {
+			continue
+		}
+		if s.silences > 0 {
+			s.end(instance.Broke, 0, "stalled", errStalled)
+		}
+		r.remove(s)
+		if s.begun {
+			r.mayHaveRun = true
+			r.possibleRuns++
+		}
+	}
+}
+
+// onAnswer processes a whole answer that is not a stream.
+func (r *race) onAnswer(s *upstreamAttempt, what report) (finished bool) {
+	status := what.answer.Status
+	failed := status >= http.StatusInternalServerError || r.route.Kind == routing.Stream
+	if !failed {
+		r.win(s)
+		s.end(instance.Answered, status, "answered", nil)
+		r.completed = true
+		r.writeAnswer(what.answer, what.body)
+		return true
+	}
+	s.end(instance.Failed, status, "failed", nil)
+	if !r.started && (len(r.running) > 1 || r.mayTryAnother()) {
+		r.fallbackAnswer = &wholeAnswer{answer: what.answer, body: what.body}
+	} else if !r.started {
+		r.writeAnswer(what.answer, what.body)
+		return true
+	}
+	r.mayHaveRun = true
+	r.possibleRuns++
+	r.remove(s)
+	return r.next()
+}
+
+// mayTryAnother reports whether to try another upstream after an error answer.
+// If not, the caller gets the error answer.
+func (r *race) mayTryAnother() bool {
+	return r.route.Kind == routing.Idempotent && len(r.attempts) < r.route.MaxUpstreams && r.ctx.Err() == nil
+}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -3,69 +3,79 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/routing"
 )
 
-// The causes with which a silenceMonitor cancels an attempt.
+// Why an attempt ended after a silence.
 var (
-	errStalled     = errors.New("upstream sent nothing for too long and another may take over")
+	errStalled     = errors.New("upstream sent nothing for too long and another took over")
 	errUnreachable = errors.New("upstream sends nothing and can't be reached")
 )
 
 const (
-	// stallEventGaps is the silence, in multiples of the route's event gap,
-	// after which another upstream continues a resumable stream. The silence is
-	// at least minStallTimeout.
+	// stallEventGaps is the silence between events, in multiples of the route's event
+	// gap, after which a resumable stream's upstream is checked. The silence is at
+	// least minStallTimeout.
 	stallEventGaps  = 6
 	minStallTimeout = 1200 * time.Millisecond
 	// firstEventObjectives is the silence before the first event, in multiples of
-	// the route's latency objective, after which another upstream takes over a
-	// resumable stream: a prompt may have to wait until the engine has read other
-	// prompts. The silence is at least minStallTimeout.
+	// the route's latency objective, after which another upstream is asked as well
+	// for a resumable stream: a prompt may have to wait until the engine has read
+	// other prompts. The silence is at least minStallTimeout.
 	firstEventObjectives = 2
 	// probeSilence is the shortest silence after which an upstream is probed if
-	// no other may take over its work. Silence alone does not end such an
-	// attempt.
+	// no other may take over its work.
 	probeSilence = time.Second
-	// unreachableProbes is how many probes in a row must fail before the
-	// attempt ends.
+	// unreachableProbes is how many probes in a row must fail before an attempt
+	// ends for which there is no replacement, and probePause the time between them.
 	unreachableProbes = 2
+	probePause        = 500 * time.Millisecond
 	// answerLatencies is how long a call may take, in multiples of the
-	// upstream's usual latency, before another upstream is tried or this one is
-	// probed. For idempotent calls it is at least minAnswerTimeout.
+	// upstream's usual latency, before another upstream is asked as well or this one
+	// is probed. For idempotent calls it is at least minAnswerTimeout.
 	answerLatencies  = 10
 	minAnswerTimeout = 250 * time.Millisecond
 )
 
-// silenceMonitor watches one attempt. It cancels the attempt when the upstream
-// sends nothing for too long and another may take over, or when the upstream can
-// no longer be reached.
+// silenceMonitor reports when the upstream of an attempt sends nothing for too long. A
+// silent upstream may be sound, so the monitor only reports.
 type silenceMonitor struct {
-	gateway *Gateway
-	chosen  instance.Status
-	cancel  context.CancelCauseFunc
-	ctx     context.Context
-	// canSwitch means that another upstream may take over.
-	canSwitch   bool
-	idleTimeout time.Duration
+	attempt      *upstreamAttempt
+	addr         netip.AddrPort
+	firstTimeout time.Duration // the longest silence before the first activity
+	idleTimeout  time.Duration // the longest silence after it
+
+	probing atomic.Bool // a probe is under way
 
 	mu       sync.Mutex // guards timer and activity
 	timer    *time.Timer
 	activity uint64
 }
 
-// monitorSilence starts to watch an attempt. firstTimeout is the longest silence
-// before the upstream's first activity, idleTimeout the longest silence after it.
-func (x *exchange) monitorSilence(ctx context.Context, cancel context.CancelCauseFunc, chosen instance.Status, canSwitch bool, firstTimeout, idleTimeout time.Duration) *silenceMonitor {
-	m := &silenceMonitor{gateway: x.Gateway, chosen: chosen, cancel: cancel, ctx: ctx, canSwitch: canSwitch, idleTimeout: idleTimeout}
+// newSilenceMonitor returns a monitor for an attempt on an upstream.
+func (s *upstreamAttempt) newSilenceMonitor(chosen instance.Status) *silenceMonitor {
+	m := &silenceMonitor{attempt: s, addr: chosen.Addr}
+	if s.route.Kind == routing.Stream {
+		m.firstTimeout, m.idleTimeout = s.streamSilenceLimits()
+	} else {
+		m.firstTimeout = s.plainSilenceLimit(chosen)
+		m.idleTimeout = max(m.firstTimeout, probeSilence)
+	}
+	return m
+}
+
+// start starts the first timeout.
+func (m *silenceMonitor) start() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.timer = time.AfterFunc(firstTimeout, m.onTimeout)
-	return m
+	m.timer = time.AfterFunc(m.firstTimeout, m.onTimeout)
 }
 
 // recordActivity records that the upstream sent something.
@@ -76,37 +86,50 @@
 	m.timer.Reset(m.idleTimeout)
 }
 
+// activityCount returns how often the upstream has sent something.
+func (m *silenceMonitor) activityCount() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.activity
+}
+
 func (m *silenceMonitor) stop() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.timer.Stop()
 }
 
-// onTimeout cancels the attempt at once if another upstream may take over, and
-// otherwise only if probes don't reach the upstream.
+// onTimeout reports the silence, and starts the next timeout unless the attempt has ended.
 func (m *silenceMonitor) onTimeout() {
-	if m.canSwitch {
-		m.cancel(errStalled)
+	activity := m.activityCount()
+	m.attempt.report(report{kind: upstreamSilent, activity: activity})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.attempt.ctx.Err() == nil && m.activity == activity {
+		m.timer.Reset(m.idleTimeout)
+	}
+}
+
+// probe checks whether a silent upstream accepts connections, and reports each probe
+// that fails. It stops once a probe succeeds or the upstream sends something.
+func (m *silenceMonitor) probe() {
+	if !m.probing.CompareAndSwap(false, true) {
 		return
 	}
-	m.mu.Lock()
-	before := m.activity
-	m.mu.Unlock()
-	for range unreachableProbes {
-		ctx, cancel := context.WithTimeout(m.ctx, crashCheckTimeout)
-		err := m.gateway.config.Transport.Probe(ctx, m.chosen.Addr)
+	defer m.probing.Store(false)
+	activity := m.activityCount()
+	for probes := 1; probes <= unreachableProbes; probes++ {
+		ctx, cancel := context.WithTimeout(m.attempt.ctx, crashCheckTimeout)
+		err := m.attempt.config.Transport.Probe(ctx, m.addr)
 		cancel()
-		m.mu.Lock()
-		alive := err == nil || m.activity != before || m.ctx.Err() != nil
-		if alive && m.ctx.Err() == nil && m.activity == before {
-			m.timer.Reset(m.idleTimeout)
+		if err == nil || m.attempt.ctx.Err() != nil || m.activityCount() != activity {
+			return
 		}
-		m.mu.Unlock()
-		if alive {
+		m.attempt.report(report{kind: probeFailed, activity: activity, probes: probes})
+		if sleep.For(m.attempt.ctx, probePause) != nil {
 			return
 		}
 	}
-	m.cancel(errUnreachable)
 }
 
 // streamSilenceLimits returns the longest silences of a stream before the first
@@ -119,17 +142,10 @@
 }
 
 // plainSilenceLimit returns how long a call that is not streamed may take before
-// another upstream is tried or this one is probed.
+// another upstream is asked as well or this one is probed.
 func (x *exchange) plainSilenceLimit(chosen instance.Status) time.Duration {
 	if x.route.Kind == routing.Idempotent {
 		return max(answerLatencies*chosen.Latency, minAnswerTimeout)
 	}
 	return max(answerLatencies*chosen.Latency, probeSilence)
 }
-
-// canSwitchUpstream reports whether an idempotent call may still be sent to
-// another upstream.
-func (x *exchange) canSwitchUpstream() bool {
-	return x.route.Kind == routing.Idempotent && len(x.attempts)+1 < x.route.MaxUpstreams &&
-		len(x.config.Instances.Service(x.service, time.Now())) > len(x.attempts)+1
-}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -9,115 +8,104 @@
 
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/instance"
-	"github.com/galenaseam/galenaseam/placement"
 )
 
-// relay is the state of one caller's stream, which several upstreams may serve in
-// turn.
-type relay struct {
-	*exchange
-	lastEventID int64 // ID of the last event sent to the caller
-}
-
-// serveStream serves a request whose answer is an event stream.
-func (x *exchange) serveStream() {
-	r := &relay{exchange: x, lastEventID: call.NoEvent}
-	x.runAttempts(r.attemptStream)
-}
+// errNoEvent is the error of a replacement that ended without an event.
+var errNoEvent = errors.New("stream ended without an event")
 
-// attemptStream runs the stream, or the rest of it, on one upstream.
-func (r *relay) attemptStream(chosen instance.Status, ticket placement.Ticket) attemptResult {
-	ctx, cancel := context.WithCancelCause(r.ctx)
-	defer cancel(nil)
-	first, between := r.streamSilenceLimits()
-	monitor := r.monitorSilence(ctx, cancel, chosen, r.route.Resumable, first, between)
-	defer monitor.stop()
-	s, outcome := r.send(ctx, chosen, ticket, r.lastEventID)
-	if outcome != callerAnswered {
-		return outcome
-	}
-	if s.answer.Status != http.StatusOK {
-		return r.forwardFailure(s)
+// readEvents reports the events of an answer as they arrive, and its end. closeBody
+// returns the connection to the pool.
+func (s *upstreamAttempt) readEvents(a *call.Answer, closeBody func()) {
+	events := newEventReader(a.Body)
+	for {
+		event, err := events.next()
+		switch {
+		case errors.Is(err, io.EOF):
+			closeBody()
+			s.report(report{kind: streamEnded, answer: a})
+			return
+		case err != nil:
+			s.report(s.lostAnswer("broke_in_stream", err))
+			return
+		}
+		s.monitor.recordActivity()
+		s.mu.Lock()
+		s.lastHeardAt = time.Now()
+		s.mu.Unlock()
+		s.report(report{kind: eventArrived, answer: a, event: event})
 	}
-	return r.forwardEvents(s, monitor)
 }
 
-// forwardFailure forwards an error answer to the caller, unless part of the
-// stream was already sent.
-func (r *relay) forwardFailure(s *upstreamAttempt) attemptResult {
-	body, err := s.readAnswerBody()
-	if err != nil {
-		s.endWithError(instance.Broke, "broke_in_body", err)
-		return outcomeUnknown
+// onEvent forwards an event to the caller, unless the caller already has it from
+// another upstream.
+func (r *race) onEvent(s *upstreamAttempt, a *call.Answer, e event) (finished bool) {
+	if e.id != call.NoEvent && r.lastEventID != call.NoEvent && e.id <= r.lastEventID {
+		return false
 	}
-	s.end(instance.Failed, s.answer.Status, "failed")
-	if r.started {
-		return outcomeUnknown
+	s.silences = 0
+	r.win(s)
+	r.serving = s
+	r.writeHead(a)
+	s.recordFirstEvent()
+	if err := r.writeEvent(e.raw); err != nil {
+		s.end(instance.Abandoned, 0, "caller_left", err)
+		r.refuse(refusal{reason: "caller_left", abort: true})
+		return true
 	}
-	r.writeAnswer(s.answer, body)
-	return callerAnswered
+	r.lastEventAt = time.Now()
+	s.monitor.recordActivity()
+	if e.id != call.NoEvent {
+		r.lastEventID = e.id
+	}
+	r.events++
+	return false
 }
 
-// forwardEvents forwards events to the caller as they arrive. It skips those that
-// the caller already has from an earlier upstream.
-func (r *relay) forwardEvents(s *upstreamAttempt, monitor *silenceMonitor) attemptResult {
-	events := newEventReader(s.answer.Body)
-	for {
-		event, err := events.next()
-		if errors.Is(err, io.EOF) {
-			return r.complete(s)
-		}
-		if err != nil {
-			return s.handleLostAnswer("broke_in_stream", err)
-		}
-		if event.id != call.NoEvent && r.lastEventID != call.NoEvent && event.id <= r.lastEventID {
-			continue
-		}
-		monitor.recordActivity()
-		s.lastHeardAt = time.Now()
-		r.writeHead(s)
-		if s.firstEventTime == 0 {
-			s.firstEventTime = time.Since(s.sentAt)
-			s.ticket.ReportFirstEvent()
-			r.config.ResponseTimes.Observe(r.service, s.firstEventTime)
-		}
-		if err := r.writeEvent(event.raw); err != nil {
-			s.endWithError(instance.Abandoned, "caller_left", err)
-			r.refuse(refusal{reason: "caller_left", abort: true})
-			return callerAnswered
-		}
-		if event.id != call.NoEvent {
-			r.lastEventID = event.id
-		}
-		r.events++
+// recordFirstEvent records the time to the first event, once.
+func (s *upstreamAttempt) recordFirstEvent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.firstEventTime != 0 {
+		return
+	}
+	s.firstEventTime = time.Since(s.sentAt)
+	s.ticket.ReportFirstEvent()
+	s.config.ResponseTimes.Observe(s.service, s.firstEventTime)
+	if s.ownInputs != nil {
+		s.ownInputs.Free()
 	}
 }
 
 // writeHead sends the status and headers of the answer, once. It also frees the
 // stages' results, since the upstream has read them by then.
-func (r *relay) writeHead(s *upstreamAttempt) {
+func (r *race) writeHead(a *call.Answer) {
 	if r.started {
 		return
 	}
 	r.started = true
-	r.copyHeader(s.answer)
+	r.copyHeader(a)
 	r.w.Header().Del("Content-Length")
-	r.w.WriteHeader(s.answer.Status)
+	r.w.WriteHeader(a.Status)
 	r.freeInputs()
 }
 
-func (r *relay) writeEvent(raw []byte) error {
+func (r *race) writeEvent(raw []byte) error {
 	if _, err := r.w.Write(raw); err != nil {
 		return err
 	}
 	return http.NewResponseController(r.w).Flush()
 }
 
-// complete ends a stream that was forwarded completely.
-func (r *relay) complete(s *upstreamAttempt) attemptResult {
-	r.writeHead(s)
+// onStreamEnd ends a stream that was forwarded completely. A replacement that ends
+// without an event does not prove that the upstream it should replace has no more.
+func (r *race) onStreamEnd(s *upstreamAttempt, a *call.Answer) (finished bool) {
+	if len(r.running) > 1 && s != r.serving {
+		return r.onAttemptEnded(s, report{result: outcomeUnknown, outcome: instance.Broke, label: "broke_in_stream", err: errNoEvent})
+	}
+	r.win(s)
+	r.writeHead(a)
 	r.completed = true
-	s.end(instance.Answered, s.answer.Status, "answered")
-	r.log("answered", s.answer.Status, "")
-	return callerAnswered
+	s.end(instance.Answered, a.Status, "answered", nil)
+	r.log("answered", a.Status, "")
+	return true
 }
