attempt, request: a stalled stream goes on until a replacement is reserved

With the retry budget or the attempts used up, the answer was cut.

Evidence: TestStreamIsNotCutWhenEveryEngineFallsSilent (every engine pauses 600 ms, stall timeout 200 ms) failed on the code before with upstream_timeout.

Now the stall monitor asks for a slot on another engine first, with the budget that a retry needs, and ends the stream only if it has one; otherwise the stream goes on and the monitor asks again after the next timeout. A slot that is not needed, because the stream went on meanwhile, is given back. Attempts that committed still never overlap. Left: if the reserved engine then refuses, the stalled one has already been closed.

The stand-in's stall takes a time after which it goes on.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -55,8 +55,8 @@
 	MaxAnswerBytes int64
 	// MaxIdlePerUpstream is the maximum number of idle connections per upstream.
 	MaxIdlePerUpstream int
-	// StallTimeout bounds the time between two lines of a stream once its first
-	// text has arrived.
+	// StallTimeout is the time between two lines of a stream, once its first text
+	// has arrived, after which the stream counts as stalled.
 	StallTimeout time.Duration
 	// Reporter receives the state and load that answers report; may be nil.
 	Reporter UpstreamReporter
@@ -153,6 +153,11 @@
 	// Deadline is when the answer stops being useful; the upstream is sent the
 	// remaining time. Zero sends none.
 	Deadline time.Time
+	// ReserveReplacement is asked for a replacement of a stream that stalls. The
+	// stream ends only if it returns true, and goes on otherwise. cancel gives the
+	// replacement back, which happens when the stream went on meanwhile. If the
+	// function is nil, a stream that stalls ends.
+	ReserveReplacement func(ctx context.Context) (cancel func(), reserved bool)
 }
 
 // Answer is a complete answer that belongs to its call.
@@ -259,7 +264,10 @@
 // failureAfterSend converts an error after the call got a connection into a
 // Failed.
 func failureAfterSend(ctx context.Context, err error) *Failed {
+	var failed *Failed
 	switch {
+	case errors.As(err, &failed):
+		return failed
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return &Failed{Failure: dispatch.TimedOut, Evidence: upstream.ConnectionLost, Cause: Error.Wrap(err)}
 	case ctx.Err() != nil:
--- a/attempt/stream.go
+++ b/attempt/stream.go
@@ -75,7 +75,10 @@
 		return StreamEnd{}, statusFailure(resp.StatusCode, resp.Body)
 	}
 	reader := &streamReader{emit: emit, started: started}
-	end, err := c.readStream(ctx, cancel, reader, resp.Body)
+	end, err := c.readStream(c.monitorStalls(ctx, cancel, call), reader, resp.Body)
+	if err != nil {
+		err = failureAfterSend(ctx, err)
+	}
 	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
 		err = &Failed{Failure: dispatch.TimedOut, Evidence: upstream.Answered, Cause: Error.Wrap(errStalled)}
 	}
@@ -85,12 +88,9 @@
 // errStalled is the cause of the cancellation of a stream that stalled.
 var errStalled = errs.New("stream stalled")
 
-// readStream reads a stream to its end. After the first text, it cancels the
-// stream when no line arrives within the stall timeout.
-func (c *Client) readStream(ctx context.Context, cancel context.CancelCauseFunc, reader *streamReader, body io.Reader) (StreamEnd, error) {
-	stall := time.AfterFunc(c.stallTimeout, func() { cancel(errStalled) })
-	stall.Stop()
-	defer stall.Stop()
+// readStream reads a stream to its end. The monitor runs from the first text on.
+func (c *Client) readStream(stalls *stallMonitor, reader *streamReader, body io.Reader) (StreamEnd, error) {
+	defer stalls.stop()
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	for scanner.Scan() {
@@ -102,13 +102,13 @@
 			return reader.end, nil
 		}
 		if reader.end.FirstToken > 0 {
-			stall.Reset(c.stallTimeout)
+			stalls.recordLine()
 		}
 	}
 	if err := scanner.Err(); err != nil {
-		return reader.end, failureAfterSend(ctx, err)
+		return reader.end, err
 	}
-	return reader.end, failureAfterSend(ctx, io.ErrUnexpectedEOF)
+	return reader.end, io.ErrUnexpectedEOF
 }
 
 // streamReader parses one event stream.
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -41,7 +41,7 @@
 	// Cut closes the connection in the middle of an answer.
 	Cut Kind = "cut"
 	// Stall stops sending in the middle of an answer and keeps the connection
-	// open.
+	// open. With DelayMS it goes on after that time.
 	Stall Kind = "stall"
 	// Leaving answers new calls with 503 and lets running calls finish.
 	Leaving Kind = "leaving"
--- a/request/request_test.go
+++ b/request/request_test.go
@@ -187,6 +187,22 @@
 	}
 }
 
+// A stream must not be cut because its engine is silent longer than the stall timeout
+// when no other engine may take over: here every engine stalls, and the retry budget
+// allows few attempts.
+func TestStreamIsNotCutWhenEveryEngineFallsSilent(t *testing.T) {
+	b := newFixture(t)
+	b.inject("engines", fault.Fault{Kind: fault.Stall, AfterEvents: 5, DelayMS: 600}, len(b.standins.Pool("engines")))
+	for i := range 4 {
+		sink := &collector{}
+		input := "question " + strconv.Itoa(i)
+		result, err := b.runner.RunPipeline(context.Background(), b.job("r"+strconv.Itoa(i), input, sink))
+		require.NoError(t, err)
+		require.Equal(t, expectedAnswer(b.doc, result.Passages, input), result.Output)
+		require.Equal(t, result.Output, sink.text.String())
+	}
+}
+
 func TestCrossedAnswersNeverReachAnotherCaller(t *testing.T) {
 	b := newFixture(t)
 	for _, pool := range []string{"encoders", "retrievers", "rerankers", "engines"} {
--- a/request/stage.go
+++ b/request/stage.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,11 +21,16 @@
 	index    int
 	need     dispatch.StageNeed
 	step     step
-	avoid    []upstream.ID
 	attempts int
 	winner   upstream.ID
 	// lostUpstreams are the upstreams that died during the last runHedged.
 	lostUpstreams []upstream.ID
+
+	mu sync.Mutex // guards the fields below
+	// avoid are the upstreams that the stage was sent to.
+	avoid []upstream.ID
+	// replacement is a slot for the next attempt; nil if none is reserved.
+	replacement dispatch.Slot
 }
 
 // step makes one attempt at a stage; each kind of stage has its own.
@@ -41,8 +48,9 @@
 
 // run makes attempts until one succeeds or no more are allowed.
 func (t *stageRun) run(ctx context.Context) error {
+	defer t.releaseReplacement()
 	for {
-		slot, err := t.pipeline.ticket.Acquire(ctx, t.index, t.avoid, nil)
+		slot, err := t.nextSlot(ctx)
 		if err != nil {
 			return err
 		}
@@ -55,12 +63,71 @@
 		if err != nil {
 			return err
 		}
+		if t.hasReplacement() && mayContinue {
+			continue
+		}
 		if wasSingleAttempt || !mayContinue || !t.mayRetry(ctx, failed) {
 			return failed
 		}
 	}
 }
 
+// nextSlot returns the reserved slot, or acquires one.
+func (t *stageRun) nextSlot(ctx context.Context) (dispatch.Slot, error) {
+	t.mu.Lock()
+	slot := t.replacement
+	t.replacement = nil
+	t.mu.Unlock()
+	if slot != nil {
+		return slot, nil
+	}
+	return t.pipeline.ticket.Acquire(ctx, t.index, t.avoided(), nil)
+}
+
+// avoided returns the upstreams that the stage was sent to.
+func (t *stageRun) avoided() []upstream.ID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.avoid)
+}
+
+// reserveReplacement acquires a slot for another attempt, if the policy allows one,
+// while a stalled attempt goes on. The returned function gives it back.
+func (t *stageRun) reserveReplacement(ctx context.Context) (cancel func(), reserved bool) {
+	if t.pipeline.guarded.singleAttempt {
+		return nil, false
+	}
+	if _, ok := t.pipeline.ticket.MayRetry(t.index, dispatch.TimedOut); !ok {
+		return nil, false
+	}
+	slot, err := t.pipeline.ticket.Acquire(ctx, t.index, t.avoided(), nil)
+	if err != nil {
+		return nil, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.replacement = slot
+	return t.releaseReplacement, true
+}
+
+// hasReplacement reports whether a slot is reserved for the next attempt.
+func (t *stageRun) hasReplacement() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.replacement != nil
+}
+
+// releaseReplacement gives the reserved slot back.
+func (t *stageRun) releaseReplacement() {
+	t.mu.Lock()
+	slot := t.replacement
+	t.replacement = nil
+	t.mu.Unlock()
+	if slot != nil {
+		slot.Done(dispatch.Outcome{Failure: dispatch.Cancelled})
+	}
+}
+
 // mayRetry asks the policy for another attempt and waits for the delay that it
 // sets.
 func (t *stageRun) mayRetry(ctx context.Context, failed *attempt.Failed) bool {
@@ -154,7 +221,7 @@
 
 // startHedge repeats a slow attempt on another upstream if the policy allows it.
 func (t *stageRun) startHedge(ctx context.Context, slow dispatch.Slot, committed *atomic.Bool, ends chan<- attemptEnd) bool {
-	avoid := append(append([]upstream.ID{}, t.avoid...), slow.Upstream().ID)
+	avoid := append(t.avoided(), slow.Upstream().ID)
 	slot, err := t.pipeline.ticket.Acquire(ctx, t.index, avoid, slow)
 	if err != nil {
 		return false
@@ -170,6 +237,8 @@
 	go func() {
 		ends <- t.attempt(ctx, slot, call, committed)
 	}()
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.avoid = append(t.avoid, slot.Upstream().ID)
 }
 
@@ -181,6 +250,8 @@
 		Method:   "POST",
 		Deadline: slot.Deadline(),
 		NoEcho:   poolNoEcho(t.pipeline.job.Document, t.need.Pool),
+
+		ReserveReplacement: t.reserveReplacement,
 	}
 }
 
