edge: a request read as a shutdown closes its connection does not run

http.Server.Shutdown closes connections that seem idle. A request that had just been read from such a connection was still sent to an upstream, although its caller could no longer get the answer. Only the idle and header timeouts marked the connection closed; now every Close does while no request is served, and beginRequest drops the request before it runs, with a log line.

TestRequestOnConnectionClosedByShutdownDoesNotRun failed before: the request ran.

--- a/edge/callerconn.go
+++ b/edge/callerconn.go
@@ -48,8 +48,17 @@
 	return n, err
 }
 
+// Close closes the connection. If no request is being served, one that has just been
+// read does not begin.
+func (c *callerConn) Close() error {
+	c.mu.Lock()
+	c.closed = c.closed || !c.serving
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
 // beginRequest records that the headers of a request have been read. It returns
-// false if the connection has already been closed by a timeout.
+// false if the connection has already been closed by a timeout or a shutdown.
 func (c *callerConn) beginRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -57,11 +57,11 @@
 	return c
 }
 
-// ServeHTTP serves a request. If a timeout closed the connection at the same
-// moment, the request is dropped without being run.
+// ServeHTTP serves a request. If a timeout or a shutdown closed the connection at
+// the same moment, the request is dropped without being run.
 func (c *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if conn := callerConnOf(r.Context()); conn != nil && !conn.beginRequest() {
-		c.logger.Warn("request dropped: a timeout closed its connection", "caller", r.RemoteAddr, "target", r.RequestURI)
+		c.logger.Warn("request dropped: its connection was closed as it arrived", "caller", r.RemoteAddr, "target", r.RequestURI)
 		panic(http.ErrAbortHandler)
 	}
 	if limit := c.limits().MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
