gateway: findings of the review of silent upstreams

A reviewer who had not seen the work found these in the code that lets a silent upstream go on beside its replacement, each shown by a test that failed before unless said:

- After the stages ran again, an attempt that was refused freed their results, and the next one got handles that no longer existed (409, then 503).
The results now belong to the request and are freed at the first event or at its end.
TestResultsOfRerunStagesOutliveARefusal.
- A hung upstream that accepts connections was replaced at the second silence only, 2.4 s, when callers of a route with a short objective are gone.
A replacement now begins as soon as waiting for the next silence would leave too little of the caller's patience for the stages and a first event.
TestHungUpstreamIsReplacedBeforeItsCallerGivesUp.
- A request that is suspected of crashing upstreams ran on two at once.
TestSuspectOfACrashRunsOnOneUpstreamAtATime.
- An upstream that was silent and accepted no connection counted as crashed by the request, and two of them quarantined it.
Only a broken connection is a sign of a crash.
TestSilenceOfAnUpstreamDoesNotCountAsACrash.
- Two attempts of one request shared one entry of the placement owner, so that the end of one ended the count of the other.
- The loser of a single short silence counted as broken and could be ejected (by reading).
- A panic in an attempt would have ended the process (by reading); it ends the attempt.

--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -1,7 +1,9 @@
 package edge_test
 
 import (
+	"bufio"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -163,3 +165,162 @@
 	require.Equal(t, eventsOf(8), got.body)
 	require.Empty(t, b.Runs())
 }
+
+// After stages ran again, an attempt that is refused must not free their results: the
+// next one needs them.
+func TestResultsOfRerunStagesOutliveARefusal(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, eachRoute("timeout_ms", 8000))
+	a, b := silentUpstream("u1"), silentUpstream("u2")
+	b.Work = 500 * time.Millisecond
+	f.upstream(a).QueueFaults(platformtest.LoseInputs, platformtest.Shed)
+	f.secondChoice(b)
+	s := f.upstream(&platformtest.Upstream{ID: "u3", Service: "pieces"})
+	n := f.start()
+	done := make(chan callerResponse, 1)
+	go func() {
+		done <- f.send(n, http.MethodPost, "/staged/1", "r1", "Chunks", "1,1", "Chunk-Key", "k", "Deadline-Ms", "8000")
+	}()
+	require.Eventually(t, func() bool { return len(b.Runs()) == 1 }, waitTimeout, time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	in := b.Runs()[0].Header.Get("Inputs")
+	freed := 0
+	for _, h := range s.Freed() {
+		if h == in {
+			freed++
+		}
+	}
+	got := <-done
+	require.NoError(t, got.err)
+	require.Equal(t, 200, got.status)
+	require.Len(t, s.Calls(), 4)
+	require.Equal(t, 1, freed, "both runs make the same handle; only that of the first may be freed")
+}
+
+// A stream whose upstream hangs between events must go on at another one before its
+// caller gives up.
+func TestHungUpstreamIsReplacedBeforeItsCallerGivesUp(t *testing.T) {
+	for _, path := range []string{"/talk/1", "/staged/1"} {
+		t.Run(path[1:5], func(t *testing.T) {
+			f := newFleet(t)
+			f.configure(1, eachRoute("timeout_ms", 8000))
+			a, b := silentUpstream("u1"), silentUpstream("u2")
+			a.Silence = time.Minute
+			f.upstream(a).QueueFaults(platformtest.FallSilentMidway)
+			f.secondChoice(b)
+			f.upstream(&platformtest.Upstream{ID: "u3", Service: "pieces"})
+			n := f.start()
+			r, err := http.NewRequest(http.MethodPost, "http://"+n.settings.CallerAddr.String()+path, strings.NewReader("x"))
+			require.NoError(t, err)
+			r.Host = "shop.example"
+			for k, v := range map[string]string{"Attempt-Id": "r1", "Deadline-Ms": "8000", "Authorization": "Bearer key-of-welders", "Chunks": "1,1", "Chunk-Key": "k"} {
+				r.Header.Set(k, v)
+			}
+			resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+			require.NoError(t, err)
+			defer resp.Body.Close()
+			br := bufio.NewReader(resp.Body)
+			last, gap := time.Now(), time.Duration(0)
+			for {
+				_, err := br.ReadString('\n')
+				gap = max(gap, time.Since(last))
+				last = time.Now()
+				if err != nil {
+					break
+				}
+			}
+			require.Len(t, b.Runs(), 1)
+			require.Less(t, gap, 2*time.Second, "callers of this route give up after 2 s")
+		})
+	}
+}
+
+// A request that is suspected of crashing upstreams must not be sent to a second one
+// because the first is silent.
+func TestSuspectOfACrashRunsOnOneUpstreamAtATime(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, eachRoute("timeout_ms", 8000))
+	var ups []*platformtest.Upstream
+	for _, id := range []string{"u1", "u2", "u3"} {
+		u := f.upstream(&platformtest.Upstream{ID: id, Service: "plain", Silence: time.Second})
+		u.QueueFaults(platformtest.Hang)
+		ups = append(ups, u)
+	}
+	n := f.start()
+	done := make(chan callerResponse, 1)
+	go func() { done <- f.send(n, http.MethodPost, "/read/x", "same", "Deadline-Ms", "8000") }()
+	var hit *platformtest.Upstream
+	require.Eventually(t, func() bool {
+		for _, u := range ups {
+			if len(u.Runs()) == 1 {
+				hit = u
+				return true
+			}
+		}
+		return false
+	}, waitTimeout, time.Millisecond)
+	for _, u := range ups {
+		if u != hit {
+			u.QueueFaults()
+		}
+	}
+	hit.StopAccepting()
+	hit.Close()
+	<-done
+	time.Sleep(300 * time.Millisecond)
+	base := 0
+	for _, u := range ups {
+		base += len(u.Runs())
+		u.QueueFaults(platformtest.FallSilent)
+	}
+	got := f.send(n, http.MethodPost, "/read/x", "same", "Deadline-Ms", "8000")
+	total := 0
+	for _, u := range ups {
+		total += len(u.Runs())
+	}
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, 1, total-base)
+}
+
+// A request must not be quarantined because its upstreams were silent and accepted no
+// connection: none of them has crashed.
+func TestSilenceOfAnUpstreamDoesNotCountAsACrash(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, eachRoute("timeout_ms", 8000))
+	var status []int
+	var ups []*platformtest.Upstream
+	for _, id := range []string{"u1", "u2", "u3", "u4"} {
+		u := f.upstream(&platformtest.Upstream{ID: id, Service: "plain", Silence: 2500 * time.Millisecond})
+		u.QueueFaults(platformtest.FallSilent, platformtest.FallSilent, platformtest.FallSilent)
+		ups = append(ups, u)
+	}
+	n := f.start()
+	for range 4 {
+		time.AfterFunc(300*time.Millisecond, func() {
+			for _, u := range ups {
+				if len(u.Runs()) > 0 {
+					u.StopAccepting()
+				}
+			}
+		})
+		got := f.send(n, http.MethodPost, "/order/1", "same", "Deadline-Ms", "8000")
+		status = append(status, got.status)
+		time.Sleep(900 * time.Millisecond)
+	}
+	require.NotContains(t, status, 503)
+}
+
+// A request must not be refused because a stage server is silent for a second and the
+// retry budget is empty.
+func TestSilentStageServerDoesNotFailRequest(t *testing.T) {
+	f := newFleet(t)
+	f.retries = retry.Bounds{Window: 10 * time.Second}
+	f.configure(1, eachRoute("timeout_ms", 8000))
+	f.upstream(silentUpstream("u1"))
+	s := f.upstream(&platformtest.Upstream{ID: "u3", Service: "pieces", Silence: time.Second})
+	n := f.start()
+	s.QueueFaults(platformtest.FallSilent)
+	got := f.send(n, http.MethodPost, "/staged/1", "r1", "Chunks", "1,1", "Chunk-Key", "k", "Deadline-Ms", "8000")
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusOK, got.status)
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -35,13 +37,10 @@
 	retry bool
 	// lastEvent is the ID of the last event that the caller has, or call.NoEvent.
 	lastEvent int64
-	// inputs are the results of the stages; nil if there are none.
-	inputs *staging.Results
-	// rerunStages is true if the results of the stages are gone. They then run
-	// again, until stageDeadline.
-	rerunStages   bool
-	stageDeadline time.Time
-	random        *rand.Rand
+	// firstEventBy is when the upstream must have sent its first event. It bounds the
+	// stages if they have to run again.
+	firstEventBy time.Time
+	random       *rand.Rand
 }
 
 // upstreamAttempt is one attempt to have one upstream run the request. Its own
@@ -55,6 +54,9 @@
 	// silences counts the silences that the monitor reported since the upstream last
 	// sent something. Only the race's goroutine uses it.
 	silences int
+	// failedProbes is how many probes in a row failed. Only the race's goroutine uses it.
+	failedProbes int
+	inputsSent   *staging.Results // results of the stages that the upstream is sent
 
 	mu             sync.Mutex // guards the fields below
 	ended          bool       // the race no longer needs this attempt
@@ -62,7 +64,6 @@
 	chosen         instance.Status
 	ticket         placement.Ticket
 	use            *instance.Use // nil if the upstream left before the attempt began
-	ownInputs      *staging.Results
 	sentAt         time.Time
 	headTime       time.Duration // time to the status and headers of the answer
 	firstEventTime time.Duration // time to the first event; 0 before it
@@ -86,6 +87,7 @@
 
 // run makes the attempt and reports its progress and its end.
 func (s *upstreamAttempt) run() {
+	defer s.recoverPanic()
 	if problem := s.choose(); problem != "" {
 		s.report(report{kind: notStarted, problem: problem})
 		return
@@ -119,20 +121,29 @@
 	s.report(report{kind: answerArrived, answer: decoded, body: body})
 }
 
+// recoverPanic ends the attempt after a panic, as net/http does for a request's own
+// goroutine.
+func (s *upstreamAttempt) recoverPanic() {
+	if cause := recover(); cause != nil {
+		s.config.Logger.Error("attempt panicked", "request", s.request.ID, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+		s.report(report{kind: attemptEnded, result: outcomeUnknown, outcome: instance.Abandoned, label: "panicked"})
+	}
+}
+
 // choose chooses an upstream and counts the request there, after running the stages
 // again if their results are gone. It returns why there is none, or "".
 func (s *upstreamAttempt) choose() (problem string) {
-	inputs := s.plan.inputs
-	if s.plan.rerunStages {
+	inputs := s.stageResults()
+	if inputs == nil && len(s.route.Stages) > 0 {
 		var err error
-		if inputs, err = s.runStagesUntil(s.ctx, s.plan.stageDeadline); err != nil {
+		if inputs, err = s.runStagesUntil(s.ctx, s.plan.firstEventBy); err != nil {
 			return "inputs_gone"
 		}
-		s.plan.inputs = inputs
-		if !s.own(inputs) {
+		if !s.keep(inputs) {
 			return "superseded"
 		}
 	}
+	s.inputsSent = inputs
 	chosen, ticket, found := s.chooseUpstream(s.ctx, s.plan.tried, inputs, s.plan.random)
 	switch {
 	case !found:
@@ -154,16 +165,16 @@
 	return ""
 }
 
-// own makes the attempt free the results of its stages at its end. It returns false,
-// and frees them, if the attempt has already ended.
-func (s *upstreamAttempt) own(inputs *staging.Results) bool {
+// keep stores the results of the stages for the request. It returns false, and frees
+// them, if the attempt has already ended.
+func (s *upstreamAttempt) keep(inputs *staging.Results) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended {
 		inputs.Free()
 		return false
 	}
-	s.ownInputs = inputs
+	s.replaceInputs(inputs)
 	return true
 }
 
@@ -184,8 +195,8 @@
 		LastEvent: s.plan.lastEvent,
 		Priority:  s.enginePriority(),
 	}
-	if s.plan.inputs != nil {
-		attempt.Inputs = s.plan.inputs.Inputs
+	if s.inputsSent != nil {
+		attempt.Inputs = s.inputsSent.Inputs
 	}
 	answer, err := s.config.Transport.Do(s.ctx, &transport.Call{
 		Addr: s.chosen.Addr, Method: s.request.Method, Target: s.request.Target, Host: s.request.Host,
@@ -246,7 +257,7 @@
 	lost := report{kind: attemptEnded, result: outcomeUnknown, outcome: instance.Broke, label: label, err: err}
 	switch {
 	case errors.Is(context.Cause(s.ctx), errUnreachable):
-		lost.outcome, lost.label, lost.err, lost.mayHaveCrashed = instance.Unreachable, "dark", errUnreachable, true
+		lost.outcome, lost.label, lost.err = instance.Unreachable, "dark", errUnreachable
 	case s.ctx.Err() != nil:
 		lost.outcome, lost.label = instance.Abandoned, "given_up"
 	default:
--- a/gateway/attempt_record.go
+++ b/gateway/attempt_record.go
@@ -34,9 +34,6 @@
 		return
 	}
 	s.ended = true
-	if s.ownInputs != nil {
-		s.ownInputs.Free()
-	}
 	if !s.begun {
 		return
 	}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/galenaseam/galenaseam/balance"
@@ -22,7 +23,7 @@
 		return chosen, placement.Ticket{}, found
 	}
 	need := placement.Need{
-		RequestID: x.request.ID, Service: x.service, Parts: x.request.Prompt.Parts,
+		RequestID: x.placementID(), Service: x.service, Parts: x.request.Prompt.Parts,
 		Tokens: x.request.Prompt.Tokens, ExpectedOutputTokens: x.expectedOutputTokens(), Tried: tried,
 	}
 	if inputs != nil {
@@ -32,6 +33,15 @@
 	return ticket.Engine, ticket, found
 }
 
+// placementID returns an ID for one placement of the request: two attempts may run at the
+// same time.
+func (x *exchange) placementID() string {
+	if n := x.placements.Add(1); n > 1 {
+		return x.request.ID + "/" + strconv.FormatUint(uint64(n), 10)
+	}
+	return x.request.ID
+}
+
 func (x *exchange) needsEngine() bool {
 	s, known := x.table.Service(x.service)
 	return known && s.Engine != nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -122,12 +123,15 @@
 	startBy time.Time
 	// ctx is done when the caller's connection closes or the deadline passes.
 	ctx    context.Context
-	inputs *staging.Results
 	random *rand.Rand
 
-	mayHaveRun bool // an upstream may have run the request
-	started    bool // the status and headers of the answer were sent
-	aborted    bool // the connection is closed without a complete answer
+	inputsMu sync.Mutex       // guards inputs
+	inputs   *staging.Results // results of the stages; nil if there are none or they were freed
+
+	placements atomic.Uint32 // how often an engine was chosen
+	mayHaveRun bool          // an upstream may have run the request
+	started    bool          // the status and headers of the answer were sent
+	aborted    bool          // the connection is closed without a complete answer
 	// fallbackAnswer is an upstream's error answer, which the caller gets if no
 	// other upstream succeeds.
 	fallbackAnswer *wholeAnswer
@@ -247,9 +251,24 @@
 	x.freeInputs()
 }
 
-// freeInputs frees the stages' results on the stage servers.
-func (x *exchange) freeInputs() {
-	if x.inputs != nil {
-		x.inputs.Free()
+// stageResults returns the results of the stages; nil if there are none or they were
+// freed.
+func (x *exchange) stageResults() *staging.Results {
+	x.inputsMu.Lock()
+	defer x.inputsMu.Unlock()
+	return x.inputs
+}
+
+// replaceInputs stores the results of the stages and frees earlier ones.
+func (x *exchange) replaceInputs(results *staging.Results) {
+	x.inputsMu.Lock()
+	old := x.inputs
+	x.inputs = results
+	x.inputsMu.Unlock()
+	if old != nil {
+		old.Free()
 	}
 }
+
+// freeInputs frees the stages' results on the stage servers.
+func (x *exchange) freeInputs() { x.replaceInputs(nil) }
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -79,7 +79,7 @@
 	results, err := x.runStagesUntil(x.ctx, x.startBy)
 	x.stagesTook = time.Since(x.request.Arrived)
 	if err == nil {
-		x.inputs = results
+		x.replaceInputs(results)
 		return refusal{}, true
 	}
 	if x.r.Context().Err() != nil {
--- a/gateway/race.go
+++ b/gateway/race.go
@@ -72,8 +72,6 @@
 	event          event
 	// activity is the monitor's count of activity when the silence began.
 	activity uint64
-	// probes is how many probes in a row have failed.
-	probes int
 }
 
 // race runs a request's attempts until the caller is answered or no further attempt
@@ -151,20 +149,10 @@
 
 // start begins an attempt on another upstream.
 func (r *race) start() {
-	plan := attemptPlan{
-		tried: r.unavailable(), retry: len(r.tried)+len(r.running) > 0, lastEvent: r.lastEventID, inputs: r.inputs,
-		random: rand.New(rand.NewPCG(r.random.Uint64(), r.random.Uint64())),
-	}
-	if r.started && len(r.route.Stages) > 0 {
-		// The results were freed when the answer began.
-		plan.rerunStages, plan.stageDeadline = true, r.callerPatienceEnd()
-	}
-	r.startWith(plan)
-}
-
-// startWith begins an attempt.
-func (r *race) startWith(plan attemptPlan) {
-	s := r.newAttempt(plan)
+	s := r.newAttempt(attemptPlan{
+		tried: r.unavailable(), retry: len(r.tried)+len(r.running) > 0 || r.stagesRerun, lastEvent: r.lastEventID,
+		firstEventBy: r.callerPatienceEnd(), random: rand.New(rand.NewPCG(r.random.Uint64(), r.random.Uint64())),
+	})
 	r.running = append(r.running, s)
 	go s.run()
 }
@@ -185,6 +173,9 @@
 
 // callerPatienceEnd returns when the caller gives up an answer that goes on no further.
 func (r *race) callerPatienceEnd() time.Time {
+	if !r.started {
+		return r.startBy
+	}
 	return earlier(r.deadline, r.lastEventAt.Add(callerPatience(r.route)-firstEventMargin))
 }
 
@@ -246,32 +237,27 @@
 	case outcomeUnknown:
 		r.mayHaveRun = true
 		r.possibleRuns++
-	case inputGone:
-		if len(r.running) == 1 {
-			return r.rerunStages(s)
-		}
-	case notRun:
+	case inputGone, notRun:
 	}
 	r.remove(s)
+	if what.result == inputGone && len(r.running) == 0 {
+		return r.rerunStages()
+	}
 	return r.next()
 }
 
-// rerunStages replaces an attempt whose upstream found that a stage's result is gone by
-// one that runs the stages again, once and if there is time for it: at least half the
-// time from the arrival of the request to the end of the first run.
-func (r *race) rerunStages(s *upstreamAttempt) (finished bool) {
-	r.remove(s)
-	if r.stagesRerun || r.started || time.Until(r.startBy) < r.stagesTook/2 {
+// rerunStages starts an attempt that runs the stages again, after an upstream found that
+// a result is gone. That happens once and if there is time for it: at least half the time
+// from the arrival of the request to the end of the first run.
+func (r *race) rerunStages() (finished bool) {
+	if r.stagesRerun || time.Until(r.callerPatienceEnd()) < r.stagesTook/2 {
 		r.giveUp("inputs_gone")
 		return true
 	}
 	r.stagesRerun = true
 	r.freeInputs()
 	r.tried = nil
-	r.startWith(attemptPlan{
-		retry: true, lastEvent: r.lastEventID, rerunStages: true, stageDeadline: r.startBy,
-		random: rand.New(rand.NewPCG(r.random.Uint64(), r.random.Uint64())),
-	})
+	r.start()
 	return false
 }
 
@@ -283,36 +269,49 @@
 	case what.kind == upstreamSilent:
 		r.onSilence(s)
 	default:
-		r.onProbeFailed(s, what.probes)
+		r.onProbeFailed(s)
 	}
 }
 
 // onSilence decides what to do about a silent upstream. Another upstream may be asked
 // at once before the answer has begun. Afterwards it costs a second run of the stages and
-// of the prompt, so the upstream is only checked at the first silence.
+// of the prompt, so that it is asked when the caller's patience leaves no time to wait
+// for the next report of a silence.
 func (r *race) onSilence(s *upstreamAttempt) {
 	s.silences++
-	if r.mayReplace() && (!r.started || s.silences > 1) {
+	if r.mayReplace() && (!r.started || s.silences > 1 || r.replacementIsDue(s)) {
 		r.start()
 		return
 	}
 	go s.monitor.probe()
 }
 
+// replacementMargin multiplies the expected time to a replacement's first event.
+const replacementMargin = 1.5
+
+// replacementIsDue reports whether a replacement that begins at the next silence would
+// be too late for the caller.
+func (r *race) replacementIsDue(s *upstreamAttempt) bool {
+	needed := time.Duration(replacementMargin * float64(r.stagesTook+r.config.ResponseTimes.Mean(r.service)))
+	return time.Until(r.callerPatienceEnd()) < needed+s.monitor.idleTimeout
+}
+
 // onProbeFailed decides what to do about a silent upstream that accepts no connection.
 // It is given up only if no other may take over.
-func (r *race) onProbeFailed(s *upstreamAttempt, probes int) {
+func (r *race) onProbeFailed(s *upstreamAttempt) {
+	s.failedProbes++
 	switch {
 	case r.mayReplace():
 		r.start()
-	case probes >= unreachableProbes && len(r.running) == 1:
+	case s.failedProbes >= unreachableProbes && len(r.running) == 1:
 		s.cancel(errUnreachable)
 	}
 }
 
-// mayReplace reports whether another upstream may be asked while one is silent.
+// mayReplace reports whether another upstream may be asked while one is silent. A
+// request that is suspected of crashing upstreams runs on one at a time.
 func (r *race) mayReplace() bool {
-	return r.route.Repeatable() && len(r.running) < maxParallelAttempts && r.attemptsLeft() && r.ctx.Err() == nil
+	return r.route.Repeatable() && !r.runAlone && len(r.running) < maxParallelAttempts && r.attemptsLeft() && r.ctx.Err() == nil
 }
 
 // win ends the other attempts in favour of one that has something for the caller.
@@ -321,14 +320,18 @@
 		if s == winner {
 			continue
 		}
-		if s.silences > 0 {
+		switch {
+		case s.silences > 1 || s.failedProbes > 0:
 			s.end(instance.Broke, 0, "stalled", errStalled)
+		case s.silences > 0:
+			s.end(instance.Abandoned, 0, "stalled", errStalled)
 		}
 		r.remove(s)
 		if s.begun {
 			r.mayHaveRun = true
 			r.possibleRuns++
 		}
+		r.freeInputs()
 	}
 }
 
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -118,14 +118,14 @@
 	}
 	defer m.probing.Store(false)
 	activity := m.activityCount()
-	for probes := 1; probes <= unreachableProbes; probes++ {
+	for range unreachableProbes {
 		ctx, cancel := context.WithTimeout(m.attempt.ctx, crashCheckTimeout)
 		err := m.attempt.config.Transport.Probe(ctx, m.addr)
 		cancel()
 		if err == nil || m.attempt.ctx.Err() != nil || m.activityCount() != activity {
 			return
 		}
-		m.attempt.report(report{kind: probeFailed, activity: activity, probes: probes})
+		m.attempt.report(report{kind: probeFailed, activity: activity})
 		if sleep.For(m.attempt.ctx, probePause) != nil {
 			return
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -42,7 +42,7 @@
 	if e.id != call.NoEvent && r.lastEventID != call.NoEvent && e.id <= r.lastEventID {
 		return false
 	}
-	s.silences = 0
+	s.silences, s.failedProbes = 0, 0
 	r.win(s)
 	r.serving = s
 	r.writeHead(a)
@@ -71,13 +71,11 @@
 	s.firstEventTime = time.Since(s.sentAt)
 	s.ticket.ReportFirstEvent()
 	s.config.ResponseTimes.Observe(s.service, s.firstEventTime)
-	if s.ownInputs != nil {
-		s.ownInputs.Free()
-	}
+	// The upstream has read them by now.
+	s.freeInputs()
 }
 
-// writeHead sends the status and headers of the answer, once. It also frees the
-// stages' results, since the upstream has read them by then.
+// writeHead sends the status and headers of the answer, once.
 func (r *race) writeHead(a *call.Answer) {
 	if r.started {
 		return
@@ -86,7 +84,6 @@
 	r.copyHeader(a)
 	r.w.Header().Del("Content-Length")
 	r.w.WriteHeader(a.Status)
-	r.freeInputs()
 }
 
 func (r *race) writeEvent(raw []byte) error {
