edge: a lower idle limit closes no connection on which a request arrives

Beside a change of the configuration a whole request could get neither an answer nor a refusal: a lower idle limit applied at once to connections that had been idle under the higher one, and the check saw only what had been read, so a request that waited in the socket buffer was reset.

A lower limit now applies to connections that become idle after it, and a connection on which bytes wait is not closed as idle.

--- a/edge/callerconn.go
+++ b/edge/callerconn.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/galenaseam/galenaseam/transport"
 )
 
 // callerConn is a caller's connection with the state that the idle and header
@@ -75,15 +77,16 @@
 
 // expire reports whether the connection has exceeded a timeout: it was idle, or
 // has been sending the headers of one request, for too long. It marks such a
-// connection as closed, and closeExpired then closes it.
-func (c *callerConn) expire(now time.Time, idle, header time.Duration) bool {
+// connection as closed, and closeExpired then closes it. A connection on which bytes
+// wait to be read is not idle.
+func (c *callerConn) expire(now time.Time, idle *idleLimit, header time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.serving:
 		return false
 	case c.readingSince.IsZero():
-		c.closed = now.Sub(c.idleSince) > idle
+		c.closed = idle.exceeded(c.idleSince, now) && transport.NothingReceived(c.Conn)
 	default:
 		c.closed = now.Sub(c.readingSince) > header
 	}
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -40,6 +40,8 @@
 	routes  func() *routing.Table
 	logger  *slog.Logger
 
+	idle idleLimit // only closeExpired uses it
+
 	mu   sync.Mutex // guards open
 	open map[*callerConn]struct{}
 }
@@ -129,9 +131,10 @@
 	c.mu.Lock()
 	open := slices.Collect(maps.Keys(c.open))
 	c.mu.Unlock()
+	c.idle.set(limits.IdleTimeout, now)
 	expired := 0
 	for _, conn := range open {
-		if conn.expire(now, limits.IdleTimeout, limits.HeaderTimeout) {
+		if conn.expire(now, &c.idle, limits.HeaderTimeout) {
 			_ = conn.Close()
 			expired++
 		}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -192,7 +192,7 @@
 		last := conns[len(conns)-1]
 		c.idle[addr] = conns[:len(conns)-1]
 		c.mu.Unlock()
-		if now.Before(last.expiresAt) && nothingReceived(last.Conn) {
+		if now.Before(last.expiresAt) && NothingReceived(last.Conn) {
 			return last
 		}
 		_ = last.Close()
--- a/transport/wire.go
+++ b/transport/wire.go
@@ -53,9 +53,9 @@
 	return optErr
 }
 
-// nothingReceived reports whether nothing has arrived on an idle connection, neither
-// the end of the stream nor unsolicited bytes.
-func nothingReceived(c net.Conn) bool {
+// NothingReceived reports whether nothing has arrived on an idle connection that was
+// not read yet, neither the end of the stream nor bytes.
+func NothingReceived(c net.Conn) bool {
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		return true
