Log the software version of upstreams and the attempt that a request resumes

Streams went on at another software version than the one that began them, and no line of a host could show it: neither the entry of an upstream nor an attempt named the version, and the attempt that a caller resumes was not decoded.

The entry's version and the caller's Resumes header are decoded in platform/; `upstream added` and each attempt of a `request` line now have `version`, and the line has `resumes`. Nothing decides by them yet. An entry whose version is not a string is ignored as malformed, as for every other field; one without a version is taken as before.

--- a/call/call.go
+++ b/call/call.go
@@ -38,7 +38,10 @@
 	// LastEvent is the ID of the last event that the caller received, or
 	// NoEvent.
 	LastEvent int64
-	Prompt    Prompt
+	// Resumes is the ID of the caller's attempt that received the first event of
+	// the stream that this request continues; "" if the caller named none.
+	Resumes string
+	Prompt  Prompt
 	// Pieces is the number of pieces of each stage of the route.
 	Pieces []int
 	// PiecesKey identifies the content that stages without inputs work on.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -236,7 +236,7 @@
 		return
 	}
 	h.logger.Info("upstream "+c.Kind, "upstream", string(c.ID), "service", c.Service, "addr", c.Addr.String(),
-		"data_centre", string(c.DataCentre), "revision", c.Revision)
+		"data_centre", string(c.DataCentre), "version", c.Version, "revision", c.Revision)
 	if c.Kind == "removed" {
 		h.transport.CloseIdle(c.Addr)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -31,6 +31,7 @@
 type attemptRecord struct {
 	Upstream        string `json:"upstream"`
 	Addr            string `json:"addr"`
+	Version         string `json:"version,omitempty"`
 	InFlight        int    `json:"in_flight"`
 	Owner           string `json:"keeper,omitempty"`
 	EstimatedWaitMS int64  `json:"foreseen_ms,omitempty"`
@@ -310,7 +311,7 @@
 	s.use.End(outcome, now.Sub(s.sentAt), now)
 	s.config.Metrics.countAttempt(s.service, label)
 	record := attemptRecord{
-		Upstream: string(s.chosen.ID), Addr: s.chosen.Addr.String(), InFlight: s.chosen.InFlight,
+		Upstream: string(s.chosen.ID), Addr: s.chosen.Addr.String(), Version: s.chosen.Version, InFlight: s.chosen.InFlight,
 		Owner: s.ticket.Owner, EstimatedWaitMS: s.ticket.Wait.Milliseconds(),
 		SentMS: s.sentAt.Sub(s.request.Arrived).Milliseconds(), TookMS: now.Sub(s.sentAt).Milliseconds(),
 		HeadMS: s.headTime.Milliseconds(), FirstEventMS: s.firstEventTime.Milliseconds(), Status: status, Outcome: label,
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -134,6 +134,9 @@
 		attrs = append(attrs, slog.String("route", route), slog.String("workspace", x.workspace),
 			slog.String("service", x.service), slog.Bool("may_have_run", x.mayHaveRun))
 	}
+	if x.request.Resumes != "" {
+		attrs = append(attrs, slog.String("resumes", x.request.Resumes))
+	}
 	if x.stagesTook > 0 {
 		attrs = append(attrs, slog.Int64("stages_ms", x.stagesTook.Milliseconds()))
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -31,6 +31,8 @@
 	StartTime time.Time `cbor:"8,keyasint"`
 	// Revision is the revision of the entry in the store.
 	Revision int64 `cbor:"9,keyasint"`
+	// Version is the version of the upstream's software; "" means unknown.
+	Version string `cbor:"10,keyasint"`
 }
 
 // maxTombstones bounds the removals that are remembered. It is several times
