--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -84,7 +84,11 @@
 
 // startUnready starts another host that uses the store at an address, without
 // waiting until it is ready.
-func (f *fleet) startUnready(store netip.AddrPort) *node {
+func (f *fleet) startUnready(store netip.AddrPort) *node { return f.startWith(store, nil) }
+
+// startWith starts another host whose settings change has edited, without waiting
+// until it is ready.
+func (f *fleet) startWith(store netip.AddrPort, change func(*edge.Settings)) *node {
 	s := edge.Settings{
 		Name: fmt.Sprintf("entry-%d", len(f.hosts)), Place: host.Place{DataCentre: "riga-a", Region: "latvija"},
 		CallerAddr: freeAddr(f.t), ReadinessAddr: freeAddr(f.t), PeerAddr: freeAddr(f.t), MetricsPort: freeAddr(f.t).Port(),
@@ -94,6 +98,9 @@
 	for _, other := range f.hosts {
 		s.Seeds = append(s.Seeds, other.settings.PeerAddr)
 	}
+	if change != nil {
+		change(&s)
+	}
 	client := platform.NewStore(platform.StoreSettings{Addr: store}, 500*time.Millisecond)
 	built, err := edge.New(s, edge.Platform{
 		Codec: platform.HTTPCodec{}, Source: platform.Source{Store: client}, Format: platform.Format{},
