Entries of upstreams have the version of their software

An upstream's entry names the version of its software. A new version under an old ID and address is a new process, also if the entry does not say when it started: what was counted and measured for the former one does not hold for it.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -31,7 +31,8 @@
 	StartTime time.Time `cbor:"8,keyasint"`
 	// Revision is the revision of the entry in the store.
 	Revision int64 `cbor:"9,keyasint"`
-	// Version is the version of the upstream's software; "" means unknown.
+	// Version is the version of the upstream's software. What two versions write
+	// for one stream does not fit together.
 	Version string `cbor:"10,keyasint"`
 }
 
@@ -80,6 +81,25 @@
 	ErrorRate float64
 }
 
+// HasVersion reports whether the upstream has a required version of the software;
+// every upstream has version "".
+func (e Entry) HasVersion(version string) bool { return version == "" || e.Version == version }
+
+// OfVersion returns the upstreams that have a required version of the software.
+// For version "" it returns all.
+func OfVersion(all []Status, version string) []Status {
+	if version == "" {
+		return all
+	}
+	var of []Status
+	for _, s := range all {
+		if s.HasVersion(version) {
+			of = append(of, s)
+		}
+	}
+	return of
+}
+
 // Table holds the upstreams of every service. It is safe for concurrent use.
 type Table struct {
 	mu             sync.Mutex
@@ -134,7 +154,7 @@
 	if old.Revision >= e.Revision {
 		return ""
 	}
-	sameProcess := old.StartTime.Equal(e.StartTime) && old.Addr == e.Addr && old.Service == e.Service
+	sameProcess := old.StartTime.Equal(e.StartTime) && old.Addr == e.Addr && old.Service == e.Service && old.Version == e.Version
 	if !sameProcess {
 		t.drop(old)
 		t.add(&Instance{Entry: e})
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -94,3 +94,22 @@
 	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 3})
 	require.Equal(t, 1, table.Service("s", now)[0].InFlight)
 }
+
+// Guards against work of one software version that is counted for another: a new
+// version under an old ID is a new process, also if its start time is unknown.
+func TestNewVersionUnderOldIDIsANewProcess(t *testing.T) {
+	var kinds []string
+	table := instance.NewTable(func(c instance.Change) { kinds = append(kinds, c.Kind+" "+c.Version) })
+	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 1, Version: "v1"})
+	begin(t, table, 100)
+	table.MarkUnreachable("a", time.Unix(1000, 0))
+	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 2, Version: "v2"})
+	require.Equal(t, []string{"added v1", "added v2"}, kinds)
+	got := table.Service("s", time.Unix(1000, 0))
+	require.Len(t, got, 1)
+	require.Zero(t, got[0].InFlight)
+	require.False(t, got[0].Ejected)
+	require.Equal(t, got, instance.OfVersion(got, ""))
+	require.Equal(t, got, instance.OfVersion(got, "v2"))
+	require.Empty(t, instance.OfVersion(got, "v1"))
+}
