Within one answer a stream goes on only at the version that began it

Callers got one answer with events of two software versions: when its upstream broke off, any upstream of the service took the stream up again. The choice knew health, load and place of an upstream, not what it runs: the host took all upstreams of a service for alike, which holds only while one version serves.

An answer is now bound to the software version of the upstream that sends its first event. Every later choice asks for it: balance and placement have it in their Need, owners choose by it, and the host that asked an owner checks the reply against its own entries, so that an owner that knows no versions or has an older entry can't undo it. With no upstream of the version the request is sent nowhere else. An upstream of another version that answers all the same, because it was chosen before the first event, has none of its events passed on (`wrong_version`).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,6 +50,8 @@
 	PreferredDataCentre host.DataCentre
 	// Tried are upstreams that must not be chosen again.
 	Tried []instance.ID
+	// Version is the software version that the upstream must have; "" means any.
+	Version string
 }
 
 // ChooseUpstream chooses an upstream by latency, load, errors and data centre.
@@ -102,13 +104,13 @@
 	})
 }
 
-// usable returns the healthy upstreams that were not tried, or the ejected ones
+// usable returns the healthy upstreams of the required version that were not tried, or the ejected ones
 // if none is healthy.
 func usable(all []instance.Status, need Need) []instance.Status {
 	var healthy, ejected []instance.Status
 	for _, s := range all {
 		switch {
-		case slices.Contains(need.Tried, s.ID):
+		case slices.Contains(need.Tried, s.ID) || !s.HasVersion(need.Version):
 		case s.Ejected:
 			ejected = append(ejected, s)
 		default:
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -54,6 +54,23 @@
 	require.Empty(t, countChoices(all, balance.Need{Tried: []instance.ID{"x", "y"}}))
 }
 
+// Guards against a stream that goes on at another software version.
+func TestOnlyUpstreamsOfTheRequiredVersionAreChosen(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	all := []instance.Status{
+		status("x", func(s *instance.Status) { s.Version, s.InFlight, s.Ejected = "v1", 6, true }),
+		status("y", func(s *instance.Status) { s.Version = "v2" }),
+	}
+	require.Equal(t, map[instance.ID]int{"x": 1000}, countChoices(all, balance.Need{Version: "v1"}))
+	require.Empty(t, countChoices(all, balance.Need{Version: "v3"}))
+	require.Empty(t, countChoices(all, balance.Need{Version: "v1", Tried: []instance.ID{"x"}}))
+	engine, found := balance.ChooseEngine(all, balance.Need{Version: "v1", Prefix: 42}, random)
+	require.True(t, found)
+	require.Equal(t, instance.ID("x"), engine.ID)
+	_, found = balance.ChooseEngine(all, balance.Need{Version: "v3"}, random)
+	require.False(t, found)
+}
+
 // Prompts with the same prefix go to the same engine, until it is overloaded.
 func TestEngineFollowsThePrefixUnlessOverloaded(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -111,12 +111,12 @@
 func (x *exchange) chooseUpstream(tried []instance.ID) (instance.Status, placement.Ticket, bool) {
 	if !x.needsEngine() {
 		all := x.config.Instances.Service(x.service, time.Now())
-		chosen, found := balance.ChooseUpstream(all, balance.Need{PreferredDataCentre: x.config.DataCentre, Tried: tried}, x.random)
+		chosen, found := balance.ChooseUpstream(all, balance.Need{PreferredDataCentre: x.config.DataCentre, Tried: tried, Version: x.version}, x.random)
 		return chosen, placement.Ticket{}, found
 	}
 	need := placement.Need{
 		RequestID: x.request.ID, Service: x.service, Parts: x.request.Prompt.Parts,
-		Tokens: x.request.Prompt.Tokens, ExpectedOutputTokens: x.expectedOutputTokens(), Tried: tried,
+		Tokens: x.request.Prompt.Tokens, ExpectedOutputTokens: x.expectedOutputTokens(), Tried: tried, Version: x.version,
 	}
 	if x.inputs != nil {
 		need.Inputs = x.inputs.Bytes
@@ -136,7 +136,8 @@
 	if !x.needsEngine() {
 		return ""
 	}
-	return placement.HomeDataCentre(x.config.Instances.Service(x.service, time.Now()), x.request.Prompt.Parts)
+	engines := instance.OfVersion(x.config.Instances.Service(x.service, time.Now()), x.version)
+	return placement.HomeDataCentre(engines, x.request.Prompt.Parts)
 }
 
 // expectedOutputTokens estimates the number of generated tokens.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -105,6 +105,9 @@
 	table   *routing.Table
 	route   *routing.Route
 	service string
+	// version is the software version of the upstreams that may serve the request;
+	// "" means any. A stream has the one that began it.
+	version string
 	digest  quarantine.Digest
 	// runAlone means that the request is suspected of crashing upstreams and
 	// that only this host may run it now. completed means that an upstream ran
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -73,6 +73,10 @@
 		if event.id != call.NoEvent && r.lastEventID != call.NoEvent && event.id <= r.lastEventID {
 			continue
 		}
+		if !r.bindVersion(s) {
+			s.end(instance.Abandoned, s.answer.Status, "wrong_version")
+			return outcomeUnknown
+		}
 		monitor.recordActivity()
 		s.lastHeardAt = time.Now()
 		r.writeHead(s)
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -89,10 +89,11 @@
 	note   progressNote
 }
 
-// Place chooses an engine for a request. found is false if there is none.
+// Place chooses an engine for a request. found is false if there is none. The
+// owner's choice is taken only if it is an engine of the required version here too.
 func (p *Placer) Place(ctx context.Context, need Need, random *rand.Rand) (t Ticket, found bool) {
 	now := time.Now()
-	all := p.config.Engines.Service(need.Service, now)
+	all := instance.OfVersion(p.config.Engines.Service(need.Service, now), need.Version)
 	if len(all) == 0 {
 		return Ticket{}, false
 	}
@@ -115,7 +116,7 @@
 		return t, true
 	}
 	t.Owner = ""
-	t.Engine, found = balance.ChooseEngine(all, balance.Need{Prefix: sharedPrefix(need), PreferredDataCentre: p.config.DataCentre, Tried: need.Tried}, random)
+	t.Engine, found = balance.ChooseEngine(all, balance.Need{Prefix: sharedPrefix(need), PreferredDataCentre: p.config.DataCentre, Tried: need.Tried, Version: need.Version}, random)
 	return t, found
 }
 
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -75,6 +75,8 @@
 	// Inputs is how many bytes of stage results each data centre holds.
 	Inputs map[host.DataCentre]int64 `cbor:"6,keyasint"`
 	Tried  []instance.ID             `cbor:"7,keyasint"`
+	// Version is the software version that the engine must have; "" means any.
+	Version string `cbor:"8,keyasint"`
 }
 
 // Limits describe the capacity of one engine of a service.
@@ -117,6 +119,7 @@
 func (t *tracker) place(now time.Time, all []instance.Status, limits Limits, need Need) (chosen instance.ID, wait time.Duration, found bool) {
 	t.expire(now)
 	t.dropMissing(all)
+	all = instance.OfVersion(all, need.Version)
 	chain := prefixChain(need.Parts)
 	home := homeEngine(all, chain)
 	best := math.Inf(1)
--- a/placement/tracker_test.go
+++ b/placement/tracker_test.go
@@ -103,6 +103,25 @@
 	require.Equal(t, instance.ID("e0"), got)
 }
 
+// Guards against a stream that goes on at an engine of another software version.
+func TestOnlyEnginesOfTheRequiredVersionAreChosen(t *testing.T) {
+	all := testEngines(4)
+	for i := range all {
+		all[i].Version = []string{"v1", "v2"}[i%2]
+	}
+	all[1].Ejected = true
+	for range 20 {
+		got, _, found := newTracker().place(time.Unix(1000, 0), all, testLimits, Need{RequestID: "r", Version: "v2"})
+		require.True(t, found)
+		require.Equal(t, instance.ID("e3"), got)
+	}
+	got, _, found := newTracker().place(time.Unix(1000, 0), all, testLimits, Need{RequestID: "r", Version: "v2", Tried: []instance.ID{"e3"}})
+	require.True(t, found, "an ejected engine of the version is better than none")
+	require.Equal(t, instance.ID("e1"), got)
+	_, _, found = newTracker().place(time.Unix(1000, 0), all, testLimits, Need{RequestID: "r", Version: "v3"})
+	require.False(t, found)
+}
+
 func TestFullEnginesAreChosenLast(t *testing.T) {
 	b, now := newTracker(), time.Unix(1000, 0)
 	limits := Limits{Concurrency: 2, CacheTokens: 500_000}
