A caller's stream goes on only at the version that began it, at any host

Callers that came back with a broken stream got the rest from an upstream of another software version. A caller's next try reaches another host, and no host but the one that began the stream could know which version did; that one may be gone. The state that binds a stream to the run that began it was held by nobody.

The host that writes a stream's first event now records the version under the caller's attempt and sends the record to three other hosts, the first by rendezvous hashing of the attempt's ID, in the background, batched for each destination, so that streams which begin together cost one call. A request with Resumes is looked up locally, else at the first five hosts at once for at most 150 ms, before its stages run. It goes on only at that version, also after failures within its answer, and its record is sent again with the new deadline. It stays with the service that began it while the route still has it as a target.

If no host knows the attempt, or it names none, the request goes on only if the service had no other version for a minute, upstreams that left included; there it can come to no other one. Otherwise it gets 503 with Retry-After and nothing runs (`stream_version_unknown`), and also if no upstream of the version is left (`version_gone`). Where one version serves, a restart of all hosts so refuses nothing that went on before.

TestStreamStaysWithTheServiceThatBeganIt fails without the line that keeps the service.

Request lines have stream_version, version_source and version_unanswered; look-ups are counted in seam_resume_lookups_total.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -29,6 +29,7 @@
 	"github.com/galenaseam/galenaseam/pace"
 	"github.com/galenaseam/galenaseam/placement"
 	"github.com/galenaseam/galenaseam/quarantine"
+	"github.com/galenaseam/galenaseam/resume"
 	"github.com/galenaseam/galenaseam/retry"
 	"github.com/galenaseam/galenaseam/routing"
 	"github.com/galenaseam/galenaseam/staging"
@@ -107,6 +108,7 @@
 	directory  *directory.Directory
 	transport  *transport.Client
 	gatherer   *staging.Gatherer
+	streams    *resume.Keeper
 	gateway    *gateway.Gateway
 	retries    *retry.Budget
 	callers    *callerServer
@@ -194,12 +196,13 @@
 		Engines: h.instances, Service: h.service, Owners: h.owners, Caller: h.peerClient,
 		DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
 	}, h.mux)
+	h.streams = resume.New(resume.Config{Fleet: h.members, Caller: h.peerClient, Logger: h.logger, Registerer: h.registry}, h.mux)
 	h.gateway = gateway.New(gateway.Config{
 		Codec: h.platform.Codec, Routes: h.directory.Routes, Instances: h.instances, Transport: h.transport,
 		Stages: staging.NewRunner(staging.RunnerConfig{
 			Owners: h.owners, Caller: h.peerClient, Gatherer: h.gatherer, Service: h.service, Logger: h.logger,
 		}, h.mux),
-		Retries: h.retries, ResponseTimes: pace.NewTable(), Placer: placer, Quarantine: suspects, DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
+		Retries: h.retries, ResponseTimes: pace.NewTable(), Placer: placer, Streams: h.streams, Quarantine: suspects, DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
 		Metrics: gateway.NewMetrics(h.registry),
 	})
 	h.callers = newCallerServer(h.gateway, h.directory.Routes, h.logger)
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -269,3 +269,39 @@
 	time.Sleep(changeTime)
 	f.requireRefused(f.resume(n, "r1", "attempt-that-no-host-saw", 2), 0)
 }
+
+// Guards against a stream of a route with several services that another service
+// goes on with, because each of the caller's tries chooses a service anew.
+func TestStreamStaysWithTheServiceThatBeganIt(t *testing.T) {
+	f := &versionedFleet{fleet: newFleet(t)}
+	f.configure(1, func(c map[string]any) {
+		c["services"] = append(c["services"].([]map[string]any), map[string]any{"name": "more-events", "max_conns": 50})
+		for _, route := range c["routes"].([]map[string]any) {
+			if route["name"] == "talk" {
+				route["split"] = []map[string]any{{"service": "events", "weight": 1}, {"service": "more-events", "weight": 1}}
+			}
+		}
+	})
+	for _, service := range []string{"events", "more-events"} {
+		f.upstreams = append(f.upstreams, f.upstream(&platformtest.Upstream{
+			ID: "of-" + service, Service: service, Version: "v1", Events: versionedEvents, EventPause: 10 * time.Millisecond,
+		}))
+	}
+	n := f.start()
+	m := f.start()
+	for i := range 10 {
+		id := fmt.Sprint("r", i)
+		begun := f.begin(n, id)
+		rest := f.resume(m, id+"-second", id, 2)
+		require.Equal(t, http.StatusOK, rest.status)
+		requireComplete(t, begun+rest.body, id)
+	}
+	for _, u := range f.upstreams {
+		byID := make(map[string]bool)
+		for _, run := range u.Runs() {
+			byID[strings.TrimSuffix(run.RequestID, "-second")] = true
+		}
+		require.Len(t, u.Runs(), 2*len(byID), "each stream began and went on here")
+		require.NotEmpty(t, byID)
+	}
+}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -139,6 +139,9 @@
 	if x.request.Resumes != "" {
 		attrs = append(attrs, slog.String("resumes", x.request.Resumes))
 	}
+	if x.resumption != nil {
+		attrs = append(attrs, x.resumption.logAttrs()...)
+	}
 	if x.stagesTook > 0 {
 		attrs = append(attrs, slog.Int64("stages_ms", x.stagesTook.Milliseconds()))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/galenaseam/galenaseam/pace"
 	"github.com/galenaseam/galenaseam/placement"
 	"github.com/galenaseam/galenaseam/quarantine"
+	"github.com/galenaseam/galenaseam/resume"
 	"github.com/galenaseam/galenaseam/retry"
 	"github.com/galenaseam/galenaseam/routing"
 	"github.com/galenaseam/galenaseam/staging"
@@ -55,6 +56,7 @@
 	Retries       *retry.Budget
 	ResponseTimes *pace.Table
 	Placer        *placement.Placer
+	Streams       *resume.Keeper
 	Quarantine    *quarantine.Quarantine
 	DataCentre    host.DataCentre
 	Logger        *slog.Logger
@@ -108,7 +110,9 @@
 	// version is the software version of the upstreams that may serve the request;
 	// "" means any. A stream has the one that began it.
 	version string
-	digest  quarantine.Digest
+	// resumption is nil unless the caller resumes a stream.
+	resumption *resumption
+	digest     quarantine.Digest
 	// runAlone means that the request is suspected of crashing upstreams and
 	// that only this host may run it now. completed means that an upstream ran
 	// it to its end.
@@ -229,6 +233,10 @@
 		return
 	}
 	defer x.release()
+	if refused, ok := x.requireVersion(); !ok {
+		x.refuse(refused)
+		return
+	}
 	if refused, ok := x.runStages(); !ok {
 		x.refuse(refused)
 		return
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -107,6 +107,9 @@
 	byService      map[string][]*Instance // ordered by ID
 	tombstones     map[ID]int64           // revision of each removal; entries up to it are ignored
 	tombstoneFloor int64                  // removals before this revision may be missing
+	// formerVersions is when the last upstream of a software version was removed, by
+	// service and version.
+	formerVersions map[string]map[string]time.Time
 	changed        func(Change)
 }
 
@@ -126,7 +129,9 @@
 		byID:       make(map[ID]*Instance),
 		byService:  make(map[string][]*Instance),
 		tombstones: make(map[ID]int64),
-		changed:    changed,
+
+		formerVersions: make(map[string]map[string]time.Time),
+		changed:        changed,
 	}
 }
 
@@ -219,10 +224,36 @@
 }
 
 func (t *Table) drop(i *Instance) {
+	former := t.formerVersions[i.Service]
+	if former == nil {
+		former = make(map[string]time.Time)
+		t.formerVersions[i.Service] = former
+	}
+	former[i.Version] = time.Now()
 	delete(t.byID, i.ID)
 	t.byService[i.Service] = slices.DeleteFunc(t.byService[i.Service], func(o *Instance) bool { return o == i })
 }
 
+// Versions returns the software versions of a service's upstreams, in no
+// particular order: of those that may get new work, those that are leaving, and
+// those that were removed after a time.
+func (t *Table) Versions(service string, removedAfter time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	versions := make(map[string]bool)
+	for _, i := range t.byService[service] {
+		versions[i.Version] = true
+	}
+	for version, removed := range t.formerVersions[service] {
+		if removed.After(removedAfter) {
+			versions[version] = true
+		} else {
+			delete(t.formerVersions[service], version)
+		}
+	}
+	return slices.Collect(maps.Keys(versions))
+}
+
 // Entries returns all entries in no particular order.
 func (t *Table) Entries() []Entry {
 	t.mu.Lock()
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -113,3 +113,20 @@
 	require.Equal(t, got, instance.OfVersion(got, "v2"))
 	require.Empty(t, instance.OfVersion(got, "v1"))
 }
+
+// Guards against a stream of an unknown version that goes on at the only version
+// listed, while it may have begun at one that leaves or was removed shortly before.
+func TestVersionsIncludeLeavingAndRecentlyRemovedUpstreams(t *testing.T) {
+	table := instance.NewTable(nil)
+	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 1, Version: "v1"})
+	table.Put(instance.Entry{ID: "b", Service: "s", Revision: 2, Version: "v2", Leaving: true})
+	table.Put(instance.Entry{ID: "c", Service: "s", Revision: 3, Version: "v3"})
+	table.Put(instance.Entry{ID: "d", Service: "other", Revision: 4, Version: "v4"})
+	hourAgo := time.Now().Add(-time.Hour)
+	require.ElementsMatch(t, []string{"v1", "v2", "v3"}, table.Versions("s", hourAgo))
+	table.Remove("b", 5)
+	table.Put(instance.Entry{ID: "c", Service: "s", Revision: 6, Version: "v5"})
+	require.ElementsMatch(t, []string{"v1", "v2", "v3", "v5"}, table.Versions("s", hourAgo))
+	require.ElementsMatch(t, []string{"v1", "v5"}, table.Versions("s", time.Now()))
+	require.Empty(t, table.Versions("none", hourAgo))
+}
