--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -32,6 +32,8 @@
 type attemptPlan struct {
 	// tried are the upstreams that must not be chosen again.
 	tried []instance.ID
+	// version is the software version that the upstream must have; "" means any.
+	version string
 	// retry is true if the request was sent to an upstream before. Such an attempt
 	// needs an allowance of the retry budget.
 	retry bool
@@ -136,7 +138,7 @@
 	inputs := s.stageResults()
 	if inputs == nil && len(s.route.Stages) > 0 {
 		var err error
-		if inputs, err = s.runStagesUntil(s.ctx, s.plan.firstEventBy); err != nil {
+		if inputs, err = s.runStagesUntil(s.ctx, s.plan.firstEventBy, s.plan.version); err != nil {
 			return "inputs_gone"
 		}
 		if !s.keep(inputs) {
@@ -144,7 +146,7 @@
 		}
 	}
 	s.inputsSent = inputs
-	chosen, ticket, found := s.chooseUpstream(s.ctx, s.plan.tried, inputs, s.plan.random)
+	chosen, ticket, found := s.chooseUpstream(s.ctx, s.plan, inputs)
 	switch {
 	case !found:
 		return "no_upstream"
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,20 +15,20 @@
 
 // chooseUpstream chooses the next upstream. The ticket is empty unless the
 // upstream is an engine.
-func (x *exchange) chooseUpstream(ctx context.Context, tried []instance.ID, inputs *staging.Results, random *rand.Rand) (instance.Status, placement.Ticket, bool) {
+func (x *exchange) chooseUpstream(ctx context.Context, plan attemptPlan, inputs *staging.Results) (instance.Status, placement.Ticket, bool) {
 	if !x.needsEngine() {
 		all := x.config.Instances.Service(x.service, time.Now())
-		chosen, found := balance.ChooseUpstream(all, balance.Need{PreferredDataCentre: x.config.DataCentre, Tried: tried}, random)
+		chosen, found := balance.ChooseUpstream(all, balance.Need{PreferredDataCentre: x.config.DataCentre, Tried: plan.tried, Version: plan.version}, plan.random)
 		return chosen, placement.Ticket{}, found
 	}
 	need := placement.Need{
 		RequestID: x.placementID(), Service: x.service, Parts: x.request.Prompt.Parts,
-		Tokens: x.request.Prompt.Tokens, ExpectedOutputTokens: x.expectedOutputTokens(), Tried: tried,
+		Tokens: x.request.Prompt.Tokens, ExpectedOutputTokens: x.expectedOutputTokens(), Tried: plan.tried, Version: plan.version,
 	}
 	if inputs != nil {
 		need.Inputs = inputs.Bytes
 	}
-	ticket, found := x.config.Placer.Place(ctx, need, random)
+	ticket, found := x.config.Placer.Place(ctx, need, plan.random)
 	return ticket.Engine, ticket, found
 }
 
@@ -48,12 +47,13 @@
 }
 
 // engineDataCentre returns the data centre of the engine that is likely to run
-// the request; "" if the service has no engines.
-func (x *exchange) engineDataCentre() host.DataCentre {
+// the request, if it must have a software version; "" if the service has no engines.
+func (x *exchange) engineDataCentre(version string) host.DataCentre {
 	if !x.needsEngine() {
 		return ""
 	}
-	return placement.HomeDataCentre(x.config.Instances.Service(x.service, time.Now()), x.request.Prompt.Parts)
+	engines := instance.OfVersion(x.config.Instances.Service(x.service, time.Now()), version)
+	return placement.HomeDataCentre(engines, x.request.Prompt.Parts)
 }
 
 // expectedOutputTokens estimates the number of generated tokens.
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -136,6 +136,12 @@
 		attrs = append(attrs, slog.String("route", route), slog.String("workspace", x.workspace),
 			slog.String("service", x.service), slog.Bool("may_have_run", x.mayHaveRun))
 	}
+	if x.request.Resumes != "" {
+		attrs = append(attrs, slog.String("resumes", x.request.Resumes))
+	}
+	if x.resumption != nil {
+		attrs = append(attrs, x.resumption.logAttrs()...)
+	}
 	if x.stagesTook > 0 {
 		attrs = append(attrs, slog.Int64("stages_ms", x.stagesTook.Milliseconds()))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/galenaseam/galenaseam/pace"
 	"github.com/galenaseam/galenaseam/placement"
 	"github.com/galenaseam/galenaseam/quarantine"
+	"github.com/galenaseam/galenaseam/resume"
 	"github.com/galenaseam/galenaseam/retry"
 	"github.com/galenaseam/galenaseam/routing"
 	"github.com/galenaseam/galenaseam/staging"
@@ -56,6 +57,7 @@
 	Retries       *retry.Budget
 	ResponseTimes *pace.Table
 	Placer        *placement.Placer
+	Streams       *resume.Keeper
 	Quarantine    *quarantine.Quarantine
 	DataCentre    host.DataCentre
 	Logger        *slog.Logger
@@ -106,7 +108,12 @@
 	table   *routing.Table
 	route   *routing.Route
 	service string
-	digest  quarantine.Digest
+	// version is the software version of the upstreams that may serve the request;
+	// "" means any. A stream has the one that began it.
+	version string
+	// resumption is nil unless the caller resumes a stream.
+	resumption *resumption
+	digest     quarantine.Digest
 	// runAlone means that the request is suspected of crashing upstreams and
 	// that only this host may run it now. completed means that an upstream ran
 	// it to its end.
@@ -233,6 +240,10 @@
 		return
 	}
 	defer x.release()
+	if refused, ok := x.requireVersion(); !ok {
+		x.refuse(refused)
+		return
+	}
 	if refused, ok := x.runStages(); !ok {
 		x.refuse(refused)
 		return
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -76,7 +76,7 @@
 	if len(x.route.Stages) == 0 {
 		return refusal{}, true
 	}
-	results, err := x.runStagesUntil(x.ctx, x.startBy)
+	results, err := x.runStagesUntil(x.ctx, x.startBy, x.version)
 	x.stagesTook = time.Since(x.request.Arrived)
 	if err == nil {
 		x.replaceInputs(results)
@@ -91,11 +91,12 @@
 	}, false
 }
 
-// runStagesUntil runs the stages so that the upstream can send its first event by a time.
-func (x *exchange) runStagesUntil(ctx context.Context, firstEventBy time.Time) (*staging.Results, error) {
+// runStagesUntil runs the stages so that an upstream of a software version, "" for any,
+// can send its first event by a time.
+func (x *exchange) runStagesUntil(ctx context.Context, firstEventBy time.Time, version string) (*staging.Results, error) {
 	meanResponseTime := x.config.ResponseTimes.Mean(x.service)
 	return x.config.Stages.Run(ctx, staging.Work{
 		Request: x.request, Stages: x.route.Stages, Deadline: firstEventBy.Add(-meanResponseTime),
-		TargetTime: x.targetTime.Add(-meanResponseTime), Priority: x.priority, EngineDataCentre: x.engineDataCentre(),
+		TargetTime: x.targetTime.Add(-meanResponseTime), Priority: x.priority, EngineDataCentre: x.engineDataCentre(version),
 	})
 }
--- a/gateway/race.go
+++ b/gateway/race.go
@@ -150,7 +150,7 @@
 // start begins an attempt on another upstream.
 func (r *race) start() {
 	s := r.newAttempt(attemptPlan{
-		tried: r.unavailable(), retry: len(r.tried)+len(r.running) > 0 || r.stagesRerun, lastEvent: r.lastEventID,
+		tried: r.unavailable(), version: r.version, retry: len(r.tried)+len(r.running) > 0 || r.stagesRerun, lastEvent: r.lastEventID,
 		firstEventBy: r.callerPatienceEnd(), random: rand.New(rand.NewPCG(r.random.Uint64(), r.random.Uint64())),
 	})
 	r.running = append(r.running, s)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,8 +10,11 @@
 	"github.com/galenaseam/galenaseam/instance"
 )
 
-// errNoEvent is the error of a replacement that ended without an event.
-var errNoEvent = errors.New("stream ended without an event")
+// Why a replacement can't go on with a stream.
+var (
+	errNoEvent      = errors.New("stream ended without an event")
+	errWrongVersion = errors.New("another software version began the stream")
+)
 
 // readEvents reports the events of an answer as they arrive, and its end. closeBody
 // returns the connection to the pool.
@@ -42,6 +45,9 @@
 	if e.id != call.NoEvent && r.lastEventID != call.NoEvent && e.id <= r.lastEventID {
 		return false
 	}
+	if !r.bindVersion(s) {
+		return r.onAttemptEnded(s, report{result: outcomeUnknown, outcome: instance.Abandoned, status: a.Status, label: "wrong_version", err: errWrongVersion})
+	}
 	s.silences, s.failedProbes = 0, 0
 	r.win(s)
 	r.serving = s
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -31,6 +31,9 @@
 	StartTime time.Time `cbor:"8,keyasint"`
 	// Revision is the revision of the entry in the store.
 	Revision int64 `cbor:"9,keyasint"`
+	// Version is the version of the upstream's software. What two versions write
+	// for one stream does not fit together.
+	Version string `cbor:"10,keyasint"`
 }
 
 // maxTombstones bounds the removals that are remembered. It is several times
@@ -78,6 +81,25 @@
 	ErrorRate float64
 }
 
+// HasVersion reports whether the upstream has a required version of the software;
+// every upstream has version "".
+func (e Entry) HasVersion(version string) bool { return version == "" || e.Version == version }
+
+// OfVersion returns the upstreams that have a required version of the software.
+// For version "" it returns all.
+func OfVersion(all []Status, version string) []Status {
+	if version == "" {
+		return all
+	}
+	var of []Status
+	for _, s := range all {
+		if s.HasVersion(version) {
+			of = append(of, s)
+		}
+	}
+	return of
+}
+
 // Table holds the upstreams of every service. It is safe for concurrent use.
 type Table struct {
 	mu             sync.Mutex
@@ -85,6 +107,9 @@
 	byService      map[string][]*Instance // ordered by ID
 	tombstones     map[ID]int64           // revision of each removal; entries up to it are ignored
 	tombstoneFloor int64                  // removals before this revision may be missing
+	// formerVersions is when the last upstream of a software version was removed, by
+	// service and version.
+	formerVersions map[string]map[string]time.Time
 	changed        func(Change)
 }
 
@@ -104,7 +129,9 @@
 		byID:       make(map[ID]*Instance),
 		byService:  make(map[string][]*Instance),
 		tombstones: make(map[ID]int64),
-		changed:    changed,
+
+		formerVersions: make(map[string]map[string]time.Time),
+		changed:        changed,
 	}
 }
 
@@ -132,7 +159,7 @@
 	if old.Revision >= e.Revision {
 		return ""
 	}
-	sameProcess := old.StartTime.Equal(e.StartTime) && old.Addr == e.Addr && old.Service == e.Service
+	sameProcess := old.StartTime.Equal(e.StartTime) && old.Addr == e.Addr && old.Service == e.Service && old.Version == e.Version
 	if !sameProcess {
 		t.drop(old)
 		t.add(&Instance{Entry: e})
@@ -197,10 +224,36 @@
 }
 
 func (t *Table) drop(i *Instance) {
+	former := t.formerVersions[i.Service]
+	if former == nil {
+		former = make(map[string]time.Time)
+		t.formerVersions[i.Service] = former
+	}
+	former[i.Version] = time.Now()
 	delete(t.byID, i.ID)
 	t.byService[i.Service] = slices.DeleteFunc(t.byService[i.Service], func(o *Instance) bool { return o == i })
 }
 
+// Versions returns the software versions of a service's upstreams, in no
+// particular order: of those that may get new work, those that are leaving, and
+// those that were removed after a time.
+func (t *Table) Versions(service string, removedAfter time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	versions := make(map[string]bool)
+	for _, i := range t.byService[service] {
+		versions[i.Version] = true
+	}
+	for version, removed := range t.formerVersions[service] {
+		if removed.After(removedAfter) {
+			versions[version] = true
+		} else {
+			delete(t.formerVersions[service], version)
+		}
+	}
+	return slices.Collect(maps.Keys(versions))
+}
+
 // Entries returns all entries in no particular order.
 func (t *Table) Entries() []Entry {
 	t.mu.Lock()
