Upstreams that say in an answer that they leave get no new work

Callers saw: requests went on to such an upstream until its entry in the store said draining, which some never do. Cause: the header was not read.

Each answer that arrives is now shown to the host by the transport before it is used, also those that are thrown away as they answer other calls, refusals, heads of streams and answers of stage servers to runs, reports and frees. The mark is kept in instance.Table beside the entry, by ID and start time, so no entry overrides it: not a newer revision that says ready, not one that lapses and returns, not a peer's copy. A new process under the ID starts clean. The entries given to other hosts stay those of the store.

The host that sends checks its own table after the placement owner has chosen, and tells the owner which engines it may not use (in Need.Tried). An upstream that is refused between choice and sending costs no retry budget and no try of the route, since it was sent nothing.

The header is still forwarded to callers.

An answer with status 421 is from another process than the one that was asked, so it marks the upstream that the table lists at that address.

Not covered: a free names only an address, so its answer marks nothing if the server's entry has lapsed at that moment.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -96,6 +96,7 @@
 	platform Platform
 	logger   *slog.Logger
 	registry *prometheus.Registry
+	notices  *noticeMetrics
 
 	info       host.Info
 	mux        *link.Mux
@@ -126,6 +127,7 @@
 	}
 	h := &Host{settings: settings, latestSettings: settings, platform: platform, logger: logger, registry: registry, mux: link.NewMux()}
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	h.notices = newNoticeMetrics(registry)
 	h.info = host.Info{
 		ID:       host.ID(settings.Name + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)),
 		Place:    settings.Place,
@@ -149,6 +151,7 @@
 	h.peerClient = link.NewClient(link.ClientConfig{Key: h.settings.FleetKey, DialTimeout: peerDialTimeout})
 	h.transport = transport.New(h.registry)
 	h.instances = instance.NewTable(h.onUpstreamChange)
+	h.transport.OnAnswer(h.onUpstreamAnswer)
 	hostList := &directoryHostList{}
 	var err error
 	h.members, err = member.New(member.Config{
@@ -235,8 +238,9 @@
 	if c.Kind == "changed" {
 		return
 	}
+	h.notices.count(c)
 	h.logger.Info("upstream "+c.Kind, "upstream", string(c.ID), "service", c.Service, "addr", c.Addr.String(),
-		"data_centre", string(c.DataCentre), "revision", c.Revision)
+		"data_centre", string(c.DataCentre), "revision", c.Revision, "source", string(c.Source))
 	if c.Kind == "removed" {
 		h.transport.CloseIdle(c.Addr)
 	}
--- /dev/null
+++ b/edge/notices.go
@@ -0,0 +1,44 @@
+package edge
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/transport"
+)
+
+// noticeMetrics counts what upstreams say about themselves in their answers.
+type noticeMetrics struct {
+	notices *prometheus.CounterVec
+}
+
+func newNoticeMetrics(registerer prometheus.Registerer) *noticeMetrics {
+	m := &noticeMetrics{notices: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "seam_upstream_notices_total", Help: "Changes of upstreams that their answers told of, by service and kind.",
+	}, []string{"service", "kind"})}
+	registerer.MustRegister(m.notices)
+	return m
+}
+
+func (m *noticeMetrics) count(c instance.Change) {
+	if c.Source == instance.SourceAnswer {
+		m.notices.WithLabelValues(c.Service, c.Kind).Inc()
+	}
+}
+
+// onUpstreamAnswer records what the sender of an answer says about itself.
+func (h *Host) onUpstreamAnswer(c *transport.Call, r *http.Response) {
+	notice := h.platform.Codec.DecodeNotice(r)
+	if !notice.Leaving {
+		return
+	}
+	sender, known := c.Upstream, c.Upstream.ID != ""
+	if !known || notice.WrongUpstream {
+		sender, known = h.instances.ProcessAt(c.Addr, c.Upstream.ID)
+	}
+	if known {
+		h.instances.MarkLeaving(sender)
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -74,7 +74,7 @@
 			x.giveUp("no_upstream")
 			return
 		}
-		if len(tried) > 0 && !x.config.Retries.AllowRetry(x.service, time.Now()) {
+		if len(tried) > x.withheld && !x.config.Retries.AllowRetry(x.service, time.Now()) {
 			x.giveUp("retry_budget")
 			return
 		}
@@ -88,7 +88,7 @@
 				x.giveUp("inputs_gone")
 				return
 			}
-			tried = nil
+			tried, x.withheld = nil, 0
 		case outcomeUnknown:
 			x.mayHaveRun = true
 			possibleRuns++
@@ -97,7 +97,7 @@
 				return
 			}
 		}
-		if len(tried) >= x.route.MaxUpstreams+maxExtraAttempts {
+		if len(tried)-x.withheld >= x.route.MaxUpstreams+maxExtraAttempts {
 			x.giveUp("tries_used_up")
 			return
 		}
@@ -169,6 +169,7 @@
 	s := &upstreamAttempt{exchange: x, ctx: ctx, chosen: chosen, ticket: ticket, sentAt: time.Now()}
 	var begun bool
 	if s.use, begun = x.config.Instances.Begin(chosen.ID, x.tokenCost()); !begun {
+		x.withheld++
 		s.end(instance.Abandoned, 0, "left")
 		return nil, notRun
 	}
@@ -183,7 +184,7 @@
 		attempt.Inputs = x.inputs.Inputs
 	}
 	got, err := x.config.Transport.Do(ctx, &transport.Call{
-		Addr: chosen.Addr, Method: x.request.Method, Target: x.request.Target, Host: x.request.Host,
+		Addr: chosen.Addr, Upstream: chosen.Process(), Method: x.request.Method, Target: x.request.Target, Host: x.request.Host,
 		Header: x.config.Codec.EncodeRequest(x.request, attempt),
 		Body:   x.request.Body, Chunked: x.request.Chunked,
 		Matches:       x.isMine,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,8 @@
 	EncodeRequest(q *call.Request, a call.Attempt) http.Header
 	// DecodeAnswer translates the status and headers of an upstream's answer.
 	DecodeAnswer(r *http.Response) *call.Answer
+	// DecodeNotice returns what the sender of an answer says about itself.
+	DecodeNotice(r *http.Response) call.Notice
 	// IdleTimeout returns how long an upstream keeps an unused connection
 	// open, according to the headers of its answer.
 	IdleTimeout(h http.Header) time.Duration
@@ -124,7 +126,10 @@
 	ctx          context.Context
 	inputs       *staging.Results
 	stagesRedone bool // the stages were run a second time
-	random       *rand.Rand
+	// withheld counts the chosen upstreams that were sent nothing, because they may
+	// get no new work by the time of sending.
+	withheld int
+	random   *rand.Rand
 
 	mayHaveRun bool // an upstream may have run the request
 	started    bool // the status and headers of the answer were sent
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -59,6 +59,7 @@
 // are guarded by the table's lock.
 type Instance struct {
 	Entry
+	notice
 	inFlight     int
 	tokens       int // prompt and output tokens in flight
 	failures     int // calls that broke since the last answered one
@@ -85,6 +86,8 @@
 	byService      map[string][]*Instance // ordered by ID
 	tombstones     map[ID]int64           // revision of each removal; entries up to it are ignored
 	tombstoneFloor int64                  // removals before this revision may be missing
+	kept           map[processKey]keptNotice
+	keptOrder      uint64
 	changed        func(Change)
 }
 
@@ -92,8 +95,19 @@
 type Change struct {
 	Entry
 	Kind string // "added", "leaving", "removed" or "changed"
+	// Source is what told of the change.
+	Source Source
 }
 
+// Source is what told of a change.
+type Source string
+
+// The sources of a change.
+const (
+	SourceEntry  Source = "entry"  // the upstream's entry in the store
+	SourceAnswer Source = "answer" // an answer of the upstream to this host
+)
+
 // NewTable creates an empty table. changed, if not nil, is called after each
 // change without holding the lock.
 func NewTable(changed func(Change)) *Table {
@@ -104,6 +118,7 @@
 		byID:       make(map[ID]*Instance),
 		byService:  make(map[string][]*Instance),
 		tombstones: make(map[ID]int64),
+		kept:       make(map[processKey]keptNotice),
 		changed:    changed,
 	}
 }
@@ -114,7 +129,7 @@
 	kind := t.put(e)
 	t.mu.Unlock()
 	if kind != "" {
-		t.changed(Change{Entry: e, Kind: kind})
+		t.changed(Change{Entry: e, Kind: kind, Source: SourceEntry})
 	}
 }
 
@@ -138,7 +153,7 @@
 		t.add(&Instance{Entry: e})
 		return "added"
 	}
-	wasLeaving := old.Leaving
+	wasLeaving := old.isLeaving()
 	old.Entry = e
 	if e.Leaving && !wasLeaving {
 		return "leaving"
@@ -160,7 +175,7 @@
 	}
 	t.mu.Unlock()
 	if gone {
-		t.changed(Change{Entry: old.Entry, Kind: "removed"})
+		t.changed(Change{Entry: old.Entry, Kind: "removed", Source: SourceEntry})
 	}
 }
 
@@ -190,6 +205,7 @@
 }
 
 func (t *Table) add(i *Instance) {
+	t.restore(i)
 	t.byID[i.ID] = i
 	list := append(t.byService[i.Service], i)
 	slices.SortFunc(list, func(a, b *Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
@@ -197,6 +213,7 @@
 }
 
 func (t *Table) drop(i *Instance) {
+	t.keep(i.Process(), i.notice)
 	delete(t.byID, i.ID)
 	t.byService[i.Service] = slices.DeleteFunc(t.byService[i.Service], func(o *Instance) bool { return o == i })
 }
@@ -219,7 +236,7 @@
 	defer t.mu.Unlock()
 	var all []Status
 	for _, i := range t.byService[name] {
-		if i.Leaving {
+		if i.isLeaving() {
 			continue
 		}
 		all = append(all, Status{
@@ -281,7 +298,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	i := t.byID[id]
-	if i == nil || i.Leaving {
+	if i == nil || i.isLeaving() {
 		return nil, false
 	}
 	i.inFlight++
--- /dev/null
+++ b/instance/notices.go
@@ -0,0 +1,131 @@
+package instance
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Process identifies an upstream process. A later process may have the same ID.
+type Process struct {
+	ID        ID
+	StartTime time.Time
+}
+
+// Process returns the process that the entry describes.
+func (e Entry) Process() Process { return Process{ID: e.ID, StartTime: e.StartTime} }
+
+// key returns the process as a map key: equal times may differ in location.
+func (p Process) key() processKey {
+	return processKey{id: p.ID, startMS: p.StartTime.UnixMilli()}
+}
+
+type processKey struct {
+	id      ID
+	startMS int64 // Unix time
+}
+
+// notice is what a process has said about itself in its answers to this host. It
+// is not part of the entry, so it is not sent to other hosts and no entry
+// overrides it.
+type notice struct {
+	leaving bool
+}
+
+// keptNotice is the notice of a process that is not listed.
+type keptNotice struct {
+	notice
+	order uint64 // grows with each kept notice
+}
+
+// maxKeptNotices bounds the notices of processes that are not listed. The older
+// half is dropped above it.
+const maxKeptNotices = 4096
+
+// MarkLeaving records that a process has said in an answer that it is leaving. It
+// gets no new work from this host, whatever a later entry of the same process
+// says, also if its entry is removed and returns.
+func (t *Table) MarkLeaving(p Process) {
+	t.mu.Lock()
+	var change *Change
+	if i := t.listed(p); i != nil {
+		if !i.isLeaving() {
+			change = &Change{Entry: i.Entry, Kind: "leaving", Source: SourceAnswer}
+		}
+		i.leaving = true
+	} else {
+		n := t.kept[p.key()].notice
+		n.leaving = true
+		t.keep(p, n)
+	}
+	t.mu.Unlock()
+	if change != nil {
+		t.changed(*change)
+	}
+}
+
+// ProcessAt returns the listed upstream with an address. It ignores the one with
+// the ID except.
+func (t *Table) ProcessAt(addr netip.AddrPort, except ID) (Process, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, i := range t.byID {
+		if i.Addr == addr && i.ID != except {
+			return i.Process(), true
+		}
+	}
+	return Process{}, false
+}
+
+// Withheld returns the upstreams of a service that only this host must not send
+// new work to, because of their answers to it.
+func (t *Table) Withheld(name string) (all []ID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, i := range t.byService[name] {
+		if i.leaving {
+			all = append(all, i.ID)
+		}
+	}
+	return all
+}
+
+// isLeaving reports whether the entry or an answer says that the upstream is
+// leaving.
+func (i *Instance) isLeaving() bool { return i.Leaving || i.leaving }
+
+// listed returns the upstream if the table lists this process, otherwise nil. The
+// caller holds mu.
+func (t *Table) listed(p Process) *Instance {
+	if i := t.byID[p.ID]; i != nil && i.Process().key() == p.key() {
+		return i
+	}
+	return nil
+}
+
+// keep remembers the notice of a process that is not listed. The caller holds mu.
+func (t *Table) keep(p Process, n notice) {
+	if n == (notice{}) {
+		return
+	}
+	t.keptOrder++
+	t.kept[p.key()] = keptNotice{notice: n, order: t.keptOrder}
+	if len(t.kept) <= maxKeptNotices {
+		return
+	}
+	var orders []uint64
+	for _, k := range t.kept {
+		orders = append(orders, k.order)
+	}
+	slices.Sort(orders)
+	median := orders[len(orders)/2]
+	maps.DeleteFunc(t.kept, func(_ processKey, k keptNotice) bool { return k.order < median })
+}
+
+// restore gives a listed upstream the notice that was kept for it. The caller
+// holds mu.
+func (t *Table) restore(i *Instance) {
+	i.notice = t.kept[i.Process().key()].notice
+	delete(t.kept, i.Process().key())
+}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,20 +93,20 @@
 // Place chooses an engine for a request. found is false if there is none.
 func (p *Placer) Place(ctx context.Context, need Need, random *rand.Rand) (t Ticket, found bool) {
 	now := time.Now()
-	all := p.config.Engines.Service(need.Service, now)
-	if len(all) == 0 {
+	if len(p.config.Engines.Service(need.Service, now)) == 0 {
 		return Ticket{}, false
 	}
+	need.Tried = append(slices.Clone(need.Tried), p.config.Engines.Withheld(need.Service)...)
 	t = Ticket{placer: p, note: progressNote{Service: need.Service, RequestID: need.RequestID}}
 	owner, own := p.config.Owners.Owner(need.Service, now)
 	t.Owner = string(owner.ID)
 	if own {
 		reply := p.placeLocally(need)
 		t.Wait = reply.Wait
-		t.Engine, found = findEngine(all, reply.Engine)
+		t.Engine, found = p.findEngine(need.Service, reply.Engine)
 	} else if reply, err := p.placeRemotely(ctx, owner, need); err == nil {
 		t.Wait = reply.Wait
-		t.Engine, found = findEngine(all, reply.Engine)
+		t.Engine, found = p.findEngine(need.Service, reply.Engine)
 	} else if ctx.Err() == nil {
 		p.config.Owners.Avoid(owner.ID, now)
 		p.config.Logger.Warn("placement owner failed", "request", need.RequestID, "service", need.Service,
@@ -115,6 +116,7 @@
 		return t, true
 	}
 	t.Owner = ""
+	all := p.config.Engines.Service(need.Service, time.Now())
 	t.Engine, found = balance.ChooseEngine(all, balance.Need{Prefix: sharedPrefix(need), PreferredDataCentre: p.config.DataCentre, Tried: need.Tried}, random)
 	return t, found
 }
@@ -136,8 +138,10 @@
 	return link.CallIdempotent[Need, placeReply](ctx, p.config.Caller, owner.LinkAddr, placeMethod, need)
 }
 
-func findEngine(all []instance.Status, id instance.ID) (instance.Status, bool) {
-	for _, s := range all {
+// findEngine returns an engine that the owner has chosen. ok is false if this
+// host must not send it new work.
+func (p *Placer) findEngine(service string, id instance.ID) (found instance.Status, ok bool) {
+	for _, s := range p.config.Engines.Service(service, time.Now()) {
 		if s.ID == id {
 			return s, true
 		}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -74,7 +74,9 @@
 	ExpectedOutputTokens int `cbor:"5,keyasint"`
 	// Inputs is how many bytes of stage results each data centre holds.
 	Inputs map[host.DataCentre]int64 `cbor:"6,keyasint"`
-	Tried  []instance.ID             `cbor:"7,keyasint"`
+	// Tried are engines that must not be chosen: the request was sent to them, or
+	// the requesting host must not send them new work.
+	Tried []instance.ID `cbor:"7,keyasint"`
 }
 
 // Limits describe the capacity of one engine of a service.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -17,6 +17,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
+
+	"github.com/galenaseam/galenaseam/instance"
 )
 
 // Error is the class of every error this package returns.
@@ -53,8 +55,11 @@
 
 // Call is one call to an upstream.
 type Call struct {
-	Addr   netip.AddrPort
-	Method string
+	Addr netip.AddrPort
+	// Upstream is the process that the call is meant for; its ID is empty if only
+	// the address is known.
+	Upstream instance.Process
+	Method   string
 	// Target is the escaped path and query.
 	Target string
 	Host   string
@@ -81,13 +86,16 @@
 	maxIdle int
 	dials   prometheus.Counter
 	reuses  prometheus.Counter
+	// onAnswer is set before the first call.
+	onAnswer func(*Call, *http.Response)
 }
 
 // New returns a client. registerer may be nil.
 func New(registerer prometheus.Registerer) *Client {
 	c := &Client{
-		idle:    make(map[netip.AddrPort][]*conn),
-		maxIdle: maxIdlePerUpstream,
+		idle:     make(map[netip.AddrPort][]*conn),
+		maxIdle:  maxIdlePerUpstream,
+		onAnswer: func(*Call, *http.Response) {},
 		dials: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "seam_upstream_dials_total", Help: "Connections opened to upstreams.",
 		}),
@@ -101,6 +109,11 @@
 	return c
 }
 
+// OnAnswer sets the function that is called with the status and headers of each
+// answer that arrives, also of those that are discarded, before Do returns. It
+// must be set before the first call.
+func (c *Client) OnAnswer(f func(*Call, *http.Response)) { c.onAnswer = f }
+
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
@@ -135,7 +148,7 @@
 	sent, err := connection.send(call)
 	if err == nil {
 		var response *http.Response
-		if response, err = connection.receive(call); err == nil { //nolint:bodyclose // the caller closes the Answer
+		if response, err = c.receive(connection, call); err == nil { //nolint:bodyclose // the caller closes the Answer
 			a := &Answer{Response: response, client: c, conn: connection, call: call, stopWatch: stop, bodyWritten: sent}
 			a.Body = &body{ReadCloser: response.Body, answer: a}
 			return a, nil
@@ -275,7 +288,7 @@
 
 // receive reads answers until one belongs to the call. It skips informational
 // (1xx) answers.
-func (n *conn) receive(call *Call) (*http.Response, error) {
+func (c *Client) receive(n *conn, call *Call) (*http.Response, error) {
 	request := &http.Request{Method: call.Method}
 	for stale := 0; ; {
 		response, err := http.ReadResponse(n.reader, request)
@@ -285,6 +298,7 @@
 			}
 			return nil, err
 		}
+		c.onAnswer(call, response)
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -225,3 +225,22 @@
 	require.NoError(t, err)
 	require.Equal(t, "chunked ", body)
 }
+
+// An answer that is discarded, as it answers another call, must still be seen by
+// OnAnswer, and so must informational ones.
+func TestDiscardedAnswersAreReported(t *testing.T) {
+	addr, _ := server(t, func(_ int, r *http.Request) string {
+		return "HTTP/1.1 103 Early Hints\r\nId: early\r\n\r\n" + plain("stray", "of another") + plain(r.Header.Get("Id"), "own")
+	})
+	c := transport.New(nil)
+	var seen []string
+	c.OnAnswer(func(call *transport.Call, r *http.Response) {
+		seen = append(seen, string(call.Upstream.ID)+" "+r.Header.Get("Id"))
+	})
+	call := get(addr, "a")
+	call.Upstream.ID = "u"
+	body, err := do(t, c, call)
+	require.NoError(t, err)
+	require.Equal(t, "own", body)
+	require.Equal(t, []string{"u early", "u stray", "u a"}, seen)
+}
