Upstreams that ask for a pause get nothing until it ends

Callers saw: nothing of it; the host went on sending to such an upstream, and with a single upstream each request was another refusal there.

A 503 with Retry-After, in an answer of any kind, now pauses the process for this host in instance.Table, on the steady clock from the arrival of the answer, so never too early. The longest pause holds; a newer entry, or one that lapses and returns, does not end it; a new process under the ID is not paused.

Unlike an ejected upstream a paused one is left out of Table.Service, so nothing chooses it, also not as the last one; and the transport asks once before it connects and once more before it sends, so requests that were connecting when the answer came are not sent either. That holds for every call: requests, runs of pieces, frees and reports. Probes open a connection only.

When all upstreams of a service are paused a request is refused at once with 503 and the time until the first is back (outcome upstreams_paused). If it may have run on another the answer stays 502.

Engines: the owner of the placement is told in Need.Tried what the asking host may not use. Its own pauses do not bind other hosts, since a pause is of one machine.

Stages: while all servers are paused, a group that would miss its target if it started when the first is back is refused at once, and its caller gets that time as Retry-After; one that can still be in time waits in the queue. Frees count as requests that reach the server: they are held until the pause ends, or dropped with the expiry of the result. Results that this gatherer does not track are not freed on a paused server and expire there.

--- a/call/call.go
+++ b/call/call.go
@@ -140,11 +140,13 @@
 	PieceOverload
 	// PieceMoved: another host now gathers for the service.
 	PieceMoved
+	// PiecePaused: all stage servers have asked for a pause that ends too late.
+	PiecePaused
 )
 
 // String returns the lower-case name of the failure.
 func (f PieceFailure) String() string {
-	return [...]string{"done", "late", "input_gone", "no_room", "error", "refused", "overload", "moved"}[f]
+	return [...]string{"done", "late", "input_gone", "no_room", "error", "refused", "overload", "moved", "paused"}[f]
 }
 
 // PieceResult says where the result of a piece is held, or why there is none.
--- a/call/notice.go
+++ b/call/notice.go
@@ -1,10 +1,15 @@
 package call
 
+import "time"
+
 // Notice is what an upstream says about itself in an answer, whichever call it
 // answers.
 type Notice struct {
 	// Leaving means that the process must get no new work.
 	Leaving bool
+	// Pause is how long the process wants no request from this host; 0 if it has
+	// not asked for a pause.
+	Pause time.Duration
 	// WrongUpstream means that the notice is of another process than the one that
 	// the call was meant for.
 	WrongUpstream bool
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -152,6 +152,7 @@
 	h.transport = transport.New(h.registry)
 	h.instances = instance.NewTable(h.onUpstreamChange)
 	h.transport.OnAnswer(h.onUpstreamAnswer)
+	h.transport.Admit(h.admitCall)
 	hostList := &directoryHostList{}
 	var err error
 	h.members, err = member.New(member.Config{
@@ -232,15 +233,19 @@
 // onConfig tells the other hosts which version of the configuration this host uses.
 func (h *Host) onConfig(t *routing.Table) { h.members.SetGeneration(uint64(t.Version())) }
 
-// onUpstreamChange logs that an upstream was added, is leaving or was removed, and
+// onUpstreamChange logs that an upstream was added, is leaving, is paused or was removed, and
 // closes idle connections to removed ones.
 func (h *Host) onUpstreamChange(c instance.Change) {
 	if c.Kind == "changed" {
 		return
 	}
 	h.notices.count(c)
-	h.logger.Info("upstream "+c.Kind, "upstream", string(c.ID), "service", c.Service, "addr", c.Addr.String(),
-		"data_centre", string(c.DataCentre), "revision", c.Revision, "source", string(c.Source))
+	attrs := []any{"upstream", string(c.ID), "service", c.Service, "addr", c.Addr.String(),
+		"data_centre", string(c.DataCentre), "revision", c.Revision, "source", string(c.Source)}
+	if c.Kind == "paused" {
+		attrs = append(attrs, "until", c.Until)
+	}
+	h.logger.Info("upstream "+c.Kind, attrs...)
 	if c.Kind == "removed" {
 		h.transport.CloseIdle(c.Addr)
 	}
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -31,14 +32,27 @@
 // onUpstreamAnswer records what the sender of an answer says about itself.
 func (h *Host) onUpstreamAnswer(c *transport.Call, r *http.Response) {
 	notice := h.platform.Codec.DecodeNotice(r)
-	if !notice.Leaving {
+	if !notice.Leaving && notice.Pause == 0 {
 		return
 	}
 	sender, known := c.Upstream, c.Upstream.ID != ""
 	if !known || notice.WrongUpstream {
 		sender, known = h.instances.ProcessAt(c.Addr, c.Upstream.ID)
 	}
-	if known {
+	if !known {
+		return
+	}
+	if notice.Leaving {
 		h.instances.MarkLeaving(sender)
 	}
+	if notice.Pause > 0 {
+		now := time.Now()
+		h.instances.Pause(sender, now.Add(notice.Pause), now)
+	}
+}
+
+// admitCall reports whether a call may be sent: not to an upstream that has asked
+// this host for a pause.
+func (h *Host) admitCall(c *transport.Call) bool {
+	return !h.instances.IsPaused(c.Upstream, c.Addr, time.Now())
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -253,6 +253,10 @@
 // handleSendError ends an attempt that got no answer.
 func (s *upstreamAttempt) handleSendError(err error) attemptResult {
 	switch {
+	case errors.Is(err, transport.ErrWithheld):
+		s.withheld++
+		s.endWithError(instance.Abandoned, "paused", err)
+		return notRun
 	case errors.Is(err, transport.ErrNotSent) && s.ctx.Err() != nil && time.Since(s.sentAt) < slowConnectTime:
 		// This host ended the attempt soon after it began to connect, which says
 		// nothing about the upstream.
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -46,9 +46,13 @@
 
 // retryAfterOverload returns the estimated wait in the queue that refused the
 // caller, plus a random time that spreads the retries of callers refused together.
+// If all stage servers are paused, it returns the time until the first is back.
 func (x *exchange) retryAfterOverload(err error) time.Duration {
 	wait := overloadRetryAfter
 	if f := staging.AsFailure(err); f != nil {
+		if f.Reason == call.PiecePaused && f.Wait > 0 {
+			return f.Wait
+		}
 		wait = min(max(f.Wait, overloadRetryAfter), maxOverloadRetryAfter)
 	}
 	return wait + time.Duration(x.random.Int64N(int64(overloadRetryAfter)))
@@ -92,6 +96,9 @@
 	case !x.mayHaveRun:
 		f.status = http.StatusServiceUnavailable
 		f.retryAfter = noUpstreamRetryAfter + time.Duration(x.random.Int64N(int64(noUpstreamRetryAfter)))
+		if wait, paused := x.pausedFor(); paused {
+			f.reason, f.retryAfter = "upstreams_paused", wait
+		}
 	case !time.Now().Before(x.deadline):
 		f.status, f.reason = http.StatusGatewayTimeout, "deadline"
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -88,15 +88,18 @@
 	tombstoneFloor int64                  // removals before this revision may be missing
 	kept           map[processKey]keptNotice
 	keptOrder      uint64
+	lastPauseEnd   time.Time // no pause lasts longer
 	changed        func(Change)
 }
 
 // Change describes a change of the table, for logging.
 type Change struct {
 	Entry
-	Kind string // "added", "leaving", "removed" or "changed"
+	Kind string // "added", "leaving", "paused", "removed" or "changed"
 	// Source is what told of the change.
 	Source Source
+	// Until is the end of a pause.
+	Until time.Time
 }
 
 // Source is what told of a change.
@@ -229,14 +232,19 @@
 	return all
 }
 
-// Service returns the upstreams of a service that may get new work, ordered by
-// ID.
+// Service returns the upstreams of a service that this host may send new work to,
+// ordered by ID.
 func (t *Table) Service(name string, now time.Time) []Status {
+	return t.service(name, now, func(i *Instance) bool { return !i.isLeaving() && !i.isPaused(now) })
+}
+
+// service returns the upstreams of a service for which usable is true.
+func (t *Table) service(name string, now time.Time, usable func(*Instance) bool) []Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var all []Status
 	for _, i := range t.byService[name] {
-		if i.isLeaving() {
+		if !usable(i) {
 			continue
 		}
 		all = append(all, Status{
--- a/instance/notices.go
+++ b/instance/notices.go
@@ -31,6 +31,8 @@
 // overrides it.
 type notice struct {
 	leaving bool
+	// pausedUntil is when the process accepts requests of this host again.
+	pausedUntil time.Time
 }
 
 // keptNotice is the notice of a process that is not listed.
@@ -78,13 +80,13 @@
 	return Process{}, false
 }
 
-// Withheld returns the upstreams of a service that only this host must not send
-// new work to, because of their answers to it.
-func (t *Table) Withheld(name string) (all []ID) {
+// Withheld returns the upstreams of a service that this host must not send new work
+// to because of their answers to it, so that other hosts may not know.
+func (t *Table) Withheld(name string, now time.Time) (all []ID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, i := range t.byService[name] {
-		if i.leaving {
+		if i.leaving || i.isPaused(now) {
 			all = append(all, i.ID)
 		}
 	}
--- a/instance/notices_test.go
+++ b/instance/notices_test.go
@@ -32,7 +32,7 @@
 		table.MarkLeaving(entryAt(1, 1).Process())
 		later(table)
 		require.Empty(t, table.Service("s", now), name)
-		require.Equal(t, []instance.ID{"a"}, table.Withheld("s"), name)
+		require.Equal(t, []instance.ID{"a"}, table.Withheld("s", time.Unix(1000, 0)), name)
 		_, begun := table.Begin("a", 0)
 		require.False(t, begun, name)
 	}
@@ -59,7 +59,7 @@
 	require.Equal(t, []instance.ID{"a"}, healthyIDs(table, now))
 	table.MarkLeaving(entryAt(1, 1).Process())
 	require.Equal(t, []instance.ID{"a"}, healthyIDs(table, now))
-	require.Empty(t, table.Withheld("s"))
+	require.Empty(t, table.Withheld("s", time.Unix(1000, 0)))
 	table.Put(entryAt(3, 1))
 	require.Empty(t, healthyIDs(table, now), "the former process again")
 }
--- /dev/null
+++ b/instance/pauses.go
@@ -0,0 +1,97 @@
+package instance
+
+import (
+	"net/netip"
+	"time"
+)
+
+// pauseReportStep is by how much a pause must grow to be reported again. Many
+// answers may extend it by a little.
+const pauseReportStep = time.Second
+
+// Pause records that a process has asked this host for no requests until a time.
+// Unlike an ejected upstream, a paused one is not used even if there is no other.
+// An earlier pause that lasts longer stays in force.
+func (t *Table) Pause(p Process, until, now time.Time) {
+	t.mu.Lock()
+	var change *Change
+	if i := t.listed(p); i != nil {
+		if until.Sub(later(i.pausedUntil, now)) >= pauseReportStep || !i.isPaused(now) && until.After(now) {
+			change = &Change{Entry: i.Entry, Kind: "paused", Source: SourceAnswer, Until: until}
+		}
+		i.pausedUntil = later(i.pausedUntil, until)
+	} else {
+		n := t.kept[p.key()].notice
+		n.pausedUntil = later(n.pausedUntil, until)
+		t.keep(p, n)
+	}
+	t.lastPauseEnd = later(t.lastPauseEnd, until)
+	t.mu.Unlock()
+	if change != nil {
+		t.changed(*change)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (i *Instance) isPaused(now time.Time) bool { return now.Before(i.pausedUntil) }
+
+// ServiceOfFleet returns the upstreams of a service that hosts may send new work
+// to, ordered by ID, also those that only this host must not.
+func (t *Table) ServiceOfFleet(name string, now time.Time) []Status {
+	return t.service(name, now, func(i *Instance) bool { return !i.isLeaving() })
+}
+
+// PausedUntil returns when the pause of a listed upstream ends, false if it is not
+// paused.
+func (t *Table) PausedUntil(id ID, now time.Time) (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if i := t.byID[id]; i != nil && i.isPaused(now) {
+		return i.pausedUntil, true
+	}
+	return time.Time{}, false
+}
+
+// IsPaused reports whether a process is paused. The listed upstream with the
+// address is meant if p has no ID.
+func (t *Table) IsPaused(p Process, addr netip.AddrPort, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch i := t.listed(p); {
+	case !now.Before(t.lastPauseEnd):
+		return false
+	case i != nil:
+		return i.isPaused(now)
+	case p.ID != "":
+		return now.Before(t.kept[p.key()].pausedUntil)
+	}
+	for _, i := range t.byID {
+		if i.Addr == addr && i.isPaused(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// FirstBack returns when the first upstream of a service is back. It returns false
+// unless all those that are not leaving are paused, and there is one.
+func (t *Table) FirstBack(name string, now time.Time) (first time.Time, paused bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, i := range t.byService[name] {
+		switch {
+		case i.isLeaving():
+		case !i.isPaused(now):
+			return time.Time{}, false
+		case !paused || i.pausedUntil.Before(first):
+			first, paused = i.pausedUntil, true
+		}
+	}
+	return first, paused
+}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -96,7 +96,7 @@
 	if len(p.config.Engines.Service(need.Service, now)) == 0 {
 		return Ticket{}, false
 	}
-	need.Tried = append(slices.Clone(need.Tried), p.config.Engines.Withheld(need.Service)...)
+	need.Tried = append(slices.Clone(need.Tried), p.config.Engines.Withheld(need.Service, now)...)
 	t = Ticket{placer: p, note: progressNote{Service: need.Service, RequestID: need.RequestID}}
 	owner, own := p.config.Owners.Owner(need.Service, now)
 	t.Owner = string(owner.ID)
@@ -149,14 +149,16 @@
 	return instance.Status{}, false
 }
 
-// placeLocally chooses an engine by the load and caches that this host tracks.
+// placeLocally chooses an engine by the load and caches that this host tracks. An
+// engine that is paused for this host may be chosen, since the request may be
+// another host's.
 func (p *Placer) placeLocally(need Need) placeReply {
 	service, known := p.config.Service(need.Service)
 	if !known || service.Engine == nil {
 		return placeReply{}
 	}
 	now := time.Now()
-	all := p.config.Engines.Service(need.Service, now)
+	all := p.config.Engines.ServiceOfFleet(need.Service, now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	limits := Limits{Concurrency: service.Engine.Concurrency, CacheTokens: service.Engine.CacheTokens}
--- a/staging/batch.go
+++ b/staging/batch.go
@@ -198,10 +198,11 @@
 }
 
 // sendFrees frees the collected results on their servers and stops counting
-// their memory.
+// their memory. Results on a paused server wait for the end of the pause. If this
+// host does not track them, they are not freed, and expire on the server.
 func (g *Gatherer) sendFrees() {
 	g.mu.Lock()
-	handles := g.pendingFrees
+	handles := g.holdPausedFrees(g.pendingFrees, time.Now())
 	g.pendingFrees = nil
 	g.mu.Unlock()
 	if len(handles) == 0 {
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -283,6 +283,9 @@
 	}
 	s.queue.sort(now, spec.FullBatchTime())
 	servers := g.config.Servers.Service(s.name, now)
+	if back, paused := g.config.Servers.FirstBack(s.name, now); paused {
+		return append(callbacks, s.refusePaused(back, spec)...)
+	}
 	served := make(map[host.DataCentre]bool)
 	for _, server := range servers {
 		served[server.DataCentre] = served[server.DataCentre] || !server.Ejected
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -45,7 +45,8 @@
 	Stage   int
 	Service string
 	Reason  call.PieceFailure
-	// Wait is the estimated queueing time of the service; 0 if unknown.
+	// Wait is the estimated queueing time of the service, or the time until its
+	// servers accept calls again if Reason is PiecePaused; 0 if unknown.
 	Wait time.Duration
 }
 
@@ -65,8 +66,9 @@
 
 // queueWait is the queueing time that a service's gatherer last reported.
 type queueWait struct {
-	wait time.Duration
-	at   time.Time
+	wait      time.Duration
+	pausedFor time.Duration
+	at        time.Time
 }
 
 // RunnerConfig configures a Runner.
@@ -85,7 +87,7 @@
 	r := &Runner{config: config, queueWaits: make(map[string]queueWait)}
 	link.HandleTyped(registrar, gatherMethod, func(ctx context.Context, g Group) (gatherReply, error) {
 		results := config.Gatherer.Gather(ctx, g)
-		return gatherReply{Results: results, Wait: config.Gatherer.Wait(g.Service)}, nil
+		return gatherReply{Results: results, Wait: config.Gatherer.Wait(g.Service), PausedFor: config.Gatherer.PausedFor(g.Service, time.Now())}, nil
 	})
 	link.HandleTyped(registrar, freeMethod, func(_ context.Context, f freeRequest) (struct{}, error) {
 		config.Gatherer.Free(f.Handles)
@@ -99,6 +101,9 @@
 	Results []call.PieceResult `cbor:"1,keyasint"`
 	// Wait estimates how long a new group is queued.
 	Wait time.Duration `cbor:"2,keyasint"`
+	// PausedFor is how long until the first server accepts calls of the gatherer
+	// again; 0 unless all are paused.
+	PausedFor time.Duration `cbor:"3,keyasint"`
 }
 
 // freeRequest is the input of staging.Free.
@@ -232,6 +237,9 @@
 	}
 	if reason := failure(pieces); reason != call.PieceDone {
 		wait, _ := r.recentQueueWait(group.Service)
+		if reason == call.PiecePaused {
+			wait = r.pausedFor(group.Service, time.Now())
+		}
 		return &Failure{Stage: stage, Service: group.Service, Reason: reason, Wait: wait}
 	}
 	g.handles[stage] = handles
@@ -256,6 +264,18 @@
 	return longest
 }
 
+// pausedFor returns how long until a server of a service accepts calls of its
+// gatherer again, as that gatherer last reported.
+func (r *Runner) pausedFor(service string, now time.Time) time.Duration {
+	if _, own := r.config.Owners.Owner(service, now); own {
+		return r.config.Gatherer.PausedFor(service, now)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.queueWaits[service]
+	return max(w.pausedFor-now.Sub(w.at), 0)
+}
+
 // queueWaitMaxAge is how long a queueing time reported by a gatherer is used.
 const queueWaitMaxAge = 700 * time.Millisecond
 
@@ -428,7 +448,7 @@
 		return nil, Error.New("gatherer returned %d results for %d pieces", len(got.Results), g.Pieces)
 	}
 	r.mu.Lock()
-	r.queueWaits[g.Service] = queueWait{wait: got.Wait, at: time.Now()}
+	r.queueWaits[g.Service] = queueWait{wait: got.Wait, pausedFor: got.PausedFor, at: time.Now()}
 	r.mu.Unlock()
 	return got.Results, nil
 }
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -27,6 +27,10 @@
 // ErrNotSent means that the call certainly did not reach the upstream.
 var ErrNotSent = errs.New("call not sent")
 
+// ErrWithheld means that the call was not sent because the upstream must get none
+// now. Such an error also wraps ErrNotSent.
+var ErrWithheld = errs.New("upstream must get no call now")
+
 // Defaults and bounds of a Client.
 const (
 	// dialTimeout is well above the round-trip time between data centres.
@@ -86,8 +90,9 @@
 	maxIdle int
 	dials   prometheus.Counter
 	reuses  prometheus.Counter
-	// onAnswer is set before the first call.
+	// onAnswer and admit are set before the first call.
 	onAnswer func(*Call, *http.Response)
+	admit    func(*Call) bool
 }
 
 // New returns a client. registerer may be nil.
@@ -96,6 +101,7 @@
 		idle:     make(map[netip.AddrPort][]*conn),
 		maxIdle:  maxIdlePerUpstream,
 		onAnswer: func(*Call, *http.Response) {},
+		admit:    func(*Call) bool { return true },
 		dials: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "seam_upstream_dials_total", Help: "Connections opened to upstreams.",
 		}),
@@ -114,6 +120,10 @@
 // must be set before the first call.
 func (c *Client) OnAnswer(f func(*Call, *http.Response)) { c.onAnswer = f }
 
+// Admit sets the function that decides before a call is connected, and again
+// before it is sent, whether it may be sent. It must be set before the first call.
+func (c *Client) Admit(f func(*Call) bool) { c.admit = f }
+
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
@@ -140,10 +150,17 @@
 // wraps ErrNotSent means that the call did not reach the upstream; after any other
 // error it may have run.
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
+	if !c.admit(call) {
+		return nil, errs.Combine(ErrNotSent, ErrWithheld)
+	}
 	connection, err := c.connect(ctx, call)
 	if err != nil {
 		return nil, errs.Combine(ErrNotSent, Error.Wrap(err))
 	}
+	if !c.admit(call) {
+		_ = connection.Close()
+		return nil, errs.Combine(ErrNotSent, ErrWithheld)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	sent, err := connection.send(call)
 	if err == nil {
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -244,3 +244,28 @@
 	require.Equal(t, "own", body)
 	require.Equal(t, []string{"u early", "u stray", "u a"}, seen)
 }
+
+// A call must not reach an upstream that may get none, whether that was known
+// before or became known while connecting, and the caller must learn that it was
+// not sent.
+func TestWithheldCallIsNotSent(t *testing.T) {
+	for _, admitted := range []int{0, 1} {
+		var requests atomic.Int32
+		addr, accepted := server(t, func(_ int, r *http.Request) string {
+			requests.Add(1)
+			return plain(r.Header.Get("Id"), "own")
+		})
+		c := transport.New(nil)
+		asked := 0
+		c.Admit(func(*transport.Call) bool {
+			asked++
+			return asked <= admitted
+		})
+		_, err := do(t, c, get(addr, "a"))
+		require.ErrorIs(t, err, transport.ErrWithheld)
+		require.ErrorIs(t, err, transport.ErrNotSent)
+		time.Sleep(20 * time.Millisecond)
+		require.Zero(t, requests.Load())
+		require.EqualValues(t, admitted, accepted.Load())
+	}
+}
