Bound everything that is read from upstreams, stage servers and the store

Callers would see: a request that is held until its deadline and a host that grows until it is killed. Cause: net/http's ReadResponse reads a status line or headers of any length, informational answers were skipped without count, an answer to an earlier call was read away whole, and a line of a stream was read into memory before its length was checked.

Bounds now: 64 KiB for the heads before an answer's body, 512 headers, 16 informational answers, 1 MiB for the body of an answer to an earlier call; an event at 1 MiB while it is read; 4 MiB for the results of a stage call and 64 KiB for reports and frees, over which is an error where it was cut off before; 64 KiB for heads and error bodies of the store, 16 MiB for its pages and 200,000 items for a range. Chunk sizes, extensions and trailers are bounded by net/http, plain answers by maxAnswerBytes as before.

A stage server's answer other than 200 is told by its head: the body is not read any more, so a refusal with a body that breaks or never ends still counts as not run. A report is used only if its status is 200. Calls that free results go to their servers at the same time: one that does not answer kept the others from theirs until their time was over.

Open: many endless plain answers at once may take 16 MiB each.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -31,27 +31,41 @@
 func (e *eventReader) next() (event, error) {
 	got := event{id: call.NoEvent}
 	for {
-		line, err := e.reader.ReadBytes('\n')
-		got.raw = append(got.raw, line...)
+		start := len(got.raw)
+		err := e.readLine(&got)
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(got.raw) > 0 {
 				err = io.ErrUnexpectedEOF
 			}
 			return got, err
 		}
-		if len(got.raw) > maxEventBytes {
-			return got, Error.New("event is over %d bytes", maxEventBytes)
-		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(got.raw[start:], "\r\n")
 		if len(line) == 0 {
 			return got, nil
 		}
 		if text, found := bytes.CutPrefix(line, []byte("id:")); found {
 			id, err := strconv.ParseInt(string(bytes.TrimSpace(text)), 10, 64)
 			if err != nil {
-				return got, Error.New("event ID %q is not a number", text)
+				return got, Error.New("event ID %q is not a number", text[:min(len(text), maxQuotedBytes)])
 			}
 			got.id = id
 		}
 	}
 }
+
+// maxQuotedBytes bounds how much of an event goes into an error.
+const maxQuotedBytes = 40
+
+// readLine adds a line to an event. It stops as soon as the event is too long.
+func (e *eventReader) readLine(to *event) error {
+	for {
+		part, err := e.reader.ReadSlice('\n')
+		to.raw = append(to.raw, part...)
+		if len(to.raw) > maxEventBytes {
+			return Error.New("event is over %d bytes", maxEventBytes)
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -127,6 +127,7 @@
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
+	bounded   *boundedReader // under reader
 	reader    *bufio.Reader
 	expiresAt time.Time
 }
@@ -193,7 +194,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	bounded := &boundedReader{reader: raw, left: -1}
+	return &conn{Conn: raw, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes)}, nil
 }
 
 // Probe opens a connection and closes it, to check whether the address accepts
@@ -307,28 +309,43 @@
 // (1xx) answers.
 func (c *Client) receive(n *conn, call *Call) (*http.Response, error) {
 	request := &http.Request{Method: call.Method}
-	for stale := 0; ; {
-		response, err := http.ReadResponse(n.reader, request)
+	n.limitHead()
+	for stale, informational := 0, 0; ; {
+		response, err := n.readHead(request)
 		if err != nil {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
 			return nil, err
 		}
 		c.onAnswer(call, response)
 		if response.StatusCode < http.StatusOK {
+			if informational++; informational > maxInformational {
+				return nil, errs.New("over %d informational answers", maxInformational)
+			}
 			continue
 		}
+		n.unlimit()
 		if call.Matches == nil || call.Matches(response) {
 			return response, nil
 		}
 		if stale++; stale > maxStaleAnswers || response.Close {
 			return nil, errs.New("the connection carries answers to other calls")
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := discardBody(response); err != nil {
 			return nil, err
 		}
+		n.limitHead()
+	}
+}
+
+// readHead reads the status line and headers of one answer.
+func (n *conn) readHead(request *http.Request) (*http.Response, error) {
+	response, err := http.ReadResponse(n.reader, request)
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil, io.ErrUnexpectedEOF
+	case err != nil:
+		return nil, shorten(err)
 	}
+	return response, checkFields(response)
 }
 
 // body records when it has been read to its end.
