--- a/edge/edge.go
+++ b/edge/edge.go
@@ -97,6 +97,7 @@
 	platform Platform
 	logger   *slog.Logger
 	registry *prometheus.Registry
+	notices  *noticeMetrics
 
 	info       host.Info
 	mux        *link.Mux
@@ -128,6 +129,7 @@
 	}
 	h := &Host{settings: settings, latestSettings: settings, platform: platform, logger: logger, registry: registry, mux: link.NewMux()}
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	h.notices = newNoticeMetrics(registry)
 	h.info = host.Info{
 		ID:       host.ID(settings.Name + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)),
 		Place:    settings.Place,
@@ -151,6 +153,8 @@
 	h.peerClient = link.NewClient(link.ClientConfig{Key: h.settings.FleetKey, DialTimeout: peerDialTimeout})
 	h.transport = transport.New(h.registry)
 	h.instances = instance.NewTable(h.onUpstreamChange)
+	h.transport.OnAnswer(h.onUpstreamAnswer)
+	h.transport.Admit(h.admitCall)
 	hostList := &directoryHostList{}
 	var err error
 	h.members, err = member.New(member.Config{
@@ -232,14 +236,19 @@
 // onConfig tells the other hosts which version of the configuration this host uses.
 func (h *Host) onConfig(t *routing.Table) { h.members.SetGeneration(uint64(t.Version())) }
 
-// onUpstreamChange logs that an upstream was added, is leaving or was removed, and
+// onUpstreamChange logs that an upstream was added, is leaving, is paused or was removed, and
 // closes idle connections to removed ones.
 func (h *Host) onUpstreamChange(c instance.Change) {
 	if c.Kind == "changed" {
 		return
 	}
-	h.logger.Info("upstream "+c.Kind, "upstream", string(c.ID), "service", c.Service, "addr", c.Addr.String(),
-		"data_centre", string(c.DataCentre), "version", c.Version, "revision", c.Revision)
+	h.notices.count(c)
+	attrs := []any{"upstream", string(c.ID), "service", c.Service, "addr", c.Addr.String(),
+		"data_centre", string(c.DataCentre), "version", c.Version, "revision", c.Revision, "source", string(c.Source)}
+	if c.Kind == "paused" {
+		attrs = append(attrs, "until", c.Until)
+	}
+	h.logger.Info("upstream "+c.Kind, attrs...)
 	if c.Kind == "removed" {
 		h.transport.CloseIdle(c.Addr)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -95,7 +95,7 @@
 		return
 	}
 	if !s.isBegun() {
-		s.report(report{kind: attemptEnded, result: notRun, outcome: instance.Abandoned, label: "left"})
+		s.report(report{kind: attemptEnded, result: notRun, outcome: instance.Abandoned, label: "left", withheld: true})
 		return
 	}
 	answer, err := s.send()
@@ -201,7 +201,7 @@
 		attempt.Inputs = s.inputsSent.Inputs
 	}
 	answer, err := s.config.Transport.Do(s.ctx, &transport.Call{
-		Addr: s.chosen.Addr, Method: s.request.Method, Target: s.request.Target, Host: s.request.Host,
+		Addr: s.chosen.Addr, Upstream: s.chosen.Process(), Method: s.request.Method, Target: s.request.Target, Host: s.request.Host,
 		Header: s.config.Codec.EncodeRequest(s.request, attempt),
 		Body:   s.request.Body, Chunked: s.request.Chunked,
 		Matches:       s.isMine,
@@ -240,6 +240,9 @@
 func (s *upstreamAttempt) sendFailure(err error) report {
 	notSent := report{kind: attemptEnded, result: notRun, err: err}
 	switch {
+	case errors.Is(err, transport.ErrWithheld):
+		notSent.outcome, notSent.label, notSent.withheld = instance.Abandoned, "paused", true
+		return notSent
 	case errors.Is(err, transport.ErrNotSent) && s.ctx.Err() != nil && time.Since(s.sentAt) < slowConnectTime:
 		// This host ended the attempt soon after it began to connect, which says
 		// nothing about the upstream.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,8 @@
 	EncodeRequest(q *call.Request, a call.Attempt) http.Header
 	// DecodeAnswer translates the status and headers of an upstream's answer.
 	DecodeAnswer(r *http.Response) *call.Answer
+	// DecodeNotice returns what the sender of an answer says about itself.
+	DecodeNotice(r *http.Response) call.Notice
 	// IdleTimeout returns how long an upstream keeps an unused connection
 	// open, according to the headers of its answer.
 	IdleTimeout(h http.Header) time.Duration
--- a/gateway/race.go
+++ b/gateway/race.go
@@ -65,6 +65,9 @@
 	status  int
 	label   string
 	err     error
+	// withheld means that the upstream was sent nothing, because it may get no new
+	// work by the time of sending.
+	withheld bool
 	// mayHaveCrashed means that the upstream's process may be gone.
 	mayHaveCrashed bool
 	answer         *call.Answer
@@ -88,6 +91,7 @@
 	// serving is the attempt whose events the caller gets; nil if there is none now.
 	serving      *upstreamAttempt
 	tried        []instance.ID // upstreams of attempts that ended
+	withheld     int           // upstreams in tried that were sent nothing
 	possibleRuns int           // ended attempts whose upstream may have run the request
 	lastEventID  int64         // ID of the last event sent to the caller, or call.NoEvent
 	lastEventAt  time.Time     // when it was sent
@@ -150,7 +154,7 @@
 // start begins an attempt on another upstream.
 func (r *race) start() {
 	s := r.newAttempt(attemptPlan{
-		tried: r.unavailable(), version: r.version, retry: len(r.tried)+len(r.running) > 0 || r.stagesRerun, lastEvent: r.lastEventID,
+		tried: r.unavailable(), version: r.version, retry: len(r.tried)-r.withheld+len(r.running) > 0 || r.stagesRerun, lastEvent: r.lastEventID,
 		firstEventBy: r.callerPatienceEnd(), random: rand.New(rand.NewPCG(r.random.Uint64(), r.random.Uint64())),
 	})
 	r.running = append(r.running, s)
@@ -182,7 +186,7 @@
 // attemptsLeft reports whether the route allows another attempt.
 func (r *race) attemptsLeft() bool {
 	running := len(r.running)
-	return r.possibleRuns+running < r.route.MaxUpstreams && len(r.tried)+running < r.route.MaxUpstreams+maxExtraAttempts
+	return r.possibleRuns+running < r.route.MaxUpstreams && len(r.tried)-r.withheld+running < r.route.MaxUpstreams+maxExtraAttempts
 }
 
 // onNotStarted processes an attempt for which no upstream was chosen.
@@ -230,6 +234,9 @@
 // onAttemptEnded processes the failure of an attempt.
 func (r *race) onAttemptEnded(s *upstreamAttempt, what report) (finished bool) {
 	s.end(what.outcome, what.status, what.label, what.err)
+	if what.withheld {
+		r.withheld++
+	}
 	if what.mayHaveCrashed {
 		go r.confirmCrash(r.digest, s.chosen)
 	}
@@ -256,7 +263,7 @@
 	}
 	r.stagesRerun = true
 	r.freeInputs()
-	r.tried = nil
+	r.tried, r.withheld = nil, 0
 	r.start()
 	return false
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -62,6 +62,7 @@
 // are guarded by the table's lock.
 type Instance struct {
 	Entry
+	notice
 	inFlight     int
 	tokens       int // prompt and output tokens in flight
 	failures     int // calls that broke since the last answered one
@@ -110,15 +111,31 @@
 	// formerVersions is when the last upstream of a software version was removed, by
 	// service and version.
 	formerVersions map[string]map[string]time.Time
+	kept           map[processKey]keptNotice
+	keptOrder      uint64
+	lastPauseEnd   time.Time // no pause lasts longer
 	changed        func(Change)
 }
 
 // Change describes a change of the table, for logging.
 type Change struct {
 	Entry
-	Kind string // "added", "leaving", "removed" or "changed"
+	Kind string // "added", "leaving", "paused", "removed" or "changed"
+	// Source is what told of the change.
+	Source Source
+	// Until is the end of a pause.
+	Until time.Time
 }
 
+// Source is what told of a change.
+type Source string
+
+// The sources of a change.
+const (
+	SourceEntry  Source = "entry"  // the upstream's entry in the store
+	SourceAnswer Source = "answer" // an answer of the upstream to this host
+)
+
 // NewTable creates an empty table. changed, if not nil, is called after each
 // change without holding the lock.
 func NewTable(changed func(Change)) *Table {
@@ -129,6 +146,7 @@
 		byID:       make(map[ID]*Instance),
 		byService:  make(map[string][]*Instance),
 		tombstones: make(map[ID]int64),
+		kept:       make(map[processKey]keptNotice),
 
 		formerVersions: make(map[string]map[string]time.Time),
 		changed:        changed,
@@ -141,7 +159,7 @@
 	kind := t.put(e)
 	t.mu.Unlock()
 	if kind != "" {
-		t.changed(Change{Entry: e, Kind: kind})
+		t.changed(Change{Entry: e, Kind: kind, Source: SourceEntry})
 	}
 }
 
@@ -165,7 +183,7 @@
 		t.add(&Instance{Entry: e})
 		return "added"
 	}
-	wasLeaving := old.Leaving
+	wasLeaving := old.isLeaving()
 	old.Entry = e
 	if e.Leaving && !wasLeaving {
 		return "leaving"
@@ -187,7 +205,7 @@
 	}
 	t.mu.Unlock()
 	if gone {
-		t.changed(Change{Entry: old.Entry, Kind: "removed"})
+		t.changed(Change{Entry: old.Entry, Kind: "removed", Source: SourceEntry})
 	}
 }
 
@@ -217,6 +235,7 @@
 }
 
 func (t *Table) add(i *Instance) {
+	t.restore(i)
 	t.byID[i.ID] = i
 	list := append(t.byService[i.Service], i)
 	slices.SortFunc(list, func(a, b *Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
@@ -230,6 +249,7 @@
 		t.formerVersions[i.Service] = former
 	}
 	former[i.Version] = time.Now()
+	t.keep(i.Process(), i.notice)
 	delete(t.byID, i.ID)
 	t.byService[i.Service] = slices.DeleteFunc(t.byService[i.Service], func(o *Instance) bool { return o == i })
 }
@@ -265,14 +285,19 @@
 	return all
 }
 
-// Service returns the upstreams of a service that may get new work, ordered by
-// ID.
+// Service returns the upstreams of a service that this host may send new work to,
+// ordered by ID.
 func (t *Table) Service(name string, now time.Time) []Status {
+	return t.service(name, now, func(i *Instance) bool { return !i.isLeaving() && !i.isPaused(now) })
+}
+
+// service returns the upstreams of a service for which usable is true.
+func (t *Table) service(name string, now time.Time, usable func(*Instance) bool) []Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var all []Status
 	for _, i := range t.byService[name] {
-		if i.Leaving {
+		if !usable(i) {
 			continue
 		}
 		all = append(all, Status{
@@ -334,7 +359,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	i := t.byID[id]
-	if i == nil || i.Leaving {
+	if i == nil || i.isLeaving() {
 		return nil, false
 	}
 	i.inFlight++
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -93,20 +94,20 @@
 // owner's choice is taken only if it is an engine of the required version here too.
 func (p *Placer) Place(ctx context.Context, need Need, random *rand.Rand) (t Ticket, found bool) {
 	now := time.Now()
-	all := instance.OfVersion(p.config.Engines.Service(need.Service, now), need.Version)
-	if len(all) == 0 {
+	if len(instance.OfVersion(p.config.Engines.Service(need.Service, now), need.Version)) == 0 {
 		return Ticket{}, false
 	}
+	need.Tried = append(slices.Clone(need.Tried), p.config.Engines.Withheld(need.Service, now)...)
 	t = Ticket{placer: p, note: progressNote{Service: need.Service, RequestID: need.RequestID}}
 	owner, own := p.config.Owners.Owner(need.Service, now)
 	t.Owner = string(owner.ID)
 	if own {
 		reply := p.placeLocally(need)
 		t.Wait = reply.Wait
-		t.Engine, found = findEngine(all, reply.Engine)
+		t.Engine, found = p.findEngine(need, reply.Engine)
 	} else if reply, err := p.placeRemotely(ctx, owner, need); err == nil {
 		t.Wait = reply.Wait
-		t.Engine, found = findEngine(all, reply.Engine)
+		t.Engine, found = p.findEngine(need, reply.Engine)
 	} else if ctx.Err() == nil {
 		p.config.Owners.Avoid(owner.ID, now)
 		p.config.Logger.Warn("placement owner failed", "request", need.RequestID, "service", need.Service,
@@ -116,6 +117,7 @@
 		return t, true
 	}
 	t.Owner = ""
+	all := p.config.Engines.Service(need.Service, time.Now())
 	t.Engine, found = balance.ChooseEngine(all, balance.Need{Prefix: sharedPrefix(need), PreferredDataCentre: p.config.DataCentre, Tried: need.Tried, Version: need.Version}, random)
 	return t, found
 }
@@ -137,23 +139,27 @@
 	return link.CallIdempotent[Need, placeReply](ctx, p.config.Caller, owner.LinkAddr, placeMethod, need)
 }
 
-func findEngine(all []instance.Status, id instance.ID) (instance.Status, bool) {
-	for _, s := range all {
-		if s.ID == id {
+// findEngine returns an engine that the owner has chosen. ok is false if this
+// host must not send it new work, or it has another software version here.
+func (p *Placer) findEngine(need Need, id instance.ID) (found instance.Status, ok bool) {
+	for _, s := range p.config.Engines.Service(need.Service, time.Now()) {
+		if s.ID == id && s.HasVersion(need.Version) {
 			return s, true
 		}
 	}
 	return instance.Status{}, false
 }
 
-// placeLocally chooses an engine by the load and caches that this host tracks.
+// placeLocally chooses an engine by the load and caches that this host tracks. An
+// engine that is paused for this host may be chosen, since the request may be
+// another host's.
 func (p *Placer) placeLocally(need Need) placeReply {
 	service, known := p.config.Service(need.Service)
 	if !known || service.Engine == nil {
 		return placeReply{}
 	}
 	now := time.Now()
-	all := p.config.Engines.Service(need.Service, now)
+	all := p.config.Engines.ServiceOfFleet(need.Service, now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	limits := Limits{Concurrency: service.Engine.Concurrency, CacheTokens: service.Engine.CacheTokens}
--- a/resume/keeper.go
+++ b/resume/keeper.go
@@ -35,7 +35,7 @@
 	// maxAsks is how often other hosts are asked for a record, askPause the time
 	// between.
 	maxAsks  = 3
-	askPause = 60 * time.Millisecond
+	askPause = 50 * time.Millisecond
 )
 
 // Config configures a Keeper. Registerer may be nil.
--- a/resume/lookup.go
+++ b/resume/lookup.go
@@ -44,8 +44,10 @@
 
 // Lookup finds the record of a caller's attempt, here or at the hosts that may hold
 // it. A caller may come back before the record has reached them, so they are asked up to
-// maxAsks times, each for lookupTimeout at the most.
+// maxAsks times. It takes lookupTimeout at the most.
 func (k *Keeper) Lookup(ctx context.Context, attempt string) Answer {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
 	var a Answer
 	for asks := 0; asks < maxAsks && !a.Known; asks++ {
 		if asks > 0 && sleep.For(ctx, askPause) != nil {
@@ -67,10 +69,9 @@
 	return a
 }
 
-// ask asks several hosts at once and returns the first record that one of them has.
+// ask asks several hosts at once, until ctx ends, and returns the first record that one
+// of them has.
 func (k *Keeper) ask(ctx context.Context, attempt string) Answer {
-	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
-	defer cancel()
 	hosts := askFor(attempt, k.config.Fleet)
 	type reply struct {
 		lookupReply
