Tests, soak and drill keep their ports between choosing and listening

Cause: freeAddr opened port 0, closed it and gave its number away; until the host listened, the kernel could give the number to any other socket.

internal/ports reserves ports outside the ephemeral range. The reservation is an abstract Unix socket, which holds across processes, has the scope of a port and ends with its process. The edge, member and upstream tests, the soak with its proxies and the drill take their ports from it; a host keeps its ports across restarts. No start is retried.

A start that fails says why at once: edge tests wait for "host started" or the host's error; the soak checks that its host's ports are free, because a connection to a foreign listener looked like a host that listens, and quotes the host's last log line; so does the drill. In production the error of a listener names its purpose, the others are closed, "host started" logs the addresses that were opened with that of the metrics (port 0 was not visible before), and the membership's error names its UDP address instead of "the UDP event loop has ended", whichever came first.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
@@ -255,9 +254,3 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
-
-// listen opens a TCP listener on an address of the settings.
-func listen(addr netip.AddrPort) (net.Listener, error) {
-	l, err := net.Listen("tcp4", addr.String())
-	return l, Error.Wrap(err)
-}
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -1,12 +1,13 @@
 package edge_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -18,6 +19,7 @@
 
 	"github.com/galenaseam/galenaseam/edge"
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/internal/ports"
 	"github.com/galenaseam/galenaseam/platform"
 	"github.com/galenaseam/galenaseam/platform/platformtest"
 	"github.com/galenaseam/galenaseam/retry"
@@ -28,11 +30,15 @@
 // waitTimeout bounds every wait in these tests; conditions normally hold far sooner.
 const waitTimeout = 10 * time.Second
 
+// errNoReason stands for the error of a host that ended without one.
+var errNoReason = errors.New("it returned no error")
+
 // fleet runs a store, upstreams and hosts on loopback addresses.
 type fleet struct {
 	t     *testing.T
 	store *platformtest.Store
 	hosts []*node
+	ports []*ports.Reservation // of all hosts
 }
 
 // node is a running host.
@@ -54,52 +60,77 @@
 			require.NoError(t, <-n.result)
 		}
 		f.store.Close()
+		for _, r := range f.ports {
+			require.NoError(t, r.Release())
+		}
 	})
 	return f
 }
 
-// freeAddr returns an address whose port is free for TCP and UDP.
-func freeAddr(t *testing.T) netip.AddrPort {
-	for range 50 {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		require.NoError(t, err)
-		addr := l.Addr().(*net.TCPAddr).AddrPort()
-		u, err := net.ListenPacket("udp4", addr.String())
-		require.NoError(t, l.Close())
-		if err == nil {
-			require.NoError(t, u.Close())
-			return addr
-		}
-	}
-	t.Fatal("no address is free for TCP and UDP")
-	return netip.AddrPort{}
+// reserveAddr returns an address that is reserved until all hosts have ended.
+func (f *fleet) reserveAddr() netip.AddrPort {
+	r, err := ports.Reserve()
+	require.NoError(f.t, err)
+	f.ports = append(f.ports, r)
+	return r.Addr()
 }
 
 // start starts another host and waits until it is ready.
 func (f *fleet) start() *node {
 	n := f.startUnready(f.store.Addr())
-	require.Eventually(f.t, n.Ready, waitTimeout, 5*time.Millisecond)
+	require.NoError(f.t, n.waitReady())
 	return n
 }
 
-// startUnready starts another host that uses the store at an address, without
-// waiting until it is ready.
+// waitReady waits until the host is ready. It returns the host's error at once if
+// the host ends before.
+func (n *node) waitReady() error {
+	timeout := time.After(waitTimeout)
+	for !n.Ready() {
+		select {
+		case err := <-n.result:
+			return fmt.Errorf("host %q ended before it was ready: %w", n.settings.Name, cmp.Or(err, errNoReason))
+		case <-timeout:
+			return fmt.Errorf("host %q is not ready after %s", n.settings.Name, waitTimeout)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// startUnready starts another host that uses the store at an address, and waits
+// until it listens, but not until it is ready.
 func (f *fleet) startUnready(store netip.AddrPort) *node {
+	n, err := f.launch(f.newSettings(), store)
+	require.NoError(f.t, err)
+	return n
+}
+
+// newSettings returns the settings of the next host.
+func (f *fleet) newSettings() edge.Settings {
 	s := edge.Settings{
 		Name: fmt.Sprintf("entry-%d", len(f.hosts)), Place: host.Place{DataCentre: "riga-a", Region: "latvija"},
-		CallerAddr: freeAddr(f.t), ReadinessAddr: freeAddr(f.t), PeerAddr: freeAddr(f.t), MetricsPort: freeAddr(f.t).Port(),
-		FleetKey: []byte("test key of the fleet"), Grace: 6 * time.Second, DrainDelay: 300 * time.Millisecond,
+		CallerAddr: f.reserveAddr(), ReadinessAddr: f.reserveAddr(), PeerAddr: f.reserveAddr(),
+		MetricsPort: f.reserveAddr().Port(),
+		FleetKey:    []byte("test key of the fleet"), Grace: 6 * time.Second, DrainDelay: 300 * time.Millisecond,
 		Retries: retry.Bounds{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	}
 	for _, other := range f.hosts {
 		s.Seeds = append(s.Seeds, other.settings.PeerAddr)
 	}
+	return s
+}
+
+// launch starts a host and waits until it listens. It returns the host's error at
+// once if the host ends before.
+func (f *fleet) launch(s edge.Settings, store netip.AddrPort) (*node, error) {
+	listening := make(chan struct{})
 	client := platform.NewStore(platform.StoreSettings{Addr: store}, 500*time.Millisecond)
 	built, err := edge.New(s, edge.Platform{
 		Codec: platform.HTTPCodec{}, Source: platform.Source{Store: client}, Format: platform.Format{},
 		Stages:   func(t *transport.Client) staging.Caller { return platform.StageCalls{Transport: t} },
 		Register: client.Register,
-	}, slog.New(slog.NewJSONHandler(testWriter{f.t}, nil)), prometheus.NewRegistry())
+	}, slog.New(slog.NewJSONHandler(testWriter{f.t, listening}, nil)), prometheus.NewRegistry())
 	require.NoError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	n := &node{Host: built, settings: s, stop: stop, result: make(chan error, 1), storeAddr: store}
@@ -108,7 +139,14 @@
 		n.result <- built.Run(ctx)
 		close(n.result)
 	}()
-	return n
+	select {
+	case <-listening:
+		return n, nil
+	case err := <-n.result:
+		return nil, fmt.Errorf("host %q ended before it listened: %w", s.Name, cmp.Or(err, errNoReason))
+	case <-time.After(waitTimeout):
+		return nil, fmt.Errorf("host %q does not listen %s after its start", s.Name, waitTimeout)
+	}
 }
 
 // metricsAddr returns the address that serves the host's metrics.
@@ -116,11 +154,18 @@
 	return netip.AddrPortFrom(n.settings.PeerAddr.Addr(), n.settings.MetricsPort).String()
 }
 
-// testWriter writes a host's log to the test's log.
-type testWriter struct{ t *testing.T }
+// testWriter writes a host's log to the test's log, and closes listening once the
+// host logs that it listens.
+type testWriter struct {
+	t         *testing.T
+	listening chan struct{}
+}
 
 func (w testWriter) Write(p []byte) (int, error) {
 	w.t.Log(strings.TrimSpace(string(p)))
+	if strings.Contains(string(p), `"msg":"host started"`) {
+		close(w.listening)
+	}
 	return len(p), nil
 }
 
--- a/edge/run.go
+++ b/edge/run.go
@@ -50,8 +50,8 @@
 		stop()
 		return nil
 	})
-	h.logger.Info("host started", "callers", h.settings.CallerAddr.String(), "readiness", h.settings.ReadinessAddr.String(),
-		"peers", h.settings.PeerAddr.String(), "data_centre", string(h.settings.Place.DataCentre))
+	h.logger.Info("host started", "callers", listeners.callers.Addr().String(), "readiness", listeners.readiness.Addr().String(),
+		"peers", listeners.peers.Addr().String(), "metrics", listeners.metrics.Addr().String(), "data_centre", string(h.settings.Place.DataCentre))
 	err = group.Wait()
 	h.transport.Close()
 	if errors.Is(err, context.Canceled) {
@@ -73,16 +73,25 @@
 	callers, readiness, peers, metrics net.Listener
 }
 
-// listen opens all listeners.
+// listen opens all listeners. If one fails, it closes the others.
 func (h *Host) listen() (s listeners, err error) {
 	metrics := netip.AddrPortFrom(h.settings.PeerAddr.Addr(), h.settings.MetricsPort)
+	var opened []net.Listener
 	for _, l := range []struct {
-		into *net.Listener
-		addr netip.AddrPort
-	}{{&s.callers, h.settings.CallerAddr}, {&s.readiness, h.settings.ReadinessAddr}, {&s.peers, h.settings.PeerAddr}, {&s.metrics, metrics}} {
-		if *l.into, err = listen(l.addr); err != nil {
-			return s, err
+		purpose string
+		into    *net.Listener
+		addr    netip.AddrPort
+	}{
+		{"callers", &s.callers, h.settings.CallerAddr}, {"readiness checks", &s.readiness, h.settings.ReadinessAddr},
+		{"other hosts", &s.peers, h.settings.PeerAddr}, {"metrics", &s.metrics, metrics},
+	} {
+		if *l.into, err = net.Listen("tcp4", l.addr.String()); err != nil {
+			for _, other := range opened {
+				_ = other.Close() // the host ends with the error of listening
+			}
+			return listeners{}, Error.New("open the listener for %s: %w", l.purpose, err)
 		}
+		opened = append(opened, *l.into)
 	}
 	return s, nil
 }
--- a/edge/store_test.go
+++ b/edge/store_test.go
@@ -84,7 +84,7 @@
 		front := platformtest.NewFaultProxy(f.store.Addr())
 		t.Cleanup(front.Close)
 		isolated := f.startUnready(front.Addr())
-		require.Eventually(t, isolated.Ready, waitTimeout, 5*time.Millisecond)
+		require.NoError(t, isolated.waitReady())
 		require.Eventually(t, func() bool { return len(f.store.Keys("hosts/")) == 2 }, waitTimeout, 10*time.Millisecond)
 		front.SetFault(fault)
 		time.Sleep(300 * time.Millisecond)
--- a/internal/drill/fleet.go
+++ b/internal/drill/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/galenaseam/galenaseam/document"
 	"github.com/galenaseam/galenaseam/examples"
 	"github.com/galenaseam/galenaseam/infra/kv"
+	"github.com/galenaseam/galenaseam/internal/ports"
 	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/internal/standin"
 	"github.com/galenaseam/galenaseam/internal/standin/fault"
@@ -59,6 +60,7 @@
 	replaced     []*entryHost // former hosts, ended or ending
 	pauseEnds    []time.Time  // when paused hosts were resumed
 	hostsStarted int
+	reservations []*ports.Reservation // the ports of all hosts
 }
 
 // readDocument reads the operators' document. It writes a built-in example to a
@@ -196,6 +198,9 @@
 		_ = f.standins.waitOrKill(stopTimeout) // its exit status does not matter
 	}
 	f.callers.CloseIdleConnections()
+	for _, r := range f.reservations {
+		_ = r.Release() // the reservation ends with the process at the latest
+	}
 }
 
 // execute performs one planned event and waits until it is over.
--- a/internal/drill/host.go
+++ b/internal/drill/host.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -15,6 +14,8 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/galenaseam/galenaseam/document"
+	"github.com/galenaseam/galenaseam/internal/logfile"
+	"github.com/galenaseam/galenaseam/internal/ports"
 	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/settings"
 )
@@ -48,40 +49,26 @@
 // for other hosts and for operators.
 const addressesPerHost = 3
 
-// The range of ports for hosts. It lies below the range from which the system
-// picks local ports of outgoing connections; such a connection could otherwise
-// take a port between the check and the host's start.
-const (
-	firstPort = 12_000
-	lastPort  = 32_000
-)
-
-// nextPort is the next port to try, counted from firstPort. It starts at the
-// process ID, so that concurrent drills try different ports.
-var nextPort atomic.Int64
-
-// freeAddresses returns loopback addresses that were free when checked and that
-// this process has not given to another host.
-func freeAddresses() ([]string, error) {
-	nextPort.CompareAndSwap(0, int64(os.Getpid()))
+// reserveAddresses returns loopback addresses that no other host or process is given
+// before the drill ends.
+func (f *fleet) reserveAddresses() ([]string, error) {
 	var addresses []string
-	for range lastPort - firstPort {
-		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	for range addressesPerHost {
+		r, err := ports.Reserve()
 		if err != nil {
-			continue
-		}
-		addresses = append(addresses, ln.Addr().String())
-		if err := ln.Close(); err != nil {
 			return nil, Error.Wrap(err)
 		}
-		if len(addresses) == addressesPerHost {
-			return addresses, nil
-		}
+		f.mu.Lock()
+		f.reservations = append(f.reservations, r)
+		f.mu.Unlock()
+		addresses = append(addresses, r.Addr().String())
 	}
-	return nil, Error.New("no free ports")
+	return addresses, nil
 }
 
+// logPath returns the path of a host's log.
+func (f *fleet) logPath(name string) string { return filepath.Join(f.dir, name+".log") }
+
 func (f *fleet) keyPath() string { return filepath.Join(f.dir, "fleet.key") }
 
 // writeKey writes the file with the hosts' shared key.
@@ -92,7 +79,7 @@
 
 // startHost starts a host in a slot and adds it to the host list.
 func (f *fleet) startHost(ctx context.Context, slot int) (*entryHost, error) {
-	addresses, err := freeAddresses()
+	addresses, err := f.reserveAddresses()
 	if err != nil {
 		return nil, err
 	}
@@ -108,7 +95,7 @@
 	if err := f.writeSettings(path, h); err != nil {
 		return nil, err
 	}
-	h.process, err = startProcess(filepath.Join(f.dir, name+".log"), nil, f.cfg.Seamd, "-settings", path)
+	h.process, err = startProcess(f.logPath(name), nil, f.cfg.Seamd, "-settings", path)
 	if err != nil {
 		return nil, err
 	}
@@ -155,7 +142,7 @@
 				return Error.New("%s of %s is not ready; see its log in %s", h.name, f.deployment.Name, f.dir)
 			}
 			if !h.running() {
-				return Error.New("%s of %s exited; see its log in %s", h.name, f.deployment.Name, f.dir)
+				return Error.New("%s of %s exited; see its log in %s: %s", h.name, f.deployment.Name, f.dir, logfile.LastLine(f.logPath(h.name)))
 			}
 		}
 	}
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/galenaseam/galenaseam/internal/ports"
 	"github.com/galenaseam/galenaseam/platform/platformtest"
 )
 
@@ -27,6 +27,8 @@
 	upstreams []*platformtest.Upstream
 	proxies   []*proxy
 	hosts     []*hostProcess
+	// reservations keep the hosts' ports while a host is down.
+	reservations []*ports.Reservation
 
 	mu      sync.Mutex // guards version and keys
 	version int
@@ -59,13 +61,17 @@
 	e.configure()
 	var seeds []netip.AddrPort
 	for i := range hostCount {
+		callers, readiness, peers, metrics, err := e.reserveAddrs()
+		if err != nil {
+			return err
+		}
 		storeProxy := platformtest.NewFaultProxy(e.store.Addr())
 		s := platformtest.HostSettings{
-			Name: fmt.Sprint("entry-", i), CallerAddr: freeAddr(), ReadinessAddr: freeAddr(), PeerAddr: freeAddr(),
+			Name: fmt.Sprint("entry-", i), CallerAddr: callers, ReadinessAddr: readiness, PeerAddr: peers,
 			Seeds: seeds, Store: storeProxy.Addr(), GraceS: graceSeconds,
 		}
 		seeds = append(seeds, s.PeerAddr)
-		h, err := newHost(binary, dir, s, freeAddr().Port(), storeProxy)
+		h, err := newHost(binary, dir, s, metrics.Port(), storeProxy)
 		if err != nil {
 			return err
 		}
@@ -77,22 +83,18 @@
 	return nil
 }
 
-// freeAddr finds a loopback address that is free for TCP and UDP. It returns the
-// zero address if it finds none; the host rejects that in its settings.
-func freeAddr() netip.AddrPort {
-	for range 50 {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+// reserveAddrs reserves an address for each listener of a host, for the length of
+// the run.
+func (e *environment) reserveAddrs() (callers, readiness, peers, metrics netip.AddrPort, err error) {
+	for _, into := range []*netip.AddrPort{&callers, &readiness, &peers, &metrics} {
+		r, err := ports.Reserve()
 		if err != nil {
-			continue
-		}
-		addr := l.Addr().(*net.TCPAddr).AddrPort()
-		_ = l.Close()
-		if u, err := net.ListenPacket("udp4", addr.String()); err == nil {
-			_ = u.Close()
-			return addr
+			return callers, readiness, peers, metrics, err
 		}
+		e.reservations = append(e.reservations, r)
+		*into = r.Addr()
 	}
-	return netip.AddrPort{}
+	return callers, readiness, peers, metrics, nil
 }
 
 // addUpstream starts an upstream behind a proxy and registers it as ready.
@@ -163,4 +165,7 @@
 		u.Close()
 	}
 	e.store.Close()
+	for _, r := range e.reservations {
+		_ = r.Release() // the reservation ends with the process at the latest
+	}
 }
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/galenaseam/galenaseam/internal/logfile"
 	"github.com/galenaseam/galenaseam/platform"
 	"github.com/galenaseam/galenaseam/platform/platformtest"
 )
@@ -48,8 +49,12 @@
 func (h *hostProcess) callerAddr() netip.AddrPort { return h.settings.CallerAddr }
 
 // start launches the process and waits until it listens. Until its main function
-// has installed signal handlers, any signal would terminate it.
+// has installed signal handlers, any signal would terminate it. An error gives the
+// reason if a port is in use or the process exits.
 func (h *hostProcess) start() error {
+	if err := h.checkPorts(); err != nil {
+		return err
+	}
 	if err := h.launch(); err != nil {
 		return err
 	}
@@ -58,10 +63,26 @@
 			return c.Close()
 		}
 		if code, ended := h.wait(0); ended {
-			return fmt.Errorf("%s exited with code %d during startup", h.settings.Name, code)
+			return fmt.Errorf("%s exited with code %d during startup: %s", h.settings.Name, code, logfile.LastLine(h.log.Name()))
+		}
+	}
+	return fmt.Errorf("%s does not listen %s after it was launched: %s", h.settings.Name, startTimeout, logfile.LastLine(h.log.Name()))
+}
+
+// checkPorts returns an error if another process has a port of the host open. A
+// connection to that process would look like a host that listens.
+func (h *hostProcess) checkPorts() error {
+	s := h.settings
+	for _, addr := range []netip.AddrPort{s.CallerAddr, s.ReadinessAddr, s.PeerAddr, netip.AddrPortFrom(s.PeerAddr.Addr(), h.metricsPort)} {
+		l, err := net.Listen("tcp4", addr.String())
+		if err != nil {
+			return fmt.Errorf("%s is not started: %w", s.Name, err)
+		}
+		if err := l.Close(); err != nil {
+			return err
 		}
 	}
-	return fmt.Errorf("%s does not listen %s after it was launched", h.settings.Name, startTimeout)
+	return nil
 }
 
 const (
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,10 +1,13 @@
 package soak
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/galenaseam/galenaseam/internal/ports"
 )
 
 // proxyState is the fault that a proxy applies to its connections.
@@ -15,6 +18,7 @@
 
 // proxy forwards TCP connections from hosts to one upstream on loopback.
 type proxy struct {
+	port     *ports.Reservation
 	listener net.Listener
 	target   netip.AddrPort
 
@@ -24,16 +28,20 @@
 }
 
 func newProxy(target netip.AddrPort) (*proxy, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	port, err := ports.Reserve()
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]bool)}
+	l, err := net.Listen("tcp4", port.Addr().String())
+	if err != nil {
+		return nil, errors.Join(err, port.Release())
+	}
+	p := &proxy{port: port, listener: l, target: target, conns: make(map[net.Conn]bool)}
 	go p.accept()
 	return p, nil
 }
 
-func (p *proxy) addr() netip.AddrPort { return p.listener.Addr().(*net.TCPAddr).AddrPort() }
+func (p *proxy) addr() netip.AddrPort { return p.port.Addr() }
 
 func (p *proxy) accept() {
 	for {
@@ -108,8 +116,10 @@
 	}
 }
 
+// close stops the proxy and frees its port. The hosts must have ended.
 func (p *proxy) close() {
 	_ = p.listener.Close()
 	p.setState(proxyState{})
 	p.reset()
+	_ = p.port.Release() // the reservation ends with the process at the latest
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -91,7 +91,7 @@
 		for _, run := range u.Runs() {
 			runs[run.RequestID]++
 			if run.Workspace() != platformtest.Workspace || run.Body != "body of "+run.RequestID {
-				violations = append(violations, fmt.Sprintf("%s ran %s with a changed workspace or body", u.ID, run.RequestID))
+				violations = append(violations, fmt.Sprintf("%s ran %s %s with ID %q, workspace %q and a body of %d bytes, which no caller sent", u.ID, run.Method, run.Target, run.RequestID, run.Workspace(), len(run.Body)))
 			}
 		}
 	}
--- a/member/membership_test.go
+++ b/member/membership_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/infra"
+	"github.com/galenaseam/galenaseam/internal/ports"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 )
@@ -22,14 +23,6 @@
 
 func (l staticHostList) List(context.Context) ([]infra.Listing, error) { return l, nil }
 
-// freeAddr returns a loopback address with a free UDP port.
-func freeAddr(t testing.TB) netip.AddrPort {
-	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	require.NoError(t, err)
-	defer conn.Close()
-	return netip.MustParseAddrPort(conn.LocalAddr().String())
-}
-
 type runningHost struct {
 	*Membership
 	stop context.CancelFunc
@@ -46,6 +39,7 @@
 	r := &runningHost{Membership: m, stop: cancel, done: make(chan error, 1)}
 	go func() { r.done <- m.Run(ctx) }()
 	t.Cleanup(cancel)
+	require.NoError(t, m.transport.waitReady(ctx))
 	return r
 }
 
@@ -54,7 +48,7 @@
 func TestMembershipOverRealUDP(t *testing.T) {
 	var list staticHostList
 	for range 5 {
-		list = append(list, infra.Listing{Addr: freeAddr(t)})
+		list = append(list, infra.Listing{Addr: ports.ForTest(t)})
 	}
 	list = append(list, infra.Listing{Addr: netip.MustParseAddrPort("127.0.0.1:9"), Pool: "engines"})
 	var hosts []*runningHost
@@ -113,6 +107,21 @@
 	}
 }
 
+// A host whose UDP port is in use must end at once with the address and the reason.
+func TestUDPPortInUseIsReported(t *testing.T) {
+	addr := ports.ForTest(t)
+	taken, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	require.NoError(t, err)
+	defer taken.Close()
+	m, err := New(Config{Self: host.Info{ID: "h", LinkAddr: addr}, ListenAddr: addr.String(), Key: fleetKey})
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	err = m.Run(ctx)
+	require.ErrorContains(t, err, "receive datagrams on "+addr.String())
+	require.ErrorIs(t, err, syscall.EADDRINUSE)
+}
+
 // BenchmarkRealHosts measures the CPU time, including the kernel's, of hosts that
 // exchange datagrams on loopback.
 func BenchmarkRealHosts(b *testing.B) {
@@ -122,7 +131,7 @@
 			for b.Loop() {
 				var list staticHostList
 				for range size {
-					list = append(list, infra.Listing{Addr: freeAddr(b)})
+					list = append(list, infra.Listing{Addr: ports.ForTest(b)})
 				}
 				var hosts []*runningHost
 				for i := range size {
--- a/member/transport.go
+++ b/member/transport.go
@@ -30,6 +30,7 @@
 	connMu sync.RWMutex // guards conn
 	conn   *net.UDPConn
 	err    error // from OnBoot; set before ready is closed
+	runErr error // from the event loop; set before ended is closed
 }
 
 func newTransport(addr string, receive func([]byte), logger *slog.Logger) *transport {
@@ -53,10 +54,10 @@
 		}
 	}()
 	defer close(t.ended)
-	return Error.Wrap(gnet.Run(t, "udp://"+t.addr,
-		gnet.WithNumEventLoop(1),
-		gnet.WithLogger(gnetLogger{t.logger}),
-	))
+	if err := gnet.Run(t, "udp://"+t.addr, gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLogger{t.logger})); err != nil {
+		t.runErr = Error.New("receive datagrams on %s: %w", t.addr, err)
+	}
+	return t.runErr
 }
 
 // waitReady waits until datagrams can be sent. It also returns nil when ctx ends.
@@ -65,6 +66,9 @@
 	case <-t.ready:
 		return t.err
 	case <-t.ended:
+		if t.runErr != nil {
+			return t.runErr
+		}
 		return Error.New("the UDP event loop has ended")
 	case <-ctx.Done():
 		return nil
--- a/upstream/loopback_test.go
+++ b/upstream/loopback_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -13,6 +12,7 @@
 
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/infra"
+	"github.com/galenaseam/galenaseam/internal/ports"
 	"github.com/galenaseam/galenaseam/member"
 	"github.com/stretchr/testify/require"
 )
@@ -23,6 +23,7 @@
 	tables  []*Table
 	leaving atomic.Bool
 	id      ID
+	ended   chan error // the results of the hosts' goroutines
 }
 
 func startLoopbackFleet(t testing.TB, size int) *loopbackFleet {
@@ -37,12 +38,12 @@
 	f.id = ID(addr.String())
 	listings := []infra.Listing{{Addr: addr, Pool: "p"}}
 	for range size {
-		listings = append(listings, infra.Listing{Addr: freeAddr(t)})
+		listings = append(listings, infra.Listing{Addr: ports.ForTest(t)})
 	}
 	list := &fakeList{}
 	list.listings.Store(&listings)
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 2*size)
+	f.ended = make(chan error, 2*size)
 	for i, l := range listings[1:] {
 		members, err := member.New(member.Config{
 			Self:       host.Info{ID: host.ID(fmt.Sprintf("h%d", i)), LinkAddr: l.Addr},
@@ -54,26 +55,19 @@
 			Prober: HTTPProber{Client: server.Client(), Path: "/"},
 		})
 		f.tables = append(f.tables, table)
-		go func() { done <- members.Run(ctx) }()
-		go func() { done <- table.Run(ctx) }()
+		go func() { f.ended <- members.Run(ctx) }()
+		go func() { f.ended <- table.Run(ctx) }()
 	}
 	t.Cleanup(func() {
 		cancel()
 		for range 2 * size {
-			require.NoError(t, <-done)
+			require.NoError(t, <-f.ended)
 		}
 		server.Close()
 	})
 	return f
 }
 
-func freeAddr(t testing.TB) netip.AddrPort {
-	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	require.NoError(t, err)
-	defer conn.Close()
-	return netip.MustParseAddrPort(conn.LocalAddr().String())
-}
-
 func (f *loopbackFleet) allSee(state State) bool {
 	for _, table := range f.tables {
 		up, ok := table.Lookup(f.id)
@@ -84,29 +78,47 @@
 	return true
 }
 
+// requireAllSee waits until all tables show a state. It fails at once, with the
+// reason, if a host ends.
+func (f *loopbackFleet) requireAllSee(t testing.TB, state State, timeout time.Duration) {
+	t.Helper()
+	expired := time.After(timeout)
+	for !f.allSee(state) {
+		select {
+		case err := <-f.ended:
+			f.ended <- err // the cleanup receives the result of each goroutine
+			require.NoError(t, err)
+			require.Fail(t, "a host ended")
+		case <-expired:
+			require.Fail(t, "timeout", "not all hosts see state %v after %s", state, timeout)
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
 // An upstream that gets no calls and is listed as live reports that it is leaving.
 // The hosts that probe it must pass this on to all others.
 func TestLeavingStateReachesAllRealHosts(t *testing.T) {
 	f := startLoopbackFleet(t, 6)
-	require.Eventually(t, func() bool { return f.allSee(Live) }, 2*waitTimeout, time.Millisecond)
+	f.requireAllSee(t, Live, 2*waitTimeout)
 	f.leaving.Store(true)
-	require.Eventually(t, func() bool { return f.allSee(Leaving) }, 2*waitTimeout, time.Millisecond)
+	f.requireAllSee(t, Leaving, 2*waitTimeout)
 }
 
 // BenchmarkLeavingKnown measures the time until all of 12 hosts on loopback know
 // that an upstream without calls is leaving.
 func BenchmarkLeavingKnown(b *testing.B) {
 	f := startLoopbackFleet(b, 12)
-	require.Eventually(b, func() bool { return f.allSee(Live) }, 2*waitTimeout, time.Millisecond)
+	f.requireAllSee(b, Live, 2*waitTimeout)
 	worst, rounds := time.Duration(0), 0
 	for b.Loop() {
 		started := time.Now()
 		f.leaving.Store(true)
-		require.Eventually(b, func() bool { return f.allSee(Leaving) }, 2*waitTimeout, time.Millisecond)
+		f.requireAllSee(b, Leaving, 2*waitTimeout)
 		worst = max(worst, time.Since(started))
 		rounds++
 		f.leaving.Store(false)
-		require.Eventually(b, func() bool { return f.allSee(Live) }, 4*waitTimeout, time.Millisecond)
+		f.requireAllSee(b, Live, 4*waitTimeout)
 	}
 	b.ReportMetric(worst.Seconds(), "s-worst")
 	b.ReportMetric(float64(rounds), "rounds")
