Processes of the soak and the drill end with it

A soak that was killed left its hosts running. Hosts and stand-ins are now started with SIGKILL as their signal for the death of the parent.

A failed check of the ports also showed that closing an environment whose host was never launched dereferenced a nil command; a host without a process is left alone now.

--- a/internal/drill/process.go
+++ b/internal/drill/process.go
@@ -31,6 +31,8 @@
 	}
 	defer file.Close()
 	p := &process{command: exec.Command(name, args...), ended: make(chan struct{})}
+	// A process that outlived the drill would keep calling ports that others get then.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	p.command.Stdout = file
 	p.command.Stderr = file
 	var out io.ReadCloser
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -152,11 +152,14 @@
 func (e *environment) close() {
 	for _, h := range e.hosts {
 		h.mu.Lock()
-		if h.command.Process != nil {
+		launched := h.exited != nil && h.command.Process != nil
+		if launched {
 			_ = h.command.Process.Kill() // it may have ended
 		}
 		h.mu.Unlock()
-		h.wait(5 * time.Second)
+		if launched {
+			h.wait(5 * time.Second)
+		}
 		_ = h.log.Close()
 		h.storeProxy.Close()
 	}
