Tests of leaving and paused upstreams run one after another

In a run of all tests beside other packages two of their subtests failed: a host could not listen, "bind: address already in use". They started up to nine fleets at once, each on ports that were free a moment before, which other processes and the connections of the other fleets took meanwhile. They now use one host, with other IDs for each case, and check the same; with the reading of notices switched off all their cases fail as before.

--- a/edge/endless_test.go
+++ b/edge/endless_test.go
@@ -47,7 +47,8 @@
 	}
 }
 
-// removalTime is longer than a host takes to learn that an entry was removed.
+// removalTime is longer than a host takes to learn that an entry was written or
+// removed.
 const removalTime = 400 * time.Millisecond
 
 // slow is the work of a sound upstream that makes a new one seem faster.
--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -25,6 +25,9 @@
 // An upstream may say only in its answers that it leaves, in an answer of any
 // kind. No later request may reach it, although its entry says that it is ready.
 func TestUpstreamThatSaysItLeavesGetsNoNewRequests(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, nil)
+	n := f.start()
 	for name, c := range map[string]struct {
 		service, path string
 		events        int
@@ -41,35 +44,35 @@
 		"inputs are gone": {"events", "/tell/1", 3, platformtest.LoseInputs},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			f := newFleet(t)
-			f.configure(1, nil)
-			a := f.upstream(&platformtest.Upstream{ID: "u1", Service: c.service, Events: c.events, StartTime: time.UnixMilli(1000)})
-			n := f.start()
+			id := func(suffix string) string { return name + suffix }
+			a := f.upstream(&platformtest.Upstream{ID: id("a"), Service: c.service, Events: c.events, StartTime: time.UnixMilli(1000)})
 			a.SayLeaving(true)
 			a.QueueFaults(c.fault)
-			f.send(n, http.MethodPost, c.path, "r0")
-			arrived := a.Arrived(c.path)
-			require.Equal(t, 1, arrived)
-			require.Equal(t, http.StatusServiceUnavailable, f.send(n, http.MethodPost, c.path, "r1").status, "there is no other")
-			f.upstream(&platformtest.Upstream{ID: "u2", Service: c.service, Events: c.events})
+			require.Eventually(t, func() bool {
+				f.send(n, http.MethodPost, c.path, id("r0"))
+				return a.Arrived(c.path) > 0
+			}, waitTimeout, 10*time.Millisecond)
+			require.Equal(t, http.StatusServiceUnavailable, f.send(n, http.MethodPost, c.path, id("r1")).status, "there is no other")
+			f.upstream(&platformtest.Upstream{ID: id("b"), Service: c.service, Events: c.events})
 			a.Register(f.store, "ready")
-			f.store.Delete("servers/u1")
-			time.Sleep(100 * time.Millisecond)
+			f.store.Delete("servers/" + id("a"))
+			time.Sleep(removalTime)
 			a.Register(f.store, "ready")
-			time.Sleep(300 * time.Millisecond)
+			time.Sleep(removalTime)
 			for i := range 10 {
-				require.Equal(t, http.StatusOK, f.send(n, http.MethodPost, c.path, "s"+strconv.Itoa(i)).status)
+				require.Equal(t, http.StatusOK, f.send(n, http.MethodPost, c.path, id("s"+strconv.Itoa(i))).status)
 			}
-			require.Equal(t, arrived, a.Arrived(c.path))
-			f.store.Delete("servers/u2")
+			require.Equal(t, 1, a.Arrived(c.path))
+			f.store.Delete("servers/" + id("b"))
 			a.SayLeaving(false)
 			a.StartTime = time.UnixMilli(2000)
 			a.Register(f.store, "ready")
 			require.Eventually(t, func() bool {
-				f.send(n, http.MethodPost, c.path, "t")
-				return a.Arrived(c.path) > arrived
+				f.send(n, http.MethodPost, c.path, id("t"))
+				return a.Arrived(c.path) > 1
 			}, waitTimeout, 10*time.Millisecond, "a new process under the ID serves again")
+			f.store.Delete("servers/" + id("a"))
+			time.Sleep(removalTime)
 		})
 	}
 }
@@ -88,7 +91,6 @@
 func TestStageServerThatSaysItLeavesGetsNoNewPieces(t *testing.T) {
 	for _, path := range []string{"/v1/report", "/v1/stage-run", "/v1/stage-free"} {
 		t.Run(path, func(t *testing.T) {
-			t.Parallel()
 			f := newFleet(t)
 			f.configure(1, nil)
 			f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Events: 3})
--- a/edge/paused_test.go
+++ b/edge/paused_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,23 +49,22 @@
 // An upstream that has asked for a pause must get nothing until its end, also if it
 // is the only one. Callers are refused at once and told when it is back.
 func TestOnlyUpstreamGetsNothingWhileItIsPaused(t *testing.T) {
+	f := newFleet(t)
+	f.configureEngines(1)
+	n := f.start()
 	for path, c := range map[string]struct {
 		service string
 		events  int
-		engines bool
-	}{"/read/1": {"plain", 0, false}, "/order/1": {"plain", 0, false}, "/talk/1": {"events", 3, true}, "/tell/1": {"events", 3, false}} {
+	}{"/read/1": {"plain", 0}, "/order/1": {"plain", 0}, "/talk/1": {"events", 3}, "/tell/1": {"events", 3}} {
 		t.Run(path, func(t *testing.T) {
-			t.Parallel()
-			f := newFleet(t)
-			f.configure(1, nil)
-			if c.engines {
-				f.configureEngines(2)
-			}
-			a := f.upstream(&platformtest.Upstream{ID: "u1", Service: c.service, Events: c.events, RetryAfter: "1.5"})
-			n := f.start()
+			a := f.upstream(&platformtest.Upstream{ID: "u" + strings.Trim(path, "/1"), Service: c.service, Events: c.events, RetryAfter: "1.5"})
+			defer time.Sleep(removalTime)
+			defer f.store.Delete("servers/" + a.ID)
+			time.Sleep(removalTime)
 			a.QueueFaults(platformtest.Shed)
 			begun := time.Now()
 			span, got := pauseOf(1500*time.Millisecond, func() callerResponse { return f.send(n, http.MethodPost, path, "r0") })
+			require.Equal(t, 1, a.Arrived(path))
 			require.Equal(t, http.StatusServiceUnavailable, got.status)
 			span.requireWait(t, got, begun, time.Now())
 			for time.Until(span.earliest) > 300*time.Millisecond {
@@ -83,7 +83,6 @@
 func TestPausedUpstreamIsReplacedByAnother(t *testing.T) {
 	for path, service := range map[string]string{"/read/1": "plain", "/talk/1": "events"} {
 		t.Run(path, func(t *testing.T) {
-			t.Parallel()
 			f := newFleet(t)
 			f.configureEngines(1)
 			events := map[string]int{"plain": 0, "events": 3}[service]
