Order the store's news by era and revision

What callers would see: in a drill the store may come back from a copy some seconds old. Its revisions go back and are given out again. A host then ignored what an upstream wrote with a revision below the one it knew, so a leaving upstream got new work for good, and the host called the store without a pause, because its watch went on from a revision that the store lacked. Its own entry came back only with the next renewal, 4 s later.

Cause: revisions alone ordered entries, removals, expiries, host entries, announcements and the calls between hosts.

Change: infra.Position is an era and a revision within it, and orders all of these. The client reads the era from each answer, drops those of a former era, reads a range of two eras again and ends a waiting watch when any call shows a rise. A host reads everything again then and registers again at once; a lease belongs to the era that granted it, since the store gives its ID out again. A process that was leaving stays so, whatever the copy says; a removed one stays removed until it is written again; upstreams that the copy lacks have 2.3 s to write themselves again. Between hosts, eras travel in new keys and in a longer announcement; hosts of the build before are served by revision, and count as era 0. Removals by a listing are placed at its position, not one after it, so that the first write after it counts. A configuration is ordered by its version, as before.

Evidence: on the code before, with the new stand-in, the fleet tests TestUpstreamLeavingAfterRestoreGetsNoNewWork, TestHostCutOffFromStoreGetsNewsOfNewEraFromPeers, TestHostsRegisterAgainAfterRestore and TestRestoreCausesFewStoreCalls fail (the last with 6,598 and 8,276 calls in 2 s in two runs; bound 15). TestConfigurationAfterRestoreIsInForce, TestConfigurationDoesNotRevertToThatOfTheCopy, TestUpstreamThatLeftBeforeRestoreGetsNoNewWork and TestUpstreamMissingInCopyIsUsedAllTheWhile pass there; they guard against ordering by era alone. The tests of instance, directory and platform need the new types; each part was taken out on a scratch copy (the era's comparison, keeping leaving and removed ones, the grace, the drop of old answers and changes, the second read of a range, the end of a watch, the lease's era, registering at a rise, the request without era, the answer at once), and tests failed each time.

Tests changed: those that called Remove, Replace, Range or Changes with a revision pass a position; the bounds are the same. The boundary test also forbids the new wire name outside of platform/.

Not covered: a host that starts while the copy holds an older configuration serves that until the operator has written the newer one again or another host tells it. spec/config.pml knows no eras.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -1,7 +1,8 @@
 // Package directory keeps a copy of the platform's store on every host: the
 // operators' configuration, the upstreams and the other hosts. It follows the
 // store, or other hosts while the store is unreachable. An entry is never
-// replaced by an older version.
+// replaced by an older version. Positions in the store order versions: its era,
+// and its revision within the era.
 package directory
 
 import (
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
 
 	"github.com/galenaseam/galenaseam/host"
@@ -34,18 +36,21 @@
 type Item struct {
 	Key      string
 	Value    []byte
+	Era      int64 // of the store's answer
 	Revision int64
 	Removed  bool
 }
 
+func (i Item) position() infra.Position { return infra.Position{Era: i.Era, Revision: i.Revision} }
+
 // Source reads the platform's store.
 type Source interface {
-	// Read returns all items and the revision that they reflect.
-	Read(ctx context.Context) ([]Item, int64, error)
-	// Changes waits for changes after a revision. It returns them and the
-	// revision from which to continue. ErrHistoryGone means that Read is
-	// needed again.
-	Changes(ctx context.Context, after int64, wait time.Duration) ([]Item, int64, error)
+	// Read returns all items and the position that they reflect.
+	Read(ctx context.Context) ([]Item, infra.Position, error)
+	// Changes waits for changes after a position, in the same era. It returns
+	// them and the position from which to continue. ErrHistoryGone means that
+	// Read is needed again, also because the store's era rose.
+	Changes(ctx context.Context, after infra.Position, wait time.Duration) ([]Item, infra.Position, error)
 }
 
 // ErrHistoryGone means that the store no longer holds the requested changes.
@@ -74,6 +79,8 @@
 	// a change.
 	MaxPropagationDelay time.Duration
 	Logger              *slog.Logger
+	// Registerer registers the metrics; nil registers none.
+	Registerer prometheus.Registerer
 	// OnConfig is called with each configuration after it was applied.
 	OnConfig func(*routing.Table)
 }
@@ -82,17 +89,21 @@
 type Directory struct {
 	config Config
 	routes atomic.Pointer[routing.Table]
+	// applying serializes the application of news of the store and of other
+	// hosts, so that no news of a former era is applied. It is locked before mu.
+	applying sync.Mutex
 
-	mu                sync.Mutex // guards the fields down to changed; locked before the instance table's mutex
-	rawConfig         []byte
-	configRevision    int64 // the store's revision of rawConfig
-	asOf              int64 // changes up to this revision are applied
-	hosts             map[string]hostEntry
-	expiries          map[instance.ID]expiry // upstreams whose entries expired during an outage
-	storeFailedAt     time.Time              // time of the last failed store call
-	heardRevision     int64                  // the newest revision that another host announced
-	heardFrom         host.ID
-	publishedRevision int64
+	mu             sync.Mutex // guards the fields down to changed; locked before the instance table's mutex
+	rawConfig      []byte
+	configRevision int64          // the store's revision of rawConfig
+	asOf           infra.Position // changes up to this position are applied
+	hosts          map[string]hostEntry
+	expiries       map[instance.ID]expiry // upstreams whose entries expired during an outage
+	storeFailedAt  time.Time              // time of the last failed store call
+	eraRoseAt      time.Time              // when the host noticed that the store had come back from a copy
+	heard          infra.Position         // the newest position that another host announced
+	heardFrom      host.ID
+	published      infra.Position
 	// confirmedAt is when the store last confirmed, here or to the host that
 	// this one follows, that there were no further changes.
 	confirmedAt time.Time
@@ -100,8 +111,9 @@
 	changed chan struct{}
 
 	avoidedWatchers ownership.Avoided // watchers that did not answer or had stale data
+	eraMetrics      eraMetrics
 
-	// wake tells followPeers that another host has a newer revision.
+	// wake tells followPeers that another host has a newer position.
 	wake chan struct{}
 }
 
@@ -112,16 +124,22 @@
 	Info     host.Info `cbor:"2,keyasint"`
 	Revision int64     `cbor:"3,keyasint"`
 	Removed  bool      `cbor:"4,keyasint"`
+	Era      int64     `cbor:"5,keyasint,omitempty"`
+}
+
+func (h hostEntry) position() infra.Position {
+	return infra.Position{Era: h.Era, Revision: h.Revision}
 }
 
 // New returns an empty directory and registers its handler for other hosts.
 func New(config Config, registrar link.Registrar) *Directory {
 	d := &Directory{
-		config:   config,
-		hosts:    make(map[string]hostEntry),
-		expiries: make(map[instance.ID]expiry),
-		changed:  make(chan struct{}),
-		wake:     make(chan struct{}, 1),
+		config:     config,
+		hosts:      make(map[string]hostEntry),
+		expiries:   make(map[instance.ID]expiry),
+		changed:    make(chan struct{}),
+		wake:       make(chan struct{}, 1),
+		eraMetrics: newEraMetrics(config.Registerer),
 	}
 	config.Gossip.Subscribe(revisionTopic, d.handleRevision)
 	link.HandleTyped(registrar, followMethod, d.serveFollow)
@@ -132,7 +150,10 @@
 func (d *Directory) Routes() *routing.Table { return d.routes.Load() }
 
 // Revision returns the store's revision up to which changes are applied.
-func (d *Directory) Revision() int64 {
+func (d *Directory) Revision() int64 { return d.position().Revision }
+
+// position returns the store's position up to which changes are applied.
+func (d *Directory) position() infra.Position {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.asOf
@@ -152,8 +173,13 @@
 }
 
 // applySnapshot applies a complete read of the store. Entries that it lacks
-// are removed.
-func (d *Directory) applySnapshot(items []Item, asOf int64, now time.Time) {
+// are removed. A read of a former era is dropped.
+func (d *Directory) applySnapshot(items []Item, asOf infra.Position, now time.Time) {
+	d.applying.Lock()
+	defer d.applying.Unlock()
+	if _, current := d.enterEra(asOf, "store", now); !current {
+		return
+	}
 	listedUpstreams := make(map[instance.ID]bool)
 	listedKeys := make(map[string]bool)
 	for _, item := range items {
@@ -163,22 +189,46 @@
 		listedKeys[item.Key] = true
 		d.apply(item, now)
 	}
-	for _, e := range d.config.Instances.Entries() {
-		if !listedUpstreams[e.ID] && e.Revision <= asOf {
-			d.removeUpstream(e.ID, asOf+1, now)
-		}
-	}
+	d.removeUnlisted(listedUpstreams, asOf, now)
 	d.mu.Lock()
 	for key, h := range d.hosts {
-		if !listedKeys[key] && !h.Removed && h.Revision <= asOf {
-			d.hosts[key] = hostEntry{Key: key, Revision: asOf + 1, Removed: true}
+		if !listedKeys[key] && !h.Removed && asOf.After(h.position()) {
+			d.hosts[key] = hostEntry{Key: key, Era: asOf.Era, Revision: asOf.Revision, Removed: true}
 		}
 	}
 	d.mu.Unlock()
-	d.advanceRevision(asOf, now)
+	d.advancePosition(asOf, now)
 	d.wakeFollowers()
 }
 
+// removeUnlisted removes the upstreams that a complete listing lacks, as
+// removeUpstream does. The caller holds applying.
+func (d *Directory) removeUnlisted(listed map[instance.ID]bool, asOf infra.Position, now time.Time) {
+	for _, e := range d.config.Instances.Entries() {
+		if !listed[e.ID] && asOf.After(e.Position()) {
+			d.removeUpstream(e.ID, asOf, now)
+		}
+	}
+}
+
+// applyChanges applies changes up to a position. It returns false, and applies
+// none, if they are of another era than what they would be applied to.
+func (d *Directory) applyChanges(items []Item, asOf infra.Position, now time.Time) bool {
+	d.applying.Lock()
+	defer d.applying.Unlock()
+	if asOf.Era != d.position().Era {
+		return false
+	}
+	for _, item := range items {
+		d.apply(item, now)
+	}
+	d.advancePosition(asOf, now)
+	if len(items) > 0 {
+		d.wakeFollowers()
+	}
+	return true
+}
+
 // apply applies one item.
 func (d *Directory) apply(item Item, now time.Time) {
 	if id, ok := d.config.Format.UpstreamID(item.Key); ok {
@@ -199,16 +249,16 @@
 // removes the upstream.
 func (d *Directory) applyUpstream(id instance.ID, item Item, now time.Time) {
 	if item.Removed {
-		d.removeUpstream(id, item.Revision, now)
+		d.removeUpstream(id, item.position(), now)
 		return
 	}
 	entry, err := d.config.Format.DecodeUpstream(id, item.Value)
 	if err != nil {
 		d.config.Logger.Warn("upstream entry ignored", "upstream", string(id), "revision", item.Revision, "error", err.Error())
-		d.config.Instances.Remove(id, item.Revision)
+		d.config.Instances.Remove(id, item.position())
 		return
 	}
-	entry.Revision = item.Revision
+	entry.Era, entry.Revision = item.Era, item.Revision
 	d.mu.Lock()
 	delete(d.expiries, id)
 	d.mu.Unlock()
@@ -245,7 +295,7 @@
 
 // applyHost applies the entry of a host.
 func (d *Directory) applyHost(item Item) {
-	entry := hostEntry{Key: item.Key, Revision: item.Revision, Removed: item.Removed}
+	entry := hostEntry{Key: item.Key, Era: item.Era, Revision: item.Revision, Removed: item.Removed}
 	if !item.Removed {
 		if err := cbor.Unmarshal(item.Value, &entry.Info); err != nil || !entry.Info.LinkAddr.IsValid() {
 			d.config.Logger.Warn("host entry ignored", "key", item.Key, "revision", item.Revision)
@@ -265,7 +315,7 @@
 // mu.
 func (d *Directory) putHost(entry hostEntry) {
 	old, known := d.hosts[entry.Key]
-	if known && old.Revision >= entry.Revision {
+	if known && !entry.position().After(old.position()) {
 		return
 	}
 	if !known && len(d.hosts) >= maxHostEntries {
@@ -274,12 +324,14 @@
 	d.hosts[entry.Key] = entry
 }
 
-// advanceRevision records the revision up to which changes are applied, and
+// advancePosition records the position up to which changes are applied, and
 // when the store confirmed that there were no others.
-func (d *Directory) advanceRevision(asOf int64, confirmedAt time.Time) {
+func (d *Directory) advancePosition(asOf infra.Position, confirmedAt time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.asOf = max(d.asOf, asOf)
+	if asOf.After(d.asOf) {
+		d.asOf = asOf
+	}
 	if confirmedAt.After(d.confirmedAt) {
 		d.confirmedAt = confirmedAt
 	}
--- a/directory/expiry.go
+++ b/directory/expiry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/instance"
 )
 
@@ -15,35 +16,49 @@
 // outage.
 type expiry struct {
 	removeAt time.Time // when the upstream is removed
-	revision int64     // of the expired entry; a newer entry means that the upstream is back
+	// position is that of the expired entry. A newer entry means that the
+	// upstream is back.
+	position infra.Position
 }
 
-// removeUpstream removes an upstream. If its entry may have expired only
-// because the store was unreachable, the upstream is kept for expiryGrace to
-// register again.
-func (d *Directory) removeUpstream(id instance.ID, revision int64, now time.Time) {
+// outageEnd returns when the store was last known to be away: at a failed call,
+// or when it came back from a copy, which may lack entries. The caller holds mu.
+func (d *Directory) outageEnd() time.Time {
+	if d.eraRoseAt.After(d.storeFailedAt) {
+		return d.eraRoseAt
+	}
+	return d.storeFailedAt
+}
+
+// removeUpstream removes an upstream. If its entry may be missing only because
+// the store was unreachable or came back from a copy, the upstream is kept for
+// expiryGrace to register again.
+func (d *Directory) removeUpstream(id instance.ID, at infra.Position, now time.Time) {
 	entry, known := d.config.Instances.Lookup(id)
 	if !known {
-		d.config.Instances.Remove(id, revision)
+		d.config.Instances.Remove(id, at)
 		return
 	}
 	d.mu.Lock()
-	duringOutage := !d.storeFailedAt.IsZero() && now.Sub(d.storeFailedAt) < expiryGrace
+	outageEnd := d.outageEnd()
+	duringOutage := !outageEnd.IsZero() && now.Sub(outageEnd) < expiryGrace
 	if duringOutage && !entry.Leaving {
 		if _, waiting := d.expiries[id]; !waiting {
-			d.expiries[id] = expiry{removeAt: d.storeFailedAt.Add(expiryGrace), revision: entry.Revision}
+			d.expiries[id] = expiry{removeAt: outageEnd.Add(expiryGrace), position: entry.Position()}
 		}
 		d.mu.Unlock()
 		d.config.Logger.Info("upstream entry expired during a store outage", "upstream", string(id),
-			"revision", revision, "outage_age_ms", now.Sub(d.storeFailedAt).Milliseconds())
+			"era", at.Era, "revision", at.Revision, "outage_age_ms", now.Sub(outageEnd).Milliseconds())
 		return
 	}
 	d.mu.Unlock()
-	d.config.Instances.Remove(id, revision)
+	d.config.Instances.Remove(id, at)
 }
 
 // removeExpired removes the upstreams that did not register again in time.
 func (d *Directory) removeExpired(now time.Time) {
+	d.applying.Lock()
+	defer d.applying.Unlock()
 	d.mu.Lock()
 	due := make(map[instance.ID]expiry)
 	for id, pending := range d.expiries {
@@ -55,8 +70,16 @@
 	asOf := d.asOf
 	d.mu.Unlock()
 	for id, pending := range due {
-		if e, known := d.config.Instances.Lookup(id); known && e.Revision <= pending.revision {
-			d.config.Instances.Remove(id, max(asOf, e.Revision+1))
+		if e, known := d.config.Instances.Lookup(id); known && !e.Position().After(pending.position) {
+			d.config.Instances.Remove(id, laterOf(asOf, infra.Position{Era: e.Era, Revision: e.Revision + 1}))
 		}
 	}
 }
+
+// laterOf returns the later of two positions.
+func laterOf(a, b infra.Position) infra.Position {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -92,12 +92,13 @@
 		}
 		d.applySnapshot(items, asOf, time.Now())
 		*readAll = false
-		d.publishRevision()
+		d.publishPosition()
 		return nil
 	}
-	items, asOf, err := d.config.Source.Changes(ctx, d.Revision(), d.watchWait())
+	items, asOf, err := d.config.Source.Changes(ctx, d.position(), d.watchWait())
 	if errors.Is(err, ErrHistoryGone) {
-		d.config.Logger.Warn("store no longer holds the changes to follow, reading everything", "as_of", d.Revision())
+		at := d.position()
+		d.config.Logger.Warn("store no longer holds the changes to follow, reading everything", "era", at.Era, "as_of", at.Revision)
 		*readAll = true
 		return nil
 	}
@@ -105,14 +106,12 @@
 		*readAll = true
 		return err
 	}
-	now := time.Now()
-	for _, item := range items {
-		d.apply(item, now)
+	if !d.applyChanges(items, asOf, time.Now()) {
+		*readAll = true
+		return nil
 	}
-	d.advanceRevision(asOf, now)
 	if len(items) > 0 {
-		d.wakeFollowers()
-		d.publishRevision()
+		d.publishPosition()
 		_ = sleep.For(ctx, d.batchDelay())
 	}
 	return nil
--- a/directory/peers.go
+++ b/directory/peers.go
@@ -8,10 +8,11 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/member"
 )
 
-// revisionTopic is the gossip topic on which hosts announce their revision of
+// revisionTopic is the gossip topic on which hosts announce their position in
 // the store.
 const revisionTopic member.Topic = "directory"
 
@@ -19,7 +20,7 @@
 	revisionKey = "revision"
 
 	// ownWatchHeadStart is how long a host waits for its own watch after
-	// another host announced a newer revision, before it fetches from that
+	// another host announced a newer position, before it fetches from that
 	// host.
 	ownWatchHeadStart = 250 * time.Millisecond
 	// fetchTimeout bounds one fetch from another host.
@@ -32,35 +33,59 @@
 	outageWindow = 1500 * time.Millisecond
 )
 
-// publishRevision announces the newest revision unless another host has
+// encodePosition encodes a position for an announcement: the revision, and the
+// era unless it is 0. Hosts of the build before know only the short form, and
+// ignore the other.
+func encodePosition(p infra.Position) []byte {
+	payload := binary.BigEndian.AppendUint64(nil, uint64(p.Revision))
+	if p.Era == 0 {
+		return payload
+	}
+	return binary.BigEndian.AppendUint64(payload, uint64(p.Era))
+}
+
+// decodePosition decodes an announced position.
+func decodePosition(payload []byte) (p infra.Position, ok bool) {
+	switch len(payload) {
+	case 16:
+		p.Era = int64(binary.BigEndian.Uint64(payload[8:]))
+	case 8:
+	default:
+		return p, false
+	}
+	p.Revision = int64(binary.BigEndian.Uint64(payload))
+	return p, true
+}
+
+// publishPosition announces the newest position unless another host has
 // announced it.
-func (d *Directory) publishRevision() {
+func (d *Directory) publishPosition() {
 	d.mu.Lock()
 	asOf := d.asOf
-	isNew := asOf > d.publishedRevision && asOf > d.heardRevision
+	isNew := asOf.After(d.published) && asOf.After(d.heard)
 	if isNew {
-		d.publishedRevision = asOf
+		d.published = asOf
 	}
 	d.mu.Unlock()
 	if !isNew {
 		return
 	}
-	if err := d.config.Gossip.Publish(revisionTopic, revisionKey, binary.BigEndian.AppendUint64(nil, uint64(asOf))); err != nil {
-		d.config.Logger.Warn("revision not announced", "as_of", asOf, "error", err.Error())
+	if err := d.config.Gossip.Publish(revisionTopic, revisionKey, encodePosition(asOf)); err != nil {
+		d.config.Logger.Warn("revision not announced", "era", asOf.Era, "as_of", asOf.Revision, "error", err.Error())
 	}
 }
 
-// handleRevision records another host's revision and wakes followPeers if this
+// handleRevision records another host's position and wakes followPeers if this
 // host is behind it.
 func (d *Directory) handleRevision(f member.Fact) {
-	if len(f.Payload) != 8 {
+	announced, ok := decodePosition(f.Payload)
+	if !ok {
 		return
 	}
-	revision := int64(binary.BigEndian.Uint64(f.Payload))
 	d.mu.Lock()
-	behind := revision > d.asOf
-	if revision > d.heardRevision {
-		d.heardRevision, d.heardFrom = revision, f.From
+	behind := announced.After(d.asOf)
+	if announced.After(d.heard) {
+		d.heard, d.heardFrom = announced, f.From
 	}
 	d.mu.Unlock()
 	if behind {
@@ -98,11 +123,11 @@
 }
 
 // peerAhead returns the address of the host that announced the newest
-// revision. It returns false if this host is not behind or doesn't know that
+// position. It returns false if this host is not behind or doesn't know that
 // host.
 func (d *Directory) peerAhead() (netip.AddrPort, bool) {
 	d.mu.Lock()
-	behind, from := d.heardRevision > d.asOf, d.heardFrom
+	behind, from := d.heard.After(d.asOf), d.heardFrom
 	d.mu.Unlock()
 	peer, known := d.config.Fleet.Lookup(from)
 	return peer.LinkAddr, behind && known
@@ -131,14 +156,14 @@
 
 // fetchFrom fetches from another host what this one lacks and applies it.
 func (d *Directory) fetchFrom(ctx context.Context, peer netip.AddrPort) {
-	before := d.Revision()
+	before := d.position()
 	answer, err := d.askPeer(ctx, peer, 0, fetchTimeout)
 	if err != nil {
 		d.config.Logger.Warn("directory not fetched from another host", "peer", peer.String(), "error", err.Error())
 		return
 	}
-	d.applyAnswer(answer)
-	if answer.AsOf > before {
-		d.config.Logger.Info("directory fetched from another host", "peer", peer.String(), "as_of", answer.AsOf, "was", before)
+	if d.applyAnswer(answer) && answer.position().After(before) {
+		d.config.Logger.Info("directory fetched from another host", "peer", peer.String(),
+			"era", answer.Era, "as_of", answer.AsOf, "was_era", before.Era, "was", before.Revision)
 	}
 }
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -10,6 +10,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/routing"
@@ -105,6 +106,18 @@
 	Version routing.Version `cbor:"2,keyasint"`
 	// Wait is how long the answering host may wait for a change.
 	Wait time.Duration `cbor:"3,keyasint"`
+	// Era is the era of AsOf. It is nil from hosts of the build before, which
+	// know no eras.
+	Era *int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// position returns what the requesting host has. If the request states no era,
+// that is the answering host's one.
+func (r followRequest) position(era int64) infra.Position {
+	if r.Era != nil {
+		era = *r.Era
+	}
+	return infra.Position{Era: era, Revision: r.AsOf}
 }
 
 // followAnswer holds the changes that the requesting host lacks.
@@ -124,6 +137,12 @@
 	// Expiries are the pending removals of upstreams whose entries expired
 	// during an outage.
 	Expiries map[instance.ID]wireExpiry `cbor:"9,keyasint"`
+	// Era is the era of AsOf.
+	Era int64 `cbor:"10,keyasint,omitempty"`
+}
+
+func (a *followAnswer) position() infra.Position {
+	return infra.Position{Era: a.Era, Revision: a.AsOf}
 }
 
 // wireExpiry is an expiry as sent between hosts. Left is the time until the
@@ -131,20 +150,23 @@
 type wireExpiry struct {
 	Left     time.Duration `cbor:"1,keyasint"`
 	Revision int64         `cbor:"2,keyasint"`
+	Era      int64         `cbor:"3,keyasint,omitempty"`
 }
 
 // serveFollow answers a host that follows this one, as soon as there is a
-// change, the requested wait is over or this host's own data becomes stale.
+// change, the requested wait is over or this host's own data becomes stale. A
+// host that is in a later era is answered at once, since it must look elsewhere.
 func (d *Directory) serveFollow(ctx context.Context, request followRequest) (followAnswer, error) {
 	timeout := time.NewTimer(request.Wait)
 	defer timeout.Stop()
 	d.mu.Lock()
 	changed := d.changed
-	behind := request.AsOf < d.asOf
+	position := request.position(d.asOf.Era)
+	behind, ahead := d.asOf.After(position), position.Era > d.asOf.Era
 	stale := time.NewTimer(time.Until(d.confirmedAt.Add(d.fractionOfMaxDelay(maxAgeFraction))))
 	d.mu.Unlock()
 	defer stale.Stop()
-	if answer := d.changesSince(request); behind && !answer.isEmpty() {
+	if answer := d.changesSince(request); ahead || behind && !answer.isEmpty() {
 		return answer, nil
 	}
 	select {
@@ -162,20 +184,21 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	answer := followAnswer{AsOf: d.asOf, Age: now.Sub(d.confirmedAt), Expiries: make(map[instance.ID]wireExpiry)}
+	since := request.position(d.asOf.Era)
+	answer := followAnswer{Era: d.asOf.Era, AsOf: d.asOf.Revision, Age: now.Sub(d.confirmedAt), Expiries: make(map[instance.ID]wireExpiry)}
 	for id, pending := range d.expiries {
-		answer.Expiries[id] = wireExpiry{Left: pending.removeAt.Sub(now), Revision: pending.revision}
+		answer.Expiries[id] = wireExpiry{Left: pending.removeAt.Sub(now), Era: pending.position.Era, Revision: pending.position.Revision}
 	}
 	if current := d.routes.Load(); current != nil && current.Version() > request.Version {
 		answer.Config, answer.ConfigRevision = d.rawConfig, d.configRevision
 	}
 	for _, h := range d.hosts {
-		if h.Revision > request.AsOf {
+		if h.position().After(since) {
 			answer.Hosts = append(answer.Hosts, h)
 		}
 	}
 	var recorded bool
-	if answer.Entries, answer.Removals, recorded = d.config.Instances.ChangesSince(request.AsOf); !recorded {
+	if answer.Entries, answer.Removals, recorded = d.config.Instances.ChangesSince(since); !recorded || since.Era < d.asOf.Era {
 		answer.Entries, answer.Complete = d.config.Instances.Entries(), true
 	}
 	return answer
@@ -199,20 +222,22 @@
 		reason = err.Error()
 	case answer.Age >= d.fractionOfMaxDelay(maxAgeFraction):
 		reason = "out of touch with the store"
+	case !d.applyAnswer(answer):
+		reason = "in a former era of the store"
 	default:
-		d.applyAnswer(answer)
 		return true
 	}
 	d.avoidedWatchers.Add(watcher.ID, time.Now())
 	d.config.Logger.Warn("store watcher avoided", "watcher", string(watcher.ID), "as_of", d.Revision(),
-		"watcher_as_of", answer.AsOf, "age_ms", answer.Age.Milliseconds(), "reason", reason)
+		"watcher_era", answer.Era, "watcher_as_of", answer.AsOf, "age_ms", answer.Age.Milliseconds(), "reason", reason)
 	return false
 }
 
 // askPeer asks another host for what this one lacks. The answer may wait for a
 // change.
 func (d *Directory) askPeer(ctx context.Context, peer netip.AddrPort, wait, timeout time.Duration) (followAnswer, error) {
-	request := followRequest{AsOf: d.Revision(), Wait: wait}
+	at := d.position()
+	request := followRequest{Era: &at.Era, AsOf: at.Revision, Wait: wait}
 	if current := d.routes.Load(); current != nil {
 		request.Version = current.Version()
 	}
@@ -221,36 +246,67 @@
 	return link.CallIdempotent[followRequest, followAnswer](ctx, d.config.Caller, peer, followMethod, request)
 }
 
-// applyAnswer applies another host's answer.
-func (d *Directory) applyAnswer(answer followAnswer) {
+// applyAnswer applies another host's answer. It returns false if that host is in
+// a former era of the store: only its configuration is applied then, because
+// configurations are ordered by their versions.
+func (d *Directory) applyAnswer(answer followAnswer) bool {
+	d.applying.Lock()
+	defer d.applying.Unlock()
 	if len(answer.Config) > 0 {
 		d.applyConfig(answer.Config, answer.ConfigRevision)
 	}
-	if answer.Complete && answer.AsOf > d.Revision() {
-		d.config.Instances.Replace(answer.Entries, answer.AsOf)
+	now := time.Now()
+	asOf := answer.position()
+	before := d.position()
+	if asOf.Era > before.Era && !answer.Complete {
+		return false
+	}
+	rose, current := d.enterEra(asOf, "host", now)
+	if !current {
+		return false
+	}
+	if answer.Complete && asOf.After(before) {
+		d.replaceUpstreams(answer.Entries, asOf, rose, now)
 	}
 	for _, r := range answer.Removals {
-		d.config.Instances.Remove(r.ID, r.Revision)
+		d.config.Instances.Remove(r.ID, r.Position())
 	}
 	for _, e := range answer.Entries {
 		d.config.Instances.Put(e)
 	}
-	now := time.Now()
 	d.mu.Lock()
 	for _, e := range answer.Entries {
 		delete(d.expiries, e.ID)
 	}
 	for id, pending := range answer.Expiries {
 		if _, waiting := d.expiries[id]; !waiting {
-			d.expiries[id] = expiry{removeAt: now.Add(pending.Left), revision: pending.Revision}
+			position := infra.Position{Era: pending.Era, Revision: pending.Revision}
+			d.expiries[id] = expiry{removeAt: now.Add(pending.Left), position: position}
 		}
 	}
 	for _, h := range answer.Hosts {
 		d.putHost(h)
 	}
 	d.mu.Unlock()
-	d.advanceRevision(answer.AsOf, now.Add(-answer.Age))
+	d.advancePosition(asOf, now.Add(-answer.Age))
 	if !answer.isEmpty() {
 		d.wakeFollowers()
 	}
+	return true
+}
+
+// replaceUpstreams applies another host's complete list of upstreams. If the
+// store's era rose, those that the list lacks get the time to register again.
+// The caller holds applying.
+func (d *Directory) replaceUpstreams(entries []instance.Entry, asOf infra.Position, rose bool, now time.Time) {
+	if !rose {
+		d.config.Instances.Replace(entries, asOf)
+		return
+	}
+	listed := make(map[instance.ID]bool, len(entries))
+	for _, e := range entries {
+		listed[e.ID] = true
+		d.config.Instances.Put(e)
+	}
+	d.removeUnlisted(listed, asOf, now)
 }
--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/member"
@@ -51,6 +53,7 @@
 	mu          sync.Mutex // guards the fields below
 	items       []Item     // every change in order
 	changed     chan struct{}
+	era         int64
 	hangs       map[int]bool
 	calls       int
 	rejectCalls bool
@@ -65,7 +68,20 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.items = append(s.items, Item{Key: key, Value: raw, Revision: int64(len(s.items) + 1), Removed: removed})
+	s.items = append(s.items, Item{Key: key, Value: raw, Era: s.era, Revision: int64(len(s.items) + 1), Removed: removed})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// restore takes the store back to the copy made after the first n changes.
+func (s *testStore) restore(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.items = slices.Clone(s.items[:n])
+	for i := range s.items {
+		s.items[i].Era = s.era
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -91,9 +107,9 @@
 	return nil
 }
 
-func (s source) Read(ctx context.Context) ([]Item, int64, error) {
+func (s source) Read(ctx context.Context) ([]Item, infra.Position, error) {
 	if err := s.startCall(ctx); err != nil {
-		return nil, 0, err
+		return nil, infra.Position{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -107,25 +123,29 @@
 			all = append(all, i)
 		}
 	}
-	return all, int64(len(s.items)), nil
+	return all, infra.Position{Era: s.era, Revision: int64(len(s.items))}, nil
 }
 
-func (s source) Changes(ctx context.Context, after int64, wait time.Duration) ([]Item, int64, error) {
+func (s source) Changes(ctx context.Context, after infra.Position, wait time.Duration) ([]Item, infra.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
 	if err := s.startCall(ctx); err != nil {
-		return nil, 0, err
+		return nil, infra.Position{}, err
 	}
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
 		s.mu.Lock()
-		items, changed, newest := s.items[min(int(after), len(s.items)):], s.changed, int64(len(s.items))
+		items, changed := s.items[min(int(after.Revision), len(s.items)):], s.changed
+		newest := infra.Position{Era: s.era, Revision: int64(len(s.items))}
 		silent := s.silent
 		s.mu.Unlock()
 		if silent {
 			<-ctx.Done()
-			return nil, 0, ctx.Err()
+			return nil, infra.Position{}, ctx.Err()
+		}
+		if newest.Era != after.Era {
+			return nil, infra.Position{}, ErrHistoryGone
 		}
 		if len(items) > 0 {
 			return items, newest, nil
@@ -135,7 +155,7 @@
 		case <-timeout.C:
 			return nil, newest, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, infra.Position{}, ctx.Err()
 		}
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -161,7 +161,8 @@
 	}
 	h.directory = directory.New(directory.Config{
 		Source: h.platform.Source, Format: h.platform.Format, Instances: h.instances, Fleet: h.members,
-		Gossip: h.members, Caller: h.peerClient, MaxPropagationDelay: h.settings.MaxPropagationDelay, Logger: h.logger, OnConfig: h.onConfig,
+		Gossip: h.members, Caller: h.peerClient, MaxPropagationDelay: h.settings.MaxPropagationDelay, Logger: h.logger,
+		Registerer: h.registry, OnConfig: h.onConfig,
 	}, h.mux)
 	hostList.setDirectory(h.directory)
 	return nil
@@ -236,7 +237,7 @@
 		return
 	}
 	h.logger.Info("upstream "+c.Kind, "upstream", string(c.ID), "service", c.Service, "addr", c.Addr.String(),
-		"data_centre", string(c.DataCentre), "revision", c.Revision)
+		"data_centre", string(c.DataCentre), "era", c.Era, "revision", c.Revision)
 	if c.Kind == "removed" {
 		h.transport.CloseIdle(c.Addr)
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -3,6 +3,7 @@
 package instance
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // ID identifies one upstream process.
@@ -31,6 +33,11 @@
 	StartTime time.Time `cbor:"8,keyasint"`
 	// Revision is the revision of the entry in the store.
 	Revision int64 `cbor:"9,keyasint"`
+	// Era is the era of the store in which Revision was given out.
+	Era int64 `cbor:"20,keyasint,omitempty"`
+	// LeftEarlier is true if the process was leaving in a former era, but a
+	// later one lists it as ready. Leaving is true then.
+	LeftEarlier bool `cbor:"21,keyasint,omitempty"`
 }
 
 // maxTombstones bounds the removals that are remembered. It is several times
@@ -83,15 +90,15 @@
 	mu             sync.Mutex
 	byID           map[ID]*Instance
 	byService      map[string][]*Instance // ordered by ID
-	tombstones     map[ID]int64           // revision of each removal; entries up to it are ignored
-	tombstoneFloor int64                  // removals before this revision may be missing
+	tombstones     map[ID]tombstone       // removals; entries up to their positions are ignored
+	tombstoneFloor infra.Position         // removals before this position may be missing
 	changed        func(Change)
 }
 
 // Change describes a change of the table, for logging.
 type Change struct {
 	Entry
-	Kind string // "added", "leaving", "removed" or "changed"
+	Kind string // "added", "leaving", "removed" or "changed", or one of those in era.go
 }
 
 // NewTable creates an empty table. changed, if not nil, is called after each
@@ -103,12 +110,12 @@
 	return &Table{
 		byID:       make(map[ID]*Instance),
 		byService:  make(map[string][]*Instance),
-		tombstones: make(map[ID]int64),
+		tombstones: make(map[ID]tombstone),
 		changed:    changed,
 	}
 }
 
-// Put adds or updates an entry unless a newer revision is known.
+// Put adds or updates an entry unless a newer one is known.
 func (t *Table) Put(e Entry) {
 	t.mu.Lock()
 	kind := t.put(e)
@@ -121,19 +128,16 @@
 // put adds or updates an entry. It returns what changed, as in Change.Kind, or ""
 // if nothing did. The caller holds mu.
 func (t *Table) put(e Entry) string {
-	if t.tombstones[e.ID] >= e.Revision {
-		return ""
-	}
 	old := t.byID[e.ID]
+	e, kept, valid := t.reconcile(e, old)
+	if !valid {
+		return kept
+	}
 	if old == nil {
 		t.add(&Instance{Entry: e})
-		return "added"
+		return cmp.Or(kept, "added")
 	}
-	if old.Revision >= e.Revision {
-		return ""
-	}
-	sameProcess := old.StartTime.Equal(e.StartTime) && old.Addr == e.Addr && old.Service == e.Service
-	if !sameProcess {
+	if !old.sameProcess(e) {
 		t.drop(old)
 		t.add(&Instance{Entry: e})
 		return "added"
@@ -143,18 +147,18 @@
 	if e.Leaving && !wasLeaving {
 		return "leaving"
 	}
-	return "changed"
+	return cmp.Or(kept, "changed")
 }
 
 // Remove removes an upstream unless a newer entry is known.
-func (t *Table) Remove(id ID, revision int64) {
+func (t *Table) Remove(id ID, at infra.Position) {
 	t.mu.Lock()
 	old := t.byID[id]
-	gone := old != nil && old.Revision < revision
+	gone := old != nil && at.After(old.Position())
 	if gone {
 		t.drop(old)
 	}
-	t.tombstones[id] = max(t.tombstones[id], revision)
+	t.bury(id, old, at)
 	if len(t.tombstones) > maxTombstones {
 		t.pruneTombstones()
 	}
@@ -168,23 +172,29 @@
 // seconds, so no update that these removals would have to suppress is still
 // expected.
 func (t *Table) pruneTombstones() {
-	revisions := slices.Sorted(maps.Values(t.tombstones))
-	median := revisions[len(revisions)/2]
-	t.tombstoneFloor = max(t.tombstoneFloor, median)
-	maps.DeleteFunc(t.tombstones, func(_ ID, revision int64) bool { return revision < median })
+	var positions []infra.Position
+	for _, buried := range t.tombstones {
+		positions = append(positions, buried.at)
+	}
+	slices.SortFunc(positions, infra.Position.Compare)
+	median := positions[len(positions)/2]
+	if median.After(t.tombstoneFloor) {
+		t.tombstoneFloor = median
+	}
+	maps.DeleteFunc(t.tombstones, func(_ ID, buried tombstone) bool { return median.After(buried.at) })
 }
 
-// Replace synchronizes the table with a complete listing as of a revision.
+// Replace synchronizes the table with a complete listing as of a position.
 // Entries that the listing lacks are removed unless they are newer.
-func (t *Table) Replace(entries []Entry, asOf int64) {
+func (t *Table) Replace(entries []Entry, asOf infra.Position) {
 	listed := make(map[ID]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
 		t.Put(e)
 	}
 	for _, e := range t.Entries() {
-		if !listed[e.ID] && e.Revision <= asOf {
-			t.Remove(e.ID, asOf+1)
+		if !listed[e.ID] && asOf.After(e.Position()) {
+			t.Remove(e.ID, asOf)
 		}
 	}
 }
@@ -234,24 +244,25 @@
 type Removal struct {
 	ID       ID    `cbor:"1,keyasint"`
 	Revision int64 `cbor:"2,keyasint"`
+	Era      int64 `cbor:"3,keyasint,omitempty"`
 }
 
-// ChangesSince returns the changes after a revision. known is false if removals since
+// ChangesSince returns the changes after a position. known is false if removals since
 // then are no longer remembered.
-func (t *Table) ChangesSince(revision int64) (entries []Entry, removals []Removal, known bool) {
+func (t *Table) ChangesSince(position infra.Position) (entries []Entry, removals []Removal, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if revision < t.tombstoneFloor {
+	if t.tombstoneFloor.After(position) {
 		return nil, nil, false
 	}
 	for _, i := range t.byID {
-		if i.Revision > revision {
+		if i.Position().After(position) {
 			entries = append(entries, i.Entry)
 		}
 	}
-	for id, at := range t.tombstones {
-		if at > revision {
-			removals = append(removals, Removal{ID: id, Revision: at})
+	for id, buried := range t.tombstones {
+		if buried.at.After(position) {
+			removals = append(removals, Removal{ID: id, Revision: buried.at.Revision, Era: buried.at.Era})
 		}
 	}
 	return entries, removals, true
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/instance"
 )
 
@@ -35,7 +36,7 @@
 	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 6})
 	_, begun := table.Begin("a", 0)
 	require.False(t, begun, "an older revision does not bring a leaving upstream back")
-	table.Remove("a", 9)
+	table.Remove("a", infra.Position{Revision: 9})
 	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 8})
 	require.Empty(t, healthyIDs(table, now))
 	table.Put(instance.Entry{ID: "a", Service: "s", Revision: 10})
@@ -46,7 +47,7 @@
 	table := instance.NewTable(nil)
 	table.Put(instance.Entry{ID: "old", Service: "s", Revision: 3})
 	table.Put(instance.Entry{ID: "new", Service: "s", Revision: 20})
-	table.Replace([]instance.Entry{{ID: "kept", Service: "s", Revision: 8}}, 10)
+	table.Replace([]instance.Entry{{ID: "kept", Service: "s", Revision: 8}}, infra.Position{Revision: 10})
 	require.Equal(t, []instance.ID{"kept", "new"}, healthyIDs(table, time.Unix(1000, 0)))
 }
 
--- a/instance/tombstones_test.go
+++ b/instance/tombstones_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 func TestOldestTombstonesArePrunedFirst(t *testing.T) {
@@ -13,7 +15,7 @@
 	for i := range removals {
 		id := ID(fmt.Sprint("up-", i))
 		table.Put(Entry{ID: id, Revision: int64(2*i + 1)})
-		table.Remove(id, int64(2*i+2))
+		table.Remove(id, infra.Position{Revision: int64(2*i + 2)})
 	}
 	require.LessOrEqual(t, len(table.tombstones), maxTombstones)
 	last := ID(fmt.Sprint("up-", removals-1))
