Let the soak's store come back from older copies

With -soak.restore the store goes back to older copies beside the other faults, and operators and upstreams write again what is lost. It draws from a generator of its own, so that recorded seeds keep their faults. With it, an upstream that was drained comes back as another process, as on the platform: a process that was leaving stays so in a later era. Runs without it are as before.

--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -27,6 +27,8 @@
 	upstreams []*platformtest.Upstream
 	proxies   []*proxy
 	hosts     []*hostProcess
+	// restores is true if the store comes back from older copies.
+	restores bool
 
 	mu      sync.Mutex // guards version and keys
 	version int
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"syscall"
@@ -123,6 +124,23 @@
 	u := pick(r, e.upstreams)
 	u.Register(e.store, "draining")
 	time.Sleep(faultDuration(r))
+	if e.restores {
+		// A process that was leaving stays so in a later era of the store.
+		u.NextProcess()
+	}
 	u.Register(e.store, "ready")
 	return u.ID + " was drained and became ready again", nil
 }
+
+// restoreStoreRepeatedly lets the store come back from older copies for a while.
+// Operators and upstreams write again what is lost. It runs beside the series of
+// faults and takes nothing from their generators.
+func (e *environment) restoreStoreRepeatedly(ctx context.Context, r *rand.Rand, length time.Duration) {
+	for until := time.Now().Add(length); time.Now().Before(until) && ctx.Err() == nil; time.Sleep(faultGap) {
+		copied := e.store.Snapshot()
+		time.Sleep(faultDuration(r))
+		lost := e.store.Restore(copied)
+		time.Sleep(faultDuration(r))
+		e.store.WriteAgain(copied, lost)
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -26,20 +26,33 @@
 	minServedShare = 0.95
 )
 
-// Run starts the hosts, sends load and injects the faults of one seed for the
-// given length. It returns the injected faults and every violated guarantee.
-func Run(binary, dir string, seed uint64, length time.Duration) (injected, violations []string, err error) {
+// Options are the options of a run.
+type Options struct {
+	Seed uint64
+	// Length is how long faults are injected.
+	Length time.Duration
+	// Restore also lets the store come back from older copies.
+	Restore bool
+}
+
+// Run starts the hosts, sends load and injects the faults of one seed. It returns
+// the injected faults and every violated guarantee.
+func Run(binary, dir string, o Options) (injected, violations []string, err error) {
 	env, err := newEnvironment(binary, dir)
 	if err != nil {
 		return nil, nil, err
 	}
 	defer env.close()
+	env.restores = o.Restore
 	time.Sleep(settleTime)
 	load := newCallers(env)
 	ctx, stop := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	group.Go(func() { load.run(ctx, seed) })
-	injected, violations = env.injectFaults(seed, length)
+	group.Go(func() { load.run(ctx, o.Seed) })
+	if o.Restore {
+		group.Go(func() { env.restoreStoreRepeatedly(ctx, rand.New(rand.NewPCG(o.Seed, faultSeriesCount)), o.Length) })
+	}
+	injected, violations = env.injectFaults(o.Seed, o.Length)
 	env.clearFaults()
 	time.Sleep(recoveryTime)
 	recoveredAt := time.Now()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,6 +17,7 @@
 	firstSeed   = flag.Uint64("soak.first", 1, "first seed")
 	seedCount   = flag.Uint64("soak.seeds", 1, "number of seeds")
 	faultLength = flag.Duration("soak.length", 5*time.Second, "how long faults are injected")
+	restore     = flag.Bool("soak.restore", false, "let the store come back from older copies in all seeds")
 )
 
 // regressionSeeds are seeds that failed before.
@@ -32,24 +33,38 @@
 // TestSoak runs hosts as processes and injects faults. To run other seeds:
 //
 //	go test ./internal/soak -soak.first 100 -soak.seeds 50 -soak.length 8s -timeout 30m
+//
+// Add -soak.restore to let the store come back from older copies as well.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "seamedge")
-	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/seamedge").CombinedOutput()
-	require.NoError(t, err, string(out))
+	binary := buildHost(t)
 	for _, seed := range regressionSeeds {
-		runSeed(t, binary, seed, regressionLength)
+		runSeed(t, binary, soak.Options{Seed: seed, Length: regressionLength})
 	}
 	for i := range *seedCount {
-		runSeed(t, binary, *firstSeed+i, *faultLength)
+		runSeed(t, binary, soak.Options{Seed: *firstSeed + i, Length: *faultLength, Restore: *restore})
 	}
 }
 
+// Guards against requests that are lost or run twice, and service that does not
+// come back, when the store comes back from older copies among other faults.
+func TestSoakWithRestoredStore(t *testing.T) {
+	runSeed(t, buildHost(t), soak.Options{Seed: 1, Length: *faultLength, Restore: true})
+}
+
+// buildHost builds the host's program and returns its path.
+func buildHost(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "seamedge")
+	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/seamedge").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return binary
+}
+
 // runSeed runs one seed. It keeps the hosts' logs if the seed fails.
-func runSeed(t *testing.T, binary string, seed uint64, length time.Duration) {
+func runSeed(t *testing.T, binary string, o soak.Options) {
 	dir, err := os.MkdirTemp("", "soak")
 	require.NoError(t, err)
-	injected, violations, err := soak.Run(binary, dir, seed, length)
-	require.NoError(t, err, "seed %d, logs in %s", seed, dir)
-	require.Empty(t, violations, "seed %d, logs in %s, faults: %q", seed, dir, injected)
+	injected, violations, err := soak.Run(binary, dir, o)
+	require.NoError(t, err, "seed %d, logs in %s", o.Seed, dir)
+	require.Empty(t, violations, "seed %d, logs in %s, faults: %q", o.Seed, dir, injected)
 	require.NoError(t, os.RemoveAll(dir))
 }
