--- a/edge/edge.go
+++ b/edge/edge.go
@@ -166,7 +166,8 @@
 	}
 	h.directory = directory.New(directory.Config{
 		Source: h.platform.Source, Format: h.platform.Format, Instances: h.instances, Fleet: h.members,
-		Gossip: h.members, Caller: h.peerClient, MaxPropagationDelay: h.settings.MaxPropagationDelay, Logger: h.logger, OnConfig: h.onConfig,
+		Gossip: h.members, Caller: h.peerClient, MaxPropagationDelay: h.settings.MaxPropagationDelay, Logger: h.logger,
+		Registerer: h.registry, OnConfig: h.onConfig,
 	}, h.mux)
 	hostList.setDirectory(h.directory)
 	return nil
@@ -243,7 +244,7 @@
 	}
 	h.notices.count(c)
 	attrs := []any{"upstream", string(c.ID), "service", c.Service, "addr", c.Addr.String(),
-		"data_centre", string(c.DataCentre), "version", c.Version, "revision", c.Revision, "source", string(c.Source)}
+		"data_centre", string(c.DataCentre), "version", c.Version, "era", c.Era, "revision", c.Revision, "source", string(c.Source)}
 	if c.Kind == "paused" {
 		attrs = append(attrs, "until", c.Until)
 	}
--- a/instance/notices_test.go
+++ b/instance/notices_test.go
@@ -8,10 +8,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/instance"
 )
 
-func entryAt(revision int64, startMS int64) instance.Entry {
+func noticeEntry(revision int64, startMS int64) instance.Entry {
 	return instance.Entry{ID: "a", Service: "s", Revision: revision, StartTime: time.UnixMilli(startMS)}
 }
 
@@ -20,16 +21,23 @@
 func TestLeavingSaidInAnswerOutlastsTheEntry(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for name, later := range map[string]func(*instance.Table){
-		"newer revision":     func(t *instance.Table) { t.Put(entryAt(2, 1)) },
-		"leaving, then not":  func(t *instance.Table) { e := entryAt(2, 1); e.Leaving = true; t.Put(e); t.Put(entryAt(3, 1)) },
-		"removed and back":   func(t *instance.Table) { t.Remove("a", 2); t.Put(entryAt(3, 1)) },
-		"other address":      func(t *instance.Table) { e := entryAt(2, 1); e.Addr = netip.MustParseAddrPort("10.0.0.1:1"); t.Put(e) },
-		"complete listing":   func(t *instance.Table) { t.Replace(nil, 2); t.Replace([]instance.Entry{entryAt(4, 1)}, 4) },
-		"time of other zone": func(t *instance.Table) { e := entryAt(2, 1); e.StartTime = e.StartTime.UTC(); t.Put(e) },
+		"newer revision":    func(t *instance.Table) { t.Put(noticeEntry(2, 1)) },
+		"leaving, then not": func(t *instance.Table) { e := noticeEntry(2, 1); e.Leaving = true; t.Put(e); t.Put(noticeEntry(3, 1)) },
+		"removed and back":  func(t *instance.Table) { t.Remove("a", infra.Position{Revision: 2}); t.Put(noticeEntry(3, 1)) },
+		"other address": func(t *instance.Table) {
+			e := noticeEntry(2, 1)
+			e.Addr = netip.MustParseAddrPort("10.0.0.1:1")
+			t.Put(e)
+		},
+		"complete listing": func(t *instance.Table) {
+			t.Replace(nil, infra.Position{Revision: 2})
+			t.Replace([]instance.Entry{noticeEntry(4, 1)}, infra.Position{Revision: 4})
+		},
+		"time of other zone": func(t *instance.Table) { e := noticeEntry(2, 1); e.StartTime = e.StartTime.UTC(); t.Put(e) },
 	} {
 		table := instance.NewTable(nil)
-		table.Put(entryAt(1, 1))
-		table.MarkLeaving(entryAt(1, 1).Process())
+		table.Put(noticeEntry(1, 1))
+		table.MarkLeaving(noticeEntry(1, 1).Process())
 		later(table)
 		require.Empty(t, table.Service("s", now), name)
 		require.Equal(t, []instance.ID{"a"}, table.Withheld("s", time.Unix(1000, 0)), name)
@@ -41,10 +49,10 @@
 // The answer may arrive while the entry has lapsed.
 func TestLeavingSaidWhileEntryIsGoneIsKept(t *testing.T) {
 	table := instance.NewTable(nil)
-	table.Put(entryAt(1, 1))
-	table.Remove("a", 2)
-	table.MarkLeaving(entryAt(1, 1).Process())
-	table.Put(entryAt(3, 1))
+	table.Put(noticeEntry(1, 1))
+	table.Remove("a", infra.Position{Revision: 2})
+	table.MarkLeaving(noticeEntry(1, 1).Process())
+	table.Put(noticeEntry(3, 1))
 	require.Empty(t, table.Service("s", time.Unix(1000, 0)))
 }
 
@@ -53,14 +61,14 @@
 func TestNewProcessIsNotLeavingAsTheFormerOne(t *testing.T) {
 	now := time.Unix(1000, 0)
 	table := instance.NewTable(nil)
-	table.Put(entryAt(1, 1))
-	table.MarkLeaving(entryAt(1, 1).Process())
-	table.Put(entryAt(2, 2))
+	table.Put(noticeEntry(1, 1))
+	table.MarkLeaving(noticeEntry(1, 1).Process())
+	table.Put(noticeEntry(2, 2))
 	require.Equal(t, []instance.ID{"a"}, healthyIDs(table, now))
-	table.MarkLeaving(entryAt(1, 1).Process())
+	table.MarkLeaving(noticeEntry(1, 1).Process())
 	require.Equal(t, []instance.ID{"a"}, healthyIDs(table, now))
 	require.Empty(t, table.Withheld("s", time.Unix(1000, 0)))
-	table.Put(entryAt(3, 1))
+	table.Put(noticeEntry(3, 1))
 	require.Empty(t, healthyIDs(table, now), "the former process again")
 }
 
@@ -68,10 +76,10 @@
 // said so.
 func TestEntriesForOtherHostsAreThoseOfTheStore(t *testing.T) {
 	table := instance.NewTable(nil)
-	table.Put(entryAt(1, 1))
-	table.MarkLeaving(entryAt(1, 1).Process())
-	entries, _, _ := table.ChangesSince(0)
-	require.Equal(t, []instance.Entry{entryAt(1, 1)}, entries)
+	table.Put(noticeEntry(1, 1))
+	table.MarkLeaving(noticeEntry(1, 1).Process())
+	entries, _, _ := table.ChangesSince(infra.Position{})
+	require.Equal(t, []instance.Entry{noticeEntry(1, 1)}, entries)
 	require.Equal(t, entries, table.Entries())
 }
 
@@ -83,10 +91,10 @@
 			changes = append(changes, c)
 		}
 	})
-	table.Put(entryAt(1, 1))
-	table.MarkLeaving(entryAt(1, 1).Process())
-	table.MarkLeaving(entryAt(1, 1).Process())
-	e := entryAt(2, 1)
+	table.Put(noticeEntry(1, 1))
+	table.MarkLeaving(noticeEntry(1, 1).Process())
+	table.MarkLeaving(noticeEntry(1, 1).Process())
+	e := noticeEntry(2, 1)
 	e.Leaving = true
 	table.Put(e)
 	require.Len(t, changes, 1)
--- a/instance/pauses_test.go
+++ b/instance/pauses_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/instance"
 )
 
@@ -15,8 +16,8 @@
 func TestPausedUpstreamIsNotUsedUntilThePauseEnds(t *testing.T) {
 	now := time.Unix(1000, 0)
 	table := instance.NewTable(nil)
-	table.Put(entryAt(1, 1))
-	table.Pause(entryAt(1, 1).Process(), now.Add(2*time.Second), now)
+	table.Put(noticeEntry(1, 1))
+	table.Pause(noticeEntry(1, 1).Process(), now.Add(2*time.Second), now)
 	require.Empty(t, table.Service("s", now.Add(1999*time.Millisecond)))
 	require.Len(t, table.ServiceOfFleet("s", now), 1, "other hosts may use it")
 	require.Equal(t, []instance.ID{"a"}, table.Withheld("s", now))
@@ -29,17 +30,17 @@
 func TestLongestPauseOfAProcessHolds(t *testing.T) {
 	now := time.Unix(1000, 0)
 	table := instance.NewTable(nil)
-	table.Put(entryAt(1, 1))
-	table.Pause(entryAt(1, 1).Process(), now.Add(3*time.Second), now)
-	table.Pause(entryAt(1, 1).Process(), now.Add(time.Second), now)
-	table.Put(entryAt(2, 1))
-	table.Remove("a", 3)
-	require.True(t, table.IsPaused(entryAt(1, 1).Process(), netip.AddrPort{}, now.Add(2*time.Second)), "while its entry is gone")
-	table.Put(entryAt(4, 1))
+	table.Put(noticeEntry(1, 1))
+	table.Pause(noticeEntry(1, 1).Process(), now.Add(3*time.Second), now)
+	table.Pause(noticeEntry(1, 1).Process(), now.Add(time.Second), now)
+	table.Put(noticeEntry(2, 1))
+	table.Remove("a", infra.Position{Revision: 3})
+	require.True(t, table.IsPaused(noticeEntry(1, 1).Process(), netip.AddrPort{}, now.Add(2*time.Second)), "while its entry is gone")
+	table.Put(noticeEntry(4, 1))
 	require.Empty(t, table.Service("s", now.Add(2*time.Second)))
-	table.Put(entryAt(5, 2))
+	table.Put(noticeEntry(5, 2))
 	require.Len(t, table.Service("s", now), 1)
-	require.False(t, table.IsPaused(entryAt(5, 2).Process(), netip.AddrPort{}, now))
+	require.False(t, table.IsPaused(noticeEntry(5, 2).Process(), netip.AddrPort{}, now))
 }
 
 // Callers who are refused are told when the first upstream is back, but only if
@@ -77,11 +78,11 @@
 			reported = append(reported, c.Until)
 		}
 	})
-	table.Put(entryAt(1, 1))
+	table.Put(noticeEntry(1, 1))
 	for i := range 100 {
 		at := now.Add(time.Duration(i) * time.Millisecond)
-		table.Pause(entryAt(1, 1).Process(), at.Add(2*time.Second), at)
+		table.Pause(noticeEntry(1, 1).Process(), at.Add(2*time.Second), at)
 	}
-	table.Pause(entryAt(1, 1).Process(), now.Add(9*time.Second), now)
+	table.Pause(noticeEntry(1, 1).Process(), now.Add(9*time.Second), now)
 	require.Equal(t, []time.Time{now.Add(2 * time.Second), now.Add(9 * time.Second)}, reported)
 }
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -29,6 +29,8 @@
 	hosts     []*hostProcess
 	// reservations keep the hosts' ports while a host is down.
 	reservations []*ports.Reservation
+	// restores is true if the store comes back from older copies.
+	restores bool
 
 	mu      sync.Mutex // guards version and keys
 	version int
