A host that has just started does not go by the only version that it sees

With no record it took the only version that it saw.

TestStreamContinuesWithoutRecordWhereThereIsOneVersion asked for the opposite from a host that has just started, and was wrong: such a host can't know.

--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -241,19 +241,20 @@
 	})
 }
 
-// Guards against refusals of streams that can only go on at the one version that
-// there is.
-func TestStreamContinuesWithoutRecordWhereThereIsOneVersion(t *testing.T) {
+// Guards against a stream that goes on at the only version that a host has seen since
+// it started, when another one may have begun it before.
+func TestHostThatHasJustStartedRefusesStreamsWithoutRecord(t *testing.T) {
 	f := newFleet(t)
 	f.configure(1, nil)
-	f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Version: "v1", Events: versionedEvents})
+	u := f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Version: "v1", Events: versionedEvents})
 	n := f.start()
 	for _, header := range [][]string{{"Last-Event-Id", "2"}, {"Last-Event-Id", "2", "Resumes", "attempt-that-no-host-saw"}} {
 		got := f.send(n, http.MethodPost, "/talk/1", "r1", header...)
 		require.NoError(t, got.err)
-		require.Equal(t, http.StatusOK, got.status)
-		require.True(t, strings.HasPrefix(got.body, "id: 3\n"), got.body)
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		require.NotEmpty(t, got.header.Get("Retry-After"))
 	}
+	require.Empty(t, u.Runs())
 }
 
 // Guards against a stream of an unknown version that goes on at the only version
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -65,10 +65,9 @@
 	return refusal{}, true
 }
 
-// findVersion finds the version by the stream's record. Without one it is known
-// only if this host has seen no other version of the service for versionMemory, and
-// every host that it asked has answered. The request goes to the service that began the
-// stream, if the route still has it as a target.
+// findVersion finds the version by the stream's record, or without one by what this host
+// has seen of the service. The request goes to the service that began the stream, if the
+// route still has it as a target.
 func (x *exchange) findVersion() *resumption {
 	found := &resumption{source: resume.SourceNone}
 	if x.request.Resumes != "" {
@@ -82,13 +81,23 @@
 			return found
 		}
 	}
-	since := time.Now().Add(-versionMemory)
-	if versions := x.config.Instances.Versions(x.service, since); found.unanswered == 0 && len(versions) == 1 {
-		found.version, found.source = versions[0], sourceOneVersion
+	versions, complete := x.config.Instances.Versions(x.service, time.Now().Add(-versionMemory))
+	if version, sure := onlyVersion(versions, complete, found.unanswered); sure {
+		found.version, found.source = version, sourceOneVersion
 	}
 	return found
 }
 
+// onlyVersion returns the version that must have begun a stream without a record: the
+// only one that the service has had for versionMemory. A host that has not seen the
+// service for so long, or could not ask all others for the record, can't be sure.
+func onlyVersion(versions []string, complete bool, unanswered int) (version string, sure bool) {
+	if !complete || unanswered > 0 || len(versions) != 1 {
+		return "", false
+	}
+	return versions[0], true
+}
+
 // versionRefusal refuses a request before anything runs.
 func (x *exchange) versionRefusal(reason string) refusal {
 	return refusal{
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -122,6 +122,7 @@
 	keptOrder      uint64
 	lastPauseEnd   time.Time // no pause lasts longer
 	changed        func(Change)
+	created        time.Time
 }
 
 // Change describes a change of the table, for logging.
@@ -157,6 +158,7 @@
 
 		formerVersions: make(map[string]map[string]time.Time),
 		changed:        changed,
+		created:        time.Now(),
 	}
 }
 
@@ -266,8 +268,9 @@
 
 // Versions returns the software versions of a service's upstreams, in no
 // particular order: of those that may get new work, those that are leaving, and
-// those that were removed after a time.
-func (t *Table) Versions(service string, removedAfter time.Time) []string {
+// those that were removed after a time. complete is false if the table is younger, so
+// that it may have missed others.
+func (t *Table) Versions(service string, removedAfter time.Time) (all []string, complete bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	versions := make(map[string]bool)
@@ -281,7 +284,7 @@
 			delete(t.formerVersions[service], version)
 		}
 	}
-	return slices.Collect(maps.Keys(versions))
+	return slices.Collect(maps.Keys(versions)), t.created.Before(removedAfter)
 }
 
 // Entries returns all entries in no particular order.
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -123,11 +123,19 @@
 	table.Put(instance.Entry{ID: "b", Service: "s", Revision: 2, Version: "v2", Leaving: true})
 	table.Put(instance.Entry{ID: "c", Service: "s", Revision: 3, Version: "v3"})
 	table.Put(instance.Entry{ID: "d", Service: "other", Revision: 4, Version: "v4"})
+	versions := func(service string, removedAfter time.Time) []string {
+		all, _ := table.Versions(service, removedAfter)
+		return all
+	}
 	hourAgo := time.Now().Add(-time.Hour)
-	require.ElementsMatch(t, []string{"v1", "v2", "v3"}, table.Versions("s", hourAgo))
+	require.ElementsMatch(t, []string{"v1", "v2", "v3"}, versions("s", hourAgo))
 	table.Remove("b", infra.Position{Revision: 5})
 	table.Put(instance.Entry{ID: "c", Service: "s", Revision: 6, Version: "v5"})
-	require.ElementsMatch(t, []string{"v1", "v2", "v3", "v5"}, table.Versions("s", hourAgo))
-	require.ElementsMatch(t, []string{"v1", "v5"}, table.Versions("s", time.Now()))
-	require.Empty(t, table.Versions("none", hourAgo))
+	require.ElementsMatch(t, []string{"v1", "v2", "v3", "v5"}, versions("s", hourAgo))
+	require.ElementsMatch(t, []string{"v1", "v5"}, versions("s", time.Now()))
+	require.Empty(t, versions("none", hourAgo))
+	_, complete := table.Versions("s", hourAgo)
+	require.False(t, complete, "the table was created later")
+	_, complete = table.Versions("s", time.Now())
+	require.True(t, complete)
 }
