--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -77,15 +77,24 @@
 	return nil
 }
 
+// The ports that hosts listen on are below the range from which the system takes
+// ports for other listeners and connections, so that none of these takes a port
+// before its host has started, or while the host restarts.
+const (
+	firstHostPort = 10000
+	hostPortCount = 20000
+	portTries     = 50
+)
+
 // freeAddr finds a loopback address that is free for TCP and UDP. It returns the
 // zero address if it finds none; the host rejects that in its settings.
 func freeAddr() netip.AddrPort {
-	for range 50 {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+	for range portTries {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstHostPort+rand.IntN(hostPortCount)))
+		l, err := net.Listen("tcp4", addr.String())
 		if err != nil {
-			continue
+			continue // the port is in use
 		}
-		addr := l.Addr().(*net.TCPAddr).AddrPort()
 		_ = l.Close()
 		if u, err := net.ListenPacket("udp4", addr.String()); err == nil {
 			_ = u.Close()
