soak: upstreams that fall silent, planned work in overlapping series

Faults: upstreams that send nothing for 0.8 to 1.6 s and go on (before the head, before the body, in it, between events; in all answers at once, accepting connections or not; one upstream or all of a service), and SIGHUPs and configurations in a row at one host, also while it drains. Kinds of faults are listed in EnabledKinds; each draws from random sources of its own.

Check: an answer is not cut because its upstream is only silent. A caller that left, a deadline, a killed host and a reset connection excuse it.

--- /dev/null
+++ b/internal/soak/answers.go
@@ -0,0 +1,55 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/galenaseam/galenaseam/platform/platformtest"
+)
+
+const (
+	// timeoutSlack is how long before its deadline a request may be ended.
+	timeoutSlack = 200 * time.Millisecond
+	// resetSlack is how long after a reset of its connection an upstream may begin to
+	// run a request.
+	resetSlack = 100 * time.Millisecond
+)
+
+// serverRun is a run of a request at an upstream that served it normally, though it
+// may have been silent for a while.
+type serverRun struct {
+	startedAt time.Time
+	upstream  *platformtest.Upstream
+	proxy     *proxy
+}
+
+// checkNotCut checks that a request got its whole answer if an upstream ran it and
+// was only silent. A caller that left, a deadline, a killed host and a connection
+// that was reset excuse a missing answer.
+func (e *environment) checkNotCut(o outcome, runs []serverRun) []string {
+	if o.status == http.StatusOK && o.complete || o.abandoned || o.endedAt.Sub(o.sentAt) > requestDeadline-timeoutSlack {
+		return nil
+	}
+	if e.host(o.host).wasDisrupted(o.sentAt, o.endedAt, killed) {
+		return nil
+	}
+	for _, run := range runs {
+		if run.proxy.wasReset(run.startedAt.Add(-resetSlack), o.endedAt) {
+			continue
+		}
+		return []string{fmt.Sprintf(
+			"%s %s at %s: was cut %s after it was sent, though %s was only silent (status %d, complete %t, %d bytes)",
+			o.path, o.id, o.host, o.endedAt.Sub(o.sentAt).Round(time.Millisecond), run.upstream.ID, o.status, o.complete, len(o.body))}
+	}
+	return nil
+}
+
+func (e *environment) host(name string) *hostProcess {
+	for _, h := range e.hosts {
+		if h.settings.Name == name {
+			return h
+		}
+	}
+	return nil
+}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -24,6 +24,7 @@
 	complete  bool
 	abandoned bool // the caller cancelled before the deadline that the request names
 	sentAt    time.Time
+	endedAt   time.Time
 }
 
 // callers send requests until they are stopped, and record the outcomes.
@@ -77,10 +78,14 @@
 }
 
 // send sends one request.
-func (c *callers) send(path string, h *hostProcess, id string, timeout time.Duration) outcome {
-	o := outcome{id: id, path: path, host: h.settings.Name, key: "kept", sentAt: time.Now()}
+func (c *callers) send(path string, h *hostProcess, id string, timeout time.Duration) (o outcome) {
+	o = outcome{id: id, path: path, host: h.settings.Name, key: "kept", sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	defer func() {
+		o.endedAt = time.Now()
+		o.abandoned = ctx.Err() != nil && timeout < requestDeadline
+	}()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.callerAddr().String()+path+id, strings.NewReader("body of "+id))
 	if err != nil {
 		panic(err) // cannot happen: this package built the URL
@@ -94,6 +99,5 @@
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	o.status, o.body, o.complete = response.StatusCode, string(body), err == nil
-	o.abandoned = ctx.Err() != nil && timeout < requestDeadline
 	return o
 }
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -27,6 +27,7 @@
 	upstreams []*platformtest.Upstream
 	proxies   []*proxy
 	hosts     []*hostProcess
+	signals   sync.Mutex // held by the base fault that signals a host
 
 	mu      sync.Mutex // guards version and keys
 	version int
@@ -45,10 +46,13 @@
 
 // start starts the upstreams and the hosts.
 func (e *environment) start(binary, dir string) error {
-	for service, n := range map[string]int{"plain": plainServers, "events": engineServers, platformtest.StageService: stageServers} {
-		for i := range n {
-			u := &platformtest.Upstream{ID: fmt.Sprintf("%s-%d", service, i), Service: service, Zone: "riga-a", Work: 5 * time.Millisecond}
-			if service == "events" {
+	for _, s := range []struct {
+		service string
+		servers int
+	}{{"plain", plainServers}, {"events", engineServers}, {platformtest.StageService, stageServers}} {
+		for i := range s.servers {
+			u := &platformtest.Upstream{ID: fmt.Sprintf("%s-%d", s.service, i), Service: s.service, Zone: "riga-a", Work: 5 * time.Millisecond}
+			if s.service == "events" {
 				u.Events, u.EventPause = eventCount, 10*time.Millisecond
 			}
 			if err := e.addUpstream(u); err != nil {
@@ -151,6 +155,7 @@
 	}
 	for i, u := range e.upstreams {
 		u.QueueFaults()
+		u.QueueSilences()
 		e.proxies[i].setState(proxyState{})
 	}
 }
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -29,9 +30,56 @@
 	log          *os.File
 	storeProxy   *platformtest.FaultProxy // between the host and the store
 
-	mu      sync.Mutex // guards command and exited
-	command *exec.Cmd
-	exited  chan struct{}
+	lifecycle sync.Mutex // held by the fault that signals the process
+
+	mu          sync.Mutex // guards the fields below
+	command     *exec.Cmd
+	exited      chan struct{}
+	disruptions []*disruption
+}
+
+// disruptionKind is what a fault does to a host.
+type disruptionKind uint8
+
+// The kinds of disruption.
+const (
+	killed disruptionKind = iota
+	stopped
+	paused
+	storeCut
+)
+
+// disruption is a time in which a fault was at work on a host.
+type disruption struct {
+	kind  disruptionKind
+	from  time.Time
+	until time.Time // zero while it lasts
+}
+
+// disrupt records the start of a disruption and returns a function that ends it.
+func (h *hostProcess) disrupt(kind disruptionKind) (end func()) {
+	d := &disruption{kind: kind, from: time.Now()}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.disruptions = append(h.disruptions, d)
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		d.until = time.Now()
+	}
+}
+
+// wasDisrupted reports whether a disruption of one of the kinds overlaps the given
+// time.
+func (h *hostProcess) wasDisrupted(from, until time.Time, kinds ...disruptionKind) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, d := range h.disruptions {
+		if slices.Contains(kinds, d.kind) && d.from.Before(until) && (d.until.IsZero() || d.until.After(from)) {
+			return true
+		}
+	}
+	return false
 }
 
 // newHost writes the settings file of a host and opens its log.
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -18,9 +18,12 @@
 	listener net.Listener
 	target   netip.AddrPort
 
-	mu    sync.Mutex // guards state and conns
-	state proxyState
-	conns map[net.Conn]bool
+	mu      sync.Mutex // guards the fields below
+	state   proxyState
+	stopped bool          // sends hosts nothing, as if the upstream's process were stopped
+	resume  chan struct{} // closed when the proxy accepts connections
+	conns   map[net.Conn]bool
+	resets  []time.Time
 }
 
 func newProxy(target netip.AddrPort) (*proxy, error) {
@@ -28,7 +31,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]bool)}
+	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]bool), resume: make(chan struct{})}
+	close(p.resume)
 	go p.accept()
 	return p, nil
 }
@@ -41,6 +45,10 @@
 		if err != nil {
 			return
 		}
+		p.mu.Lock()
+		resume := p.resume
+		p.mu.Unlock()
+		<-resume
 		to, err := net.Dial("tcp4", p.target.String())
 		if err != nil {
 			_ = from.Close()
@@ -74,7 +82,7 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
-		for p.currentState().silent && towardsCaller && n > 0 {
+		for towardsCaller && n > 0 && p.isSilent() {
 			time.Sleep(5 * time.Millisecond)
 		}
 		time.Sleep(p.currentState().delay)
@@ -90,6 +98,13 @@
 	return p.state
 }
 
+// isSilent reports whether the proxy withholds what the upstream sends.
+func (p *proxy) isSilent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.silent || p.stopped
+}
+
 func (p *proxy) setState(s proxyState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -100,6 +115,7 @@
 func (p *proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.resets = append(p.resets, time.Now())
 	for c := range p.conns {
 		if tcp, ok := c.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0) // if this fails, the orderly close is a fault as well
@@ -108,6 +124,18 @@
 	}
 }
 
+// wasReset reports whether connections were reset in the given time.
+func (p *proxy) wasReset(from, until time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, at := range p.resets {
+		if !at.Before(from) && !at.After(until) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *proxy) close() {
 	_ = p.listener.Close()
 	p.setState(proxyState{})
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -17,18 +17,41 @@
 
 // The phases of a run and the share of requests that must succeed after it.
 const (
-	settleTime       = 2 * time.Second
-	faultGap         = 250 * time.Millisecond
-	faultSeriesCount = 2 // series of faults that run concurrently
-	recoveryTime     = 6 * time.Second
+	settleTime   = 2 * time.Second
+	faultGap     = 250 * time.Millisecond
+	baseSeries   = 2 // series of base faults that run concurrently
+	recoveryTime = 6 * time.Second
 	// minServedShare is the share of requests after the recovery that must be
 	// served. It is below 1 because a request may still hit the end of a drain.
 	minServedShare = 0.95
 )
 
-// Run starts the hosts, sends load and injects the faults of one seed for the
-// given length. It returns the injected faults and every violated guarantee.
-func Run(binary, dir string, seed uint64, length time.Duration) (injected, violations []string, err error) {
+// EnabledKinds are the kinds of faults that a run plays by default. Each kind draws
+// from random sources of its own, so a seed's base faults don't depend on the others.
+var EnabledKinds = []string{"base", "planned", "silence"}
+
+// faultKind is faults that one or more series draw from.
+type faultKind struct {
+	faults []fault
+	series int
+	source uint64 // the random source of the first series
+}
+
+var faultKinds = map[string]faultKind{
+	"base":    {faults: baseFaults, series: baseSeries},
+	"planned": {faults: plannedFaults, series: 1, source: 100},
+	"silence": {faults: silenceFaults, series: 2, source: 200},
+}
+
+// Run starts the hosts, sends load and injects the faults of the given kinds and
+// seed for the given length. It returns the injected faults and every violated
+// guarantee.
+func Run(binary, dir string, seed uint64, length time.Duration, kinds []string) (injected, violations []string, err error) {
+	for _, name := range kinds {
+		if _, known := faultKinds[name]; !known {
+			return nil, nil, fmt.Errorf("kind of fault %q does not exist", name)
+		}
+	}
 	env, err := newEnvironment(binary, dir)
 	if err != nil {
 		return nil, nil, err
@@ -39,7 +62,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { load.run(ctx, seed) })
-	injected, violations = env.injectFaults(seed, length)
+	injected, violations = env.injectFaults(seed, length, kinds)
 	env.clearFaults()
 	time.Sleep(recoveryTime)
 	recoveredAt := time.Now()
@@ -50,34 +73,29 @@
 	return injected, append(violations, env.check(load.outcomes, recoveredAt)...), nil
 }
 
-// injectFaults runs the fault series concurrently. Each series draws its faults
-// and their targets from a generator of its own.
-func (e *environment) injectFaults(seed uint64, length time.Duration) (injected, violations []string) {
+// injectFaults runs the series of all kinds concurrently. Each series draws its
+// faults and their targets from a generator of its own.
+func (e *environment) injectFaults(seed uint64, length time.Duration, kinds []string) (injected, violations []string) {
 	var mu sync.Mutex
 	var group sync.WaitGroup
-	var signalMu sync.Mutex // the first four faults signal hosts; two series must not restart one host at once
 	until := time.Now().Add(length)
-	for series := range faultSeriesCount {
-		r := rand.New(rand.NewPCG(seed, uint64(series)))
-		group.Go(func() {
-			for time.Now().Before(until) {
-				kind := r.IntN(len(faults))
-				if kind < 4 {
-					signalMu.Lock()
+	for _, name := range kinds {
+		kind := faultKinds[name]
+		for series := range kind.series {
+			r := rand.New(rand.NewPCG(seed, kind.source+uint64(series)))
+			group.Go(func() {
+				for time.Now().Before(until) {
+					description, err := pick(r, kind.faults)(e, r)
+					mu.Lock()
+					injected = append(injected, description)
+					if err != nil {
+						violations = append(violations, err.Error())
+					}
+					mu.Unlock()
+					time.Sleep(faultGap)
 				}
-				description, err := faults[kind](e, r)
-				if kind < 4 {
-					signalMu.Unlock()
-				}
-				mu.Lock()
-				injected = append(injected, description)
-				if err != nil {
-					violations = append(violations, err.Error())
-				}
-				mu.Unlock()
-				time.Sleep(faultGap)
-			}
-		})
+			})
+		}
 	}
 	group.Wait()
 	return injected, violations
@@ -87,9 +105,13 @@
 // upstreams ran.
 func (e *environment) check(outcomes []outcome, recoveredAt time.Time) (violations []string) {
 	runs := make(map[string]int)
-	for _, u := range e.upstreams {
+	undisturbed := make(map[string][]serverRun)
+	for i, u := range e.upstreams {
 		for _, run := range u.Runs() {
 			runs[run.RequestID]++
+			if run.Fault == platformtest.ServeNormally {
+				undisturbed[run.RequestID] = append(undisturbed[run.RequestID], serverRun{run.StartedAt, u, e.proxies[i]})
+			}
 			if run.Workspace() != platformtest.Workspace || run.Body != "body of "+run.RequestID {
 				violations = append(violations, fmt.Sprintf("%s ran %s with a changed workspace or body", u.ID, run.RequestID))
 			}
@@ -98,6 +120,7 @@
 	answered, served := 0, 0
 	for _, o := range outcomes {
 		violations = append(violations, e.checkOutcome(o, runs[o.id])...)
+		violations = append(violations, e.checkNotCut(o, undisturbed[o.id])...)
 		if o.sentAt.After(recoveredAt) && o.status != 0 && !o.abandoned {
 			answered++
 			if o.status == 200 && o.complete {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	firstSeed   = flag.Uint64("soak.first", 1, "first seed")
 	seedCount   = flag.Uint64("soak.seeds", 1, "number of seeds")
 	faultLength = flag.Duration("soak.length", 5*time.Second, "how long faults are injected")
+	faultKinds  = flag.String("soak.kinds", strings.Join(soak.EnabledKinds, ","), "kinds of faults to inject")
 )
 
 // regressionSeeds are seeds that failed before.
@@ -48,7 +50,7 @@
 func runSeed(t *testing.T, binary string, seed uint64, length time.Duration) {
 	dir, err := os.MkdirTemp("", "soak")
 	require.NoError(t, err)
-	injected, violations, err := soak.Run(binary, dir, seed, length)
+	injected, violations, err := soak.Run(binary, dir, seed, length, strings.Split(*faultKinds, ","))
 	require.NoError(t, err, "seed %d, logs in %s", seed, dir)
 	require.Empty(t, violations, "seed %d, logs in %s, faults: %q", seed, dir, injected)
 	require.NoError(t, os.RemoveAll(dir))
