soak: software versions side by side, callers that take streams up again

Faults: releases that bring up two upstreams of another software version beside the present ones and let these leave, announced or not; upstreams that break off streams. Callers of a resumable route break their connection or find it broken and come back at another host with a new Attempt-Id, Last-Event-Id and Resumes, honouring Retry-After, within their deadline.

Checks: a stream holds events of one version, over all tries; no event is missing or comes twice; of the streams taken up again at hosts left in peace for 3 s, while two upstreams of their version serve, at least half of the share of new ones that begin go on.

--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -16,31 +16,29 @@
 	resetSlack = 100 * time.Millisecond
 )
 
-// serverRun is a run of a request at an upstream that served it normally, though it
-// may have been silent for a while.
+// serverRun is a run of a request at an upstream.
 type serverRun struct {
-	startedAt time.Time
-	upstream  *platformtest.Upstream
-	proxy     *proxy
+	platformtest.Run
+	server *server
 }
 
 // checkNotCut checks that a request got its whole answer if an upstream ran it and
 // was only silent. A caller that left, a deadline, a killed host and a connection
 // that was reset excuse a missing answer.
 func (e *environment) checkNotCut(o outcome, runs []serverRun) []string {
-	if o.status == http.StatusOK && o.complete || o.abandoned || o.endedAt.Sub(o.sentAt) > requestDeadline-timeoutSlack {
+	if o.status == http.StatusOK && o.complete || o.abandoned || o.endedAt.Sub(o.sentAt) > o.deadline-timeoutSlack {
 		return nil
 	}
 	if e.host(o.host).wasDisrupted(o.sentAt, o.endedAt, killed) {
 		return nil
 	}
 	for _, run := range runs {
-		if run.proxy.wasReset(run.startedAt.Add(-resetSlack), o.endedAt) {
+		if run.Fault != platformtest.ServeNormally || run.server.proxy.wasReset(run.StartedAt.Add(-resetSlack), o.endedAt) {
 			continue
 		}
 		return []string{fmt.Sprintf(
 			"%s %s at %s: was cut %s after it was sent, though %s was only silent (status %d, complete %t, %d bytes)",
-			o.path, o.id, o.host, o.endedAt.Sub(o.sentAt).Round(time.Millisecond), run.upstream.ID, o.status, o.complete, len(o.body))}
+			o.path, o.id, o.host, o.endedAt.Sub(o.sentAt).Round(time.Millisecond), run.server.ID, o.status, o.complete, len(o.body))}
 	}
 	return nil
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -22,7 +22,9 @@
 	status    int // 0 if there was no response
 	body      string
 	complete  bool
-	abandoned bool // the caller cancelled before the deadline that the request names
+	abandoned bool          // the caller cancelled before the deadline that the request names
+	resumes   bool          // the caller goes on with a stream that it has begun
+	deadline  time.Duration // the deadline that the request names
 	sentAt    time.Time
 	endedAt   time.Time
 }
@@ -32,8 +34,9 @@
 	env    *environment
 	client *http.Client
 
-	mu       sync.Mutex // guards outcomes
+	mu       sync.Mutex // guards the fields below
 	outcomes []outcome
+	streams  []*stream
 }
 
 const (
@@ -79,7 +82,7 @@
 
 // send sends one request.
 func (c *callers) send(path string, h *hostProcess, id string, timeout time.Duration) (o outcome) {
-	o = outcome{id: id, path: path, host: h.settings.Name, key: "kept", sentAt: time.Now()}
+	o = outcome{id: id, path: path, host: h.settings.Name, key: "kept", deadline: requestDeadline, sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	defer func() {
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,14 +25,23 @@
 // processes of a run.
 type environment struct {
 	store     *platformtest.Store
-	upstreams []*platformtest.Upstream
-	proxies   []*proxy
+	upstreams []*server // those that serve throughout the run
 	hosts     []*hostProcess
-	signals   sync.Mutex // held by the base fault that signals a host
+	signals   sync.Mutex     // held by the base fault that signals a host
+	leaving   sync.WaitGroup // upstreams that leave
 
-	mu      sync.Mutex // guards version and keys
+	mu      sync.Mutex // guards the fields below
 	version int
 	keys    []string
+	changed []*server // upstreams that are started and leave during the run
+}
+
+// server is an upstream behind a proxy.
+type server struct {
+	*platformtest.Upstream
+	proxy     *proxy
+	readyAt   time.Time
+	leavingAt time.Time // zero if it does not leave
 }
 
 // newEnvironment starts the store, the upstreams and the hosts.
@@ -55,11 +65,16 @@
 			if s.service == "events" {
 				u.Events, u.EventPause = eventCount, 10*time.Millisecond
 			}
-			if err := e.addUpstream(u); err != nil {
+			added, err := e.startServer(u)
+			if err != nil {
 				return err
 			}
+			e.upstreams = append(e.upstreams, added)
 		}
 	}
+	if err := e.release(softwareVersions[0]); err != nil {
+		return err
+	}
 	e.configure()
 	var seeds []netip.AddrPort
 	for i := range hostCount {
@@ -108,17 +123,24 @@
 	return netip.AddrPort{}
 }
 
-// addUpstream starts an upstream behind a proxy and registers it as ready.
-func (e *environment) addUpstream(u *platformtest.Upstream) error {
+// startServer starts an upstream behind a proxy and registers it as ready.
+func (e *environment) startServer(u *platformtest.Upstream) (*server, error) {
 	u.Start()
 	p, err := newProxy(u.Addr())
 	if err != nil {
-		return err
+		u.Close()
+		return nil, err
 	}
 	u.Public = p.addr()
-	e.upstreams, e.proxies = append(e.upstreams, u), append(e.proxies, p)
 	u.Register(e.store, "ready")
-	return nil
+	return &server{Upstream: u, proxy: p, readyAt: time.Now()}, nil
+}
+
+// servers returns all upstreams of the run, also those that have left.
+func (e *environment) servers() []*server {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append(slices.Clone(e.upstreams), e.changed...)
 }
 
 // configure writes the configuration with a higher version. Versions also skip
@@ -132,6 +154,7 @@
 		{Prefix: "/order/", Type: "unsafe", Service: "plain"},
 		{Prefix: "/talk/", Type: "stream", Service: "events", Resumable: true},
 		{Prefix: "/staged/", Type: "stream", Service: "events", Staged: true},
+		{Prefix: "/turn/", Type: "stream", Service: releasedService, Resumable: true},
 	}, e.keys)
 }
 
@@ -153,10 +176,10 @@
 	for _, h := range e.hosts {
 		h.storeProxy.SetFault(platformtest.FaultNone)
 	}
-	for i, u := range e.upstreams {
+	for _, u := range e.servers() {
 		u.QueueFaults()
 		u.QueueSilences()
-		e.proxies[i].setState(proxyState{})
+		u.proxy.setState(proxyState{})
 	}
 }
 
@@ -172,8 +195,9 @@
 		_ = h.log.Close()
 		h.storeProxy.Close()
 	}
-	for i, u := range e.upstreams {
-		e.proxies[i].close()
+	e.leaving.Wait()
+	for _, u := range e.servers() {
+		u.proxy.close()
 		u.Close()
 	}
 	e.store.Close()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -133,13 +133,13 @@
 }
 
 func resetConnections(e *environment, r *rand.Rand) (string, error) {
-	p := pick(r, e.proxies)
+	p := pick(r, e.upstreams).proxy
 	p.reset()
 	return "reset connections to " + p.target.String(), nil
 }
 
 func delayConnections(e *environment, r *rand.Rand) (string, error) {
-	p := pick(r, e.proxies)
+	p := pick(r, e.upstreams).proxy
 	p.setState(proxyState{delay: time.Duration(r.IntN(40)) * time.Millisecond, silent: r.IntN(3) == 0})
 	time.Sleep(faultDuration(r))
 	p.setState(proxyState{})
@@ -188,7 +188,7 @@
 }
 
 func silenceUpstream(e *environment, r *rand.Rand) (string, error) {
-	u, list := pick(r, e.upstreams), drawSilences(r)
+	u, list := pick(r, e.present()), drawSilences(r)
 	u.QueueSilences(list...)
 	return fmt.Sprintf("%s falls silent in answers %v", u.ID, list), nil
 }
@@ -196,20 +196,17 @@
 // silenceService makes all upstreams of a service fall silent, so that none of them
 // can take over from another at once.
 func silenceService(e *environment, r *rand.Rand) (string, error) {
-	service := pick(r, e.upstreams).Service
-	for _, u := range e.upstreams {
-		if u.Service == service {
-			u.QueueSilences(drawSilences(r)...)
-		}
+	service := pick(r, e.present()).Service
+	for _, u := range e.ofService(service) {
+		u.QueueSilences(drawSilences(r)...)
 	}
 	return "upstreams of " + service + " fall silent", nil
 }
 
 // stopUpstream makes all requests of an upstream fall silent at once.
 func stopUpstream(e *environment, r *rand.Rand) (string, error) {
-	i, length, accepts := r.IntN(len(e.upstreams)), silenceLength(r), r.IntN(2) == 0
-	description := fmt.Sprintf("%s was silent for %s, accepting connections %t", e.upstreams[i].ID, length, accepts)
-	return description, e.proxies[i].stop(length, accepts)
+	u, length, accepts := pick(r, e.present()), silenceLength(r), r.IntN(2) == 0
+	return fmt.Sprintf("%s was silent for %s, accepting connections %t", u.ID, length, accepts), u.proxy.stop(length, accepts)
 }
 
 // maxPlannedSeries is how many SIGHUPs and configurations follow each other at most.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -28,7 +29,7 @@
 
 // EnabledKinds are the kinds of faults that a run plays by default. Each kind draws
 // from random sources of its own, so a seed's base faults don't depend on the others.
-var EnabledKinds = []string{"base", "planned", "silence"}
+var EnabledKinds = []string{"base", "planned", "silence", "release"}
 
 // faultKind is faults that one or more series draw from.
 type faultKind struct {
@@ -41,6 +42,7 @@
 	"base":    {faults: baseFaults, series: baseSeries},
 	"planned": {faults: plannedFaults, series: 1, source: 100},
 	"silence": {faults: silenceFaults, series: 2, source: 200},
+	"release": {faults: releaseFaults, series: 1, source: 300},
 }
 
 // Run starts the hosts, sends load and injects the faults of the given kinds and
@@ -62,6 +64,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { load.run(ctx, seed) })
+	if slices.Contains(kinds, "release") {
+		group.Go(func() { load.runStreams(ctx, seed) })
+	}
 	injected, violations = env.injectFaults(seed, length, kinds)
 	env.clearFaults()
 	time.Sleep(recoveryTime)
@@ -70,7 +75,8 @@
 	stop()
 	group.Wait()
 	time.Sleep(settleTime)
-	return injected, append(violations, env.check(load.outcomes, recoveredAt)...), nil
+	violations = append(violations, env.check(load.outcomes, recoveredAt)...)
+	return injected, append(violations, env.checkStreams(load.streams)...), nil
 }
 
 // injectFaults runs the series of all kinds concurrently. Each series draws its
@@ -104,14 +110,10 @@
 // check compares the responses that callers received with the requests that
 // upstreams ran.
 func (e *environment) check(outcomes []outcome, recoveredAt time.Time) (violations []string) {
-	runs := make(map[string]int)
-	undisturbed := make(map[string][]serverRun)
-	for i, u := range e.upstreams {
+	runs := make(map[string][]serverRun)
+	for _, u := range e.servers() {
 		for _, run := range u.Runs() {
-			runs[run.RequestID]++
-			if run.Fault == platformtest.ServeNormally {
-				undisturbed[run.RequestID] = append(undisturbed[run.RequestID], serverRun{run.StartedAt, u, e.proxies[i]})
-			}
+			runs[run.RequestID] = append(runs[run.RequestID], serverRun{run, u})
 			if run.Workspace() != platformtest.Workspace || run.Body != "body of "+run.RequestID {
 				violations = append(violations, fmt.Sprintf("%s ran %s with a changed workspace or body", u.ID, run.RequestID))
 			}
@@ -119,9 +121,9 @@
 	}
 	answered, served := 0, 0
 	for _, o := range outcomes {
-		violations = append(violations, e.checkOutcome(o, runs[o.id])...)
-		violations = append(violations, e.checkNotCut(o, undisturbed[o.id])...)
-		if o.sentAt.After(recoveredAt) && o.status != 0 && !o.abandoned {
+		violations = append(violations, e.checkOutcome(o, len(runs[o.id]))...)
+		violations = append(violations, e.checkNotCut(o, runs[o.id])...)
+		if o.sentAt.After(recoveredAt) && o.status != 0 && !o.abandoned && !o.resumes {
 			answered++
 			if o.status == 200 && o.complete {
 				served++
@@ -139,7 +141,7 @@
 	report := func(violation string) {
 		violations = append(violations, fmt.Sprintf("%s %s at %s: %s (status %d, %d runs)", o.path, o.id, o.host, violation, o.status, runs))
 	}
-	idempotent := o.path == "/read/" || o.path == "/talk/"
+	idempotent := o.path == "/read/" || o.path == "/talk/" || o.path == "/turn/"
 	if !idempotent && runs > 1 {
 		report("ran more than once")
 	}
@@ -149,7 +151,7 @@
 	if o.status == 401 || o.status == 404 {
 		report("was denied although its key and route were always configured")
 	}
-	if o.status == 200 && o.complete && !e.isExpectedAnswer(o) {
+	if o.status == 200 && o.complete && o.path != "/turn/" && !e.isExpectedAnswer(o) {
 		report("got a wrong or incomplete answer: " + o.body)
 	}
 	return violations
