soak: upstreams that say in their answers to stay away

Faults: upstreams that say Server-Leaving in all answers while the store lists them as ready, for 2 s longer than the drain bound, and then leave; upstreams that refuse requests for 0.3 s and name a Retry-After of 2 or 3 s.

Checks: no request reaches an upstream from a host that passed on, more than the drain bound before the caller sent it, that the upstream is leaving; not more than two requests of a host reach an upstream between 0.5 s after its refusal and the end of the time that it named. A restart or a pause of the host excuses both.

--- /dev/null
+++ b/internal/soak/notices_test.go
@@ -0,0 +1,47 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/platform/platformtest"
+)
+
+// arrivalsAfter returns arrivals from h, each some time after start.
+func arrivalsAfter(h *hostProcess, start time.Time, after ...time.Duration) (all []hostArrival) {
+	for _, d := range after {
+		at := start.Add(d)
+		all = append(all, hostArrival{platformtest.Arrival{At: at}, h, at})
+	}
+	return all
+}
+
+func TestCheckLeavingFindsLateRequests(t *testing.T) {
+	start, s := time.Now(), &server{Upstream: &platformtest.Upstream{ID: "u1"}}
+	h, notices := &hostProcess{}, []time.Time{start}
+	require.Empty(t, s.checkLeaving(arrivalsAfter(h, start, time.Second, drainBound), notices))
+	require.Len(t, s.checkLeaving(arrivalsAfter(h, start, drainBound+time.Millisecond), notices), 1)
+	require.Empty(t, s.checkLeaving(arrivalsAfter(h, start, time.Hour), nil), "the host passed nothing on")
+	h.disruptions = []*disruption{{kind: paused, from: start.Add(time.Second), until: start.Add(2 * time.Second)}}
+	require.Empty(t, s.checkLeaving(arrivalsAfter(h, start, drainBound+time.Millisecond), notices), "the host was paused")
+	notices = append(notices, start.Add(2*time.Second))
+	require.Empty(t, s.checkLeaving(arrivalsAfter(h, start, drainBound+time.Second), notices), "the host was paused and learned it again")
+	require.Len(t, s.checkLeaving(arrivalsAfter(h, start, drainBound+3*time.Second), notices), 1)
+}
+
+func TestCheckRefusalsFindsEarlyRequests(t *testing.T) {
+	start, s := time.Now(), &server{Upstream: &platformtest.Upstream{ID: "u1"}}
+	h := &hostProcess{}
+	refused := func(after ...time.Duration) []hostArrival {
+		all := arrivalsAfter(h, start, append([]time.Duration{0}, after...)...)
+		all[0].RetryAfter = 2 * time.Second
+		return all
+	}
+	second := time.Second
+	require.Empty(t, s.checkRefusals(refused(refusalKnownTime/2, refusalKnownTime, second, second, 2*second)))
+	require.Len(t, s.checkRefusals(refused(second, second, second)), 1)
+	h.disruptions = []*disruption{{kind: killed, from: start.Add(second), until: start.Add(2 * second)}}
+	require.Empty(t, s.checkRefusals(refused(second, second, second)), "the host was restarted")
+}
--- a/internal/soak/releases.go
+++ b/internal/soak/releases.go
@@ -91,7 +91,9 @@
 // given time.
 func (e *environment) leave(s *server, announces bool, exit time.Duration) {
 	e.mu.Lock()
-	s.leavingAt = time.Now()
+	if s.leavingAt.IsZero() {
+		s.leavingAt = time.Now()
+	}
 	e.mu.Unlock()
 	if announces {
 		s.Register(e.store, "draining")
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -29,7 +29,7 @@
 
 // EnabledKinds are the kinds of faults that a run plays by default. Each kind draws
 // from random sources of its own, so a seed's base faults don't depend on the others.
-var EnabledKinds = []string{"base", "planned", "silence", "release"}
+var EnabledKinds = []string{"base", "planned", "silence", "release", "notice"}
 
 // faultKind is faults that one or more series draw from.
 type faultKind struct {
@@ -43,6 +43,7 @@
 	"planned": {faults: plannedFaults, series: 1, source: 100},
 	"silence": {faults: silenceFaults, series: 2, source: 200},
 	"release": {faults: releaseFaults, series: 1, source: 300},
+	"notice":  {faults: noticeFaults, series: 2, source: 400},
 }
 
 // Run starts the hosts, sends load and injects the faults of the given kinds and
@@ -76,7 +77,8 @@
 	group.Wait()
 	time.Sleep(settleTime)
 	violations = append(violations, env.check(load.outcomes, recoveredAt)...)
-	return injected, append(violations, env.checkStreams(load.streams)...), nil
+	violations = append(violations, env.checkStreams(load.streams)...)
+	return injected, append(violations, env.checkNotices(load.outcomes)...), nil
 }
 
 // injectFaults runs the series of all kinds concurrently. Each series draws its
@@ -167,7 +169,7 @@
 		}
 		return o.body == stream.String()
 	}
-	for _, u := range e.upstreams {
+	for _, u := range e.servers() {
 		if o.body == u.Body(o.id) {
 			return true
 		}
