soak: end the hosts with the test process

A soak that was ended by force left its hosts running, and these went on calling the port of their former store. Beside such hosts, upstreams of two of 30 soaks that got this port reported 32 and 50 requests "with a changed workspace or body": GET /v1/kv-range and POST /v1/kv-keep without a request ID.

--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -124,6 +124,8 @@
 	h.command = exec.Command(h.binary, "-metrics-port", fmt.Sprint(h.metricsPort))
 	h.command.Env = append(os.Environ(), platform.SettingsVariable+"="+h.settingsPath)
 	h.command.Stdout, h.command.Stderr = h.log, h.log
+	// A host that outlived the soak would go on calling ports that others take.
+	h.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := h.command.Start(); err != nil {
 		return err
 	}
