--- a/call/call.go
+++ b/call/call.go
@@ -38,7 +38,10 @@
 	// LastEvent is the ID of the last event that the caller received, or
 	// NoEvent.
 	LastEvent int64
-	Prompt    Prompt
+	// Resumes is the ID of the caller's attempt that received the first event of
+	// the stream that this request continues; "" if the caller named none.
+	Resumes string
+	Prompt  Prompt
 	// Pieces is the number of pieces of each stage of the route.
 	Pieces []int
 	// PiecesKey identifies the content that stages without inputs work on.
@@ -140,11 +143,13 @@
 	PieceOverload
 	// PieceMoved: another host now gathers for the service.
 	PieceMoved
+	// PiecePaused: all stage servers have asked for a pause that ends too late.
+	PiecePaused
 )
 
 // String returns the lower-case name of the failure.
 func (f PieceFailure) String() string {
-	return [...]string{"done", "late", "input_gone", "no_room", "error", "refused", "overload", "moved"}[f]
+	return [...]string{"done", "late", "input_gone", "no_room", "error", "refused", "overload", "moved", "paused"}[f]
 }
 
 // PieceResult says where the result of a piece is held, or why there is none.
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -40,6 +40,8 @@
 	routes  func() *routing.Table
 	logger  *slog.Logger
 
+	idle idleLimit // only closeExpired uses it
+
 	mu   sync.Mutex // guards open
 	open map[*callerConn]struct{}
 }
@@ -57,11 +59,11 @@
 	return c
 }
 
-// ServeHTTP serves a request. If a timeout closed the connection at the same
-// moment, the request is dropped without being run.
+// ServeHTTP serves a request. If a timeout or a shutdown closed the connection at
+// the same moment, the request is dropped without being run.
 func (c *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if conn := callerConnOf(r.Context()); conn != nil && !conn.beginRequest() {
-		c.logger.Warn("request dropped: a timeout closed its connection", "caller", r.RemoteAddr, "target", r.RequestURI)
+		c.logger.Warn("request dropped: its connection was closed as it arrived", "caller", r.RemoteAddr, "target", r.RequestURI)
 		panic(http.ErrAbortHandler)
 	}
 	if limit := c.limits().MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
@@ -129,9 +131,10 @@
 	c.mu.Lock()
 	open := slices.Collect(maps.Keys(c.open))
 	c.mu.Unlock()
+	c.idle.set(limits.IdleTimeout, now)
 	expired := 0
 	for _, conn := range open {
-		if conn.expire(now, limits.IdleTimeout, limits.HeaderTimeout) {
+		if conn.expire(now, &c.idle, limits.HeaderTimeout) {
 			_ = conn.Close()
 			expired++
 		}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
@@ -29,6 +28,7 @@
 	"github.com/galenaseam/galenaseam/pace"
 	"github.com/galenaseam/galenaseam/placement"
 	"github.com/galenaseam/galenaseam/quarantine"
+	"github.com/galenaseam/galenaseam/resume"
 	"github.com/galenaseam/galenaseam/retry"
 	"github.com/galenaseam/galenaseam/routing"
 	"github.com/galenaseam/galenaseam/staging"
@@ -96,6 +96,7 @@
 	platform Platform
 	logger   *slog.Logger
 	registry *prometheus.Registry
+	notices  *noticeMetrics
 
 	info       host.Info
 	mux        *link.Mux
@@ -107,6 +108,7 @@
 	directory  *directory.Directory
 	transport  *transport.Client
 	gatherer   *staging.Gatherer
+	streams    *resume.Keeper
 	gateway    *gateway.Gateway
 	retries    *retry.Budget
 	callers    *callerServer
@@ -126,6 +128,7 @@
 	}
 	h := &Host{settings: settings, latestSettings: settings, platform: platform, logger: logger, registry: registry, mux: link.NewMux()}
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	h.notices = newNoticeMetrics(registry)
 	h.info = host.Info{
 		ID:       host.ID(settings.Name + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)),
 		Place:    settings.Place,
@@ -149,6 +152,8 @@
 	h.peerClient = link.NewClient(link.ClientConfig{Key: h.settings.FleetKey, DialTimeout: peerDialTimeout})
 	h.transport = transport.New(h.registry)
 	h.instances = instance.NewTable(h.onUpstreamChange)
+	h.transport.OnAnswer(h.onUpstreamAnswer)
+	h.transport.Admit(h.admitCall)
 	hostList := &directoryHostList{}
 	var err error
 	h.members, err = member.New(member.Config{
@@ -161,7 +166,8 @@
 	}
 	h.directory = directory.New(directory.Config{
 		Source: h.platform.Source, Format: h.platform.Format, Instances: h.instances, Fleet: h.members,
-		Gossip: h.members, Caller: h.peerClient, MaxPropagationDelay: h.settings.MaxPropagationDelay, Logger: h.logger, OnConfig: h.onConfig,
+		Gossip: h.members, Caller: h.peerClient, MaxPropagationDelay: h.settings.MaxPropagationDelay, Logger: h.logger,
+		Registerer: h.registry, OnConfig: h.onConfig,
 	}, h.mux)
 	hostList.setDirectory(h.directory)
 	return nil
@@ -194,12 +200,13 @@
 		Engines: h.instances, Service: h.service, Owners: h.owners, Caller: h.peerClient,
 		DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
 	}, h.mux)
+	h.streams = resume.New(resume.Config{Fleet: h.members, Caller: h.peerClient, Logger: h.logger, Registerer: h.registry}, h.mux)
 	h.gateway = gateway.New(gateway.Config{
 		Codec: h.platform.Codec, Routes: h.directory.Routes, Instances: h.instances, Transport: h.transport,
 		Stages: staging.NewRunner(staging.RunnerConfig{
 			Owners: h.owners, Caller: h.peerClient, Gatherer: h.gatherer, Service: h.service, Logger: h.logger,
 		}, h.mux),
-		Retries: h.retries, ResponseTimes: pace.NewTable(), Placer: placer, Quarantine: suspects, DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
+		Retries: h.retries, ResponseTimes: pace.NewTable(), Placer: placer, Streams: h.streams, Quarantine: suspects, DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
 		Metrics: gateway.NewMetrics(h.registry),
 	})
 	h.callers = newCallerServer(h.gateway, h.directory.Routes, h.logger)
@@ -229,14 +236,19 @@
 // onConfig tells the other hosts which version of the configuration this host uses.
 func (h *Host) onConfig(t *routing.Table) { h.members.SetGeneration(uint64(t.Version())) }
 
-// onUpstreamChange logs that an upstream was added, is leaving or was removed, and
+// onUpstreamChange logs that an upstream was added, is leaving, is paused or was removed, and
 // closes idle connections to removed ones.
 func (h *Host) onUpstreamChange(c instance.Change) {
 	if c.Kind == "changed" {
 		return
 	}
-	h.logger.Info("upstream "+c.Kind, "upstream", string(c.ID), "service", c.Service, "addr", c.Addr.String(),
-		"data_centre", string(c.DataCentre), "revision", c.Revision)
+	h.notices.count(c)
+	attrs := []any{"upstream", string(c.ID), "service", c.Service, "addr", c.Addr.String(),
+		"data_centre", string(c.DataCentre), "version", c.Version, "era", c.Era, "revision", c.Revision, "source", string(c.Source)}
+	if c.Kind == "paused" {
+		attrs = append(attrs, "until", c.Until)
+	}
+	h.logger.Info("upstream "+c.Kind, attrs...)
 	if c.Kind == "removed" {
 		h.transport.CloseIdle(c.Addr)
 	}
@@ -255,9 +267,3 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
-
-// listen opens a TCP listener on an address of the settings.
-func listen(addr netip.AddrPort) (net.Listener, error) {
-	l, err := net.Listen("tcp4", addr.String())
-	return l, Error.Wrap(err)
-}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -46,9 +46,13 @@
 
 // retryAfterOverload returns the estimated wait in the queue that refused the
 // caller, plus a random time that spreads the retries of callers refused together.
+// If all stage servers are paused, it returns the time until the first is back.
 func (x *exchange) retryAfterOverload(err error) time.Duration {
 	wait := overloadRetryAfter
 	if f := staging.AsFailure(err); f != nil {
+		if f.Reason == call.PiecePaused && f.Wait > 0 {
+			return f.Wait
+		}
 		wait = min(max(f.Wait, overloadRetryAfter), maxOverloadRetryAfter)
 	}
 	return wait + time.Duration(x.random.Int64N(int64(overloadRetryAfter)))
@@ -76,7 +80,7 @@
 // giveUp ends a request for which no further upstream is tried, with the error
 // answer of an upstream if there is one.
 func (x *exchange) giveUp(reason string) {
-	if x.fallbackAnswer != nil && x.r.Context().Err() == nil {
+	if x.fallbackAnswer != nil && !x.started && x.r.Context().Err() == nil {
 		x.writeAnswer(x.fallbackAnswer.answer, x.fallbackAnswer.body)
 		return
 	}
@@ -94,6 +98,9 @@
 	case !x.mayHaveRun:
 		f.status = http.StatusServiceUnavailable
 		f.retryAfter = noUpstreamRetryAfter + time.Duration(x.random.Int64N(int64(noUpstreamRetryAfter)))
+		if wait, paused := x.pausedFor(); paused {
+			f.reason, f.retryAfter = "upstreams_paused", wait
+		}
 	case !time.Now().Before(x.deadline):
 		f.status, f.reason = http.StatusGatewayTimeout, "deadline"
 	}
@@ -136,6 +143,12 @@
 		attrs = append(attrs, slog.String("route", route), slog.String("workspace", x.workspace),
 			slog.String("service", x.service), slog.Bool("may_have_run", x.mayHaveRun))
 	}
+	if x.request.Resumes != "" {
+		attrs = append(attrs, slog.String("resumes", x.request.Resumes))
+	}
+	if x.resumption != nil {
+		attrs = append(attrs, x.resumption.logAttrs()...)
+	}
 	if x.stagesTook > 0 {
 		attrs = append(attrs, slog.Int64("stages_ms", x.stagesTook.Milliseconds()))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/galenaseam/galenaseam/pace"
 	"github.com/galenaseam/galenaseam/placement"
 	"github.com/galenaseam/galenaseam/quarantine"
+	"github.com/galenaseam/galenaseam/resume"
 	"github.com/galenaseam/galenaseam/retry"
 	"github.com/galenaseam/galenaseam/routing"
 	"github.com/galenaseam/galenaseam/staging"
@@ -36,6 +38,8 @@
 	EncodeRequest(q *call.Request, a call.Attempt) http.Header
 	// DecodeAnswer translates the status and headers of an upstream's answer.
 	DecodeAnswer(r *http.Response) *call.Answer
+	// DecodeNotice returns what the sender of an answer says about itself.
+	DecodeNotice(r *http.Response) call.Notice
 	// IdleTimeout returns how long an upstream keeps an unused connection
 	// open, according to the headers of its answer.
 	IdleTimeout(h http.Header) time.Duration
@@ -55,6 +59,7 @@
 	Retries       *retry.Budget
 	ResponseTimes *pace.Table
 	Placer        *placement.Placer
+	Streams       *resume.Keeper
 	Quarantine    *quarantine.Quarantine
 	DataCentre    host.DataCentre
 	Logger        *slog.Logger
@@ -105,7 +110,12 @@
 	table   *routing.Table
 	route   *routing.Route
 	service string
-	digest  quarantine.Digest
+	// version is the software version of the upstreams that may serve the request;
+	// "" means any. A stream has the one that began it.
+	version string
+	// resumption is nil unless the caller resumes a stream.
+	resumption *resumption
+	digest     quarantine.Digest
 	// runAlone means that the request is suspected of crashing upstreams and
 	// that only this host may run it now. completed means that an upstream ran
 	// it to its end.
@@ -121,14 +131,16 @@
 	// startBy is when a stream must have begun, since its caller gives up then.
 	startBy time.Time
 	// ctx is done when the caller's connection closes or the deadline passes.
-	ctx          context.Context
-	inputs       *staging.Results
-	stagesRedone bool // the stages were run a second time
-	random       *rand.Rand
+	ctx    context.Context
+	random *rand.Rand
 
-	mayHaveRun bool // an upstream may have run the request
-	started    bool // the status and headers of the answer were sent
-	aborted    bool // the connection is closed without a complete answer
+	inputsMu sync.Mutex       // guards inputs
+	inputs   *staging.Results // results of the stages; nil if there are none or they were freed
+
+	placements atomic.Uint32 // how often an engine was chosen
+	mayHaveRun bool          // an upstream may have run the request
+	started    bool          // the status and headers of the answer were sent
+	aborted    bool          // the connection is closed without a complete answer
 	// fallbackAnswer is an upstream's error answer, which the caller gets if no
 	// other upstream succeeds.
 	fallbackAnswer *wholeAnswer
@@ -200,8 +212,7 @@
 	x.deadline = x.request.Arrived.Add(timeout - answerMargin)
 	x.startBy = x.deadline
 	if x.route.Kind == routing.Stream {
-		maxSilence := max(minCallerSilence, callerSilenceObjectives*x.route.Objective, callerSilenceGaps*x.route.EventGap)
-		x.startBy = earlier(x.deadline, x.request.Arrived.Add(maxSilence-firstEventMargin))
+		x.startBy = earlier(x.deadline, x.request.Arrived.Add(callerPatience(x.route)-firstEventMargin))
 	}
 	x.targetTime = x.request.Arrived.Add(x.route.Objective)
 	if x.route.Objective <= 0 {
@@ -209,6 +220,11 @@
 	}
 }
 
+// callerPatience returns the silence after which callers give up a stream of a route.
+func callerPatience(route *routing.Route) time.Duration {
+	return max(minCallerSilence, callerSilenceObjectives*route.Objective, callerSilenceGaps*route.EventGap)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -226,16 +242,16 @@
 		return
 	}
 	defer x.release()
-	if refused, ok := x.runStages(); !ok {
+	if refused, ok := x.requireVersion(); !ok {
 		x.refuse(refused)
 		return
 	}
-	x.config.Retries.RecordRequest(x.service, time.Now())
-	if x.route.Kind == routing.Stream {
-		x.serveStream()
+	if refused, ok := x.runStages(); !ok {
+		x.refuse(refused)
 		return
 	}
-	x.servePlain()
+	x.config.Retries.RecordRequest(x.service, time.Now())
+	x.runAttempts()
 }
 
 // release gives up the right to run alone and the stages' results.
@@ -248,9 +264,24 @@
 	x.freeInputs()
 }
 
-// freeInputs frees the stages' results on the stage servers.
-func (x *exchange) freeInputs() {
-	if x.inputs != nil {
-		x.inputs.Free()
+// stageResults returns the results of the stages; nil if there are none or they were
+// freed.
+func (x *exchange) stageResults() *staging.Results {
+	x.inputsMu.Lock()
+	defer x.inputsMu.Unlock()
+	return x.inputs
+}
+
+// replaceInputs stores the results of the stages and frees earlier ones.
+func (x *exchange) replaceInputs(results *staging.Results) {
+	x.inputsMu.Lock()
+	old := x.inputs
+	x.inputs = results
+	x.inputsMu.Unlock()
+	if old != nil {
+		old.Free()
 	}
 }
+
+// freeInputs frees the stages' results on the stage servers.
+func (x *exchange) freeInputs() { x.replaceInputs(nil) }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -3,6 +3,7 @@
 package instance
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/infra"
 )
 
 // ID identifies one upstream process.
@@ -31,6 +33,14 @@
 	StartTime time.Time `cbor:"8,keyasint"`
 	// Revision is the revision of the entry in the store.
 	Revision int64 `cbor:"9,keyasint"`
+	// Version is the version of the upstream's software. What two versions write
+	// for one stream does not fit together.
+	Version string `cbor:"10,keyasint"`
+	// Era is the era of the store in which Revision was given out.
+	Era int64 `cbor:"20,keyasint,omitempty"`
+	// LeftEarlier is true if the process was leaving in a former era, but a
+	// later one lists it as ready. Leaving is true then.
+	LeftEarlier bool `cbor:"21,keyasint,omitempty"`
 }
 
 // maxTombstones bounds the removals that are remembered. It is several times
@@ -59,6 +69,7 @@
 // are guarded by the table's lock.
 type Instance struct {
 	Entry
+	notice
 	inFlight     int
 	tokens       int // prompt and output tokens in flight
 	failures     int // calls that broke since the last answered one
@@ -78,22 +89,60 @@
 	ErrorRate float64
 }
 
+// HasVersion reports whether the upstream has a required version of the software;
+// every upstream has version "".
+func (e Entry) HasVersion(version string) bool { return version == "" || e.Version == version }
+
+// OfVersion returns the upstreams that have a required version of the software.
+// For version "" it returns all.
+func OfVersion(all []Status, version string) []Status {
+	if version == "" {
+		return all
+	}
+	var of []Status
+	for _, s := range all {
+		if s.HasVersion(version) {
+			of = append(of, s)
+		}
+	}
+	return of
+}
+
 // Table holds the upstreams of every service. It is safe for concurrent use.
 type Table struct {
 	mu             sync.Mutex
 	byID           map[ID]*Instance
 	byService      map[string][]*Instance // ordered by ID
-	tombstones     map[ID]int64           // revision of each removal; entries up to it are ignored
-	tombstoneFloor int64                  // removals before this revision may be missing
+	tombstones     map[ID]tombstone       // removals; entries up to their positions are ignored
+	tombstoneFloor infra.Position         // removals before this position may be missing
+	// formerVersions is when the last upstream of a software version was removed, by
+	// service and version.
+	formerVersions map[string]map[string]time.Time
+	kept           map[processKey]keptNotice
+	keptOrder      uint64
+	lastPauseEnd   time.Time // no pause lasts longer
 	changed        func(Change)
 }
 
 // Change describes a change of the table, for logging.
 type Change struct {
 	Entry
-	Kind string // "added", "leaving", "removed" or "changed"
+	Kind string // "added", "leaving", "paused", "removed" or "changed", or one of those in era.go
+	// Source is what told of the change.
+	Source Source
+	// Until is the end of a pause.
+	Until time.Time
 }
 
+// Source is what told of a change.
+type Source string
+
+// The sources of a change.
+const (
+	SourceEntry  Source = "entry"  // the upstream's entry in the store
+	SourceAnswer Source = "answer" // an answer of the upstream to this host
+)
+
 // NewTable creates an empty table. changed, if not nil, is called after each
 // change without holding the lock.
 func NewTable(changed func(Change)) *Table {
@@ -103,64 +152,64 @@
 	return &Table{
 		byID:       make(map[ID]*Instance),
 		byService:  make(map[string][]*Instance),
-		tombstones: make(map[ID]int64),
-		changed:    changed,
+		tombstones: make(map[ID]tombstone),
+		kept:       make(map[processKey]keptNotice),
+
+		formerVersions: make(map[string]map[string]time.Time),
+		changed:        changed,
 	}
 }
 
-// Put adds or updates an entry unless a newer revision is known.
+// Put adds or updates an entry unless a newer one is known.
 func (t *Table) Put(e Entry) {
 	t.mu.Lock()
 	kind := t.put(e)
 	t.mu.Unlock()
 	if kind != "" {
-		t.changed(Change{Entry: e, Kind: kind})
+		t.changed(Change{Entry: e, Kind: kind, Source: SourceEntry})
 	}
 }
 
 // put adds or updates an entry. It returns what changed, as in Change.Kind, or ""
 // if nothing did. The caller holds mu.
 func (t *Table) put(e Entry) string {
-	if t.tombstones[e.ID] >= e.Revision {
-		return ""
-	}
 	old := t.byID[e.ID]
+	e, kept, valid := t.reconcile(e, old)
+	if !valid {
+		return kept
+	}
 	if old == nil {
 		t.add(&Instance{Entry: e})
-		return "added"
+		return cmp.Or(kept, "added")
 	}
-	if old.Revision >= e.Revision {
-		return ""
-	}
-	sameProcess := old.StartTime.Equal(e.StartTime) && old.Addr == e.Addr && old.Service == e.Service
-	if !sameProcess {
+	if !old.sameProcess(e) {
 		t.drop(old)
 		t.add(&Instance{Entry: e})
 		return "added"
 	}
-	wasLeaving := old.Leaving
+	wasLeaving := old.isLeaving()
 	old.Entry = e
 	if e.Leaving && !wasLeaving {
 		return "leaving"
 	}
-	return "changed"
+	return cmp.Or(kept, "changed")
 }
 
 // Remove removes an upstream unless a newer entry is known.
-func (t *Table) Remove(id ID, revision int64) {
+func (t *Table) Remove(id ID, at infra.Position) {
 	t.mu.Lock()
 	old := t.byID[id]
-	gone := old != nil && old.Revision < revision
+	gone := old != nil && at.After(old.Position())
 	if gone {
 		t.drop(old)
 	}
-	t.tombstones[id] = max(t.tombstones[id], revision)
+	t.bury(id, old, at)
 	if len(t.tombstones) > maxTombstones {
 		t.pruneTombstones()
 	}
 	t.mu.Unlock()
 	if gone {
-		t.changed(Change{Entry: old.Entry, Kind: "removed"})
+		t.changed(Change{Entry: old.Entry, Kind: "removed", Source: SourceEntry})
 	}
 }
 
@@ -168,28 +217,35 @@
 // seconds, so no update that these removals would have to suppress is still
 // expected.
 func (t *Table) pruneTombstones() {
-	revisions := slices.Sorted(maps.Values(t.tombstones))
-	median := revisions[len(revisions)/2]
-	t.tombstoneFloor = max(t.tombstoneFloor, median)
-	maps.DeleteFunc(t.tombstones, func(_ ID, revision int64) bool { return revision < median })
+	var positions []infra.Position
+	for _, buried := range t.tombstones {
+		positions = append(positions, buried.at)
+	}
+	slices.SortFunc(positions, infra.Position.Compare)
+	median := positions[len(positions)/2]
+	if median.After(t.tombstoneFloor) {
+		t.tombstoneFloor = median
+	}
+	maps.DeleteFunc(t.tombstones, func(_ ID, buried tombstone) bool { return median.After(buried.at) })
 }
 
-// Replace synchronizes the table with a complete listing as of a revision.
+// Replace synchronizes the table with a complete listing as of a position.
 // Entries that the listing lacks are removed unless they are newer.
-func (t *Table) Replace(entries []Entry, asOf int64) {
+func (t *Table) Replace(entries []Entry, asOf infra.Position) {
 	listed := make(map[ID]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
 		t.Put(e)
 	}
 	for _, e := range t.Entries() {
-		if !listed[e.ID] && e.Revision <= asOf {
-			t.Remove(e.ID, asOf+1)
+		if !listed[e.ID] && asOf.After(e.Position()) {
+			t.Remove(e.ID, asOf)
 		}
 	}
 }
 
 func (t *Table) add(i *Instance) {
+	t.restore(i)
 	t.byID[i.ID] = i
 	list := append(t.byService[i.Service], i)
 	slices.SortFunc(list, func(a, b *Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
@@ -197,10 +253,37 @@
 }
 
 func (t *Table) drop(i *Instance) {
+	former := t.formerVersions[i.Service]
+	if former == nil {
+		former = make(map[string]time.Time)
+		t.formerVersions[i.Service] = former
+	}
+	former[i.Version] = time.Now()
+	t.keep(i.Process(), i.notice)
 	delete(t.byID, i.ID)
 	t.byService[i.Service] = slices.DeleteFunc(t.byService[i.Service], func(o *Instance) bool { return o == i })
 }
 
+// Versions returns the software versions of a service's upstreams, in no
+// particular order: of those that may get new work, those that are leaving, and
+// those that were removed after a time.
+func (t *Table) Versions(service string, removedAfter time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	versions := make(map[string]bool)
+	for _, i := range t.byService[service] {
+		versions[i.Version] = true
+	}
+	for version, removed := range t.formerVersions[service] {
+		if removed.After(removedAfter) {
+			versions[version] = true
+		} else {
+			delete(t.formerVersions[service], version)
+		}
+	}
+	return slices.Collect(maps.Keys(versions))
+}
+
 // Entries returns all entries in no particular order.
 func (t *Table) Entries() []Entry {
 	t.mu.Lock()
@@ -212,14 +295,19 @@
 	return all
 }
 
-// Service returns the upstreams of a service that may get new work, ordered by
-// ID.
+// Service returns the upstreams of a service that this host may send new work to,
+// ordered by ID.
 func (t *Table) Service(name string, now time.Time) []Status {
+	return t.service(name, now, func(i *Instance) bool { return !i.isLeaving() && !i.isPaused(now) })
+}
+
+// service returns the upstreams of a service for which usable is true.
+func (t *Table) service(name string, now time.Time, usable func(*Instance) bool) []Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var all []Status
 	for _, i := range t.byService[name] {
-		if i.Leaving {
+		if !usable(i) {
 			continue
 		}
 		all = append(all, Status{
@@ -234,24 +322,25 @@
 type Removal struct {
 	ID       ID    `cbor:"1,keyasint"`
 	Revision int64 `cbor:"2,keyasint"`
+	Era      int64 `cbor:"3,keyasint,omitempty"`
 }
 
-// ChangesSince returns the changes after a revision. known is false if removals since
+// ChangesSince returns the changes after a position. known is false if removals since
 // then are no longer remembered.
-func (t *Table) ChangesSince(revision int64) (entries []Entry, removals []Removal, known bool) {
+func (t *Table) ChangesSince(position infra.Position) (entries []Entry, removals []Removal, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if revision < t.tombstoneFloor {
+	if t.tombstoneFloor.After(position) {
 		return nil, nil, false
 	}
 	for _, i := range t.byID {
-		if i.Revision > revision {
+		if i.Position().After(position) {
 			entries = append(entries, i.Entry)
 		}
 	}
-	for id, at := range t.tombstones {
-		if at > revision {
-			removals = append(removals, Removal{ID: id, Revision: at})
+	for id, buried := range t.tombstones {
+		if buried.at.After(position) {
+			removals = append(removals, Removal{ID: id, Revision: buried.at.Revision, Era: buried.at.Era})
 		}
 	}
 	return entries, removals, true
@@ -281,7 +370,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	i := t.byID[id]
-	if i == nil || i.Leaving {
+	if i == nil || i.isLeaving() {
 		return nil, false
 	}
 	i.inFlight++
--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/galenaseam/galenaseam/platform/platformtest"
@@ -14,6 +15,8 @@
 	// resetSlack is how long after a reset of its connection an upstream may begin to
 	// run a request.
 	resetSlack = 100 * time.Millisecond
+	// maxAttempts is how many upstreams the routes allow for a request.
+	maxAttempts = 2
 )
 
 // serverRun is a run of a request at an upstream.
@@ -24,7 +27,8 @@
 
 // checkNotCut checks that a request got its whole answer if an upstream ran it and
 // was only silent. A caller that left, a deadline, a killed host and a connection
-// that was reset excuse a missing answer.
+// that was reset excuse a missing answer; so does the last upstream that the route
+// allows if it took over and broke off.
 func (e *environment) checkNotCut(o outcome, runs []serverRun) []string {
 	if o.status == http.StatusOK && o.complete || o.abandoned || o.endedAt.Sub(o.sentAt) > o.deadline-timeoutSlack {
 		return nil
@@ -32,8 +36,15 @@
 	if e.host(o.host).wasDisrupted(o.sentAt, o.endedAt, killed) {
 		return nil
 	}
+	brokeOff := func(run serverRun) bool {
+		return run.Fault != platformtest.ServeNormally || run.server.proxy.wasReset(run.StartedAt.Add(-resetSlack), o.endedAt)
+	}
+	latest := func(a, b serverRun) int { return a.StartedAt.Compare(b.StartedAt) }
+	if len(runs) >= maxAttempts && brokeOff(slices.MaxFunc(runs, latest)) {
+		return nil
+	}
 	for _, run := range runs {
-		if run.Fault != platformtest.ServeNormally || run.server.proxy.wasReset(run.StartedAt.Add(-resetSlack), o.endedAt) {
+		if brokeOff(run) {
 			continue
 		}
 		return []string{fmt.Sprintf(
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/galenaseam/galenaseam/internal/ports"
 	"github.com/galenaseam/galenaseam/platform/platformtest"
 )
 
@@ -27,8 +27,12 @@
 	store     *platformtest.Store
 	upstreams []*server // those that serve throughout the run
 	hosts     []*hostProcess
-	signals   sync.Mutex     // held by the base fault that signals a host
-	leaving   sync.WaitGroup // upstreams that leave
+	// storeRestores is true if the store comes back from older copies.
+	storeRestores bool
+	signals       sync.Mutex     // held by the base fault that signals a host
+	leaving       sync.WaitGroup // upstreams that leave
+	// reservations keep the hosts' ports while a host is down.
+	reservations []*ports.Reservation
 
 	mu       sync.Mutex // guards the fields below
 	version  int
@@ -83,13 +87,17 @@
 	e.configure()
 	var seeds []netip.AddrPort
 	for i := range hostCount {
+		callers, readiness, peers, metrics, err := e.reserveAddrs()
+		if err != nil {
+			return err
+		}
 		storeProxy := platformtest.NewFaultProxy(e.store.Addr())
 		s := platformtest.HostSettings{
-			Name: fmt.Sprint("entry-", i), CallerAddr: freeAddr(), ReadinessAddr: freeAddr(), PeerAddr: freeAddr(),
+			Name: fmt.Sprint("entry-", i), CallerAddr: callers, ReadinessAddr: readiness, PeerAddr: peers,
 			Seeds: seeds, Store: storeProxy.Addr(), GraceS: graceSeconds,
 		}
 		seeds = append(seeds, s.PeerAddr)
-		h, err := newHost(binary, dir, s, freeAddr().Port(), storeProxy)
+		h, err := newHost(binary, dir, s, metrics.Port(), storeProxy)
 		if err != nil {
 			return err
 		}
@@ -101,31 +109,18 @@
 	return nil
 }
 
-// The ports that hosts listen on are below the range from which the system takes
-// ports for other listeners and connections, so that none of these takes a port
-// before its host has started, or while the host restarts.
-const (
-	firstHostPort = 10000
-	hostPortCount = 20000
-	portTries     = 50
-)
-
-// freeAddr finds a loopback address that is free for TCP and UDP. It returns the
-// zero address if it finds none; the host rejects that in its settings.
-func freeAddr() netip.AddrPort {
-	for range portTries {
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstHostPort+rand.IntN(hostPortCount)))
-		l, err := net.Listen("tcp4", addr.String())
+// reserveAddrs reserves an address for each listener of a host, for the length of
+// the run.
+func (e *environment) reserveAddrs() (callers, readiness, peers, metrics netip.AddrPort, err error) {
+	for _, into := range []*netip.AddrPort{&callers, &readiness, &peers, &metrics} {
+		r, err := ports.Reserve()
 		if err != nil {
-			continue // the port is in use
-		}
-		_ = l.Close()
-		if u, err := net.ListenPacket("udp4", addr.String()); err == nil {
-			_ = u.Close()
-			return addr
+			return callers, readiness, peers, metrics, err
 		}
+		e.reservations = append(e.reservations, r)
+		*into = r.Addr()
 	}
-	return netip.AddrPort{}
+	return callers, readiness, peers, metrics, nil
 }
 
 // startServer starts an upstream behind a proxy and registers it as ready.
@@ -199,11 +194,14 @@
 func (e *environment) close() {
 	for _, h := range e.hosts {
 		h.mu.Lock()
-		if h.command.Process != nil {
+		launched := h.exited != nil && h.command.Process != nil
+		if launched {
 			_ = h.command.Process.Kill() // it may have ended
 		}
 		h.mu.Unlock()
-		h.wait(5 * time.Second)
+		if launched {
+			h.wait(5 * time.Second)
+		}
 		_ = h.log.Close()
 		h.storeProxy.Close()
 	}
@@ -213,4 +211,7 @@
 		u.Close()
 	}
 	e.store.Close()
+	for _, r := range e.reservations {
+		_ = r.Release() // the reservation ends with the process at the latest
+	}
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -157,6 +157,10 @@
 	u := pick(r, e.upstreams)
 	u.Register(e.store, "draining")
 	time.Sleep(faultDuration(r))
+	if e.storeRestores {
+		// A process that was leaving stays so in a later era of the store.
+		u.NextProcess()
+	}
 	u.Register(e.store, "ready")
 	return u.ID + " was drained and became ready again", nil
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -61,6 +61,7 @@
 		return nil, nil, err
 	}
 	defer env.close()
+	env.storeRestores = slices.Contains(kinds, "restore")
 	time.Sleep(settleTime)
 	load := newCallers(env)
 	ctx, stop := context.WithCancel(context.Background())
@@ -122,7 +123,7 @@
 		for _, run := range u.Runs() {
 			runs[run.RequestID] = append(runs[run.RequestID], serverRun{run, u})
 			if run.Workspace() != platformtest.Workspace || run.Body != "body of "+run.RequestID {
-				violations = append(violations, fmt.Sprintf("%s ran %s (%s %s) with a changed workspace or body", u.ID, run.RequestID, run.Method, run.Target))
+				violations = append(violations, fmt.Sprintf("%s ran %s %s with ID %q, workspace %q and a body of %d bytes, which no caller sent", u.ID, run.Method, run.Target, run.RequestID, run.Workspace(), len(run.Body)))
 			}
 		}
 	}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -17,6 +17,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
+
+	"github.com/galenaseam/galenaseam/instance"
 )
 
 // Error is the class of every error this package returns.
@@ -25,6 +27,10 @@
 // ErrNotSent means that the call certainly did not reach the upstream.
 var ErrNotSent = errs.New("call not sent")
 
+// ErrWithheld means that the call was not sent because the upstream must get none
+// now. Such an error also wraps ErrNotSent.
+var ErrWithheld = errs.New("upstream must get no call now")
+
 // Defaults and bounds of a Client.
 const (
 	// dialTimeout is well above the round-trip time between data centres.
@@ -53,8 +59,11 @@
 
 // Call is one call to an upstream.
 type Call struct {
-	Addr   netip.AddrPort
-	Method string
+	Addr netip.AddrPort
+	// Upstream is the process that the call is meant for; its ID is empty if only
+	// the address is known.
+	Upstream instance.Process
+	Method   string
 	// Target is the escaped path and query.
 	Target string
 	Host   string
@@ -81,13 +90,18 @@
 	maxIdle int
 	dials   prometheus.Counter
 	reuses  prometheus.Counter
+	// onAnswer and admit are set before the first call.
+	onAnswer func(*Call, *http.Response)
+	admit    func(*Call) bool
 }
 
 // New returns a client. registerer may be nil.
 func New(registerer prometheus.Registerer) *Client {
 	c := &Client{
-		idle:    make(map[netip.AddrPort][]*conn),
-		maxIdle: maxIdlePerUpstream,
+		idle:     make(map[netip.AddrPort][]*conn),
+		maxIdle:  maxIdlePerUpstream,
+		onAnswer: func(*Call, *http.Response) {},
+		admit:    func(*Call) bool { return true },
 		dials: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "seam_upstream_dials_total", Help: "Connections opened to upstreams.",
 		}),
@@ -101,9 +115,19 @@
 	return c
 }
 
+// OnAnswer sets the function that is called with the status and headers of each
+// answer that arrives, also of those that are discarded, before Do returns. It
+// must be set before the first call.
+func (c *Client) OnAnswer(f func(*Call, *http.Response)) { c.onAnswer = f }
+
+// Admit sets the function that decides before a call is connected, and again
+// before it is sent, whether it may be sent. It must be set before the first call.
+func (c *Client) Admit(f func(*Call) bool) { c.admit = f }
+
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
+	bounded   *boundedReader // under reader
 	reader    *bufio.Reader
 	expiresAt time.Time
 }
@@ -127,15 +151,22 @@
 // wraps ErrNotSent means that the call did not reach the upstream; after any other
 // error it may have run.
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
+	if !c.admit(call) {
+		return nil, errs.Combine(ErrNotSent, ErrWithheld)
+	}
 	connection, err := c.connect(ctx, call)
 	if err != nil {
 		return nil, errs.Combine(ErrNotSent, Error.Wrap(err))
 	}
+	if !c.admit(call) {
+		_ = connection.Close()
+		return nil, errs.Combine(ErrNotSent, ErrWithheld)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	sent, err := connection.send(call)
 	if err == nil {
 		var response *http.Response
-		if response, err = connection.receive(call); err == nil { //nolint:bodyclose // the caller closes the Answer
+		if response, err = c.receive(connection, call); err == nil { //nolint:bodyclose // the caller closes the Answer
 			a := &Answer{Response: response, client: c, conn: connection, call: call, stopWatch: stop, bodyWritten: sent}
 			a.Body = &body{ReadCloser: response.Body, answer: a}
 			return a, nil
@@ -163,7 +194,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	bounded := &boundedReader{reader: raw, left: -1}
+	return &conn{Conn: raw, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes)}, nil
 }
 
 // Probe opens a connection and closes it, to check whether the address accepts
@@ -192,7 +224,7 @@
 		last := conns[len(conns)-1]
 		c.idle[addr] = conns[:len(conns)-1]
 		c.mu.Unlock()
-		if now.Before(last.expiresAt) && nothingReceived(last.Conn) {
+		if now.Before(last.expiresAt) && NothingReceived(last.Conn) {
 			return last
 		}
 		_ = last.Close()
@@ -275,29 +307,45 @@
 
 // receive reads answers until one belongs to the call. It skips informational
 // (1xx) answers.
-func (n *conn) receive(call *Call) (*http.Response, error) {
+func (c *Client) receive(n *conn, call *Call) (*http.Response, error) {
 	request := &http.Request{Method: call.Method}
-	for stale := 0; ; {
-		response, err := http.ReadResponse(n.reader, request)
+	n.limitHead()
+	for stale, informational := 0, 0; ; {
+		response, err := n.readHead(request)
 		if err != nil {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
 			return nil, err
 		}
+		c.onAnswer(call, response)
 		if response.StatusCode < http.StatusOK {
+			if informational++; informational > maxInformational {
+				return nil, errs.New("over %d informational answers", maxInformational)
+			}
 			continue
 		}
+		n.unlimit()
 		if call.Matches == nil || call.Matches(response) {
 			return response, nil
 		}
 		if stale++; stale > maxStaleAnswers || response.Close {
 			return nil, errs.New("the connection carries answers to other calls")
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := discardBody(response); err != nil {
 			return nil, err
 		}
+		n.limitHead()
+	}
+}
+
+// readHead reads the status line and headers of one answer.
+func (n *conn) readHead(request *http.Request) (*http.Response, error) {
+	response, err := http.ReadResponse(n.reader, request)
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil, io.ErrUnexpectedEOF
+	case err != nil:
+		return nil, shorten(err)
 	}
+	return response, checkFields(response)
 }
 
 // body records when it has been read to its end.
