--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -22,8 +22,11 @@
 	status    int // 0 if there was no response
 	body      string
 	complete  bool
-	abandoned bool // the caller cancelled before the deadline that the request names
+	abandoned bool          // the caller cancelled before the deadline that the request names
+	resumes   bool          // the caller goes on with a stream that it has begun
+	deadline  time.Duration // the deadline that the request names
 	sentAt    time.Time
+	endedAt   time.Time
 }
 
 // callers send requests until they are stopped, and record the outcomes.
@@ -31,8 +34,9 @@
 	env    *environment
 	client *http.Client
 
-	mu       sync.Mutex // guards outcomes
+	mu       sync.Mutex // guards the fields below
 	outcomes []outcome
+	streams  []*stream
 }
 
 const (
@@ -40,6 +44,7 @@
 	callerPause          = 25 * time.Millisecond
 	defaultClientTimeout = 5 * time.Second
 	requestDeadline      = 4 * time.Second // the deadline that the request names
+	keptKey              = "kept"          // the API key that every configuration allows
 )
 
 func newCallers(env *environment) *callers {
@@ -53,7 +58,7 @@
 		r := rand.New(rand.NewPCG(seed, uint64(i)+1000))
 		group.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
-				c.record(c.send(pick(r, []string{"/read/", "/order/", "/talk/", "/staged/"}), pick(r, c.env.hosts), fmt.Sprintf("%d-%d-%d", seed, i, n), drawClientTimeout(r)))
+				c.record(c.send(pick(r, []string{"/read/", "/order/", "/talk/", "/staged/"}), pick(r, c.env.hosts), fmt.Sprintf("%d-%d-%d", seed, i, n), keptKey, drawClientTimeout(r)))
 				time.Sleep(callerPause)
 			}
 		})
@@ -77,10 +82,14 @@
 }
 
 // send sends one request.
-func (c *callers) send(path string, h *hostProcess, id string, timeout time.Duration) outcome {
-	o := outcome{id: id, path: path, host: h.settings.Name, key: "kept", sentAt: time.Now()}
+func (c *callers) send(path string, h *hostProcess, id, key string, timeout time.Duration) (o outcome) {
+	o = outcome{id: id, path: path, host: h.settings.Name, key: key, deadline: requestDeadline, sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	defer func() {
+		o.endedAt = time.Now()
+		o.abandoned = ctx.Err() != nil && timeout < requestDeadline
+	}()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.callerAddr().String()+path+id, strings.NewReader("body of "+id))
 	if err != nil {
 		panic(err) // cannot happen: this package built the URL
@@ -94,6 +103,5 @@
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	o.status, o.body, o.complete = response.StatusCode, string(body), err == nil
-	o.abandoned = ctx.Err() != nil && timeout < requestDeadline
 	return o
 }
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,22 +25,37 @@
 // processes of a run.
 type environment struct {
 	store     *platformtest.Store
-	upstreams []*platformtest.Upstream
-	proxies   []*proxy
+	upstreams []*server // those that serve throughout the run
 	hosts     []*hostProcess
+	// storeRestores is true if the store comes back from older copies.
+	storeRestores bool
+	signals       sync.Mutex     // held by the base fault that signals a host
+	leaving       sync.WaitGroup // upstreams that leave
 	// reservations keep the hosts' ports while a host is down.
 	reservations []*ports.Reservation
-	// restores is true if the store comes back from older copies.
-	restores bool
 
-	mu      sync.Mutex // guards version and keys
-	version int
-	keys    []string
+	mu       sync.Mutex // guards the fields below
+	version  int
+	keys     []string
+	changed  []*server // upstreams that are started and leave during the run
+	retired  []retiredKey
+	restores []time.Time // of the store
+}
+
+// server is an upstream behind a proxy.
+type server struct {
+	*platformtest.Upstream
+	proxy      *proxy
+	readyAt    time.Time
+	leavingAt  time.Time // zero if it does not leave
+	unlistedAt time.Time // when the store no longer listed it as ready; zero before
+	announced  bool      // the store lists it as leaving
+	removed    bool      // it left without being listed as leaving
 }
 
 // newEnvironment starts the store, the upstreams and the hosts.
 func newEnvironment(binary, dir string) (*environment, error) {
-	e := &environment{store: platformtest.NewStore(), keys: []string{"key-0", "kept"}}
+	e := &environment{store: platformtest.NewStore(), keys: []string{"key-0", keptKey}}
 	if err := e.start(binary, dir); err != nil {
 		e.close()
 		return nil, err
@@ -49,17 +65,25 @@
 
 // start starts the upstreams and the hosts.
 func (e *environment) start(binary, dir string) error {
-	for service, n := range map[string]int{"plain": plainServers, "events": engineServers, platformtest.StageService: stageServers} {
-		for i := range n {
-			u := &platformtest.Upstream{ID: fmt.Sprintf("%s-%d", service, i), Service: service, Zone: "riga-a", Work: 5 * time.Millisecond}
-			if service == "events" {
+	for _, s := range []struct {
+		service string
+		servers int
+	}{{"plain", plainServers}, {"events", engineServers}, {platformtest.StageService, stageServers}} {
+		for i := range s.servers {
+			u := &platformtest.Upstream{ID: fmt.Sprintf("%s-%d", s.service, i), Service: s.service, Zone: "riga-a", Work: 5 * time.Millisecond}
+			if s.service == "events" {
 				u.Events, u.EventPause = eventCount, 10*time.Millisecond
 			}
-			if err := e.addUpstream(u); err != nil {
+			added, err := e.startServer(u)
+			if err != nil {
 				return err
 			}
+			e.upstreams = append(e.upstreams, added)
 		}
 	}
+	if err := e.release(softwareVersions[0]); err != nil {
+		return err
+	}
 	e.configure()
 	var seeds []netip.AddrPort
 	for i := range hostCount {
@@ -99,17 +123,24 @@
 	return callers, readiness, peers, metrics, nil
 }
 
-// addUpstream starts an upstream behind a proxy and registers it as ready.
-func (e *environment) addUpstream(u *platformtest.Upstream) error {
+// startServer starts an upstream behind a proxy and registers it as ready.
+func (e *environment) startServer(u *platformtest.Upstream) (*server, error) {
 	u.Start()
 	p, err := newProxy(u.Addr())
 	if err != nil {
-		return err
+		u.Close()
+		return nil, err
 	}
 	u.Public = p.addr()
-	e.upstreams, e.proxies = append(e.upstreams, u), append(e.proxies, p)
 	u.Register(e.store, "ready")
-	return nil
+	return &server{Upstream: u, proxy: p, readyAt: time.Now()}, nil
+}
+
+// servers returns all upstreams of the run, also those that have left.
+func (e *environment) servers() []*server {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append(slices.Clone(e.upstreams), e.changed...)
 }
 
 // configure writes the configuration with a higher version. Versions also skip
@@ -117,12 +148,18 @@
 func (e *environment) configure() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.writeConfiguration()
+}
+
+// writeConfiguration does the work of configure. The caller holds mu.
+func (e *environment) writeConfiguration() {
 	e.version += 1 + e.version%3
 	e.store.Configure(e.version, []platformtest.Route{
 		{Prefix: "/read/", Type: "safe", Service: "plain"},
 		{Prefix: "/order/", Type: "unsafe", Service: "plain"},
 		{Prefix: "/talk/", Type: "stream", Service: "events", Resumable: true},
 		{Prefix: "/staged/", Type: "stream", Service: "events", Staged: true},
+		{Prefix: "/turn/", Type: "stream", Service: releasedService, Resumable: true},
 	}, e.keys)
 }
 
@@ -130,9 +167,11 @@
 // valid.
 func (e *environment) rotateKeys() {
 	e.mu.Lock()
-	e.keys = []string{fmt.Sprint("key-", e.version+1), "kept"}
-	e.mu.Unlock()
-	e.configure()
+	defer e.mu.Unlock()
+	retired := e.keys[0]
+	e.keys = []string{fmt.Sprint("key-", e.version+1), keptKey}
+	e.writeConfiguration()
+	e.retired = append(e.retired, retiredKey{retired, time.Now()})
 }
 
 // pick returns a random element.
@@ -144,9 +183,10 @@
 	for _, h := range e.hosts {
 		h.storeProxy.SetFault(platformtest.FaultNone)
 	}
-	for i, u := range e.upstreams {
+	for _, u := range e.servers() {
 		u.QueueFaults()
-		e.proxies[i].setState(proxyState{})
+		u.QueueSilences()
+		u.proxy.setState(proxyState{})
 	}
 }
 
@@ -165,8 +205,9 @@
 		_ = h.log.Close()
 		h.storeProxy.Close()
 	}
-	for i, u := range e.upstreams {
-		e.proxies[i].close()
+	e.leaving.Wait()
+	for _, u := range e.servers() {
+		u.proxy.close()
 		u.Close()
 	}
 	e.store.Close()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -17,42 +18,62 @@
 
 // The phases of a run and the share of requests that must succeed after it.
 const (
-	settleTime       = 2 * time.Second
-	faultGap         = 250 * time.Millisecond
-	faultSeriesCount = 2 // series of faults that run concurrently
-	recoveryTime     = 6 * time.Second
+	settleTime   = 2 * time.Second
+	faultGap     = 250 * time.Millisecond
+	baseSeries   = 2 // series of base faults that run concurrently
+	recoveryTime = 6 * time.Second
 	// minServedShare is the share of requests after the recovery that must be
 	// served. It is below 1 because a request may still hit the end of a drain.
 	minServedShare = 0.95
 )
 
-// Options are the options of a run.
-type Options struct {
-	Seed uint64
-	// Length is how long faults are injected.
-	Length time.Duration
-	// Restore also lets the store come back from older copies.
-	Restore bool
+// EnabledKinds are the kinds of faults that a run plays by default. Each kind draws
+// from random sources of its own, so a seed's base faults don't depend on the others.
+var EnabledKinds = []string{"base", "planned", "silence", "release", "notice", "restore"}
+
+// faultKind is faults that one or more series draw from.
+type faultKind struct {
+	faults []fault
+	series int
+	source uint64 // the random source of the first series
+}
+
+var faultKinds = map[string]faultKind{
+	"base":    {faults: baseFaults, series: baseSeries},
+	"planned": {faults: plannedFaults, series: 1, source: 100},
+	"silence": {faults: silenceFaults, series: 2, source: 200},
+	"release": {faults: releaseFaults, series: 1, source: 300},
+	"notice":  {faults: noticeFaults, series: 2, source: 400},
+	"restore": {faults: restoreFaults, series: 1, source: 500},
 }
 
-// Run starts the hosts, sends load and injects the faults of one seed. It returns
-// the injected faults and every violated guarantee.
-func Run(binary, dir string, o Options) (injected, violations []string, err error) {
+// Run starts the hosts, sends load and injects the faults of the given kinds and
+// seed for the given length. It returns the injected faults and every violated
+// guarantee.
+func Run(binary, dir string, seed uint64, length time.Duration, kinds []string) (injected, violations []string, err error) {
+	for _, name := range kinds {
+		if _, known := faultKinds[name]; !known {
+			return nil, nil, fmt.Errorf("kind of fault %q does not exist", name)
+		}
+	}
 	env, err := newEnvironment(binary, dir)
 	if err != nil {
 		return nil, nil, err
 	}
 	defer env.close()
-	env.restores = o.Restore
+	env.storeRestores = slices.Contains(kinds, "restore")
 	time.Sleep(settleTime)
 	load := newCallers(env)
 	ctx, stop := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	group.Go(func() { load.run(ctx, o.Seed) })
-	if o.Restore {
-		group.Go(func() { env.restoreStoreRepeatedly(ctx, rand.New(rand.NewPCG(o.Seed, faultSeriesCount)), o.Length) })
+	group.Go(func() { load.run(ctx, seed) })
+	if slices.Contains(kinds, "release") {
+		group.Go(func() { load.runStreams(ctx, seed) })
+	}
+	if slices.Contains(kinds, "restore") {
+		group.Go(func() { load.runRetiredKeys(ctx, seed) })
 	}
-	injected, violations = env.injectFaults(o.Seed, o.Length)
+	injected, violations = env.injectFaults(seed, length, kinds)
 	env.clearFaults()
 	time.Sleep(recoveryTime)
 	recoveredAt := time.Now()
@@ -60,37 +81,35 @@
 	stop()
 	group.Wait()
 	time.Sleep(settleTime)
-	return injected, append(violations, env.check(load.outcomes, recoveredAt)...), nil
+	violations = append(violations, env.check(load.outcomes, recoveredAt)...)
+	violations = append(violations, env.checkStreams(load.streams)...)
+	violations = append(violations, env.checkNotices(load.outcomes)...)
+	return injected, append(violations, env.checkRestores(load.outcomes)...), nil
 }
 
-// injectFaults runs the fault series concurrently. Each series draws its faults
-// and their targets from a generator of its own.
-func (e *environment) injectFaults(seed uint64, length time.Duration) (injected, violations []string) {
+// injectFaults runs the series of all kinds concurrently. Each series draws its
+// faults and their targets from a generator of its own.
+func (e *environment) injectFaults(seed uint64, length time.Duration, kinds []string) (injected, violations []string) {
 	var mu sync.Mutex
 	var group sync.WaitGroup
-	var signalMu sync.Mutex // the first four faults signal hosts; two series must not restart one host at once
 	until := time.Now().Add(length)
-	for series := range faultSeriesCount {
-		r := rand.New(rand.NewPCG(seed, uint64(series)))
-		group.Go(func() {
-			for time.Now().Before(until) {
-				kind := r.IntN(len(faults))
-				if kind < 4 {
-					signalMu.Lock()
+	for _, name := range kinds {
+		kind := faultKinds[name]
+		for series := range kind.series {
+			r := rand.New(rand.NewPCG(seed, kind.source+uint64(series)))
+			group.Go(func() {
+				for time.Now().Before(until) {
+					description, err := pick(r, kind.faults)(e, r)
+					mu.Lock()
+					injected = append(injected, description)
+					if err != nil {
+						violations = append(violations, err.Error())
+					}
+					mu.Unlock()
+					time.Sleep(faultGap)
 				}
-				description, err := faults[kind](e, r)
-				if kind < 4 {
-					signalMu.Unlock()
-				}
-				mu.Lock()
-				injected = append(injected, description)
-				if err != nil {
-					violations = append(violations, err.Error())
-				}
-				mu.Unlock()
-				time.Sleep(faultGap)
-			}
-		})
+			})
+		}
 	}
 	group.Wait()
 	return injected, violations
@@ -99,10 +118,10 @@
 // check compares the responses that callers received with the requests that
 // upstreams ran.
 func (e *environment) check(outcomes []outcome, recoveredAt time.Time) (violations []string) {
-	runs := make(map[string]int)
-	for _, u := range e.upstreams {
+	runs := make(map[string][]serverRun)
+	for _, u := range e.servers() {
 		for _, run := range u.Runs() {
-			runs[run.RequestID]++
+			runs[run.RequestID] = append(runs[run.RequestID], serverRun{run, u})
 			if run.Workspace() != platformtest.Workspace || run.Body != "body of "+run.RequestID {
 				violations = append(violations, fmt.Sprintf("%s ran %s %s with ID %q, workspace %q and a body of %d bytes, which no caller sent", u.ID, run.Method, run.Target, run.RequestID, run.Workspace(), len(run.Body)))
 			}
@@ -110,8 +129,9 @@
 	}
 	answered, served := 0, 0
 	for _, o := range outcomes {
-		violations = append(violations, e.checkOutcome(o, runs[o.id])...)
-		if o.sentAt.After(recoveredAt) && o.status != 0 && !o.abandoned {
+		violations = append(violations, e.checkOutcome(o, len(runs[o.id]))...)
+		violations = append(violations, e.checkNotCut(o, runs[o.id])...)
+		if o.sentAt.After(recoveredAt) && o.status != 0 && !o.abandoned && !o.resumes && o.key == keptKey {
 			answered++
 			if o.status == 200 && o.complete {
 				served++
@@ -129,22 +149,24 @@
 	report := func(violation string) {
 		violations = append(violations, fmt.Sprintf("%s %s at %s: %s (status %d, %d runs)", o.path, o.id, o.host, violation, o.status, runs))
 	}
-	idempotent := o.path == "/read/" || o.path == "/talk/"
+	idempotent := o.path == "/read/" || o.path == "/talk/" || o.path == "/turn/"
 	if !idempotent && runs > 1 {
 		report("ran more than once")
 	}
 	if !idempotent && (o.status == 503 || o.status == 429) && runs > 0 {
 		report("ran although it was refused as not run")
 	}
-	if o.status == 401 || o.status == 404 {
+	if o.wasDenied() && o.key == keptKey {
 		report("was denied although its key and route were always configured")
 	}
-	if o.status == 200 && o.complete && !e.isExpectedAnswer(o) {
+	if o.status == 200 && o.complete && o.path != "/turn/" && !e.isExpectedAnswer(o) {
 		report("got a wrong or incomplete answer: " + o.body)
 	}
 	return violations
 }
 
+func (o outcome) wasDenied() bool { return o.status == 401 || o.status == 404 }
+
 // isExpectedAnswer reports whether the body is an upstream's complete answer to
 // the request.
 func (e *environment) isExpectedAnswer(o outcome) bool {
@@ -155,7 +177,7 @@
 		}
 		return o.body == stream.String()
 	}
-	for _, u := range e.upstreams {
+	for _, u := range e.servers() {
 		if o.body == u.Body(o.id) {
 			return true
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,7 +18,7 @@
 	firstSeed   = flag.Uint64("soak.first", 1, "first seed")
 	seedCount   = flag.Uint64("soak.seeds", 1, "number of seeds")
 	faultLength = flag.Duration("soak.length", 5*time.Second, "how long faults are injected")
-	restore     = flag.Bool("soak.restore", false, "let the store come back from older copies in all seeds")
+	faultKinds  = flag.String("soak.kinds", strings.Join(soak.EnabledKinds, ","), "kinds of faults to inject")
 )
 
 // regressionSeeds are seeds that failed before.
@@ -38,17 +39,17 @@
 func TestSoak(t *testing.T) {
 	binary := buildHost(t)
 	for _, seed := range regressionSeeds {
-		runSeed(t, binary, soak.Options{Seed: seed, Length: regressionLength})
+		runSeed(t, binary, seed, regressionLength, *faultKinds)
 	}
 	for i := range *seedCount {
-		runSeed(t, binary, soak.Options{Seed: *firstSeed + i, Length: *faultLength, Restore: *restore})
+		runSeed(t, binary, *firstSeed+i, *faultLength, *faultKinds)
 	}
 }
 
 // Guards against requests that are lost or run twice, and service that does not
 // come back, when the store comes back from older copies among other faults.
 func TestSoakWithRestoredStore(t *testing.T) {
-	runSeed(t, buildHost(t), soak.Options{Seed: 1, Length: *faultLength, Restore: true})
+	runSeed(t, buildHost(t), 1, *faultLength, "base,restore")
 }
 
 // buildHost builds the host's program and returns its path.
@@ -60,11 +61,11 @@
 }
 
 // runSeed runs one seed. It keeps the hosts' logs if the seed fails.
-func runSeed(t *testing.T, binary string, o soak.Options) {
+func runSeed(t *testing.T, binary string, seed uint64, length time.Duration, kinds string) {
 	dir, err := os.MkdirTemp("", "soak")
 	require.NoError(t, err)
-	injected, violations, err := soak.Run(binary, dir, o)
-	require.NoError(t, err, "seed %d, logs in %s", o.Seed, dir)
-	require.Empty(t, violations, "seed %d, logs in %s, faults: %q", o.Seed, dir, injected)
+	injected, violations, err := soak.Run(binary, dir, seed, length, strings.Split(kinds, ","))
+	require.NoError(t, err, "seed %d, logs in %s", seed, dir)
+	require.Empty(t, violations, "seed %d, logs in %s, faults: %q", seed, dir, injected)
 	require.NoError(t, os.RemoveAll(dir))
 }
