request: one reservation of a replacement at a time

A second stall of a stream could begin while the slot for the first was still being acquired; one slot was then never given back, or the wrong one was (found by the review, shown there with a forced order; no test of its own). A reservation is now refused while another is under way, and giving back names its slot.

--- a/request/stage.go
+++ b/request/stage.go
@@ -29,8 +29,10 @@
 	mu sync.Mutex // guards the fields below
 	// avoid are the upstreams that the stage was sent to.
 	avoid []upstream.ID
-	// replacement is a slot for the next attempt; nil if none is reserved.
+	// replacement is a slot for the next attempt; nil if none is reserved. reserving
+	// is true while one is being acquired.
 	replacement dispatch.Slot
+	reserving   bool
 }
 
 // step makes one attempt at a stage; each kind of stage has its own.
@@ -92,22 +94,53 @@
 }
 
 // reserveReplacement acquires a slot for another attempt, if the policy allows one,
-// while a stalled attempt goes on. The returned function gives it back.
+// while a stalled attempt goes on. The returned function gives it back. There is one
+// reservation at a time.
 func (t *stageRun) reserveReplacement(ctx context.Context) (cancel func(), reserved bool) {
-	if t.pipeline.guarded.singleAttempt {
+	if t.pipeline.guarded.singleAttempt || !t.beginReserving() {
 		return nil, false
 	}
+	slot := t.acquireReplacement(ctx)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.replacement, t.reserving = slot, false
+	return func() { t.release(slot) }, slot != nil
+}
+
+// beginReserving returns false if a replacement is reserved or being acquired.
+func (t *stageRun) beginReserving() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.reserving || t.replacement != nil {
+		return false
+	}
+	t.reserving = true
+	return true
+}
+
+// acquireReplacement returns a slot on another upstream, or nil.
+func (t *stageRun) acquireReplacement(ctx context.Context) dispatch.Slot {
 	if _, ok := t.pipeline.ticket.MayRetry(t.index, dispatch.TimedOut); !ok {
-		return nil, false
+		return nil
 	}
 	slot, err := t.pipeline.ticket.Acquire(ctx, t.index, t.avoided(), nil)
 	if err != nil {
-		return nil, false
+		return nil // the stalled attempt goes on
 	}
+	return slot
+}
+
+// release gives a reserved slot back, unless an attempt has taken it.
+func (t *stageRun) release(slot dispatch.Slot) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.replacement = slot
-	return t.releaseReplacement, true
+	taken := t.replacement != slot
+	if !taken {
+		t.replacement = nil
+	}
+	t.mu.Unlock()
+	if !taken {
+		slot.Done(dispatch.Outcome{Failure: dispatch.Cancelled})
+	}
 }
 
 // hasReplacement reports whether a slot is reserved for the next attempt.
@@ -117,14 +150,13 @@
 	return t.replacement != nil
 }
 
-// releaseReplacement gives the reserved slot back.
+// releaseReplacement gives the reserved slot back, if there is one.
 func (t *stageRun) releaseReplacement() {
 	t.mu.Lock()
 	slot := t.replacement
-	t.replacement = nil
 	t.mu.Unlock()
 	if slot != nil {
-		slot.Done(dispatch.Outcome{Failure: dispatch.Cancelled})
+		t.release(slot)
 	}
 }
 
