gateway: crash lines name the prompt's parts and how far the answer had come

The line 'upstream crashed while running a request' had only the upstream and the digest of the request's whole content. It could not show whether the requests under which engines ended had a part of their prompts in common, nor which of the requests on an engine it had begun to answer.

--- a/call/call.go
+++ b/call/call.go
@@ -59,6 +59,16 @@
 	Parts []PromptPart
 }
 
+// SharedParts returns the IDs of the parts that other requests may have too: all
+// but the last, which belongs to the request or its session.
+func (p Prompt) SharedParts() []string {
+	var ids []string
+	for i := range max(len(p.Parts)-1, 0) {
+		ids = append(ids, p.Parts[i].ID)
+	}
+	return ids
+}
+
 // PromptPart is a part of a prompt that other requests may share.
 type PromptPart struct {
 	ID     string
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -58,7 +58,9 @@
 	silences int
 	// failedProbes is how many probes in a row failed. Only the race's goroutine uses it.
 	failedProbes int
-	inputsSent   *staging.Results // results of the stages that the upstream is sent
+	// events is how many events the race has received. Only the race's goroutine uses it.
+	events     int
+	inputsSent *staging.Results // results of the stages that the upstream is sent
 
 	mu             sync.Mutex // guards the fields below
 	ended          bool       // the race no longer needs this attempt
--- a/gateway/race.go
+++ b/gateway/race.go
@@ -238,7 +238,7 @@
 		r.withheld++
 	}
 	if what.mayHaveCrashed {
-		go r.confirmCrash(r.digest, s.chosen)
+		go r.confirmCrash(s.lost(time.Now()))
 	}
 	switch what.result {
 	case outcomeUnknown:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -42,6 +42,7 @@
 // onEvent forwards an event to the caller, unless the caller already has it from
 // another upstream.
 func (r *race) onEvent(s *upstreamAttempt, a *call.Answer, e event) (finished bool) {
+	s.events++
 	if e.id != call.NoEvent && r.lastEventID != call.NoEvent && e.id <= r.lastEventID {
 		return false
 	}
