quarantine: prompt parts that crash engines are found and refused by all hosts

Requests that shared one part of their prompts, no two alike, were sent to engines as long as they came.

Cause: the quarantine knows a request by the digest of all of its content. The incident's 53 crash lines hold 42 digests, 32 of them once, and no request was ever refused; a digest that never comes again gathers no evidence. The class: evidence is counted by an identity that the cause does not have.

Now each part of a prompt but the last gathers evidence of its own. A loss counts against the parts of the requests that the engine had begun to answer without an event, or, if there are none, of those that waited. Three independent losses condemn a part for ten minutes, unless a request with it was answered since, another part has as many of the same losses, or a condemned part explains them. So the parts that sound requests share stay free: one answer anywhere ends the evidence against them. While evidence settles, requests with the part wait half a second at the most; a condemned part is refused at once with the time at which it may be tried again. The check is repeated before each attempt and right before its sending, and an attempt after a lost one waits until the crash is confirmed. Hosts tell each other losses, answers and condemnations by datagram, and each asks another one every second, so that a host that just started, was paused or cut off, or missed datagrams knows too.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -109,6 +109,7 @@
 	transport  *transport.Client
 	gatherer   *staging.Gatherer
 	streams    *resume.Keeper
+	parts      *quarantine.Parts
 	gateway    *gateway.Gateway
 	retries    *retry.Budget
 	callers    *callerServer
@@ -158,7 +159,7 @@
 	var err error
 	h.members, err = member.New(member.Config{
 		Self: h.info, ListenAddr: h.info.LinkAddr.String(), Key: h.settings.FleetKey, Seeds: h.settings.Seeds,
-		HostList: hostList, Urgent: []member.Topic{quarantine.Topic}, ListInterval: hostListInterval,
+		HostList: hostList, Urgent: []member.Topic{quarantine.Topic, quarantine.PartTopic}, ListInterval: hostListInterval,
 		Logger: h.logger, Registerer: h.registry,
 	})
 	if err != nil {
@@ -196,6 +197,9 @@
 	if err != nil {
 		return err
 	}
+	h.parts = quarantine.NewParts(quarantine.PartsConfig{
+		Gossip: h.members, Fleet: h.members, Caller: h.peerClient, Logger: h.logger, Registerer: h.registry,
+	}, h.mux)
 	placer := placement.New(placement.Config{
 		Engines: h.instances, Service: h.service, Owners: h.owners, Caller: h.peerClient,
 		DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
@@ -206,8 +210,8 @@
 		Stages: staging.NewRunner(staging.RunnerConfig{
 			Owners: h.owners, Caller: h.peerClient, Gatherer: h.gatherer, Service: h.service, Logger: h.logger,
 		}, h.mux),
-		Retries: h.retries, ResponseTimes: pace.NewTable(), Placer: placer, Streams: h.streams, Quarantine: suspects, DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
-		Metrics: gateway.NewMetrics(h.registry),
+		Retries: h.retries, ResponseTimes: pace.NewTable(), Placer: placer, Streams: h.streams, Quarantine: suspects, Parts: h.parts,
+		DataCentre: h.settings.Place.DataCentre, Logger: h.logger, Metrics: gateway.NewMetrics(h.registry),
 	})
 	h.callers = newCallerServer(h.gateway, h.directory.Routes, h.logger)
 	return nil
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -39,6 +39,9 @@
 	retry bool
 	// lastEvent is the ID of the last event that the caller has, or call.NoEvent.
 	lastEvent int64
+	// after, if not nil, is closed when it is known whether the upstream of an earlier
+	// attempt has crashed. The attempt waits for it.
+	after <-chan struct{}
 	// firstEventBy is when the upstream must have sent its first event. It bounds the
 	// stages if they have to run again.
 	firstEventBy time.Time
@@ -61,6 +64,8 @@
 	// events is how many events the race has received. Only the race's goroutine uses it.
 	events     int
 	inputsSent *staging.Results // results of the stages that the upstream is sent
+	// partsRefusedUntil is set if no upstream was chosen because of a condemned part.
+	partsRefusedUntil time.Time
 
 	mu             sync.Mutex // guards the fields below
 	ended          bool       // the race no longer needs this attempt
@@ -148,6 +153,16 @@
 		}
 	}
 	s.inputsSent = inputs
+	if s.plan.after != nil {
+		select {
+		case <-s.plan.after:
+		case <-s.ctx.Done():
+		}
+	}
+	if until, refused := s.partsRefused(s.ctx); refused {
+		s.partsRefusedUntil = until
+		return "part_quarantined"
+	}
 	chosen, ticket, found := s.chooseUpstream(s.ctx, s.plan, inputs)
 	switch {
 	case !found:
@@ -209,6 +224,7 @@
 		Matches:       s.isMine,
 		IdleTimeout:   s.config.Codec.IdleTimeout,
 		NewConnection: !s.route.Repeatable(),
+		Admit:         func() bool { return !s.partsCondemned() },
 	})
 	if err == nil {
 		s.mu.Lock()
@@ -244,6 +260,9 @@
 	switch {
 	case errors.Is(err, transport.ErrWithheld):
 		notSent.outcome, notSent.label, notSent.withheld = instance.Abandoned, "paused", true
+		if s.partsCondemned() {
+			notSent.label = "part_quarantined"
+		}
 		return notSent
 	case errors.Is(err, transport.ErrNotSent) && s.ctx.Err() != nil && time.Since(s.sentAt) < slowConnectTime:
 		// This host ended the attempt soon after it began to connect, which says
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/quarantine"
 	"github.com/galenaseam/galenaseam/upstream"
 )
 
@@ -16,6 +17,9 @@
 	// crashCheckTimeout bounds the connection attempt of the check: a live
 	// upstream accepts within milliseconds.
 	crashCheckTimeout = 700 * time.Millisecond
+	// soundAnswerTime is how long an answer must have lasted since its first event to
+	// show that the request does not crash upstreams.
+	soundAnswerTime = time.Second
 )
 
 // lostAttempt is what is known of an attempt whose connection broke.
@@ -33,11 +37,29 @@
 func (s *upstreamAttempt) lost(now time.Time) lostAttempt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := lostAttempt{upstream: s.chosen, at: now, begun: s.headTime > 0, events: s.events}
-	if s.firstEventTime > 0 {
-		l.answering = now.Sub(s.sentAt.Add(s.firstEventTime))
+	return lostAttempt{upstream: s.chosen, at: now, begun: s.headTime > 0, events: s.events, answering: s.answeringTime(now)}
+}
+
+// answeringTime returns the time since the first event, 0 if there was none. The caller
+// holds mu.
+func (s *upstreamAttempt) answeringTime(now time.Time) time.Duration {
+	if s.firstEventTime == 0 {
+		return 0
+	}
+	return now.Sub(s.sentAt.Add(s.firstEventTime))
+}
+
+// strength returns how strongly the loss speaks against the parts of the request's
+// prompt, 0 if it does not: a part that crashes upstreams does so when they begin to
+// answer.
+func (l lostAttempt) strength() quarantine.Strength {
+	switch {
+	case l.begun && l.events == 0:
+		return quarantine.Strong
+	case l.answering < soundAnswerTime:
+		return quarantine.Weak
 	}
-	return l
+	return 0
 }
 
 // confirmCrash checks whether the upstream of a broken connection has crashed. A
@@ -52,8 +74,11 @@
 		return
 	}
 	x.config.Logger.Warn("upstream crashed while running a request", "upstream", string(l.upstream.ID), "addr", l.upstream.Addr.String(),
-		"service", x.service, "request", x.request.ID, "route", x.route.Name, "digest", x.digest.String(), "parts", x.request.Prompt.SharedParts(),
+		"service", x.service, "request", x.request.ID, "route", x.route.Name, "digest", x.digest.String(), "parts", x.sharedParts,
 		"begun", l.begun, "events", l.events, "answering_ms", l.answering.Milliseconds(), "error", err.Error())
 	x.config.Instances.MarkUnreachable(l.upstream.ID, time.Now())
+	if strength := l.strength(); strength > 0 {
+		x.config.Parts.Lost(x.sharedParts, upstream.ID(l.upstream.ID), l.at, strength)
+	}
 	x.config.Quarantine.Ended(x.digest, upstream.ID(l.upstream.ID), true)
 }
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -98,6 +98,9 @@
 	case !x.mayHaveRun:
 		f.status = http.StatusServiceUnavailable
 		f.retryAfter = noUpstreamRetryAfter + time.Duration(x.random.Int64N(int64(noUpstreamRetryAfter)))
+		if !x.partsRefusedUntil.IsZero() {
+			return quarantinedPart(x.partsRefusedUntil)
+		}
 		if wait, paused := x.pausedFor(); paused {
 			f.reason, f.retryAfter = "upstreams_paused", wait
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,7 @@
 	Placer        *placement.Placer
 	Streams       *resume.Keeper
 	Quarantine    *quarantine.Quarantine
+	Parts         *quarantine.Parts
 	DataCentre    host.DataCentre
 	Logger        *slog.Logger
 	Metrics       *Metrics
@@ -116,6 +117,13 @@
 	// resumption is nil unless the caller resumes a stream.
 	resumption *resumption
 	digest     quarantine.Digest
+	// sharedParts are the parts of the prompt that other requests may have too.
+	sharedParts []string
+	// soundAnswer means that an upstream has answered the request without a crash.
+	soundAnswer bool
+	// partsRefusedUntil is when a condemned part of the prompt may be tried again; zero
+	// if none is known to be condemned.
+	partsRefusedUntil time.Time
 	// runAlone means that the request is suspected of crashing upstreams and
 	// that only this host may run it now. completed means that an upstream ran
 	// it to its end.
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -49,6 +49,10 @@
 // checkQuarantine refuses a request that is known to crash upstreams.
 func (x *exchange) checkQuarantine() (refusal, bool) {
 	x.digest = x.requestDigest()
+	x.sharedParts = x.request.Prompt.SharedParts()
+	if until, refused := x.partsRefused(x.ctx); refused {
+		return quarantinedPart(until), false
+	}
 	verdict := x.config.Quarantine.Check(time.Now(), x.digest)
 	x.runAlone = verdict == quarantine.RunAlone
 	if verdict != quarantine.Refuse {
--- a/gateway/race.go
+++ b/gateway/race.go
@@ -8,6 +8,7 @@
 
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/quarantine"
 	"github.com/galenaseam/galenaseam/routing"
 )
 
@@ -96,6 +97,9 @@
 	lastEventID  int64         // ID of the last event sent to the caller, or call.NoEvent
 	lastEventAt  time.Time     // when it was sent
 	stagesRerun  bool          // the stages ran again before the answer began
+	// crashCheck is closed when it is known whether an upstream that was lost as it
+	// began its answer has crashed; nil if none was.
+	crashCheck <-chan struct{}
 }
 
 // runAttempts serves the request from one or more upstreams.
@@ -155,7 +159,7 @@
 func (r *race) start() {
 	s := r.newAttempt(attemptPlan{
 		tried: r.unavailable(), version: r.version, retry: len(r.tried)-r.withheld+len(r.running) > 0 || r.stagesRerun, lastEvent: r.lastEventID,
-		firstEventBy: r.callerPatienceEnd(), random: rand.New(rand.NewPCG(r.random.Uint64(), r.random.Uint64())),
+		after: r.crashCheck, firstEventBy: r.callerPatienceEnd(), random: rand.New(rand.NewPCG(r.random.Uint64(), r.random.Uint64())),
 	})
 	r.running = append(r.running, s)
 	go s.run()
@@ -195,6 +199,7 @@
 	if len(r.running) > 0 {
 		return false
 	}
+	r.partsRefusedUntil = s.partsRefusedUntil
 	r.giveUp(problem)
 	return true
 }
@@ -238,7 +243,7 @@
 		r.withheld++
 	}
 	if what.mayHaveCrashed {
-		go r.confirmCrash(s.lost(time.Now()))
+		r.checkCrash(s.lost(time.Now()))
 	}
 	switch what.result {
 	case outcomeUnknown:
@@ -253,6 +258,19 @@
 	return r.next()
 }
 
+// checkCrash finds out in the background whether the upstream of a lost attempt has
+// crashed. If the request may be the cause, its next attempt waits for the result.
+func (r *race) checkCrash(l lostAttempt) {
+	checked := make(chan struct{})
+	go func() {
+		defer close(checked)
+		r.confirmCrash(l)
+	}()
+	if len(r.sharedParts) > 0 && l.strength() == quarantine.Strong {
+		r.crashCheck = checked
+	}
+}
+
 // rerunStages starts an attempt that runs the stages again, after an upstream found that
 // a result is gone. That happens once and if there is time for it: at least half the time
 // from the arrival of the request to the end of the first run.
@@ -350,6 +368,7 @@
 		r.win(s)
 		s.end(instance.Answered, status, "answered", nil)
 		r.completed = true
+		r.recordSoundAnswer()
 		r.writeAnswer(what.answer, what.body)
 		return true
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -65,9 +65,21 @@
 		r.lastEventID = e.id
 	}
 	r.events++
+	s.recordSoundEvents(r.lastEventAt)
 	return false
 }
 
+// recordSoundEvents records a sound answer once the upstream has sent events for long
+// enough.
+func (s *upstreamAttempt) recordSoundEvents(now time.Time) {
+	s.mu.Lock()
+	sound := s.answeringTime(now) >= soundAnswerTime
+	s.mu.Unlock()
+	if sound {
+		s.recordSoundAnswer()
+	}
+}
+
 // recordFirstEvent records the time to the first event, once.
 func (s *upstreamAttempt) recordFirstEvent() {
 	s.mu.Lock()
@@ -109,6 +121,9 @@
 	r.win(s)
 	r.writeHead(a)
 	r.completed = true
+	if s.events > 0 {
+		r.recordSoundAnswer()
+	}
 	s.end(instance.Answered, a.Status, "answered", nil)
 	r.log("answered", a.Status, "")
 	return true
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -81,6 +81,9 @@
 	// upstream may close an idle connection just as the call is sent, and the
 	// client can't tell whether the call has run.
 	NewConnection bool
+	// Admit, if not nil, decides before the call is connected, and again before it is
+	// sent, whether it may be sent.
+	Admit func() bool
 }
 
 // Client makes calls and pools connections. It is safe for concurrent use.
@@ -124,6 +127,8 @@
 // before it is sent, whether it may be sent. It must be set before the first call.
 func (c *Client) Admit(f func(*Call) bool) { c.admit = f }
 
+func (c *Client) admits(call *Call) bool { return c.admit(call) && (call.Admit == nil || call.Admit()) }
+
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
@@ -151,14 +156,14 @@
 // wraps ErrNotSent means that the call did not reach the upstream; after any other
 // error it may have run.
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
-	if !c.admit(call) {
+	if !c.admits(call) {
 		return nil, errs.Combine(ErrNotSent, ErrWithheld)
 	}
 	connection, err := c.connect(ctx, call)
 	if err != nil {
 		return nil, errs.Combine(ErrNotSent, Error.Wrap(err))
 	}
-	if !c.admit(call) {
+	if !c.admits(call) {
 		_ = connection.Close()
 		return nil, errs.Combine(ErrNotSent, ErrWithheld)
 	}
