gateway: an unframed stream without an event is not complete

Callers got an empty stream as a complete answer (200) when an engine ended after it had sent the head of an answer that has neither a length nor chunks: only the end of the connection ends such an answer, and a process that dies closes its connections.

An unframed stream that ends before its first event now counts as broken off: it continues at another upstream, or its caller gets an error. Such an end also counts as a loss, so that a request that crashes engines is found.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -118,7 +118,7 @@
 		return
 	}
 	if s.route.Kind == routing.Stream && decoded.Status == http.StatusOK {
-		s.readEvents(decoded, answer.Close)
+		s.readEvents(decoded, answer)
 		return
 	}
 	body, err := readAnswerBody(decoded)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/transport"
 )
 
 // Why a replacement can't go on with a stream.
@@ -16,21 +17,26 @@
 	errWrongVersion = errors.New("another software version began the stream")
 )
 
-// readEvents reports the events of an answer as they arrive, and its end. closeBody
-// returns the connection to the pool.
-func (s *upstreamAttempt) readEvents(a *call.Answer, closeBody func()) {
+// readEvents reports the events of an answer as they arrive, and its end. An unframed
+// stream without an event has not ended: its upstream may have crashed after the head.
+func (s *upstreamAttempt) readEvents(a *call.Answer, received *transport.Answer) {
 	events := newEventReader(a.Body)
+	empty := true
 	for {
 		event, err := events.next()
+		if errors.Is(err, io.EOF) && empty && received.Unframed() {
+			err = io.ErrUnexpectedEOF
+		}
 		switch {
 		case errors.Is(err, io.EOF):
-			closeBody()
+			received.Close()
 			s.report(report{kind: streamEnded, answer: a})
 			return
 		case err != nil:
 			s.report(s.lostAnswer("broke_in_stream", err))
 			return
 		}
+		empty = false
 		s.monitor.recordActivity()
 		s.mu.Lock()
 		s.lastHeardAt = time.Now()
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -367,6 +367,12 @@
 	return n, err
 }
 
+// Unframed reports whether the body has neither a length nor chunks, so that only the
+// end of the connection ends it.
+func (a *Answer) Unframed() bool {
+	return a.ContentLength < 0 && len(a.TransferEncoding) == 0
+}
+
 // Close returns the connection to the pool if it can be reused, and closes it
 // otherwise.
 func (a *Answer) Close() {
