Hosts log the limits that upstreams name in their answers

Upstreams in need name how many requests a second they take from all hosts together; hosts did not read it, and nothing in their logs or metrics showed it. Limits are now decoded, kept with the process that names them, and logged when they are named, change or are withdrawn ('upstream limited', 'upstream unlimited'; counted in seam_upstream_notices_total). Nothing decides by them yet. Needed to tell the hypotheses of docs/incidents/upstream-limit.md apart.

--- a/call/notice.go
+++ b/call/notice.go
@@ -10,6 +10,10 @@
 	// Pause is how long the process wants no request from this host; 0 if it has
 	// not asked for a pause.
 	Pause time.Duration
+	// Limited means that the process names a limit of its own, Limit: how many requests
+	// a second, possibly below one, it takes from all hosts together.
+	Limited bool
+	Limit   float64
 	// WrongUpstream means that the notice is of another process than the one that
 	// the call was meant for.
 	WrongUpstream bool
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -240,8 +240,8 @@
 // onConfig tells the other hosts which version of the configuration this host uses.
 func (h *Host) onConfig(t *routing.Table) { h.members.SetGeneration(uint64(t.Version())) }
 
-// onUpstreamChange logs that an upstream was added, is leaving, is paused or was removed, and
-// closes idle connections to removed ones.
+// onUpstreamChange logs that an upstream was added, is leaving, is paused, is limited or was
+// removed, and closes idle connections to removed ones.
 func (h *Host) onUpstreamChange(c instance.Change) {
 	if c.Kind == "changed" {
 		return
@@ -249,8 +249,11 @@
 	h.notices.count(c)
 	attrs := []any{"upstream", string(c.ID), "service", c.Service, "addr", c.Addr.String(),
 		"data_centre", string(c.DataCentre), "version", c.Version, "era", c.Era, "revision", c.Revision, "source", string(c.Source)}
-	if c.Kind == "paused" {
+	switch c.Kind {
+	case "paused":
 		attrs = append(attrs, "until", c.Until)
+	case "limited":
+		attrs = append(attrs, "limit", c.Limit)
 	}
 	h.logger.Info("upstream "+c.Kind, attrs...)
 	if c.Kind == "removed" {
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -32,9 +32,6 @@
 // onUpstreamAnswer records what the sender of an answer says about itself.
 func (h *Host) onUpstreamAnswer(c *transport.Call, r *http.Response) {
 	notice := h.platform.Codec.DecodeNotice(r)
-	if !notice.Leaving && notice.Pause == 0 {
-		return
-	}
 	sender, known := c.Upstream, c.Upstream.ID != ""
 	if !known || notice.WrongUpstream {
 		sender, known = h.instances.ProcessAt(c.Addr, c.Upstream.ID)
@@ -45,10 +42,11 @@
 	if notice.Leaving {
 		h.instances.MarkLeaving(sender)
 	}
+	now := time.Now()
 	if notice.Pause > 0 {
-		now := time.Now()
 		h.instances.Pause(sender, now.Add(notice.Pause), now)
 	}
+	h.instances.SetLimit(sender, notice.Limit, notice.Limited, now)
 }
 
 // admitCall reports whether a call may be sent: not to an upstream that has asked
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -128,11 +128,13 @@
 // Change describes a change of the table, for logging.
 type Change struct {
 	Entry
-	Kind string // "added", "leaving", "paused", "removed" or "changed", or one of those in era.go
+	Kind string // "added", "leaving", "paused", "limited", "unlimited", "removed" or "changed", or one of those in era.go
 	// Source is what told of the change.
 	Source Source
 	// Until is the end of a pause.
 	Until time.Time
+	// Limit is a limit that the upstream names, in requests a second.
+	Limit float64
 }
 
 // Source is what told of a change.
--- a/instance/notices.go
+++ b/instance/notices.go
@@ -33,6 +33,7 @@
 	leaving bool
 	// pausedUntil is when the process accepts requests of this host again.
 	pausedUntil time.Time
+	limit       limit
 }
 
 // keptNotice is the notice of a process that is not listed.
@@ -109,6 +110,7 @@
 // keep remembers the notice of a process that is not listed. The caller holds mu.
 func (t *Table) keep(p Process, n notice) {
 	if n == (notice{}) {
+		delete(t.kept, p.key())
 		return
 	}
 	t.keptOrder++
