throttle: all hosts together keep to the limits that upstreams name

Callers saw nothing of it; engines in need did: one that named a limit of 1 a second got 12 requests in 4 s and more, as many as before it named the limit.

Cause: hosts did not read the limit. The figures of the incident's engines show the same number of requests before and after, and the restarts of a host in between make no difference. The class: an upstream's word that holds for the sum over hosts needs one place that counts; what each host counts for itself is no bound on the sum.

One host, the owner of the upstream among the living hosts, now grants the requests to each process that names a limit, and each host that has been told asks it before a call is connected: requests, repeats, resumed streams, stage calls, reports and frees all pass the same gate in the transport. A host that is denied is told when to ask again, leaves the upstream out of its choices until then, and refuses callers at once with that time if all upstreams are at their limits. A stage call that is not sent for this costs no retry.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -32,6 +32,7 @@
 	"github.com/galenaseam/galenaseam/retry"
 	"github.com/galenaseam/galenaseam/routing"
 	"github.com/galenaseam/galenaseam/staging"
+	"github.com/galenaseam/galenaseam/throttle"
 	"github.com/galenaseam/galenaseam/transport"
 )
 
@@ -110,6 +111,7 @@
 	gatherer   *staging.Gatherer
 	streams    *resume.Keeper
 	parts      *quarantine.Parts
+	throttle   *throttle.Throttle
 	gateway    *gateway.Gateway
 	retries    *retry.Budget
 	callers    *callerServer
@@ -155,6 +157,7 @@
 	h.instances = instance.NewTable(h.onUpstreamChange)
 	h.transport.OnAnswer(h.onUpstreamAnswer)
 	h.transport.Admit(h.admitCall)
+	h.transport.Acquire(h.acquireCall)
 	hostList := &directoryHostList{}
 	var err error
 	h.members, err = member.New(member.Config{
@@ -186,6 +189,7 @@
 func (h *Host) buildGateway() error {
 	h.retries = retry.New(h.settings.Retries, h.hostCount, time.Now())
 	h.owners = ownership.New(h.members, time.Now())
+	h.throttle = throttle.New(throttle.Config{Owners: h.owners, Caller: h.peerClient, Logger: h.logger, Registerer: h.registry}, h.mux)
 	h.gatherer = staging.NewGatherer(staging.GathererConfig{
 		Servers: h.instances, Service: h.service, Owns: func(service string) bool {
 			_, own := h.owners.Owner(service, time.Now())
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -1,12 +1,14 @@
 package edge
 
 import (
+	"context"
 	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/throttle"
 	"github.com/galenaseam/galenaseam/transport"
 )
 
@@ -49,8 +51,29 @@
 	h.instances.SetLimit(sender, notice.Limit, notice.Limited, now)
 }
 
+// acquireCall takes the right to send a call to an upstream that names a limit. If it is
+// not granted, the upstream gets no request of this host for a while.
+func (h *Host) acquireCall(ctx context.Context, c *transport.Call) bool {
+	process := c.Upstream
+	if process.ID == "" {
+		var known bool
+		if process, known = h.instances.ProcessAt(c.Addr, ""); !known {
+			return true
+		}
+	}
+	perSecond, namedAt, limited := h.instances.Limit(process)
+	if !limited {
+		return true
+	}
+	wait, granted := h.throttle.Acquire(ctx, throttle.Limit{Process: process, PerSecond: perSecond, NamedAt: namedAt})
+	if !granted {
+		h.instances.Throttle(process, time.Now().Add(wait))
+	}
+	return granted
+}
+
 // admitCall reports whether a call may be sent: not to an upstream that has asked
-// this host for a pause.
+// this host for a pause or is at its limit.
 func (h *Host) admitCall(c *transport.Call) bool {
 	return !h.instances.IsPaused(c.Upstream, c.Addr, time.Now())
 }
--- a/instance/notices.go
+++ b/instance/notices.go
@@ -33,7 +33,10 @@
 	leaving bool
 	// pausedUntil is when the process accepts requests of this host again.
 	pausedUntil time.Time
-	limit       limit
+	// throttledUntil is when this host may ask again to send the process a request
+	// within its limit.
+	throttledUntil time.Time
+	limit          limit
 }
 
 // keptNotice is the notice of a process that is not listed.
--- a/instance/pauses.go
+++ b/instance/pauses.go
@@ -16,7 +16,7 @@
 	t.mu.Lock()
 	var change *Change
 	if i := t.listed(p); i != nil {
-		if until.Sub(later(i.pausedUntil, now)) >= pauseReportStep || !i.isPaused(now) && until.After(now) {
+		if until.Sub(later(i.pausedUntil, now)) >= pauseReportStep || !now.Before(i.pausedUntil) && until.After(now) {
 			change = &Change{Entry: i.Entry, Kind: "paused", Source: SourceAnswer, Until: until}
 		}
 		i.pausedUntil = later(i.pausedUntil, until)
@@ -39,7 +39,21 @@
 	return b
 }
 
-func (i *Instance) isPaused(now time.Time) bool { return now.Before(i.pausedUntil) }
+// Throttle keeps this host from sending a process requests until a time, because of
+// the process's limit.
+func (t *Table) Throttle(p Process, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if i := t.listed(p); i != nil {
+		i.throttledUntil = later(i.throttledUntil, until)
+		t.lastPauseEnd = later(t.lastPauseEnd, until)
+	}
+}
+
+// backAt returns when the process may get requests of this host again.
+func (n notice) backAt() time.Time { return later(n.pausedUntil, n.throttledUntil) }
+
+func (n notice) isPaused(now time.Time) bool { return now.Before(n.backAt()) }
 
 // ServiceOfFleet returns the upstreams of a service that hosts may send new work
 // to, ordered by ID, also those that only this host must not.
@@ -47,18 +61,18 @@
 	return t.service(name, now, func(i *Instance) bool { return !i.isLeaving() })
 }
 
-// PausedUntil returns when the pause of a listed upstream ends, false if it is not
-// paused.
+// PausedUntil returns when a listed upstream that is paused or at its limit is back,
+// false if it is neither.
 func (t *Table) PausedUntil(id ID, now time.Time) (time.Time, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if i := t.byID[id]; i != nil && i.isPaused(now) {
-		return i.pausedUntil, true
+		return i.backAt(), true
 	}
 	return time.Time{}, false
 }
 
-// IsPaused reports whether a process is paused. The listed upstream with the
+// IsPaused reports whether a process is paused or at its limit. The listed upstream with the
 // address is meant if p has no ID.
 func (t *Table) IsPaused(p Process, addr netip.AddrPort, now time.Time) bool {
 	t.mu.Lock()
@@ -69,7 +83,7 @@
 	case i != nil:
 		return i.isPaused(now)
 	case p.ID != "":
-		return now.Before(t.kept[p.key()].pausedUntil)
+		return t.kept[p.key()].isPaused(now)
 	}
 	for _, i := range t.byID {
 		if i.Addr == addr && i.isPaused(now) {
@@ -80,7 +94,7 @@
 }
 
 // FirstBack returns when the first upstream of a service is back. It returns false
-// unless all those that are not leaving are paused, and there is one.
+// unless all those that are not leaving are paused or at their limits, and there is one.
 func (t *Table) FirstBack(name string, now time.Time) (first time.Time, paused bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -89,8 +103,8 @@
 		case i.isLeaving():
 		case !i.isPaused(now):
 			return time.Time{}, false
-		case !paused || i.pausedUntil.Before(first):
-			first, paused = i.pausedUntil, true
+		case !paused || i.backAt().Before(first):
+			first, paused = i.backAt(), true
 		}
 	}
 	return first, paused
--- a/staging/batch.go
+++ b/staging/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/galenaseam/galenaseam/call"
@@ -58,7 +59,11 @@
 	took := now.Sub(b.started)
 	b.use.End(outcome, took, now)
 	if err != nil {
-		g.config.Logger.Warn("stage call failed", "service", b.service.name, "upstream", string(b.server.ID),
+		level := slog.LevelWarn
+		if notSent(outcome, notRun) {
+			level = slog.LevelDebug
+		}
+		g.config.Logger.Log(context.Background(), level, "stage call failed", "service", b.service.name, "upstream", string(b.server.ID),
 			"addr", b.server.Addr.String(), "pieces", len(pieces), "took_ms", took.Milliseconds(),
 			"outcome", outcome.String(), "not_run", notRun, "error", err.Error())
 	}
@@ -91,12 +96,21 @@
 	if notRun {
 		s.paused[b.server.ID] = now.Add(refusalPause)
 	}
+	reason := call.PieceError
+	if notSent(outcome, notRun) {
+		reason = call.PiecePaused
+	}
 	for _, part := range b.parts {
-		callbacks = append(callbacks, g.requeueOrFail(s, part.item, part.pieces, call.PieceError, now)...)
+		callbacks = append(callbacks, g.requeueOrFail(s, part.item, part.pieces, reason, now)...)
 	}
 	return callbacks
 }
 
+// notSent reports whether a call was not sent because its server may get none now.
+func notSent(outcome instance.Outcome, notRun bool) bool {
+	return outcome == instance.Abandoned && notRun
+}
+
 // completeBatch processes the results of a call that returned.
 func (g *Gatherer) completeBatch(b *batchCall, results []call.PieceResult, now time.Time) (callbacks []func()) {
 	s := b.service
@@ -150,6 +164,8 @@
 	}
 	retry := false
 	switch reason {
+	case call.PiecePaused:
+		retry = true
 	case call.PieceNoMemory:
 		// No work was done: the server had less free memory than was assumed.
 		w.refusals++
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -93,9 +93,10 @@
 	maxIdle int
 	dials   prometheus.Counter
 	reuses  prometheus.Counter
-	// onAnswer and admit are set before the first call.
+	// onAnswer, admit and acquire are set before the first call.
 	onAnswer func(*Call, *http.Response)
 	admit    func(*Call) bool
+	acquire  func(context.Context, *Call) bool
 }
 
 // New returns a client. registerer may be nil.
@@ -105,6 +106,7 @@
 		maxIdle:  maxIdlePerUpstream,
 		onAnswer: func(*Call, *http.Response) {},
 		admit:    func(*Call) bool { return true },
+		acquire:  func(context.Context, *Call) bool { return true },
 		dials: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "seam_upstream_dials_total", Help: "Connections opened to upstreams.",
 		}),
@@ -129,6 +131,10 @@
 
 func (c *Client) admits(call *Call) bool { return c.admit(call) && (call.Admit == nil || call.Admit()) }
 
+// Acquire sets the function that takes the right to send a call, before it is
+// connected. It may wait for other hosts. It must be set before the first call.
+func (c *Client) Acquire(f func(context.Context, *Call) bool) { c.acquire = f }
+
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
@@ -156,7 +162,7 @@
 // wraps ErrNotSent means that the call did not reach the upstream; after any other
 // error it may have run.
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
-	if !c.admits(call) {
+	if !c.admits(call) || !c.acquire(ctx, call) {
 		return nil, errs.Combine(ErrNotSent, ErrWithheld)
 	}
 	connection, err := c.connect(ctx, call)
