quarantine: weak losses don't count beside strong ones

A host that did not hear of the others' losses refused a sound part of prompts: a request with it had waited on one crashed engine, of which the host did not know the request that was to blame, and the part was in requests with the crashing one on three others. Two of these crashed at nearly the same time and counted once, so that the sound part had one loss more than the crashing one, was condemned first, and then explained the crashing one's losses: 17 engines crashed.

Where there are losses of engines that had begun to answer, others no longer count for the same part, and parts are compared by all of their losses, also those at nearly the same time.

TestSoundPartIsNotRefusedOnPartOfTheEvidence failed before: the sound part was refused.

--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -182,17 +182,19 @@
 	case n < l.settings.LossesToCondemn:
 		return nil, false
 	}
-	return losses, !l.isTied(now, p, len(losses), settled)
+	return losses, !l.isTied(now, p, settled)
 }
 
 // isTied reports whether as many upstreams were lost with another part as with this
-// one, and some with both, so that either may be the cause.
-func (l *PartLedger) isTied(now time.Time, p *suspectPart, count int, settled time.Time) bool {
+// one, and some with both, so that either may be the cause. Losses that are not
+// independent count too: they tell the parts apart as well as others.
+func (l *PartLedger) isTied(now time.Time, p *suspectPart, settled time.Time) bool {
+	count := len(l.eligibleLosses(now, p, settled))
 	for _, other := range l.suspects {
 		if other == p || !shareLosses(p, other) || l.isPresumedSound(now, other.id) {
 			continue
 		}
-		if len(l.independentLosses(now, other, settled)) >= count {
+		if len(l.eligibleLosses(now, other, settled)) >= count {
 			return true
 		}
 	}
@@ -221,20 +223,36 @@
 }
 
 // independentLosses returns the losses that count against a part, of those that were
-// recorded by a time: of different upstreams at different times, and not explained
-// otherwise.
+// recorded by a time, without those at the same time as others.
 func (l *PartLedger) independentLosses(now time.Time, p *suspectPart, recordedBy time.Time) []PartLoss {
 	var counted []PartLoss
+	for _, loss := range l.eligibleLosses(now, p, recordedBy) {
+		if !slices.ContainsFunc(counted, func(c PartLoss) bool { return c.At.Sub(loss.At).Abs() < l.settings.MinSeparation }) {
+			counted = append(counted, loss)
+		}
+	}
+	return counted
+}
+
+// eligibleLosses returns the losses of different upstreams that speak against a part and
+// are not explained otherwise, of those that were recorded by a time. Where there are
+// strong ones, weak ones don't count: this host may not know the request that its
+// upstream had begun to answer.
+func (l *PartLedger) eligibleLosses(now time.Time, p *suspectPart, recordedBy time.Time) []PartLoss {
+	var all []PartLoss
 	for _, loss := range p.losses {
 		switch {
 		case loss.recordedAt.After(recordedBy), now.Sub(loss.At) > l.settings.LossTTL:
 		case loss.Strength < l.strongest[loss.Upstream].Strength, l.isExplained(now, loss.Upstream, p):
-		case slices.ContainsFunc(counted, func(c PartLoss) bool { return c.At.Sub(loss.At).Abs() < l.settings.MinSeparation }):
 		default:
-			counted = append(counted, loss.PartLoss)
+			all = append(all, loss.PartLoss)
 		}
 	}
-	return counted
+	isStrong := func(loss PartLoss) bool { return loss.Strength == Strong }
+	if slices.ContainsFunc(all, isStrong) {
+		all = slices.DeleteFunc(all, func(loss PartLoss) bool { return !isStrong(loss) })
+	}
+	return all
 }
 
 // isExplained reports whether an upstream was lost with a condemned part other than
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -126,6 +126,24 @@
 	require.Equal(t, PartsAllowed, decide(l, settled, "beside"))
 }
 
+// A host that did not hear of the others' losses refused a sound part: it had waited at one
+// engine, and was in requests with the part that crashes engines at three others, two of
+// which crashed at nearly the same time.
+func TestSoundPartIsNotRefusedOnPartOfTheEvidence(t *testing.T) {
+	l := NewPartLedger(PartSettings{})
+	now := partsTestStart
+	lose(l, now, "u3", Weak, "sound")
+	lose(l, now.Add(40*time.Millisecond), "u2", Strong, crashing, "sound")
+	lose(l, now.Add(110*time.Millisecond), "u1", Strong, crashing, "sound")
+	lose(l, now.Add(1100*time.Millisecond), "u6", Strong, crashing, "sound")
+	now = now.Add(2 * time.Second)
+	require.Equal(t, PartsAllowed, decide(l, now, "sound"))
+	lose(l, now, "u7", Strong, crashing)
+	now = now.Add(time.Second)
+	require.Equal(t, PartsAllowed, decide(l, now, "sound"))
+	require.Equal(t, PartsRefused, decide(l, now, crashing))
+}
+
 // A part that was refused wrongly is free again once a request with it is answered.
 func TestAnswerReleasesAPart(t *testing.T) {
 	l := NewPartLedger(PartSettings{})
