seamedge: -fleet-key; the hosts of the soak form a fleet

The soak's hosts did not know each other: seamedge derives the key by which hosts authenticate each other from the store's address, and each host of the soak reaches the store through a proxy of its own. Each was a fleet of one: its own gatherer and placement owner, alone with what it knew of crashed engines. No test noticed.

The key's source can now be set with -fleet-key, and the soak sets it. On the code before, the soak's logs show each host as the only placement owner of its requests.

--- a/cmd/seamedge/main.go
+++ b/cmd/seamedge/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"errors"
@@ -38,6 +39,7 @@
 type flags struct {
 	settings    string
 	metricsPort uint
+	fleetKey    string
 	logLevel    slog.Level
 }
 
@@ -49,6 +51,7 @@
 	set.SetOutput(errOut)
 	set.StringVar(&f.settings, "settings", os.Getenv(platform.SettingsVariable), "path of the platform's settings file")
 	set.UintVar(&f.metricsPort, "metrics-port", 9464, "port that serves metrics")
+	set.StringVar(&f.fleetKey, "fleet-key", "", "secret by which the hosts of a fleet know each other; without it the address of the store takes its place")
 	set.TextVar(&f.logLevel, "log-level", slog.LevelInfo, "lowest level that is logged")
 	if err := ff.Parse(set, args, ff.WithEnvVarPrefix("SEAMEDGE")); err != nil {
 		return f, err
@@ -89,14 +92,14 @@
 	logger := slog.New(slog.NewJSONHandler(logOutput, &slog.HandlerOptions{Level: f.logLevel})).With("host", settings.Name)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	host, err := edge.New(hostSettings(settings, uint16(f.metricsPort)), edgePlatform(settings), logger, registry)
+	host, err := edge.New(f.hostSettings(settings), edgePlatform(settings), logger, registry)
 	if err != nil {
 		logger.Error("host could not be built", "error", err.Error())
 		return exitFailed
 	}
 	go host.FollowSettings(ctx, reloadSignals, func() (edge.Settings, error) {
 		s, err := platform.ReadSettings(f.settings)
-		return hostSettings(s, uint16(f.metricsPort)), err
+		return f.hostSettings(s), err
 	})
 	if err := host.Run(ctx); err != nil {
 		logger.Error("host failed", "error", err.Error())
@@ -110,13 +113,13 @@
 const megabitsPerCore = 250
 
 // hostSettings converts the platform's settings to those of an edge host.
-func hostSettings(s platform.Settings, metricsPort uint16) edge.Settings {
+func (f flags) hostSettings(s platform.Settings) edge.Settings {
 	// The platform gives hosts no shared secret. A key derived from the store's
 	// address gives no security, but separates deployments from each other.
-	key := sha256.Sum256([]byte("galenaseam fleet " + s.Store.Addr.String()))
+	key := sha256.Sum256([]byte("galenaseam fleet " + cmp.Or(f.fleetKey, s.Store.Addr.String())))
 	return edge.Settings{
 		Name: s.Name, Place: s.Place, CallerAddr: s.CallerAddr, ReadinessAddr: s.ReadinessAddr, PeerAddr: s.PeerAddr,
-		MetricsPort: metricsPort, Seeds: s.Seeds, FleetKey: key[:], MemoryBytes: s.MemoryBytes, Grace: s.Grace, MaxPropagationDelay: s.MaxPropagationDelay,
+		MetricsPort: uint16(f.metricsPort), Seeds: s.Seeds, FleetKey: key[:], MemoryBytes: s.MemoryBytes, Grace: s.Grace, MaxPropagationDelay: s.MaxPropagationDelay,
 		Capacity: min(s.CPUShare, s.LinkMegabits/megabitsPerCore),
 		Retries:  retry.Bounds{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window},
 	}
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -3,12 +3,15 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -18,6 +21,10 @@
 	"github.com/galenaseam/galenaseam/platform/platformtest"
 )
 
+// fleetKey is the secret that all hosts share. Their settings name different addresses of
+// the store, each host's proxy.
+const fleetKey = "soak"
+
 // graceSeconds is the configured time limit from SIGTERM to the process's exit.
 const graceSeconds = 6
 
@@ -138,11 +145,28 @@
 	startPoll    = 5 * time.Millisecond
 )
 
+// knowsFleet returns an error if the host does not know all other hosts.
+func (h *hostProcess) knowsFleet() error {
+	response, err := http.Get("http://" + netip.AddrPortFrom(h.settings.PeerAddr.Addr(), h.metricsPort).String() + "/metrics")
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	metrics, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if all := fmt.Sprintf("galenaseam_members{state=\"alive\"} %d\n", hostCount); !strings.Contains(string(metrics), all) {
+		return fmt.Errorf("%s does not know %d living hosts", h.settings.Name, hostCount)
+	}
+	return nil
+}
+
 // launch starts the process without waiting until it listens.
 func (h *hostProcess) launch() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.command = exec.Command(h.binary, "-metrics-port", fmt.Sprint(h.metricsPort))
+	h.command = exec.Command(h.binary, "-metrics-port", fmt.Sprint(h.metricsPort), "-fleet-key", fleetKey)
 	h.command.Env = append(os.Environ(), platform.SettingsVariable+"="+h.settingsPath)
 	h.command.Stdout, h.command.Stderr = h.log, h.log
 	// A host that outlived the soak would keep calling ports that others get then.
