soak: prompt parts that crash engines, and limits that upstreams name

Kind 'crash': callers send a part that crashes engines beside sound requests that share the other parts, for nine seconds each; engines are replaced 0.4 s after a crash. Checked: no more than three requests with it reach engines from hosts in touch later than 3 s after the fifth crash, and at least half of the sound requests are served from 6 s after it. Kind 'limit': upstreams name a limit for 5 to 9 s and withdraw it. Checked: at most one and a half times what it allows, and five requests, in 4 s.

--- a/edge/crashingpart_test.go
+++ b/edge/crashingpart_test.go
@@ -51,7 +51,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	u := &platformtest.Upstream{ID: fmt.Sprint("u", len(e.all)), Service: "events", Events: 8, EventPause: 10 * time.Millisecond, Zone: "riga-a"}
-	u.Crash = &platformtest.Crash{Part: crashingPart, Delay: 30 * time.Millisecond, Crashed: func() {
+	u.Crash = &platformtest.Crash{PartPrefix: crashingPart, Delay: 30 * time.Millisecond, Crashed: func(string) {
 		e.mu.Lock()
 		e.crashes = append(e.crashes, time.Now())
 		e.mu.Unlock()
@@ -66,13 +66,6 @@
 	e.all = append(e.all, u)
 }
 
-// crashCount returns how many engines have crashed.
-func (e *crashingEngines) crashCount() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.crashes)
-}
-
 // sentAfter returns how many requests with crashingPart that their callers sent after a
 // time have reached engines.
 func (e *crashingEngines) sentAfter(sent map[string]time.Time, after time.Time) int {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -37,6 +37,7 @@
 	mu       sync.Mutex // guards the fields below
 	outcomes []outcome
 	streams  []*stream
+	prompts  []prompt
 }
 
 const (
@@ -81,8 +82,8 @@
 	c.outcomes = append(c.outcomes, o)
 }
 
-// send sends one request.
-func (c *callers) send(path string, h *hostProcess, id, key string, timeout time.Duration) (o outcome) {
+// send sends one request. header holds names and values of additional headers.
+func (c *callers) send(path string, h *hostProcess, id, key string, timeout time.Duration, header ...string) (o outcome) {
 	o = outcome{id: id, path: path, host: h.settings.Name, key: key, deadline: requestDeadline, sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -96,6 +97,9 @@
 	}
 	r.Host = platformtest.Host
 	r.Header = platformtest.CallerHeader(id, o.key, requestDeadline)
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
 	response, err := c.client.Do(r)
 	if err != nil {
 		return o
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -39,7 +39,12 @@
 	keys     []string
 	changed  []*server // upstreams that are started and leave during the run
 	retired  []retiredKey
-	restores []time.Time // of the store
+	restores []time.Time              // of the store
+	engines  []*platformtest.Upstream // of promptService
+	crashes  []partCrash
+	// crashingPart is the part that callers send and that crashes engines; "" for none.
+	crashingPart string
+	limits       []namedLimit
 }
 
 // server is an upstream behind a proxy.
@@ -84,6 +89,9 @@
 	if err := e.release(softwareVersions[0]); err != nil {
 		return err
 	}
+	for range promptEngines {
+		e.startEngine()
+	}
 	e.configure()
 	var seeds []netip.AddrPort
 	for i := range hostCount {
@@ -160,6 +168,7 @@
 		{Prefix: "/talk/", Type: "stream", Service: "events", Resumable: true},
 		{Prefix: "/staged/", Type: "stream", Service: "events", Staged: true},
 		{Prefix: "/turn/", Type: "stream", Service: releasedService, Resumable: true},
+		{Prefix: askPath, Type: "stream", Service: promptService, Resumable: true, Engine: true},
 	}, e.keys)
 }
 
@@ -186,6 +195,7 @@
 	for _, u := range e.servers() {
 		u.QueueFaults()
 		u.QueueSilences()
+		u.NameLimit("")
 		u.proxy.setState(proxyState{})
 	}
 }
@@ -210,6 +220,9 @@
 		u.proxy.close()
 		u.Close()
 	}
+	for _, u := range e.allEngines() {
+		u.Close()
+	}
 	e.store.Close()
 	for _, r := range e.reservations {
 		_ = r.Release() // the reservation ends with the process at the latest
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -29,7 +29,7 @@
 
 // EnabledKinds are the kinds of faults that a run plays by default. Each kind draws
 // from random sources of its own, so a seed's base faults don't depend on the others.
-var EnabledKinds = []string{"base", "planned", "silence", "release", "notice", "restore"}
+var EnabledKinds = []string{"base", "planned", "silence", "release", "notice", "restore", "crash", "limit"}
 
 // faultKind is faults that one or more series draw from.
 type faultKind struct {
@@ -45,6 +45,8 @@
 	"release": {faults: releaseFaults, series: 1, source: 300},
 	"notice":  {faults: noticeFaults, series: 2, source: 400},
 	"restore": {faults: restoreFaults, series: 1, source: 500},
+	"crash":   {faults: crashFaults, series: 1, source: 600},
+	"limit":   {faults: limitFaults, series: 2, source: 700},
 }
 
 // Run starts the hosts, sends load and injects the faults of the given kinds and
@@ -63,6 +65,11 @@
 	defer env.close()
 	env.storeRestores = slices.Contains(kinds, "restore")
 	time.Sleep(settleTime)
+	for _, h := range env.hosts {
+		if err := h.knowsFleet(); err != nil {
+			return nil, nil, err
+		}
+	}
 	load := newCallers(env)
 	ctx, stop := context.WithCancel(context.Background())
 	var group sync.WaitGroup
@@ -73,6 +80,9 @@
 	if slices.Contains(kinds, "restore") {
 		group.Go(func() { load.runRetiredKeys(ctx, seed) })
 	}
+	if slices.Contains(kinds, "crash") {
+		group.Go(func() { load.runPrompts(ctx, seed) })
+	}
 	injected, violations = env.injectFaults(seed, length, kinds)
 	env.clearFaults()
 	time.Sleep(recoveryTime)
@@ -84,7 +94,9 @@
 	violations = append(violations, env.check(load.outcomes, recoveredAt)...)
 	violations = append(violations, env.checkStreams(load.streams)...)
 	violations = append(violations, env.checkNotices(load.outcomes)...)
-	return injected, append(violations, env.checkRestores(load.outcomes)...), nil
+	violations = append(violations, env.checkRestores(load.outcomes)...)
+	violations = append(violations, env.checkCrashes(load.prompts)...)
+	return injected, append(violations, env.checkLimits(load.outcomes)...), nil
 }
 
 // injectFaults runs the series of all kinds concurrently. Each series draws its
