request: earlier messages that crash engines are found and refused

All messages of a prompt but the last, with the retrieved passages, are now parts as on the users' platform: the same ledger finds those that crash engines, answers free the others, and requests with a condemned message are refused before anything runs.

--- a/build.go
+++ b/build.go
@@ -110,7 +110,7 @@
 	}
 	members, err := member.New(member.Config{
 		Self: h.info, ListenAddr: h.info.LinkAddr.String(), Key: h.options.FleetKey, Seeds: seeds,
-		HostList: h.hostList, Urgent: []member.Topic{quarantine.Topic},
+		HostList: h.hostList, Urgent: []member.Topic{quarantine.Topic, quarantine.PartTopic},
 		Logger: h.logger, Registerer: h.metrics.Registry(),
 	})
 	if err != nil {
@@ -202,13 +202,16 @@
 	if h.quarantine, err = quarantine.New(quarantine.Config{Gossip: h.membership, Registerer: h.metrics.Registry()}); err != nil {
 		return err
 	}
+	h.promptParts = quarantine.NewParts(quarantine.PartsConfig{
+		Gossip: h.membership, Fleet: h.membership, Caller: h.linkClient, Logger: h.logger, Registerer: h.metrics.Registry(),
+	}, h.linkMux)
 	h.attemptClient = attempt.New(attempt.Config{Reporter: h.upstreams})
 	h.metrics.WatchWrongAnswers(h.attemptClient.WrongAnswers)
 	h.runner = request.New(request.Config{
 		Dispatcher: h.dispatcher,
 		Upstreams:  h.upstreams,
 		Client:     h.attemptClient,
-		Guard:      quarantineGuard{h.quarantine, h.logger},
+		Guard:      quarantineGuard{h.quarantine, h.promptParts, h.logger},
 		Meter:      h.planners.meter,
 		Claims:     claimed.New(h.claims, h.logger),
 		Logger:     h.logger,
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -5,30 +5,15 @@
 	"net/http"
 	"time"
 
-	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/quarantine"
 )
 
 // partsRefused reports whether the request must not be sent to an upstream because of
 // a part of its prompt, and until when. It waits while the evidence against a part
-// settles.
+// settles, until ctx ends at the latest.
 func (x *exchange) partsRefused(ctx context.Context) (until time.Time, refused bool) {
-	if len(x.sharedParts) == 0 {
-		return time.Time{}, false
-	}
-	for {
-		v := x.config.Parts.Check(x.sharedParts)
-		switch v.Decision {
-		case quarantine.PartsAllowed:
-			return time.Time{}, false
-		case quarantine.PartsRefused:
-			return v.Until, true
-		case quarantine.PartsHeld:
-			if sleep.For(ctx, time.Until(v.Until)) != nil {
-				return time.Time{}, false // the request ends with ctx
-			}
-		}
-	}
+	v := x.config.Parts.Await(ctx, x.sharedParts)
+	return v.Until, v.Decision == quarantine.PartsRefused
 }
 
 // partsCondemned reports whether a part of the prompt is condemned now.
--- a/guard.go
+++ b/guard.go
@@ -1,6 +1,7 @@
 package galenaseam
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -12,9 +13,24 @@
 // quarantineGuard implements request.Guard with the host's quarantine.
 type quarantineGuard struct {
 	quarantine *quarantine.Quarantine
+	parts      *quarantine.Parts
 	logger     *slog.Logger
 }
 
+// ScreenParts reports whether a prompt with these parts may be sent to an engine.
+func (g quarantineGuard) ScreenParts(ctx context.Context, parts []string) bool {
+	return g.parts.Await(ctx, parts).Decision != quarantine.PartsRefused
+}
+
+// LostParts records that an engine died before it had generated anything from a prompt
+// with these parts. It may have been about to, or not have begun to read the prompt.
+func (g quarantineGuard) LostParts(parts []string, id upstream.ID) {
+	g.parts.Lost(parts, id, time.Now(), quarantine.Weak)
+}
+
+// AnsweredParts records that an engine answered a prompt with these parts.
+func (g quarantineGuard) AnsweredParts(parts []string) { g.parts.Answered(parts) }
+
 // Screen returns whether a request may run, and logs the request if the
 // quarantine restricts it.
 func (g quarantineGuard) Screen(d request.Digest) request.Screening {
--- a/host.go
+++ b/host.go
@@ -84,6 +84,7 @@
 	configWriter   *config.Writer
 	planners       *groupPlanners
 	quarantine     *quarantine.Quarantine
+	promptParts    *quarantine.Parts
 	attemptClient  *attempt.Client
 	runner         *request.Runner
 	frontend       *frontend.Frontend
--- a/quarantine/parts_exchange.go
+++ b/quarantine/parts_exchange.go
@@ -173,6 +173,18 @@
 	return v
 }
 
+// Await returns what may be done with a request that has these parts, after waiting while
+// the evidence settles. If ctx ends meanwhile, it returns PartsHeld.
+func (q *Parts) Await(ctx context.Context, ids []string) PartVerdict {
+	for len(ids) > 0 {
+		v := q.Check(ids)
+		if v.Decision != PartsHeld || sleep.For(ctx, v.Until.Sub(q.config.Now())) != nil {
+			return v
+		}
+	}
+	return PartVerdict{}
+}
+
 func upstreamsOf(losses []PartLoss) (ids []string) {
 	for _, loss := range losses {
 		ids = append(ids, string(loss.Upstream))
--- a/request/guard.go
+++ b/request/guard.go
@@ -45,6 +45,14 @@
 	// Ended records that the request ended. clean is true when every stage
 	// succeeded and no upstream died.
 	Ended(d Digest, clean bool)
+	// ScreenParts reports whether a prompt with these parts may be sent to an engine.
+	// It may wait while evidence settles, until ctx ends.
+	ScreenParts(ctx context.Context, parts []string) bool
+	// LostParts records that an engine died before it had generated anything from a
+	// prompt with these parts.
+	LostParts(parts []string, id upstream.ID)
+	// AnsweredParts records that an engine answered a prompt with these parts.
+	AnsweredParts(parts []string)
 }
 
 // pipelineDigest hashes a request within its workspace and target.
@@ -93,8 +101,12 @@
 	if verdict != Refuse {
 		return nil
 	}
-	return problem.New(http.StatusUnprocessableEntity, "crashes_upstreams",
-		"this request has crashed the upstreams that ran it and is not run again", ran)
+	return crashesUpstreams("this request has crashed the upstreams that ran it and is not run again", ran)
+}
+
+// crashesUpstreams returns the problem of a request that the guard refuses.
+func crashesUpstreams(detail string, ran problem.Ran) *problem.Problem {
+	return problem.New(http.StatusUnprocessableEntity, "crashes_upstreams", detail, ran)
 }
 
 // recordLoss records that an upstream died while running the request.
--- a/request/request_test.go
+++ b/request/request_test.go
@@ -54,6 +54,11 @@
 func (allowAllGuard) Started(request.Digest, upstream.ID)     {}
 func (allowAllGuard) Lost(request.Digest, upstream.ID)        {}
 func (allowAllGuard) Ended(request.Digest, bool)              {}
+func (allowAllGuard) ScreenParts(context.Context, []string) bool {
+	return true
+}
+func (allowAllGuard) LostParts([]string, upstream.ID) {}
+func (allowAllGuard) AnsweredParts([]string)          {}
 
 // memoryClaims runs each key at most once within one process.
 type memoryClaims struct {
--- a/request/runner.go
+++ b/request/runner.go
@@ -134,7 +134,10 @@
 		return Result{}, err
 	}
 	p.guarded = guarded
-	result, err := p.runAdmitted(ctx)
+	var result Result
+	if err = p.screenHistory(ctx); err == nil {
+		result, err = p.runAdmitted(ctx)
+	}
 	guarded.finish(err == nil)
 	return result, err
 }
--- a/request/stage.go
+++ b/request/stage.go
@@ -52,6 +52,9 @@
 func (t *stageRun) run(ctx context.Context) error {
 	defer t.releaseReplacement()
 	for {
+		if err := t.pipeline.screenParts(ctx, t.promptParts()); err != nil {
+			return err
+		}
 		slot, err := t.nextSlot(ctx)
 		if err != nil {
 			return err
@@ -60,6 +63,7 @@
 		failed := t.runHedged(ctx, slot)
 		mayContinue, err := t.reportLosses(ctx)
 		if failed == nil {
+			t.pipeline.runner.cfg.Guard.AnsweredParts(t.promptParts())
 			return nil
 		}
 		if err != nil {
@@ -186,6 +190,7 @@
 	apply        func()
 	committed    bool
 	upstreamDied bool
+	generated    bool // the engine had begun to generate
 	failed       *attempt.Failed
 }
 
@@ -209,6 +214,9 @@
 			t.pipeline.ran = updateRan(t.pipeline.ran, end.failed)
 			if end.upstreamDied {
 				t.lostUpstreams = append(t.lostUpstreams, end.upstream)
+				if !end.generated {
+					t.pipeline.runner.cfg.Guard.LostParts(t.promptParts(), end.upstream)
+				}
 			}
 			winner, other = recordEnd(winner, other, end)
 			if end.committed {
@@ -301,7 +309,7 @@
 	r.cfg.Guard.Started(t.pipeline.guarded.digest, call.Upstream.ID)
 	r.cfg.Meter.Began(t.need.Model)
 	apply, outcome, err := t.step.attempt(ctx, call, commit)
-	end := attemptEnd{upstream: call.Upstream.ID, apply: apply, committed: won}
+	end := attemptEnd{upstream: call.Upstream.ID, apply: apply, committed: won, generated: outcome.FirstToken > 0}
 	if err != nil {
 		end.failed = attempt.AsFailed(err)
 		outcome.Failure = end.failed.Failure
--- a/run.go
+++ b/run.go
@@ -70,6 +70,7 @@
 		h.dispatcher.Run,
 		h.claims.Run,
 		h.planners.run,
+		h.promptParts.Run,
 		h.publishReadiness,
 	}
 	for _, component := range components {
