quarantine: of two parts with the same losses, the one answered longer ago is the cause

In a fleet of 110 hosts whose facts take 1.5 s, a host condemned the first part that all prompts share, and the others followed: it had known of a loss of that part for longer than of the same loss of the crashing part, since it had first had the loss from a request of its own that waited.

A part is now compared with its rivals by all evidence at hand, settled or not; an answer makes it the less likely cause; a loss that turns out stronger settles again; and parts between which nothing decides are condemned after five losses that are old enough for any answer to have arrived.

--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -177,28 +177,51 @@
 	settled := now.Add(-l.settings.SettleTime)
 	losses := l.independentLosses(now, p, settled)
 	switch n := len(losses); {
-	case p.condemnedBefore && n > 0, n >= l.settings.LossesToCondemnTied:
+	case p.condemnedBefore && n > 0:
 		return losses, true
 	case n < l.settings.LossesToCondemn:
 		return nil, false
 	}
-	return losses, !l.isTied(now, p, settled)
+	switch l.rival(now, p) {
+	case likelierCause:
+		return nil, false
+	case equalCause:
+		// By then an answer to a request with one of the parts is known here.
+		losses = l.independentLosses(now, p, now.Add(-l.settings.Presumption))
+		return losses, len(losses) >= l.settings.LossesToCondemnTied
+	}
+	return losses, true
 }
 
-// isTied reports whether as many upstreams were lost with another part as with this
-// one, and some with both, so that either may be the cause. Losses that are not
-// independent count too: they tell the parts apart as well as others.
-func (l *PartLedger) isTied(now time.Time, p *suspectPart, settled time.Time) bool {
-	count := len(l.eligibleLosses(now, p, settled))
+// rivalry is how another part compares with one as the cause of the same losses.
+type rivalry uint8
+
+const (
+	noRival rivalry = iota
+	equalCause
+	likelierCause
+)
+
+// rival returns how the strongest rival of a part compares with it: a part in as many
+// losses, some of them the same. Of two such parts, the one that was answered longer ago,
+// or never, is the likelier cause. Losses that are not independent count too: they tell
+// the parts apart as well as others.
+func (l *PartLedger) rival(now time.Time, p *suspectPart) rivalry {
+	count := len(l.eligibleLosses(now, p, now))
+	strongest := noRival
 	for _, other := range l.suspects {
-		if other == p || !shareLosses(p, other) || l.isPresumedSound(now, other.id) {
+		if other == p || !shareLosses(p, other) || l.answers[other.id].After(l.answers[p.id]) {
 			continue
 		}
-		if len(l.eligibleLosses(now, other, settled)) >= count {
-			return true
+		if len(l.eligibleLosses(now, other, now)) < count {
+			continue
+		}
+		if l.answers[other.id].Before(l.answers[p.id]) {
+			return likelierCause
 		}
+		strongest = equalCause
 	}
-	return false
+	return strongest
 }
 
 // shareLosses reports whether an upstream was lost with both parts.
@@ -279,9 +302,11 @@
 	p := l.suspect(now, loss.Part)
 	for i := range p.losses {
 		if known := &p.losses[i]; known.Upstream == loss.Upstream {
-			stronger := loss.Strength > known.Strength
-			known.Strength = max(known.Strength, loss.Strength)
-			return stronger
+			if loss.Strength <= known.Strength {
+				return false
+			}
+			known.Strength, known.recordedAt = loss.Strength, now
+			return true
 		}
 	}
 	if len(p.losses) >= maxLossesPerPart {
