soak: engines that crash on parts write their entries again after a restore

The hosts' logs show that only the crashing part was refused, and that every engine in the copy refused connections.

--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -66,6 +66,7 @@
 	u.Crash = &platformtest.Crash{PartPrefix: crashingPrefix, Delay: crashDelay, Crashed: func(part string) {
 		e.mu.Lock()
 		e.crashes = append(e.crashes, partCrash{part, time.Now()})
+		e.crashed[u.ID] = true
 		e.mu.Unlock()
 		e.leaving.Go(func() {
 			time.Sleep(engineRestart)
@@ -83,6 +84,20 @@
 	return append([]*platformtest.Upstream(nil), e.engines...)
 }
 
+// rewriteEngines writes the entries of the engines again, or removes those of engines
+// that have crashed.
+func (e *environment) rewriteEngines() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, u := range e.engines {
+		if e.crashed[u.ID] {
+			e.store.Delete("servers/" + u.ID)
+		} else {
+			u.Register(e.store, "ready")
+		}
+	}
+}
+
 // sendCrashingPart has callers send requests with another part that crashes engines.
 func sendCrashingPart(e *environment, r *rand.Rand) (string, error) {
 	part := fmt.Sprintf("%s%08x", crashingPrefix, r.Uint32())
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -42,6 +42,7 @@
 	restores []time.Time              // of the store
 	engines  []*platformtest.Upstream // of promptService
 	crashes  []partCrash
+	crashed  map[string]bool // IDs of engines
 	// crashingPart is the part that callers send and that crashes engines; "" for none.
 	crashingPart string
 	limits       []namedLimit
@@ -60,7 +61,7 @@
 
 // newEnvironment starts the store, the upstreams and the hosts.
 func newEnvironment(binary, dir string) (*environment, error) {
-	e := &environment{store: platformtest.NewStore(), keys: []string{"key-0", keptKey}}
+	e := &environment{store: platformtest.NewStore(), keys: []string{"key-0", keptKey}, crashed: make(map[string]bool)}
 	if err := e.start(binary, dir); err != nil {
 		e.close()
 		return nil, err
--- a/internal/soak/restores.go
+++ b/internal/soak/restores.go
@@ -43,6 +43,7 @@
 	for _, s := range e.servers() {
 		e.rewrite(s)
 	}
+	e.rewriteEngines()
 	e.configure()
 	return fmt.Sprintf("the store came back from a copy %s old", age), nil
 }
