quarantine: losses that a condemned part explains don't count against requests

A sound request that its caller sent again was refused for an hour when it had met two engines that crashed under a part of other requests, at least half a second apart: the ledger of whole requests did not know the other cause. It now asks the ledger of parts, also about requests that it had condemned. The first assertion of TestRequestBesideACrashingPartIsNotRefused shows the refusal, the second its end.

--- a/build.go
+++ b/build.go
@@ -199,12 +199,15 @@
 // buildFrontend creates the callers' interface and the runner of their requests.
 func (h *Host) buildFrontend() (err error) {
 	h.planners = newPlanners(h)
-	if h.quarantine, err = quarantine.New(quarantine.Config{Gossip: h.membership, Registerer: h.metrics.Registry()}); err != nil {
-		return err
-	}
 	h.promptParts = quarantine.NewParts(quarantine.PartsConfig{
 		Gossip: h.membership, Fleet: h.membership, Caller: h.linkClient, Logger: h.logger, Registerer: h.metrics.Registry(),
 	}, h.linkMux)
+	h.quarantine, err = quarantine.New(quarantine.Config{
+		Gossip: h.membership, Registerer: h.metrics.Registry(), Settings: quarantine.Settings{Explained: h.promptParts.Explains},
+	})
+	if err != nil {
+		return err
+	}
 	h.attemptClient = attempt.New(attempt.Config{Reporter: h.upstreams})
 	h.metrics.WatchWrongAnswers(h.attemptClient.WrongAnswers)
 	h.runner = request.New(request.Config{
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -197,13 +197,15 @@
 		}, Caller: h.platform.Stages(h.transport), Retries: h.retries,
 		Logger: h.logger, Registerer: h.registry,
 	})
-	suspects, err := quarantine.New(quarantine.Config{Gossip: h.members, Registerer: h.registry})
-	if err != nil {
-		return err
-	}
 	h.parts = quarantine.NewParts(quarantine.PartsConfig{
 		Gossip: h.members, Fleet: h.members, Caller: h.peerClient, Logger: h.logger, Registerer: h.registry,
 	}, h.mux)
+	suspects, err := quarantine.New(quarantine.Config{
+		Gossip: h.members, Registerer: h.registry, Settings: quarantine.Settings{Explained: h.parts.Explains},
+	})
+	if err != nil {
+		return err
+	}
 	placer := placement.New(placement.Config{
 		Engines: h.instances, Service: h.service, Owners: h.owners, Caller: h.peerClient,
 		DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"slices"
 	"time"
 
 	"github.com/galenaseam/galenaseam/upstream"
@@ -62,6 +63,9 @@
 	AloneLease time.Duration
 	// MaxDigests bounds the digests that are tracked.
 	MaxDigests int
+	// Explained reports whether the loss of an upstream has another cause than the
+	// requests that ran there; nil means that none has.
+	Explained func(upstream.ID) bool
 }
 
 // DefaultSettings returns the settings for a fleet of a few dozen hosts.
@@ -100,6 +104,9 @@
 	if s.MaxDigests == 0 {
 		s.MaxDigests = d.MaxDigests
 	}
+	if s.Explained == nil {
+		s.Explained = func(upstream.ID) bool { return false }
+	}
 	return s
 }
 
@@ -143,7 +150,7 @@
 // passed.
 func (l *Ledger) Check(now time.Time, d Digest) Verdict {
 	s := l.suspects[d]
-	if s == nil {
+	if s == nil || l.isExplained(s) {
 		return Allow
 	}
 	if now.Sub(s.condemnedAt) < l.settings.CondemnedTTL {
@@ -160,6 +167,11 @@
 	return RunAlone
 }
 
+// isExplained reports whether all losses under a suspect have another cause.
+func (l *Ledger) isExplained(s *suspect) bool {
+	return !slices.ContainsFunc(s.losses, func(loss Loss) bool { return !l.settings.Explained(loss.Upstream) })
+}
+
 // RecordLoss records a loss. Recording the same loss again has no effect.
 func (l *Ledger) RecordLoss(now time.Time, loss Loss) {
 	l.prune(now)
@@ -210,7 +222,7 @@
 	var counted []Loss
 	upstreams := make(map[upstream.ID]bool)
 	for _, loss := range s.losses {
-		if now.Sub(loss.At) > l.settings.SuspectTTL || l.isCorrelated(loss, s) {
+		if now.Sub(loss.At) > l.settings.SuspectTTL || l.settings.Explained(loss.Upstream) || l.isCorrelated(loss, s) {
 			continue
 		}
 		upstreams[loss.Upstream] = true
@@ -256,7 +268,7 @@
 	upstreams := make(map[upstream.ID]bool)
 	first, last := now, time.Time{}
 	for _, loss := range s.losses {
-		if now.Sub(loss.At) > l.settings.SuspectTTL {
+		if now.Sub(loss.At) > l.settings.SuspectTTL || l.settings.Explained(loss.Upstream) {
 			continue
 		}
 		upstreams[loss.Upstream] = true
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -279,7 +279,7 @@
 }
 
 // isExplained reports whether an upstream was lost with a condemned part other than
-// the given one.
+// the given one, which may be nil.
 func (l *PartLedger) isExplained(now time.Time, id upstream.ID, except *suspectPart) bool {
 	for _, other := range l.suspects {
 		if other != except && now.Before(other.condemnedUntil) && other.lostOn(id) {
@@ -358,6 +358,9 @@
 	return true, false
 }
 
+// Explains reports whether an upstream was lost with a condemned part.
+func (l *PartLedger) Explains(now time.Time, id upstream.ID) bool { return l.isExplained(now, id, nil) }
+
 // Condemned returns the condemned parts and until when.
 func (l *PartLedger) Condemned(now time.Time) map[string]time.Time {
 	all := make(map[string]time.Time)
--- a/quarantine/parts_exchange.go
+++ b/quarantine/parts_exchange.go
@@ -197,6 +197,13 @@
 	return ids
 }
 
+// Explains reports whether an upstream was lost with a condemned part.
+func (q *Parts) Explains(id upstream.ID) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.Explains(q.config.Now(), id)
+}
+
 // Lost records that an upstream was lost at a time while it had a request with these
 // parts.
 func (q *Parts) Lost(ids []string, id upstream.ID, at time.Time, strength Strength) {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -174,6 +174,22 @@
 	require.Equal(t, RunAlone, l.Check(now.Add(2*time.Minute), Digest{1}))
 }
 
+// A sound request that its caller sends again meets two upstreams that crash on a part of
+// other requests. It was refused for an hour. Once the part is known, the losses have
+// another cause than the request.
+func TestRequestBesideACrashingPartIsNotRefused(t *testing.T) {
+	now := time.Unix(1000, 0)
+	explained := false
+	l := NewLedger(Settings{Explained: func(upstream.ID) bool { return explained }})
+	for i := range 2 {
+		at := now.Add(time.Duration(i) * time.Second)
+		l.RecordLoss(at, Loss{Digest: Digest{1}, Upstream: upstream.ID(fmt.Sprint("up-", i)), At: at})
+	}
+	require.Equal(t, Refuse, l.Check(now.Add(2*time.Second), Digest{1}))
+	explained = true
+	require.Equal(t, Allow, l.Check(now.Add(2*time.Second), Digest{1}))
+}
+
 // A request crashes upstreams that run other requests too. The losses under
 // those other requests on the same upstreams must not make the crashes look
 // like the failure of a rack.
