soak: a refusal that was held at a stopped upstream binds no host

The trace shows that the refusal never reached the host: plain-1 was as if stopped for 1.5 s, the host's three attempts there ended after 256 ms without a head ('stalled') when a replacement answered, and the host has no 'upstream paused' line. The check now leaves out refusals of upstreams that are stopped at that moment; the other bounds stay.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -28,6 +28,7 @@
 	resume  chan struct{} // closed when the proxy accepts connections
 	conns   map[net.Conn]bool
 	resets  []time.Time
+	stops   []stopTime
 }
 
 func newProxy(target netip.AddrPort) (*proxy, error) {
--- a/internal/soak/stopped.go
+++ b/internal/soak/stopped.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -17,6 +18,17 @@
 	fillerTimeout     = 50 * time.Millisecond
 )
 
+// stopTime is a time in which the upstream's process was as if stopped.
+type stopTime struct{ from, until time.Time }
+
+// wasStopped reports whether the upstream was stopped in a part of the given time, so that
+// its answers may not have reached a host.
+func (p *proxy) wasStopped(from, until time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.stops, func(s stopTime) bool { return s.from.Before(until) && s.until.After(from) })
+}
+
 // stop holds the upstream's connections for the given time, as if its process were
 // stopped: nothing that it sends reaches a host. If it doesn't accept, attempts to
 // connect time out meanwhile; otherwise the kernel accepts them.
@@ -24,6 +36,7 @@
 	until := time.Now().Add(length)
 	p.mu.Lock()
 	p.stopped = true
+	p.stops = append(p.stops, stopTime{from: time.Now(), until: until})
 	p.mu.Unlock()
 	var err error
 	if !accepts {
