soak: names of the wire stay in platform/

TestWireNamesStayInsideThisPackage failed on the soak's headers of prompts; the stand-ins build them now. The test also looks for the headers by which upstreams leave and name limits.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -82,8 +83,8 @@
 	c.outcomes = append(c.outcomes, o)
 }
 
-// send sends one request. header holds names and values of additional headers.
-func (c *callers) send(path string, h *hostProcess, id, key string, timeout time.Duration, header ...string) (o outcome) {
+// send sends one request, with additional headers.
+func (c *callers) send(path string, h *hostProcess, id, key string, timeout time.Duration, additional ...http.Header) (o outcome) {
 	o = outcome{id: id, path: path, host: h.settings.Name, key: key, deadline: requestDeadline, sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -97,8 +98,8 @@
 	}
 	r.Host = platformtest.Host
 	r.Header = platformtest.CallerHeader(id, o.key, requestDeadline)
-	for i := 0; i < len(header); i += 2 {
-		r.Header.Set(header[i], header[i+1])
+	for _, header := range additional {
+		maps.Copy(r.Header, header)
 	}
 	response, err := c.client.Do(r)
 	if err != nil {
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -122,15 +121,15 @@
 		c.env.mu.Lock()
 		part := c.env.crashingPart
 		c.env.mu.Unlock()
-		parts := []string{"aaaa0001:300", fmt.Sprintf("cccc%04d:100", r.IntN(4)), fmt.Sprintf("%08x:50", n)}
+		parts := []string{"aaaa0001", fmt.Sprintf("cccc%04d", r.IntN(4)), fmt.Sprintf("%08x", n)}
 		if r.IntN(3) > 0 {
 			part = ""
 		} else if part != "" {
-			parts = append([]string{parts[0], part + ":80"}, parts[1:]...)
+			parts = slices.Insert(parts, 1, part)
 		}
 		h, id := pick(r, c.env.hosts), fmt.Sprintf("%d-p%d", seed, n)
 		group.Go(func() {
-			p := prompt{part: part, outcome: c.send(askPath, h, id, keptKey, defaultClientTimeout, "Prompt-Prefix", strings.Join(parts, ","), "Token-Usage", "500,40")}
+			p := prompt{part: part, outcome: c.send(askPath, h, id, keptKey, defaultClientTimeout, platformtest.PromptHeader(parts...))}
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.prompts = append(c.prompts, p)
