quarantine: a loss condemns a part once

A condemned part was refused for another ten minutes when its time was over if a request that had been sent before it was condemned had lost an engine: the loss was still evidence by then. Losses from before the end of a condemnation no longer count.

TestPartIsRefusedAgainAfterOneMoreLoss, with such a loss, failed before. Names and comments of the ledger were reworded too.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -64,7 +64,8 @@
 	// events is how many events the race has received. Only the race's goroutine uses it.
 	events     int
 	inputsSent *staging.Results // results of the stages that the upstream is sent
-	// partsRefusedUntil is set if no upstream was chosen because of a condemned part.
+	// partsRefusedUntil is when a condemned part of the prompt may be tried again; zero
+	// unless one kept the attempt from beginning.
 	partsRefusedUntil time.Time
 
 	mu             sync.Mutex // guards the fields below
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -139,7 +139,7 @@
 	group.Wait()
 }
 
-// checkCrashes checks that hosts find the parts that crash engines, and go on serving
+// checkCrashes checks that hosts find the parts that crash engines, and keep serving
 // requests that only share other parts with them.
 func (e *environment) checkCrashes(prompts []prompt) (violations []string) {
 	ran := make(map[string]bool)
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -21,9 +21,9 @@
 	MinSeparation time.Duration
 	// SettleTime is how long evidence waits for other hosts' objections.
 	SettleTime time.Duration
-	// Presumption is how long after an answer to a request with a part the part
+	// AnswerGrace is how long after an answer to a request with a part the part
 	// is not condemned.
-	Presumption time.Duration
+	AnswerGrace time.Duration
 	// LossTTL is how long a loss counts as evidence.
 	LossTTL time.Duration
 	// CondemnedTTL is how long requests with a condemned part are refused. One
@@ -40,7 +40,7 @@
 		LossesToCondemnTied: 5,
 		MinSeparation:       100 * time.Millisecond,
 		SettleTime:          500 * time.Millisecond,
-		Presumption:         2 * time.Second,
+		AnswerGrace:         2 * time.Second,
 		LossTTL:             10 * time.Minute,
 		CondemnedTTL:        10 * time.Minute,
 		MaxParts:            10_000,
@@ -135,7 +135,7 @@
 	settings.LossesToCondemnTied = cmp.Or(settings.LossesToCondemnTied, d.LossesToCondemnTied)
 	settings.MinSeparation = cmp.Or(settings.MinSeparation, d.MinSeparation)
 	settings.SettleTime = cmp.Or(settings.SettleTime, d.SettleTime)
-	settings.Presumption = cmp.Or(settings.Presumption, d.Presumption)
+	settings.AnswerGrace = cmp.Or(settings.AnswerGrace, d.AnswerGrace)
 	settings.LossTTL = cmp.Or(settings.LossTTL, d.LossTTL)
 	settings.CondemnedTTL = cmp.Or(settings.CondemnedTTL, d.CondemnedTTL)
 	settings.MaxParts = cmp.Or(settings.MaxParts, d.MaxParts)
@@ -153,10 +153,10 @@
 		if now.Before(p.condemnedUntil) {
 			return PartVerdict{Decision: PartsRefused, Part: id, Until: p.condemnedUntil}
 		}
-		if len(p.losses) == 0 || l.isPresumedSound(now, id) {
+		if len(p.losses) == 0 || l.answeredLately(now, id) {
 			continue
 		}
-		if losses, guilty := l.isGuilty(now, p); guilty {
+		if losses, condemned := l.condemns(now, p); condemned {
 			p.condemn(now.Add(l.settings.CondemnedTTL))
 			return PartVerdict{Decision: PartsRefused, Part: id, Until: p.condemnedUntil, Losses: losses}
 		}
@@ -167,13 +167,13 @@
 	return held
 }
 
-// isPresumedSound reports whether a request with a part was answered a moment ago.
-func (l *PartLedger) isPresumedSound(now time.Time, id string) bool {
-	return now.Sub(l.answers[id]) < l.settings.Presumption
+// answeredLately reports whether a request with a part was answered a moment ago.
+func (l *PartLedger) answeredLately(now time.Time, id string) bool {
+	return now.Sub(l.answers[id]) < l.settings.AnswerGrace
 }
 
-// isGuilty reports whether the settled evidence condemns a part, and returns it.
-func (l *PartLedger) isGuilty(now time.Time, p *suspectPart) ([]PartLoss, bool) {
+// condemns reports whether the settled evidence condemns a part, and returns it.
+func (l *PartLedger) condemns(now time.Time, p *suspectPart) ([]PartLoss, bool) {
 	settled := now.Add(-l.settings.SettleTime)
 	losses := l.independentLosses(now, p, settled)
 	switch n := len(losses); {
@@ -187,7 +187,7 @@
 		return nil, false
 	case equalCause:
 		// By then an answer to a request with one of the parts is known here.
-		losses = l.independentLosses(now, p, now.Add(-l.settings.Presumption))
+		losses = l.independentLosses(now, p, now.Add(-l.settings.AnswerGrace))
 		return losses, len(losses) >= l.settings.LossesToCondemnTied
 	}
 	return losses, true
@@ -266,6 +266,7 @@
 	for _, loss := range p.losses {
 		switch {
 		case loss.recordedAt.After(recordedBy), now.Sub(loss.At) > l.settings.LossTTL:
+		case loss.At.Before(p.condemnedUntil): // it has condemned the part already
 		case loss.Strength < l.strongest[loss.Upstream].Strength, l.isExplained(now, loss.Upstream, p):
 		default:
 			all = append(all, loss.PartLoss)
@@ -347,7 +348,7 @@
 // an answer to a request with the part since the other host's decision.
 func (l *PartLedger) Condemn(now time.Time, id string, until time.Time) (condemned, objection bool) {
 	decidedAt := until.Add(-l.settings.CondemnedTTL)
-	if l.isPresumedSound(now, id) || l.answers[id].After(decidedAt) {
+	if l.answeredLately(now, id) || l.answers[id].After(decidedAt) {
 		return false, true
 	}
 	p := l.suspect(now, id)
--- a/quarantine/parts_exchange.go
+++ b/quarantine/parts_exchange.go
@@ -179,7 +179,7 @@
 }
 
 // Await returns what may be done with a request that has these parts, after waiting while
-// the evidence settles. If ctx ends meanwhile, it returns PartsHeld.
+// the evidence settles. If ctx ends before, it returns PartsHeld.
 func (q *Parts) Await(ctx context.Context, ids []string) PartVerdict {
 	for len(ids) > 0 {
 		v := q.Check(ids)
@@ -212,7 +212,7 @@
 	q.mu.Lock()
 	for _, part := range normalize(ids) {
 		loss := PartLoss{Part: part, Upstream: id, At: at, Strength: strength}
-		if q.ledger.RecordLoss(now, loss) && !q.ledger.isPresumedSound(now, part) {
+		if q.ledger.RecordLoss(now, loss) && !q.ledger.answeredLately(now, part) {
 			published = append(published, part)
 		}
 	}
@@ -299,7 +299,7 @@
 	loss := PartLoss{Part: key[:slash], Upstream: upstream.ID(key[slash+1:]), At: earlier(at, now), Strength: fact.Strength}
 	q.mu.Lock()
 	q.ledger.RecordLoss(now, loss)
-	sound := q.ledger.isPresumedSound(now, loss.Part) || q.ledger.Answered(loss.Part).After(loss.At)
+	sound := q.ledger.answeredLately(now, loss.Part) || q.ledger.Answered(loss.Part).After(loss.At)
 	q.mu.Unlock()
 	if sound {
 		q.publishAnswer(loss.Part)
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -172,6 +172,7 @@
 	now = now.Add(time.Second)
 	v := l.Check(now, []string{crashing})
 	require.Equal(t, PartsRefused, v.Decision)
+	lose(l, now.Add(5*time.Second), "u8", Strong, crashing) // it was sent before
 	now = v.Until.Add(time.Second)
 	require.Equal(t, PartsAllowed, decide(l, now, crashing))
 	lose(l, now, "u9", Strong, crashing)
@@ -301,7 +302,7 @@
 }
 
 // A host that starts after the others have refused a part learns of it from any of them,
-// also if the host that found it is gone.
+// also if the host that found it has stopped.
 func TestStartingHostLearnsOfRefusedParts(t *testing.T) {
 	b, fleet := newPartsFleet(2, time.Second)
 	for i := range 3 {
