quarantine: hosts ask another one every two seconds

Facts arrive by datagram; the question is for hosts that missed them, and two seconds leave it within the three seconds of the promise.

--- a/quarantine/parts_exchange.go
+++ b/quarantine/parts_exchange.go
@@ -39,7 +39,7 @@
 const (
 	// pullInterval is how often a host asks another for what it knows, so that it
 	// also learns of facts that it missed or that ended with their host.
-	pullInterval = time.Second
+	pullInterval = 2 * time.Second
 	// firstPullInterval is how often a host asks until it has an answer.
 	firstPullInterval = 250 * time.Millisecond
 	// pullTimeout is many round trips between data centres.
