quarantine: condemned parts outlast a kill of all hosts

When all hosts are killed at once, those that start in their place knew of no condemned part, and lost engines to it again until they had found it. Hosts keep nothing, so the host that condemns a part now writes it to the platform's store, under a lease that ends with the condemnation; the host that releases a part removes it. The directory reads the whole store at the start and follows it, so that every host gets the keys with what it reads anyway.

TestPartStaysQuarantinedWhenAllHostsStartAgain failed before: the store held nothing, "Condition never satisfied".

--- a/cmd/seamedge/main.go
+++ b/cmd/seamedge/main.go
@@ -134,5 +134,7 @@
 		Format:   platform.Format{},
 		Stages:   func(t *transport.Client) staging.Caller { return platform.StageCalls{Transport: t} },
 		Register: store.Register,
+		Keep:     store.Keep,
+		Delete:   store.Delete,
 	}
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -83,6 +83,9 @@
 	Registerer prometheus.Registerer
 	// OnConfig is called with each configuration after it was applied.
 	OnConfig func(*routing.Table)
+	// OnItem is called with each item that is neither the configuration nor the entry of
+	// an upstream or a host; nil ignores them. It must return at once.
+	OnItem func(Item)
 }
 
 // Directory is a host's copy of the store. It is safe for concurrent use.
@@ -242,6 +245,8 @@
 		}
 	case len(item.Key) > len(HostPrefix) && item.Key[:len(HostPrefix)] == HostPrefix:
 		d.applyHost(item)
+	case d.config.OnItem != nil:
+		d.config.OnItem(item)
 	}
 }
 
--- a/edge/crashingpart_test.go
+++ b/edge/crashingpart_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -66,6 +67,13 @@
 	e.all = append(e.all, u)
 }
 
+// crashCount returns how many engines have crashed.
+func (e *crashingEngines) crashCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.crashes)
+}
+
 // sentAfter returns how many requests with crashingPart that their callers sent after a
 // time have reached engines.
 func (e *crashingEngines) sentAfter(sent map[string]time.Time, after time.Time) int {
@@ -134,6 +142,41 @@
 	return float64(served) / float64(max(all, 1))
 }
 
+// All hosts are killed at once and start again while requests with a part that crashes
+// engines still come. They must not learn of the part by losing engines again.
+func TestPartStaysQuarantinedWhenAllHostsStartAgain(t *testing.T) {
+	f := newFleet(t)
+	engines := f.startEngines(6, 400*time.Millisecond)
+	before := []*node{f.start(), f.start()}
+	const parts = "aaaa0001:300," + crashingPart + ":100,%08x:50"
+	ask := func(n *node, i int) callerResponse {
+		id := fmt.Sprintf("r%d", i)
+		return f.send(n, http.MethodPost, "/talk/"+id, id, "Prompt-Prefix", fmt.Sprintf(parts, i), "Token-Usage", "450,40")
+	}
+	// A refusal of the part names the time until the part is tried again.
+	isRefused := func(got callerResponse) bool {
+		seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		return got.status == http.StatusServiceUnavailable && err == nil && seconds > time.Minute.Seconds()
+	}
+	for i := 0; !isRefused(ask(before[i%2], i)); i++ {
+		require.Less(t, i, 100, "the part is not found")
+		time.Sleep(150 * time.Millisecond)
+	}
+	require.Eventually(t, func() bool { return len(f.store.Keys("quarantine/")) > 0 }, waitTimeout, 10*time.Millisecond)
+	for _, n := range before {
+		n.stop()
+	}
+	for _, n := range before {
+		require.NoError(t, <-n.result)
+	}
+	crashes := engines.crashCount()
+	after := []*node{f.start(), f.start()}
+	for i := range 10 {
+		require.True(t, isRefused(ask(after[i%2], 1000+i)))
+	}
+	require.Equal(t, crashes, engines.crashCount())
+}
+
 // Requests with one part in their prompts crashed engine after engine, no two of them
 // alike and at any host, and hosts kept sending them.
 func TestPromptPartThatCrashesEnginesIsQuarantined(t *testing.T) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -51,6 +51,10 @@
 	// Register keeps an entry in the store until ctx ends. The host writes its
 	// own address there, so that other hosts find it.
 	Register func(ctx context.Context, key string, value []byte, logger *slog.Logger) error
+	// Keep writes a value to the store, which removes it after a time. Delete removes
+	// one before.
+	Keep   func(ctx context.Context, key string, value []byte, ttl time.Duration) error
+	Delete func(ctx context.Context, key string) error
 }
 
 // Settings configure one host.
@@ -171,7 +175,7 @@
 	h.directory = directory.New(directory.Config{
 		Source: h.platform.Source, Format: h.platform.Format, Instances: h.instances, Fleet: h.members,
 		Gossip: h.members, Caller: h.peerClient, MaxPropagationDelay: h.settings.MaxPropagationDelay, Logger: h.logger,
-		Registerer: h.registry, OnConfig: h.onConfig,
+		Registerer: h.registry, OnConfig: h.onConfig, OnItem: h.onStoreItem,
 	}, h.mux)
 	hostList.setDirectory(h.directory)
 	return nil
@@ -199,6 +203,7 @@
 	})
 	h.parts = quarantine.NewParts(quarantine.PartsConfig{
 		Gossip: h.members, Fleet: h.members, Caller: h.peerClient, Logger: h.logger, Registerer: h.registry,
+		Keep: h.keepPart, Forget: h.forgetPart,
 	}, h.mux)
 	suspects, err := quarantine.New(quarantine.Config{
 		Gossip: h.members, Registerer: h.registry, Settings: quarantine.Settings{Explained: h.parts.Explains},
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -140,7 +140,7 @@
 	built, err := edge.New(s, edge.Platform{
 		Codec: platform.HTTPCodec{}, Source: platform.Source{Store: client}, Format: platform.Format{},
 		Stages:   func(t *transport.Client) staging.Caller { return platform.StageCalls{Transport: t} },
-		Register: client.Register,
+		Register: client.Register, Keep: client.Keep, Delete: client.Delete,
 	}, slog.New(slog.NewJSONHandler(testWriter{f.t, listening}, nil)), prometheus.NewRegistry())
 	require.NoError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -355,7 +355,7 @@
 	if !now.Before(until) || now.Before(p.condemnedUntil) {
 		return false, false
 	}
-	p.condemn(until)
+	p.condemn(earlier(until, now.Add(l.settings.CondemnedTTL)))
 	return true, false
 }
 
--- a/quarantine/parts_exchange.go
+++ b/quarantine/parts_exchange.go
@@ -102,6 +102,10 @@
 	Now        func() time.Time
 	Registerer prometheus.Registerer
 	Settings   PartSettings
+	// Keep is called with a part that this host has condemned and until when, Forget
+	// with one that it has released; nil does nothing. They must return at once.
+	Keep   func(part string, until time.Time)
+	Forget func(part string)
 }
 
 // Parts is this host's part in detecting prompt parts that crash upstreams. It is
@@ -122,6 +126,12 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
+	if config.Keep == nil {
+		config.Keep = func(string, time.Time) {}
+	}
+	if config.Forget == nil {
+		config.Forget = func(string) {}
+	}
 	q := &Parts{
 		config: config,
 		verdicts: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -174,6 +184,7 @@
 	if len(v.Losses) > 0 {
 		q.config.Logger.Warn("prompt part quarantined", "part", v.Part, "until", v.Until, "upstreams", upstreamsOf(v.Losses))
 		q.publish(PartTopic, condemnedKey+v.Part, partFact{Milli: v.Until.UnixMilli()})
+		q.config.Keep(v.Part, v.Until)
 	}
 	return v
 }
@@ -313,6 +324,12 @@
 	return b
 }
 
+// Condemn refuses requests with a part until a time, because another host does. from says
+// where that was learned.
+func (q *Parts) Condemn(part string, until time.Time, from string) {
+	q.condemn(q.config.Now(), part, until, from)
+}
+
 // condemn refuses requests with a part because another host does, or objects.
 func (q *Parts) condemn(now time.Time, part string, until time.Time, from string) {
 	q.mu.Lock()
@@ -349,6 +366,9 @@
 	q.mu.Unlock()
 	if condemned && ended {
 		q.config.Logger.Warn("prompt part released from quarantine", "part", part, "from", from)
+		if from == "" {
+			q.config.Forget(part)
+		}
 	}
 	return ended
 }
