soak: a refusal of one process does not bind hosts to the next one

The traces show that the host paused the process that had refused (until 14.97 and 24.55 s past the minute), that the fault 'was drained and became ready again' put another process under its ID before (13.18 and 23.68 s, 'upstream added'), and that the requests went to that one, which had asked for nothing. The check now ends a refusal with its process; refusals of a process that lives on bind as before.

--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -53,10 +53,11 @@
 	*platformtest.Upstream
 	proxy      *proxy
 	readyAt    time.Time
-	leavingAt  time.Time // zero if it does not leave
-	unlistedAt time.Time // when the store no longer listed it as ready; zero before
-	announced  bool      // the store lists it as leaving
-	removed    bool      // it left without being listed as leaving
+	leavingAt  time.Time   // zero if it does not leave
+	unlistedAt time.Time   // when the store no longer listed it as ready; zero before
+	announced  bool        // the store lists it as leaving
+	removed    bool        // it left without being listed as leaving
+	replacedAt []time.Time // when another process took its ID
 }
 
 // newEnvironment starts the store, the upstreams and the hosts.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -160,6 +160,9 @@
 	if e.storeRestores {
 		// A process that was leaving stays so in a later era of the store.
 		u.NextProcess()
+		e.mu.Lock()
+		u.replacedAt = append(u.replacedAt, time.Now())
+		e.mu.Unlock()
 	}
 	u.Register(e.store, "ready")
 	return u.ID + " was drained and became ready again", nil
--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -145,11 +145,17 @@
 
 // checkRefusals checks that a host stays away from an upstream as long as its refusal
 // asks for. A refusal of an upstream that was stopped then may not have reached the host
-// before it gave up waiting.
+// before it gave up waiting, and one of a process binds no host to the next process with
+// its ID.
 func (s *server) checkRefusals(arrivals []hostArrival) []string {
 	worst := 0
 	for _, refused := range arrivals {
 		from, until := refused.At.Add(refusalKnownTime), refused.At.Add(refused.RetryAfter)
+		for _, replaced := range s.replacedAt {
+			if replaced.After(refused.At) && replaced.Before(until) {
+				until = replaced
+			}
+		}
 		if refused.RetryAfter == 0 || refused.host.wasDisrupted(refused.At, until, killed, stopped, paused) || s.proxy.wasStopped(refused.At, from) {
 			continue
 		}
--- a/internal/soak/notices_test.go
+++ b/internal/soak/notices_test.go
@@ -45,6 +45,11 @@
 	h.disruptions = []*disruption{{kind: killed, from: start.Add(second), until: start.Add(2 * second)}}
 	require.Empty(t, s.checkRefusals(refused(second, second, second)), "the host was restarted")
 	h.disruptions = nil
+	s.replacedAt = []time.Time{start.Add(-second), start.Add(second / 2)}
+	require.Empty(t, s.checkRefusals(refused(second, second, second)), "another process has the ID")
+	s.replacedAt = []time.Time{start.Add(-second), start.Add(3 * second / 2)}
+	require.Len(t, s.checkRefusals(refused(second, second, second)), 1, "the process was replaced later")
+	s.replacedAt = nil
 	s.proxy.stops = []stopTime{{from: start.Add(-2 * second), until: start.Add(-second)}}
 	require.Len(t, s.checkRefusals(refused(second, second, second)), 1, "the upstream was stopped before")
 	s.proxy.stops = []stopTime{{from: start.Add(-second), until: start.Add(second / 10)}}
