throttle: a caller that leaves does not make its host avoid a limit's owner

When a caller left while its host asked the owner of an upstream's limit, the error of the ended context counted as the owner's failure: the host avoided the owner for every task for three seconds and left the upstream out for 0.3 s. Found by reading. The end of the call now says nothing about the owner.

TestOwnerIsNotAvoidedWhenTheCallerLeaves failed before: a wait of 300 ms.

--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -109,22 +109,13 @@
 	request := acquireRequest{
 		ID: l.Process.ID, StartMillis: l.Process.StartTime.UnixMilli(), PerSecond: l.PerSecond, Age: now.Sub(l.NamedAt),
 	}
-	owner, own := t.config.Owners.Owner("limit/"+string(l.Process.ID), now)
-	reply := acquireReply{}
-	if own {
-		reply = t.grant(request)
-	} else {
-		ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
-		defer cancel()
-		var err error
-		// A call that is repeated may be granted twice, which only costs a grant.
-		reply, err = link.CallIdempotent[acquireRequest, acquireReply](ctx, t.config.Caller, owner.LinkAddr, acquireMethod, request)
-		if err != nil {
-			t.asked.WithLabelValues("owner_failed").Inc()
-			t.config.Owners.Avoid(owner.ID, now)
-			t.config.Logger.Warn("limit owner failed", "upstream", string(l.Process.ID), "owner", string(owner.ID), "error", err.Error())
-			return ownerFailedWait, false
-		}
+	reply, err := t.ask(ctx, request, now)
+	switch {
+	case ctx.Err() != nil:
+		return 0, false // the call ends, which says nothing about the owner
+	case err != nil:
+		t.asked.WithLabelValues("owner_failed").Inc()
+		return ownerFailedWait, false
 	}
 	if reply.Granted {
 		t.asked.WithLabelValues("granted").Inc()
@@ -134,6 +125,23 @@
 	return reply.Wait, reply.Granted
 }
 
+// ask has the owner of a process decide. An owner that fails is avoided for a while.
+func (t *Throttle) ask(ctx context.Context, r acquireRequest, now time.Time) (acquireReply, error) {
+	owner, own := t.config.Owners.Owner("limit/"+string(r.ID), now)
+	if own {
+		return t.grant(r), nil
+	}
+	askCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
+	defer cancel()
+	// A call that is repeated may be granted twice, which only costs a grant.
+	reply, err := link.CallIdempotent[acquireRequest, acquireReply](askCtx, t.config.Caller, owner.LinkAddr, acquireMethod, r)
+	if err != nil && ctx.Err() == nil {
+		t.config.Owners.Avoid(owner.ID, now)
+		t.config.Logger.Warn("limit owner failed", "upstream", string(r.ID), "owner", string(owner.ID), "error", err.Error())
+	}
+	return reply, err
+}
+
 // grant decides on one request to a process that this host owns.
 func (t *Throttle) grant(r acquireRequest) acquireReply {
 	now := t.config.Now()
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -1,13 +1,20 @@
 package throttle
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/host/hosttest"
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/link"
+	"github.com/galenaseam/galenaseam/ownership"
 )
 
 // The promise on limits that upstreams name: in any limitWindow at most limitFactor times
@@ -35,6 +42,40 @@
 	return &Throttle{config: Config{Now: func() time.Time { return *now }}, buckets: make(map[bucketKey]*bucket)}
 }
 
+// silentOwner answers no call.
+type silentOwner struct{}
+
+func (silentOwner) Call(ctx context.Context, _ netip.AddrPort, _ link.Method, _, _ any) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// A caller that leaves while its host asks the owner of a limit made the host avoid the
+// owner for every task. Only an owner that does not answer in time may be avoided.
+func TestOwnerIsNotAvoidedWhenTheCallerLeaves(t *testing.T) {
+	fleet := hosttest.Fleet{{Info: host.Info{ID: "h0", Capacity: 1}}, {Info: host.Info{ID: "h1", Capacity: 1}}}
+	owners := ownership.New(fleet, time.Now())
+	id := instance.ID("")
+	for i := 0; id == ""; i++ {
+		if _, own := owners.Owner(fmt.Sprint("limit/u", i), time.Now()); !own {
+			id = instance.ID(fmt.Sprint("u", i))
+		}
+	}
+	limited := New(Config{Owners: owners, Caller: silentOwner{}, Logger: slog.New(slog.DiscardHandler)}, link.NewMux())
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	wait, granted := limited.Acquire(ctx, Limit{Process: instance.Process{ID: id}, PerSecond: 1})
+	require.False(t, granted)
+	require.Zero(t, wait, "other callers may ask at once")
+	_, own := owners.Owner("limit/"+string(id), time.Now())
+	require.False(t, own)
+	wait, granted = limited.Acquire(t.Context(), Limit{Process: instance.Process{ID: id}, PerSecond: 1})
+	require.False(t, granted)
+	require.Equal(t, ownerFailedWait, wait)
+	_, own = owners.Owner("limit/"+string(id), time.Now())
+	require.True(t, own, "the owner that does not answer is avoided")
+}
+
 // Two hosts grant requests to one upstream, since the hosts' views of the fleet differ, and
 // all hosts ask all the time. Their sum must stay within the promise, for limits below one
 // too, also after a time in which nobody asked.
