balance: an upstream without an answer gets requests beside a fast one

Cause: the score of an upstream whose latency is not known used a fixed 20 ms. Once a host had an answer of the other one in 16 ms, the unknown one scored 25 % worse, more than the random share of a score (10 %), and stayed unknown. A new upstream of a service that answers in less than about 18 ms gets no requests of a host until the others are loaded.

Ruled out: the limit's owner or its grants (no call to the limited upstream, no limit known, no "limit owner failed"), a pause, an ejection (no log line).

Fix: an unknown latency is taken to be the lowest that is known, so that a new upstream is measured within a few requests. TestUpstreamWithoutAnAnswerGetsRequests fails before (0 of 1000 choices) and passes now.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,7 +20,7 @@
 	// It is small because the added delay is small, but traffic between data
 	// centres costs money.
 	remoteFactor = 1.15
-	// defaultLatency is used for upstreams whose latency isn't known yet.
+	// defaultLatency is used while the latency of no upstream is known.
 	defaultLatency = 20 * time.Millisecond
 	// errorFactor sets how strongly errors raise the score: an upstream that
 	// fails every call counts as 1 + errorFactor times as loaded.
@@ -58,10 +58,12 @@
 // The upstreams serve requests in a fixed number of slots. It returns false if
 // there is none to choose.
 func ChooseUpstream(all []instance.Status, need Need, random *rand.Rand) (instance.Status, bool) {
-	return lowestScore(usable(all, need), func(s instance.Status) float64 {
+	candidates := usable(all, need)
+	unknown := lowestLatency(candidates)
+	return lowestScore(candidates, func(s instance.Status) float64 {
 		latency := s.Latency
 		if latency == 0 {
-			latency = defaultLatency
+			latency = unknown
 		}
 		load := float64(s.InFlight+1) / float64(max(s.Slots, 1))
 		score := latency.Seconds() * (1 + load) * (1 + errorFactor*s.ErrorRate*s.ErrorRate)
@@ -72,6 +74,22 @@
 	})
 }
 
+// lowestLatency returns the latency that an upstream without an answer is taken to have:
+// that of the fastest one, or else it would get no requests beside upstreams that are
+// faster than any default.
+func lowestLatency(all []instance.Status) time.Duration {
+	var lowest time.Duration
+	for _, s := range all {
+		if s.Latency > 0 && (lowest == 0 || s.Latency < lowest) {
+			lowest = s.Latency
+		}
+	}
+	if lowest == 0 {
+		return defaultLatency
+	}
+	return lowest
+}
+
 // ChooseEngine chooses a model server. It prefers the home engines of the
 // prompt's prefix, in order, and skips those that are overloaded or fail often.
 // Otherwise it chooses the least loaded engine.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -48,6 +48,17 @@
 	}
 }
 
+// An upstream that had not answered yet got no requests beside one that answers faster
+// than the default latency.
+func TestUpstreamWithoutAnAnswerGetsRequests(t *testing.T) {
+	for _, known := range []time.Duration{time.Millisecond, 15 * time.Millisecond, time.Second} {
+		counts := countChoices([]instance.Status{
+			status("new", func(s *instance.Status) { s.Latency = 0 }), status("known", func(s *instance.Status) { s.Latency = known }),
+		}, balance.Need{PreferredDataCentre: "a"})
+		require.InDelta(t, 500, counts["new"], 100, known)
+	}
+}
+
 func TestTriedUpstreamsAreNeverChosenAndEjectedOnesLast(t *testing.T) {
 	all := []instance.Status{status("x", nil), status("y", func(s *instance.Status) { s.Ejected = true })}
 	require.Equal(t, map[instance.ID]int{"y": 1000}, countChoices(all, balance.Need{Tried: []instance.ID{"x"}}))
--- a/edge/limit_test.go
+++ b/edge/limit_test.go
@@ -71,9 +71,9 @@
 			if c.service == "pieces" {
 				f.upstream(&platformtest.Upstream{ID: "engine", Service: "events", Events: 3})
 			}
-			work := 15 * time.Millisecond
-			limited := f.upstream(&platformtest.Upstream{ID: "u0", Service: c.service, Events: c.events, Work: work})
-			other := f.upstream(&platformtest.Upstream{ID: "u1", Service: c.service, Events: c.events, Work: work})
+			// The faster upstream is the limited one, so that hosts prefer it while they may.
+			limited := f.upstream(&platformtest.Upstream{ID: "u0", Service: c.service, Events: c.events, Work: 5 * time.Millisecond})
+			other := f.upstream(&platformtest.Upstream{ID: "u1", Service: c.service, Events: c.events, Work: 15 * time.Millisecond})
 			for range 4 {
 				f.start()
 			}
