gateway: a host's own pause is no silence of an upstream

On the first timer after the pause the host took its own pause for silence of the stream's upstream and began a replacement at another one. The events that had waited in the socket came first and ended the replacement, which counts as a run; when the first upstream then broke off, the route's attempts were used up.

Cause: the monitor of silence timed with one timer, which runs on while the host is stopped.

Fix: internal/sleep.Countdown times in four steps, and a step that ends late by more than its length doesn't count. After a pause of any length an upstream has at least a quarter of the timeout to be heard, and a silence is still reported within one and a quarter timeouts.

A monitor that was stopped while its timer ran set the timer again; it no longer does.

--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -44,8 +44,8 @@
 	minAnswerTimeout = 250 * time.Millisecond
 )
 
-// silenceMonitor reports when the upstream of an attempt sends nothing for too long. A
-// silent upstream may be sound, so the monitor only reports.
+// silenceMonitor reports when the upstream of an attempt sends nothing for too long, in
+// time in which this host ran. A silent upstream may be sound, so the monitor only reports.
 type silenceMonitor struct {
 	attempt      *upstreamAttempt
 	addr         netip.AddrPort
@@ -54,9 +54,11 @@
 
 	probing atomic.Bool // a probe is under way
 
-	mu       sync.Mutex // guards timer and activity
-	timer    *time.Timer
-	activity uint64
+	mu        sync.Mutex // guards the fields below
+	timer     *time.Timer
+	countdown sleep.Countdown // to the next report
+	activity  uint64
+	stopped   bool
 }
 
 // newSilenceMonitor returns a monitor for an attempt on an upstream.
@@ -75,7 +77,22 @@
 func (m *silenceMonitor) start() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.timer = time.AfterFunc(m.firstTimeout, m.onTimeout)
+	now := time.Now()
+	m.countdown = sleep.NewCountdown(m.firstTimeout, now)
+	m.timer = time.AfterFunc(m.countdown.Wait(now), func() { m.onTimer(time.Now()) })
+}
+
+// restart starts the timeout for a further silence. The caller holds mu.
+func (m *silenceMonitor) restart(now time.Time) {
+	m.countdown = sleep.NewCountdown(m.idleTimeout, now)
+	m.setTimer(now)
+}
+
+// setTimer sets the timer unless the monitor was stopped. The caller holds mu.
+func (m *silenceMonitor) setTimer(now time.Time) {
+	if !m.stopped {
+		m.timer.Reset(m.countdown.Wait(now))
+	}
 }
 
 // recordActivity records that the upstream sent something.
@@ -83,7 +100,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.activity++
-	m.timer.Reset(m.idleTimeout)
+	m.restart(time.Now())
 }
 
 // activityCount returns how often the upstream has sent something.
@@ -96,18 +113,33 @@
 func (m *silenceMonitor) stop() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.stopped = true
 	m.timer.Stop()
 }
 
-// onTimeout reports the silence, and starts the next timeout unless the attempt has ended.
-func (m *silenceMonitor) onTimeout() {
-	activity := m.activityCount()
+// onTimer reports the silence if it is too long, and starts the next timeout.
+func (m *silenceMonitor) onTimer(now time.Time) {
+	activity, silent := m.isSilent(now)
+	if !silent {
+		return
+	}
 	m.attempt.report(report{kind: upstreamSilent, activity: activity})
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.attempt.ctx.Err() == nil && m.activity == activity {
-		m.timer.Reset(m.idleTimeout)
+	if m.activity == activity {
+		m.restart(time.Now())
+	}
+}
+
+// isSilent reports whether the silence is too long, and sets the timer if not.
+func (m *silenceMonitor) isSilent(now time.Time) (activity uint64, silent bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.countdown.Next(now) {
+		m.setTimer(now)
+		return m.activity, false
 	}
+	return m.activity, true
 }
 
 // probe checks whether a silent upstream accepts connections, and reports each probe
