staging: a silent stage server is waited for when its pieces may not run elsewhere

Without budget the pieces failed.

Fix: past its timeout a call ends once the budget has paid for the retries of its pieces, once nobody waits for them, or if its server accepts no connection. Until then it continues, and its results count.

TestSilentServerIsWaitedForWithoutRetryBudget fails when a call ends at its timeout as before; TestUnreachableServerIsNotWaitedFor and TestCallEndsAfterItsRequests hold the other side.

--- a/staging/batch.go
+++ b/staging/batch.go
@@ -25,6 +25,9 @@
 	bytes    int64         // memory that the results will take
 	started  time.Time
 	expected time.Duration // duration without queueing or slowdown
+	// retriesPaid is true if the retries of the pieces were taken from the retry budget
+	// when the call was ended.
+	retriesPaid bool
 }
 
 // start sends a batch to a server. The caller holds mu.
@@ -52,7 +55,8 @@
 
 // run makes the call, processes its results and dispatches the next batches.
 func (g *Gatherer) run(b *batchCall, pieces []call.Piece, timeout time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := context.WithCancel(context.Background())
+	go g.superviseCall(ctx, cancel, b, timeout)
 	results, outcome, notRun, err := g.config.Caller.RunPieces(ctx, b.server.Entry, pieces)
 	cancel()
 	now := time.Now()
@@ -101,7 +105,7 @@
 		reason = call.PiecePaused
 	}
 	for _, part := range b.parts {
-		callbacks = append(callbacks, g.requeueOrFail(s, part.item, part.pieces, reason, now)...)
+		callbacks = append(callbacks, g.requeueOrFail(s, part.item, part.pieces, reason, b.retriesPaid, now)...)
 	}
 	return callbacks
 }
@@ -148,7 +152,7 @@
 		if len(failed) > 0 {
 			g.config.Logger.Warn("pieces failed", "request", w.RequestID, "service", s.name, "stage", w.Stage,
 				"upstream", string(b.server.ID), "pieces", len(failed), "reason", reason.String())
-			callbacks = append(callbacks, g.requeueOrFail(s, w, failed, reason, now)...)
+			callbacks = append(callbacks, g.requeueOrFail(s, w, failed, reason, false, now)...)
 		} else if w.unfinished == 0 {
 			callbacks = append(callbacks, w.end(call.PieceDone))
 		}
@@ -157,8 +161,8 @@
 }
 
 // requeueOrFail puts failed pieces back into the queue if another attempt can
-// help and the retry budget allows it. Otherwise it fails the group.
-func (g *Gatherer) requeueOrFail(s *serviceState, w *workItem, pieces []int, reason call.PieceFailure, now time.Time) []func() {
+// help and the retry budget allows it, or paid is true. Otherwise it fails the group.
+func (g *Gatherer) requeueOrFail(s *serviceState, w *workItem, pieces []int, reason call.PieceFailure, paid bool, now time.Time) []func() {
 	if w.ended {
 		return nil
 	}
@@ -172,7 +176,7 @@
 		retry = w.refusals <= maxRefusals
 	case call.PieceError:
 		w.retries++
-		retry = w.retries <= maxRetries && g.config.Retries.AllowRetries(s.name, len(pieces), 1, now)
+		retry = w.retries <= maxRetries && (paid || g.config.Retries.AllowRetries(s.name, len(pieces), 1, now))
 	}
 	if !retry {
 		g.freeResults(w)
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -27,7 +27,7 @@
 	// server had no memory for them.
 	maxRefusals = 6
 	// timeoutFactor times the expected duration of a call is its timeout. When
-	// it has passed, the call's pieces are retried.
+	// it has passed, the call's pieces are retried if the retry budget allows it.
 	timeoutFactor = 4
 	// timeoutSlack is added to the timeout to allow for queueing at the server.
 	timeoutSlack = 400 * time.Millisecond
@@ -49,6 +49,8 @@
 	// the server's health. notRun is true if the server certainly did not start
 	// the pieces.
 	RunPieces(ctx context.Context, server instance.Entry, pieces []call.Piece) (results []call.PieceResult, outcome instance.Outcome, notRun bool, err error)
+	// Probe fails if a server accepts no connections.
+	Probe(ctx context.Context, server instance.Entry) error
 	// FreeMemory returns how many bytes a server has free for results.
 	FreeMemory(ctx context.Context, server instance.Entry) (int64, error)
 	// FreeResults frees results on the servers that hold them.
--- a/staging/gatherer_test.go
+++ b/staging/gatherer_test.go
@@ -24,6 +24,10 @@
 	spec     *routing.StageServer
 	slowdown map[instance.ID]float64
 	fail     map[instance.ID]error
+	// silence is how much longer the first call takes.
+	silence time.Duration
+	// unreachable servers accept no connections.
+	unreachable bool
 	// cutAt is when every running call loses its connection. The servers finish
 	// the work and keep the results.
 	cutAt time.Time
@@ -33,6 +37,7 @@
 	holder        map[string]instance.ID
 	bytes         int64
 	calls         int
+	ended         int // calls that the gatherer has ended
 	refusedPieces int
 }
 
@@ -42,6 +47,10 @@
 	}
 	f.mu.Lock()
 	f.calls++
+	silence := time.Duration(0)
+	if f.calls == 1 {
+		silence = f.silence
+	}
 	results := make([]call.PieceResult, len(pieces))
 	for i, p := range pieces {
 		if f.used[server.ID]+f.bytes > f.spec.ResultMemory {
@@ -55,7 +64,7 @@
 	}
 	f.mu.Unlock()
 	slow := max(f.slowdown[server.ID], 1)
-	took := time.Duration(slow * float64(f.spec.CallTime+time.Duration(len(pieces))*f.spec.PieceTime))
+	took := time.Duration(slow*float64(f.spec.CallTime+time.Duration(len(pieces))*f.spec.PieceTime)) + silence
 	if left := time.Until(f.cutAt); left > 0 && left < took {
 		var kept []string
 		for _, r := range results {
@@ -69,10 +78,20 @@
 	case <-time.After(took):
 		return results, instance.Answered, false, nil
 	case <-ctx.Done():
+		f.mu.Lock()
+		f.ended++
+		f.mu.Unlock()
 		return nil, instance.Broke, false, ctx.Err()
 	}
 }
 
+func (f *fakeServers) Probe(context.Context, instance.Entry) error {
+	if f.unreachable {
+		return errors.New("connection refused")
+	}
+	return nil
+}
+
 func (f *fakeServers) FreeMemory(_ context.Context, server instance.Entry) (int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/staging/slow_test.go
@@ -0,0 +1,104 @@
+package staging
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/call"
+	"github.com/galenaseam/galenaseam/retry"
+	"github.com/galenaseam/galenaseam/routing"
+)
+
+// slowServers returns servers whose calls take 166 ms for a piece, and the first one longer
+// by a silence. The timeout of such a call is 1064 ms.
+func slowServers(silence time.Duration) *fakeServers {
+	return &fakeServers{
+		bytes: 8e3, silence: silence,
+		spec: &routing.StageServer{
+			Concurrency: 1, BatchSize: 8, CallTime: 150 * time.Millisecond, PieceTime: 16 * time.Millisecond, ResultMemory: 36e6, ResultTTL: 4 * time.Second,
+		},
+	}
+}
+
+// gatherOne runs a group of one piece that has 6 s.
+func gatherOne(t *testing.T, g *Gatherer) (result call.PieceFailure, took time.Duration) {
+	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+	defer cancel()
+	started := time.Now()
+	results := g.Gather(ctx, Group{Service: "pieces", RequestID: "r", Pieces: 1, RemainingToTarget: time.Second, Remaining: 6 * time.Second, ResultBytes: 8e3})
+	return failure(results), time.Since(started)
+}
+
+var noRetries = retry.Bounds{Window: 10 * time.Second}
+
+// A request was refused when a stage server was silent for longer than a call's timeout
+// and the retry budget was empty, though the results were on their way.
+func TestSilentServerIsWaitedForWithoutRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := slowServers(3 * time.Second)
+		g := newTestGatherer(t, 2, f)
+		g.config.Retries.SetBounds(noRetries)
+		result, took := gatherOne(t, g)
+		require.Equal(t, call.PieceDone, result)
+		require.Equal(t, 3166*time.Millisecond, took)
+		require.Equal(t, 1, f.calls)
+	})
+}
+
+func TestSilentServerIsReplacedWithinRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := slowServers(3 * time.Second)
+		result, took := gatherOne(t, newTestGatherer(t, 2, f))
+		require.Equal(t, call.PieceDone, result)
+		require.Equal(t, (1064+166)*time.Millisecond, took)
+		require.Equal(t, 2, f.calls)
+		require.Equal(t, 1, f.ended)
+	})
+}
+
+// The retry of a call that was ended is counted once.
+func TestReplacementCostsOneRetryPerPiece(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := slowServers(3 * time.Second)
+		g := newTestGatherer(t, 2, f)
+		g.config.Retries.SetBounds(retry.Bounds{Slack: 2, Window: 10 * time.Second})
+		result, _ := gatherOne(t, g)
+		require.Equal(t, call.PieceDone, result)
+		require.Equal(t, 2, f.calls)
+		require.False(t, g.config.Retries.AllowRetries("pieces", 1, 1, time.Now()))
+	})
+}
+
+// A request must not wait for the results of a server that accepts no connections.
+func TestUnreachableServerIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := slowServers(time.Minute)
+		f.unreachable = true
+		g := newTestGatherer(t, 1, f)
+		g.config.Retries.SetBounds(noRetries)
+		result, took := gatherOne(t, g)
+		require.Equal(t, call.PieceError, result)
+		require.Equal(t, 1064*time.Millisecond, took)
+	})
+}
+
+// A call to a server that hangs ends after the requests that it was for, or else the
+// server's slot stays taken.
+func TestCallEndsAfterItsRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := slowServers(time.Hour)
+		g := newTestGatherer(t, 1, f)
+		g.config.Retries.SetBounds(noRetries)
+		result, took := gatherOne(t, g)
+		require.Equal(t, call.PieceDeadlineExceeded, result)
+		require.Equal(t, 6*time.Second, took)
+		time.Sleep(slowCallInterval)
+		synctest.Wait()
+		require.Equal(t, 1, f.ended)
+		require.Empty(t, g.services["pieces"].running)
+	})
+}
