--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -33,7 +33,7 @@
 	report, err := Run(ctx, Config{
 		Seed: drillSeed, Hosts: 3, Length: 6 * time.Second, Callers: 6,
 		Deployments: ExampleDeployments("", 3), CrashEngines: true,
-		Seamd:       filepath.Join(programs, "seamd"), Seamdrill: filepath.Join(programs, "seamdrill"),
+		Seamd: filepath.Join(programs, "seamd"), Seamdrill: filepath.Join(programs, "seamdrill"),
 		Dir: dir, Out: &syncWriter{w: &said},
 	})
 	if err != nil {
