attempt: a host's own pause is no stall of an engine

Fix: the timeout counts in sleep.Countdown, as in gateway. TestPauseOfTheHostIsNoStallOfItsEngine fails when a late timer counts as a stall, as before.

--- a/attempt/stall.go
+++ b/attempt/stall.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/galenaseam/galenaseam/internal/sleep"
 )
 
 // stallMonitor ends a stream that stalls, if a replacement is reserved for it: a
@@ -15,9 +17,10 @@
 	timeout time.Duration
 	timer   *time.Timer
 
-	mu      sync.Mutex // guards the fields below
-	lines   int
-	stopped bool
+	mu        sync.Mutex // guards the fields below
+	countdown sleep.Countdown
+	lines     int
+	stopped   bool
 }
 
 // monitorStalls returns a monitor that starts with the first line.
@@ -26,7 +29,7 @@
 	if m.reserve == nil {
 		m.reserve = func(context.Context) (func(), bool) { return func() {}, true }
 	}
-	m.timer = time.AfterFunc(m.timeout, m.onStall)
+	m.timer = time.AfterFunc(m.timeout, func() { m.onTimer(time.Now()) })
 	m.timer.Stop()
 	return m
 }
@@ -36,7 +39,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lines++
-	m.timer.Reset(m.timeout)
+	m.restart(time.Now())
+}
+
+// restart starts the timeout. The caller holds mu.
+func (m *stallMonitor) restart(now time.Time) {
+	m.countdown = sleep.NewCountdown(m.timeout, now)
+	m.timer.Reset(m.countdown.Wait(now))
 }
 
 func (m *stallMonitor) stop() {
@@ -46,8 +55,21 @@
 	m.timer.Stop()
 }
 
-// onStall reserves a replacement and then ends the stream, unless the stream goes on
-// meanwhile. Without a replacement, it waits for another timeout.
+// onTimer handles a stall once the timeout has passed in time in which this host ran.
+func (m *stallMonitor) onTimer(now time.Time) {
+	m.mu.Lock()
+	over := m.countdown.Next(now)
+	if !over && !m.stopped {
+		m.timer.Reset(m.countdown.Wait(now))
+	}
+	m.mu.Unlock()
+	if over {
+		m.onStall()
+	}
+}
+
+// onStall reserves a replacement and then ends the stream, unless the stream continues in
+// that time. Without a replacement, it waits for another timeout.
 func (m *stallMonitor) onStall() {
 	m.mu.Lock()
 	lines := m.lines
@@ -59,7 +81,7 @@
 	case stalled && reserved:
 		m.cancel(errStalled)
 	case stalled:
-		m.timer.Reset(m.timeout)
+		m.restart(time.Now())
 	}
 	m.mu.Unlock()
 	if reserved && !stalled {
