--- a/member/urgent_test.go
+++ b/member/urgent_test.go
@@ -35,9 +35,7 @@
 	}
 }
 
-// Guards against urgent facts being delayed in a long series of crashes: a host that had
-// published about a dozen had none of its budget left, and a caller that repeated its
-// request crashed upstreams at hosts that did not know.
+// Guards against urgent facts being delayed because those before have used up the budget.
 func TestUrgentFactsSpreadPromptlyInASeries(t *testing.T) {
 	const hosts, crashes = 12, 40
 	n := newNetwork(t, 22)
