instance: a process keeps what it said before its entry was listed

Cause: notices are recorded for a process, that is an ID and a start time. Answers state the ID at most, so the host took the start time from the entry. The store had come back from a copy that listed the process before; the refusal was kept for that one and lost when the present process wrote its entry again. An upstream's leaving and its limit took the same way, and so did an answer to a call that was sent before the new entry arrived. Change: a notice holds when it was said. A process whose entry arrives later inherits what was recorded for its predecessor if it ran already by then, at most a minute before. The margin for clocks is a second. MarkLeaving takes the time; the tests that call it pass one, their checks are unchanged.

--- a/edge/notices.go
+++ b/edge/notices.go
@@ -41,10 +41,10 @@
 	if !known {
 		return
 	}
+	now := time.Now()
 	if notice.Leaving {
-		h.instances.MarkLeaving(sender)
+		h.instances.MarkLeaving(sender, now)
 	}
-	now := time.Now()
 	if notice.Pause > 0 {
 		h.instances.Pause(sender, now.Add(notice.Pause), now)
 	}
--- a/gateway/withheld_test.go
+++ b/gateway/withheld_test.go
@@ -41,7 +41,7 @@
 			return true
 		}
 		withheld++
-		table.MarkLeaving(c.Upstream)
+		table.MarkLeaving(c.Upstream, time.Now())
 		return false
 	})
 	w := httptest.NewRecorder()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -183,12 +183,12 @@
 		return kept
 	}
 	if old == nil {
-		t.add(&Instance{Entry: e})
+		t.addAfter(e, t.tombstones[e.ID].last)
 		return cmp.Or(kept, "added")
 	}
 	if !old.sameProcess(e) {
 		t.drop(old)
-		t.add(&Instance{Entry: e})
+		t.addAfter(e, old.Entry)
 		return "added"
 	}
 	wasLeaving := old.isLeaving()
@@ -248,8 +248,14 @@
 	}
 }
 
-func (t *Table) add(i *Instance) {
+// addAfter adds an upstream. predecessor is the last entry with its ID, zero if none is
+// known.
+func (t *Table) addAfter(e, predecessor Entry) {
+	i := &Instance{Entry: e}
 	t.restore(i)
+	if predecessor.ID == e.ID {
+		t.inherit(i, predecessor.Process())
+	}
 	t.byID[i.ID] = i
 	list := append(t.byService[i.Service], i)
 	slices.SortFunc(list, func(a, b *Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
--- a/instance/limits.go
+++ b/instance/limits.go
@@ -40,7 +40,10 @@
 func (t *Table) SetLimit(p Process, perSecond float64, named bool, now time.Time) {
 	t.mu.Lock()
 	var change *Change
-	if i := t.listed(p); i != nil {
+	if i := t.sender(p, now); i != nil {
+		if named {
+			i.saidAt = now
+		}
 		if i.limit.update(perSecond, named, now) {
 			change = &Change{Entry: i.Entry, Kind: "unlimited", Source: SourceAnswer}
 			if named {
@@ -49,6 +52,9 @@
 		}
 	} else if n := t.kept[p.key()].notice; named || n.limit.named {
 		n.limit.update(perSecond, named, now)
+		if named {
+			n.saidAt = now
+		}
 		t.keep(p, n)
 	}
 	t.mu.Unlock()
--- a/instance/notices.go
+++ b/instance/notices.go
@@ -37,6 +37,15 @@
 	// within its limit.
 	throttledUntil time.Time
 	limit          limit
+	// saidAt is when the process last said that it is leaving, asked for a pause or
+	// named a limit.
+	saidAt time.Time
+}
+
+// isEmpty reports whether the process has said nothing that still matters.
+func (n notice) isEmpty() bool {
+	n.saidAt = time.Time{}
+	return n == (notice{})
 }
 
 // keptNotice is the notice of a process that is not listed.
@@ -52,17 +61,17 @@
 // MarkLeaving records that a process has said in an answer that it is leaving. It
 // gets no new work from this host, whatever a later entry of the same process
 // says, also if its entry is removed and returns.
-func (t *Table) MarkLeaving(p Process) {
+func (t *Table) MarkLeaving(p Process, now time.Time) {
 	t.mu.Lock()
 	var change *Change
-	if i := t.listed(p); i != nil {
+	if i := t.sender(p, now); i != nil {
 		if !i.isLeaving() {
 			change = &Change{Entry: i.Entry, Kind: "leaving", Source: SourceAnswer}
 		}
-		i.leaving = true
+		i.leaving, i.saidAt = true, now
 	} else {
 		n := t.kept[p.key()].notice
-		n.leaving = true
+		n.leaving, n.saidAt = true, now
 		t.keep(p, n)
 	}
 	t.mu.Unlock()
@@ -110,9 +119,50 @@
 	return nil
 }
 
+const (
+	// maxClockError is how far the clocks of a host and an upstream may differ when the
+	// host decides which of two processes gave an answer.
+	maxClockError = time.Second
+	// maxUnlistedTime is how long a process may serve before the host learns of its
+	// entry, because the store is away or has come back from an older copy.
+	maxUnlistedTime = time.Minute
+)
+
+// ranUnlisted reports whether the process already ran at a time at which the host did
+// not know its entry yet.
+func (e Entry) ranUnlisted(at time.Time) bool {
+	age := at.Sub(e.StartTime)
+	return age > maxClockError && age < maxUnlistedTime
+}
+
+// sender returns the listed upstream whose answer to a call for process p arrived now,
+// nil if it is not listed. Answers state an ID at most, so it is the successor of p
+// under its ID if that has started since. The caller holds mu.
+func (t *Table) sender(p Process, now time.Time) *Instance {
+	if i := t.listed(p); i != nil {
+		return i
+	}
+	if i := t.byID[p.ID]; i != nil && i.StartTime.After(p.StartTime) && i.ranUnlisted(now) {
+		return i
+	}
+	return nil
+}
+
+// inherit gives an upstream the notice that was recorded for its predecessor after it had
+// started itself: until its entry arrived, its answers were taken for those of the
+// predecessor. The caller holds mu.
+func (t *Table) inherit(i *Instance, predecessor Process) {
+	former, found := t.kept[predecessor.key()]
+	if !found || !i.notice.isEmpty() || !i.StartTime.After(predecessor.StartTime) || !i.ranUnlisted(former.saidAt) {
+		return
+	}
+	i.notice = former.notice
+	delete(t.kept, predecessor.key())
+}
+
 // keep remembers the notice of a process that is not listed. The caller holds mu.
 func (t *Table) keep(p Process, n notice) {
-	if n == (notice{}) {
+	if n.isEmpty() {
 		delete(t.kept, p.key())
 		return
 	}
--- a/instance/notices_test.go
+++ b/instance/notices_test.go
@@ -37,7 +37,7 @@
 	} {
 		table := instance.NewTable(nil)
 		table.Put(noticeEntry(1, 1))
-		table.MarkLeaving(noticeEntry(1, 1).Process())
+		table.MarkLeaving(noticeEntry(1, 1).Process(), time.Unix(1000, 0))
 		later(table)
 		require.Empty(t, table.Service("s", now), name)
 		require.Equal(t, []instance.ID{"a"}, table.Withheld("s", time.Unix(1000, 0)), name)
@@ -51,7 +51,7 @@
 	table := instance.NewTable(nil)
 	table.Put(noticeEntry(1, 1))
 	table.Remove("a", infra.Position{Revision: 2})
-	table.MarkLeaving(noticeEntry(1, 1).Process())
+	table.MarkLeaving(noticeEntry(1, 1).Process(), time.Unix(1000, 0))
 	table.Put(noticeEntry(3, 1))
 	require.Empty(t, table.Service("s", time.Unix(1000, 0)))
 }
@@ -62,10 +62,10 @@
 	now := time.Unix(1000, 0)
 	table := instance.NewTable(nil)
 	table.Put(noticeEntry(1, 1))
-	table.MarkLeaving(noticeEntry(1, 1).Process())
+	table.MarkLeaving(noticeEntry(1, 1).Process(), time.Unix(1000, 0))
 	table.Put(noticeEntry(2, 2))
 	require.Equal(t, []instance.ID{"a"}, healthyIDs(table, now))
-	table.MarkLeaving(noticeEntry(1, 1).Process())
+	table.MarkLeaving(noticeEntry(1, 1).Process(), time.Unix(1000, 0))
 	require.Equal(t, []instance.ID{"a"}, healthyIDs(table, now))
 	require.Empty(t, table.Withheld("s", time.Unix(1000, 0)))
 	table.Put(noticeEntry(3, 1))
@@ -77,7 +77,7 @@
 func TestEntriesForOtherHostsAreThoseOfTheStore(t *testing.T) {
 	table := instance.NewTable(nil)
 	table.Put(noticeEntry(1, 1))
-	table.MarkLeaving(noticeEntry(1, 1).Process())
+	table.MarkLeaving(noticeEntry(1, 1).Process(), time.Unix(1000, 0))
 	entries, _, _ := table.ChangesSince(infra.Position{})
 	require.Equal(t, []instance.Entry{noticeEntry(1, 1)}, entries)
 	require.Equal(t, entries, table.Entries())
@@ -92,8 +92,8 @@
 		}
 	})
 	table.Put(noticeEntry(1, 1))
-	table.MarkLeaving(noticeEntry(1, 1).Process())
-	table.MarkLeaving(noticeEntry(1, 1).Process())
+	table.MarkLeaving(noticeEntry(1, 1).Process(), time.Unix(1000, 0))
+	table.MarkLeaving(noticeEntry(1, 1).Process(), time.Unix(1000, 0))
 	e := noticeEntry(2, 1)
 	e.Leaving = true
 	table.Put(e)
@@ -105,7 +105,7 @@
 func TestNoticesOfGoneProcessesAreBounded(t *testing.T) {
 	table := instance.NewTable(nil)
 	for i := range 20_000 {
-		table.MarkLeaving(instance.Process{ID: instance.ID(fmt.Sprint("up-", i))})
+		table.MarkLeaving(instance.Process{ID: instance.ID(fmt.Sprint("up-", i))}, time.Unix(1000, 0))
 	}
 	require.Less(t, table.KeptNotices(), 5000)
 	table.Put(instance.Entry{ID: "up-19999", Service: "s", Revision: 1})
--- a/instance/pauses.go
+++ b/instance/pauses.go
@@ -15,14 +15,14 @@
 func (t *Table) Pause(p Process, until, now time.Time) {
 	t.mu.Lock()
 	var change *Change
-	if i := t.listed(p); i != nil {
+	if i := t.sender(p, now); i != nil {
 		if until.Sub(later(i.pausedUntil, now)) >= pauseReportStep || !now.Before(i.pausedUntil) && until.After(now) {
 			change = &Change{Entry: i.Entry, Kind: "paused", Source: SourceAnswer, Until: until}
 		}
-		i.pausedUntil = later(i.pausedUntil, until)
+		i.pausedUntil, i.saidAt = later(i.pausedUntil, until), now
 	} else {
 		n := t.kept[p.key()].notice
-		n.pausedUntil = later(n.pausedUntil, until)
+		n.pausedUntil, n.saidAt = later(n.pausedUntil, until), now
 		t.keep(p, n)
 	}
 	t.lastPauseEnd = later(t.lastPauseEnd, until)
@@ -77,7 +77,7 @@
 func (t *Table) IsPaused(p Process, addr netip.AddrPort, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch i := t.listed(p); {
+	switch i := t.sender(p, now); {
 	case !now.Before(t.lastPauseEnd):
 		return false
 	case i != nil:
--- a/placement/placer_withheld_test.go
+++ b/placement/placer_withheld_test.go
@@ -77,7 +77,7 @@
 func TestOwnerDoesNotChooseEngineWithheldFromTheAskingHost(t *testing.T) {
 	now := time.Now()
 	for name, withhold := range map[string]func(*instance.Table, instance.Process){
-		"leaving": func(t *instance.Table, p instance.Process) { t.MarkLeaving(p) },
+		"leaving": func(t *instance.Table, p instance.Process) { t.MarkLeaving(p, time.Now()) },
 		"paused":  func(t *instance.Table, p instance.Process) { t.Pause(p, now.Add(time.Hour), now) },
 	} {
 		asking, owner, _, need := twoPlacers(t)
@@ -107,7 +107,7 @@
 	var leaving instance.ID
 	caller.replied = func(id instance.ID) {
 		leaving = id
-		asking.config.Engines.MarkLeaving(instance.Process{ID: id})
+		asking.config.Engines.MarkLeaving(instance.Process{ID: id}, time.Now())
 	}
 	ticket := place(t, asking, need)
 	require.NotEqual(t, leaving, ticket.Engine.ID)
