Tests of edge, directory and soak run side by side

Cause: the edge tests took 518 s under the race detector beside other runs, of which 494 s were tests one after the other that mostly wait; soak 136 s, directory 94 s. Change: tests that share nothing call t.Parallel. TestSoak's regression seeds are a test of their own, TestSoakRegressions, beside the other two. No test, assertion, bound or seed changed: 83 tests of edge before and after. Tried and dropped: the directory's fleets on a synthetic clock (testing/synctest) took 7 s, but the race detector's runtime crashed in most runs (SIGSEGV or a failed check in tsan_rtl.cpp). Without the race detector 300 of 300 runs each of TestCallsBackOffDuringStoreOutage and TestFewHostsOfALargeFleetWatchTheStore passed.

--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -35,6 +35,7 @@
 // from a copy, with revisions lower than those known. Most hosts of the large
 // fleet learn it from others.
 func TestNewsOfNewEraReachesEveryHost(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{4, largeFleet} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			t.Parallel()
@@ -58,6 +59,7 @@
 // Guards against the loss of upstreams that serve, because the copy lacks them,
 // and against one that stays although it does not come back.
 func TestUpstreamMissingInCopyIsKeptUntilItRegistersAgain(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{4, largeFleet} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			t.Parallel()
@@ -86,6 +88,7 @@
 // Guards against new work for upstreams that were leaving or removed before the
 // store came back from a copy that lists them as ready.
 func TestUpstreamThatLeftStaysOutThoughTheCopyListsIt(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{4, largeFleet} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			t.Parallel()
--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -290,6 +290,7 @@
 // Guards against a change that arrives late because all watchers have just
 // stopped answering or have lost the store without noticing.
 func TestHostsBypassUnresponsiveOrStaleWatchers(t *testing.T) {
+	t.Parallel()
 	for name, injectFault := range map[string]func(f *testFleet, w *testHost){
 		"frozen":         func(_ *testFleet, w *testHost) { w.frozen.Store(true) },
 		"store is quiet": func(f *testFleet, w *testHost) { f.store.hangs[w.index] = true },
@@ -376,6 +377,7 @@
 // ending while it still answers other calls. Hosts of small and large fleets
 // must notice soon after the store recovers.
 func TestSilentWatchIsNoticed(t *testing.T) {
+	t.Parallel()
 	const silence, stable = time.Second, 3 * time.Second
 	for _, size := range []int{12, 24} {
 		for phase := time.Duration(0); phase < 3*time.Second; phase += 370 * time.Millisecond {
--- a/edge/callerconn_test.go
+++ b/edge/callerconn_test.go
@@ -44,6 +44,7 @@
 // A request must not run if a shutdown closed its connection just as it was read: the
 // caller could not get its answer.
 func TestRequestOnConnectionClosedByShutdownDoesNotRun(t *testing.T) {
+	t.Parallel()
 	var served atomic.Int32
 	callers := newCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }),
 		func() *routing.Table { return nil }, slog.New(slog.DiscardHandler))
--- a/edge/crashingpart_test.go
+++ b/edge/crashingpart_test.go
@@ -145,6 +145,7 @@
 // All hosts are killed at once and start again while requests with a part that crashes
 // engines still come. They must not learn of the part by losing engines again.
 func TestPartStaysQuarantinedWhenAllHostsStartAgain(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	engines := f.startEngines(6, 400*time.Millisecond)
 	before := []*node{f.start(), f.start()}
@@ -180,6 +181,7 @@
 // Requests with one part in their prompts crashed engine after engine, no two of them
 // alike and at any host, and hosts kept sending them.
 func TestPromptPartThatCrashesEnginesIsQuarantined(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	engines := f.startEngines(6, 400*time.Millisecond)
 	load := &mixedLoad{engines: engines, sent: make(map[string]time.Time), served: make(map[string]bool)}
--- a/edge/drain_test.go
+++ b/edge/drain_test.go
@@ -21,6 +21,7 @@
 )
 
 func TestGracefulShutdownCompletesRequestsInFlight(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Events: 20, EventPause: 50 * time.Millisecond})
@@ -41,6 +42,7 @@
 }
 
 func TestDrainingHostServesRequestsAndClosesConnections(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -62,6 +64,7 @@
 }
 
 func TestCallerDisconnectCancelsUpstreamCall(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	u := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -84,6 +87,7 @@
 }
 
 func TestDeadlineEndsARequest(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	u := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -96,6 +100,7 @@
 }
 
 func TestConfiguredBodyAndIdleLimitsApply(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, func(c map[string]any) {
 		c["limits"] = map[string]any{"max_body_bytes": 10, "idle_timeout_ms": 300}
@@ -117,6 +122,7 @@
 // TestConfiguredHeaderLimitsApply sends headers that are larger, and slower, than
 // the configuration allows, and headers within both limits.
 func TestConfiguredHeaderLimitsApply(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, func(c map[string]any) {
 		c["limits"] = map[string]any{"max_header_bytes": 2000, "header_timeout_ms": 400, "idle_timeout_ms": 20_000}
@@ -149,6 +155,7 @@
 }
 
 func TestSettingsAreReloadedOnASignalAndWithout(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	n := f.startUnready(f.store.Addr())
 	ctx, stop := context.WithCancel(t.Context())
@@ -173,6 +180,7 @@
 }
 
 func TestMetricsAndReadinessAreServed(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
--- a/edge/endless_test.go
+++ b/edge/endless_test.go
@@ -57,6 +57,7 @@
 // An answer that never ends must not hold a request that another upstream may
 // serve until its deadline, and nothing of it may reach the caller.
 func TestRequestIsServedElsewhereWhenAnAnswerNeverEnds(t *testing.T) {
+	t.Parallel()
 	for path, service := range map[string]string{"/read/1": "plain", "/talk/1": "events"} {
 		f := newFleet(t)
 		f.configure(1, nil)
@@ -85,6 +86,7 @@
 // Without another upstream the refusal must tell the truth: 503 only if the
 // upstream has said that the request did not run.
 func TestRefusalTellsTheTruthWhenAnAnswerNeverEnds(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	n := f.start()
@@ -116,6 +118,7 @@
 
 // A stream that goes over into an event without end must not look complete.
 func TestStreamThatNeverEndsItsEventIsBroken(t *testing.T) {
+	t.Parallel()
 	answers := platformtest.EndlessAnswer{Start: signedHead + "Content-Type: text/event-stream\r\n\r\nid: 0\ndata: event 0\n\ndata: ", Repeat: "x"}
 	f := newFleet(t)
 	f.configure(1, nil)
@@ -137,6 +140,7 @@
 // A stage server whose answers never end must not keep a request from the other
 // servers, in calls that run pieces, report or free.
 func TestStagesRunElsewhereWhenAnAnswerNeverEnds(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Events: 3})
--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -39,6 +39,7 @@
 // Guards against new work for an upstream that starts to leave after the store
 // came back from a copy, with a revision lower than those known.
 func TestUpstreamLeavingAfterRestoreGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	a := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -57,6 +58,7 @@
 // Guards against a configuration that is ignored because its revision is lower
 // than that of the one before.
 func TestConfigurationAfterRestoreIsInForce(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(5, nil)
 	f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -73,6 +75,7 @@
 // Guards against a host that calls the store without a pause, because its watch
 // goes on from a revision that the store no longer has.
 func TestRestoreCausesFewStoreCalls(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	f.start()
@@ -91,6 +94,7 @@
 // Guards against a configuration that reverts because the copy holds an older
 // one.
 func TestConfigurationDoesNotRevertToThatOfTheCopy(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(5, nil)
 	f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -110,6 +114,7 @@
 // Guards against new work for upstreams that were leaving or removed and that the
 // copy lists as ready.
 func TestUpstreamThatLeftBeforeRestoreGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	for name, leave := range map[string]func(f *fleet, u *platformtest.Upstream){
 		"leaving": func(f *fleet, u *platformtest.Upstream) { u.Register(f.store, "draining") },
 		"removed": func(f *fleet, u *platformtest.Upstream) { f.store.Delete("servers/" + u.ID) },
@@ -132,6 +137,7 @@
 // Guards against refusals while upstreams that the copy lacks write themselves
 // again.
 func TestUpstreamMissingInCopyIsUsedAllTheWhile(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	copied := f.store.Snapshot()
@@ -152,6 +158,7 @@
 // Guards against a host that is cut off from the store and stays in the former
 // era, although the other hosts are in the new one.
 func TestHostCutOffFromStoreGetsNewsOfNewEraFromPeers(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	a := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -174,6 +181,7 @@
 // Guards against a host that others can't find after the store came back from a
 // copy, which has no leases.
 func TestHostsRegisterAgainAfterRestore(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	f.start()
--- a/edge/idlelimit_test.go
+++ b/edge/idlelimit_test.go
@@ -14,6 +14,7 @@
 // A connection that became idle before the limit was lowered must not be closed by the
 // lower one: its caller may still send a request on it.
 func TestLowerIdleLimitSparesConnectionsThatWereIdleBefore(t *testing.T) {
+	t.Parallel()
 	start := time.Unix(1000, 0)
 	var l idleLimit
 	l.set(30*time.Second, start)
@@ -28,6 +29,7 @@
 // A connection whose next request has arrived and was not read yet must not be closed as
 // idle.
 func TestConnectionWithAWaitingRequestIsNotClosedAsIdle(t *testing.T) {
+	t.Parallel()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer listener.Close()
--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -25,6 +25,7 @@
 // An upstream may say only in its answers that it leaves, in an answer of any
 // kind. No later request may reach it, although its entry says that it is ready.
 func TestUpstreamThatSaysItLeavesGetsNoNewRequests(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	n := f.start()
@@ -79,6 +80,7 @@
 
 // The header concerns the upstream and not one connection, so callers get it.
 func TestCallerSeesThatUpstreamIsLeaving(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	a := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -89,6 +91,7 @@
 
 // A stage server says so in its answers to runs, reports and frees.
 func TestStageServerThatSaysItLeavesGetsNoNewPieces(t *testing.T) {
+	t.Parallel()
 	for _, path := range []string{"/v1/report", "/v1/stage-run", "/v1/stage-free"} {
 		t.Run(path, func(t *testing.T) {
 			f := newFleet(t)
@@ -117,6 +120,7 @@
 // The placement owner may not know that an engine has told another host that it
 // leaves. Its choice must not bring the engine back there, nor fail the request.
 func TestOwnersChoiceDoesNotBringBackLeavingEngine(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configureEngines(1)
 	a := f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Events: 3})
--- a/edge/limit_test.go
+++ b/edge/limit_test.go
@@ -51,6 +51,7 @@
 // from all hosts. The limit is on their sum, for each kind of call, and ends when the
 // upstream no longer names it.
 func TestUpstreamGetsNoMoreThanTheLimitThatItNames(t *testing.T) {
+	t.Parallel()
 	const limit = 1.0
 	for name, c := range map[string]struct {
 		path, service string
--- a/edge/listen_test.go
+++ b/edge/listen_test.go
@@ -14,6 +14,7 @@
 // A host whose address is in use must end at once, name the listener and the reason,
 // and keep no other port open.
 func TestHostWhoseAddressIsInUseEndsAtOnce(t *testing.T) {
+	t.Parallel()
 	for purpose, addrOf := range map[string]func(edge.Settings) netip.AddrPort{
 		"callers":          func(s edge.Settings) netip.AddrPort { return s.CallerAddr },
 		"readiness checks": func(s edge.Settings) netip.AddrPort { return s.ReadinessAddr },
--- a/edge/paused_test.go
+++ b/edge/paused_test.go
@@ -49,6 +49,7 @@
 // An upstream that has asked for a pause must get nothing until its end, also if it
 // is the only one. Callers are refused at once and told when it is back.
 func TestOnlyUpstreamGetsNothingWhileItIsPaused(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configureEngines(1)
 	n := f.start()
@@ -81,6 +82,7 @@
 // The other upstreams must take over, whichever the placement owner on another host
 // chooses: the pause is that of the host that was turned away only.
 func TestPausedUpstreamIsReplacedByAnother(t *testing.T) {
+	t.Parallel()
 	for path, service := range map[string]string{"/read/1": "plain", "/talk/1": "events"} {
 		t.Run(path, func(t *testing.T) {
 			f := newFleet(t)
@@ -112,6 +114,7 @@
 // Stage servers that have asked for a pause get no pieces until its end; the
 // request is refused at once and its caller told when the first is back.
 func TestPausedStageServerGetsNoPieces(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Events: 3})
--- a/edge/serve_test.go
+++ b/edge/serve_test.go
@@ -13,6 +13,7 @@
 )
 
 func TestPlainRequestReachesItsUpstreamUnchanged(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	u := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -37,6 +38,7 @@
 }
 
 func TestGatewayRejectsUnroutableAndUnauthenticatedRequests(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	u := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -47,6 +49,7 @@
 }
 
 func TestRequestShedByUpstreamIsRetriedElsewhere(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	a := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -65,6 +68,7 @@
 }
 
 func TestNonIdempotentCallIsNotRetriedAfterLostAnswer(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	a := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -78,6 +82,7 @@
 }
 
 func TestIdempotentCallIsRetriedAfterLostAnswer(t *testing.T) {
+	t.Parallel()
 	for _, fault := range []platformtest.UpstreamFault{platformtest.Drop, platformtest.Fail, platformtest.TruncateAnswer, platformtest.Unsigned} {
 		f := newFleet(t)
 		f.configure(1, nil)
@@ -94,6 +99,7 @@
 }
 
 func TestUpstreamErrorIsForwardedWithoutAlternative(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	u := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -105,6 +111,7 @@
 }
 
 func TestExtraAnswerOnConnectionReachesNoOtherCaller(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	u := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -118,6 +125,7 @@
 }
 
 func TestStreamIsForwardedWhole(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Events: 8, EventPause: 5 * time.Millisecond})
@@ -128,6 +136,7 @@
 }
 
 func TestResumableStreamContinuesOnAnotherUpstream(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	a := f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Events: 8, EventPause: time.Millisecond})
@@ -143,6 +152,7 @@
 }
 
 func TestBrokenNonResumableStreamIsNotReportedComplete(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	a := f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Events: 8, EventPause: time.Millisecond})
@@ -154,6 +164,7 @@
 }
 
 func TestStagesRunBeforeTheRequest(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	engine := f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Events: 3})
@@ -185,6 +196,7 @@
 }
 
 func TestExtraAnswerOfStageServerReachesNoOtherRequest(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	engine := f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Events: 3})
@@ -201,6 +213,7 @@
 }
 
 func TestLostStageResultsAreRecomputedOnce(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	engine := f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Events: 3})
@@ -218,6 +231,7 @@
 }
 
 func TestFailedPiecesAreRetried(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Events: 3})
--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -43,6 +43,7 @@
 
 // A stream must not be cut because its upstream is silent when no other may run it.
 func TestStreamIsNotCutWhenItsAttemptsAreUsedUp(t *testing.T) {
+	t.Parallel()
 	for name, fault := range map[string]platformtest.UpstreamFault{
 		"before the first event": platformtest.FallSilent,
 		"between events":         platformtest.FallSilentMidway,
@@ -61,6 +62,7 @@
 
 // A stream must not be cut because its upstream is silent when there is no other.
 func TestStreamIsNotCutWhenItsOnlyUpstreamFallsSilent(t *testing.T) {
+	t.Parallel()
 	for name, fault := range map[string]platformtest.UpstreamFault{
 		"before the first event": platformtest.FallSilent,
 		"between events":         platformtest.FallSilentMidway,
@@ -78,6 +80,7 @@
 
 // A stream must not be cut because its upstream is silent when the other one refuses it.
 func TestStreamIsNotCutWhenTheOtherUpstreamRefuses(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	a, b := f.upstream(silentUpstream("u1")), f.secondChoice(silentUpstream("u2"))
@@ -92,6 +95,7 @@
 // A stream with stages must not be cut because its upstream is silent after the time in
 // which a stream may begin: the results of its stages are no longer there.
 func TestStreamWithStagesIsNotCutWhenItsUpstreamFallsSilent(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, eachRoute("timeout_ms", 8000))
 	a, b := silentUpstream("u1"), silentUpstream("u2")
@@ -108,6 +112,7 @@
 // A call that may be repeated must get the answer of its silent upstream when the
 // other one refuses it.
 func TestIdempotentCallGetsLateAnswerWhenTheOtherUpstreamRefuses(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	a := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain", Silence: upstreamSilence})
@@ -122,6 +127,7 @@
 
 // A silent upstream must not be told to stop before another one has an event.
 func TestSilentUpstreamIsReplacedOnlyByOneThatHasAnEvent(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	a, b := f.upstream(silentUpstream("u1")), f.secondChoice(silentUpstream("u2"))
@@ -135,6 +141,7 @@
 
 // A stream must still move to another upstream when its own stays silent.
 func TestStreamMovesAwayFromUpstreamThatStaysSilent(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, eachRoute("timeout_ms", 8000))
 	a, b := silentUpstream("u1"), silentUpstream("u2")
@@ -152,6 +159,7 @@
 // A silent upstream must not be replaced beyond the retry budget, and its stream must
 // not be cut for that.
 func TestReplacementOfSilentUpstreamNeedsRetryBudget(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.retries = retry.Bounds{Window: 10 * time.Second}
 	f.configure(1, eachRoute("timeout_ms", 8000))
@@ -169,6 +177,7 @@
 // After stages ran again, an attempt that is refused must not free their results: the
 // next one needs them.
 func TestResultsOfRerunStagesOutliveARefusal(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, eachRoute("timeout_ms", 8000))
 	a, b := silentUpstream("u1"), silentUpstream("u2")
@@ -200,6 +209,7 @@
 // A stream whose upstream hangs between events must go on at another one before its
 // caller gives up.
 func TestHungUpstreamIsReplacedBeforeItsCallerGivesUp(t *testing.T) {
+	t.Parallel()
 	for _, path := range []string{"/talk/1", "/staged/1"} {
 		t.Run(path[1:5], func(t *testing.T) {
 			f := newFleet(t)
@@ -238,6 +248,7 @@
 // A request that is suspected of crashing upstreams must not be sent to a second one
 // because the first is silent.
 func TestSuspectOfACrashRunsOnOneUpstreamAtATime(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, eachRoute("timeout_ms", 8000))
 	var ups []*platformtest.Upstream
@@ -285,6 +296,7 @@
 // A request must not be quarantined because its upstreams were silent and accepted no
 // connection: none of them has crashed.
 func TestSilenceOfAnUpstreamDoesNotCountAsACrash(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, eachRoute("timeout_ms", 8000))
 	var status []int
@@ -313,6 +325,7 @@
 // A request must not be refused because a stage server is silent for a second and the
 // retry budget is empty.
 func TestSilentStageServerDoesNotFailRequest(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.retries = retry.Bounds{Window: 10 * time.Second}
 	f.configure(1, eachRoute("timeout_ms", 8000))
--- a/edge/store_test.go
+++ b/edge/store_test.go
@@ -11,6 +11,7 @@
 )
 
 func TestConfigurationAppliesPromptlyAndNeverRollsBack(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(5, nil)
 	f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -29,6 +30,7 @@
 }
 
 func TestMalformedUpstreamEntriesAreIgnored(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	f.store.Put("servers/bad1", []byte("\xff\x00 no JSON"))
@@ -42,6 +44,7 @@
 }
 
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	a := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -58,6 +61,7 @@
 }
 
 func TestHostRecoversFromCompactedStoreHistory(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	a := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -76,6 +80,7 @@
 }
 
 func TestHostCutOffFromStoreGetsChangesFromPeers(t *testing.T) {
+	t.Parallel()
 	for _, fault := range []platformtest.Fault{platformtest.FaultUnavailable, platformtest.FaultTooManyRequests, platformtest.FaultReset, platformtest.FaultSilent} {
 		f := newFleet(t)
 		f.configure(1, nil)
@@ -99,6 +104,7 @@
 }
 
 func TestHostStartedWithoutStoreLearnsFromPeers(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -118,6 +124,7 @@
 }
 
 func TestEntriesExpiredDuringStoreOutageAreKept(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	u := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
--- a/edge/unframed_test.go
+++ b/edge/unframed_test.go
@@ -12,6 +12,7 @@
 // Answers may have neither a length nor chunks and end with their connection. They must
 // reach their callers whole.
 func TestAnswerThatEndsWithItsConnectionIsForwardedWhole(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	plain := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -33,6 +34,7 @@
 
 // An unframed answer whose connection is reset is not complete.
 func TestUnframedAnswerThatIsResetIsNotComplete(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	u := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
@@ -48,6 +50,7 @@
 // An unframed stream whose connection closes inside an event, or before the first one, was
 // broken off, although the close alone looks like the end of the answer.
 func TestUnframedStreamThatIsBrokenOffIsNotComplete(t *testing.T) {
+	t.Parallel()
 	for name, end := range map[string]platformtest.UnframedEnd{
 		"in an event": platformtest.CloseInEvent, "after the head": platformtest.CloseAfterHead, "reset": platformtest.ResetMidway,
 	} {
--- a/edge/unresponsive_test.go
+++ b/edge/unresponsive_test.go
@@ -13,6 +13,7 @@
 // An upstream that goes down without closing its connections must be detected
 // before the caller's deadline.
 func TestUnresponsiveUpstreamFailsCallBeforeDeadline(t *testing.T) {
+	t.Parallel()
 	for _, path := range []string{"/tell/1", "/order/1"} {
 		f := newFleet(t)
 		f.configure(1, nil)
@@ -29,6 +30,7 @@
 }
 
 func TestSlowUpstreamIsNotAbandoned(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	u := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain", Work: 2 * time.Second})
@@ -41,6 +43,7 @@
 }
 
 func TestIdempotentCallToHungUpstreamIsRetriedElsewhere(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	a := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -135,6 +135,7 @@
 // Guards against an answer that joins events of two software versions after its
 // first upstream broke off.
 func TestBrokenStreamContinuesAtTheVersionThatBeganIt(t *testing.T) {
+	t.Parallel()
 	eachKindOfService(t, func(t *testing.T, engines bool) {
 		f := newVersionedFleet(t, engines)
 		n := f.start()
@@ -155,6 +156,7 @@
 // Guards against a stream whose caller goes on with it at another host, where an
 // upstream of another software version takes it up or none does.
 func TestCallerContinuesItsStreamAtTheVersionThatBeganIt(t *testing.T) {
+	t.Parallel()
 	eachKindOfService(t, func(t *testing.T, engines bool) {
 		f := newVersionedFleet(t, engines)
 		hosts := []*node{f.start(), f.start(), f.start(), f.start(), f.start(), f.start()}
@@ -177,6 +179,7 @@
 
 // Guards against the loss of the version with the host that began the stream.
 func TestStreamContinuesAtItsVersionAfterItsHostIsGone(t *testing.T) {
+	t.Parallel()
 	f := newVersionedFleet(t, false)
 	hosts := []*node{f.start(), f.start(), f.start(), f.start()}
 	begun := make(map[string]string)
@@ -197,6 +200,7 @@
 // Guards against a stream that goes on at any version because no host knows which
 // one began it.
 func TestStreamOfUnknownVersionIsRefused(t *testing.T) {
+	t.Parallel()
 	f := newVersionedFleet(t, false)
 	n := f.start()
 	f.start()
@@ -208,6 +212,7 @@
 // Guards against a stream that goes on at any version at a host that can't ask the
 // others which one began it.
 func TestHostCutOffFromOthersRefusesStreamsItDidNotBegin(t *testing.T) {
+	t.Parallel()
 	f := newVersionedFleet(t, false)
 	n := f.start()
 	f.begin(n, "r1")
@@ -225,6 +230,7 @@
 // Guards against a stream that goes on at another software version because no
 // upstream of its own is left.
 func TestStreamIsRefusedWhenItsVersionIsGone(t *testing.T) {
+	t.Parallel()
 	eachKindOfService(t, func(t *testing.T, engines bool) {
 		f := newVersionedFleet(t, engines)
 		n := f.start()
@@ -244,6 +250,7 @@
 // Guards against a stream that goes on at the only version that a host has seen since
 // it started, when another one may have begun it before.
 func TestHostThatHasJustStartedRefusesStreamsWithoutRecord(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, nil)
 	u := f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Version: "v1", Events: versionedEvents})
@@ -260,6 +267,7 @@
 // Guards against a stream of an unknown version that goes on at the only version
 // left, when another one was served a moment ago.
 func TestVersionServedAMomentAgoStillCounts(t *testing.T) {
+	t.Parallel()
 	f := newVersionedFleet(t, false)
 	n := f.start()
 	for _, u := range f.upstreams {
@@ -274,6 +282,7 @@
 // Guards against a stream of a route with several services that another service
 // goes on with, because each of the caller's tries chooses a service anew.
 func TestStreamStaysWithTheServiceThatBeganIt(t *testing.T) {
+	t.Parallel()
 	f := &versionedFleet{fleet: newFleet(t)}
 	f.configure(1, func(c map[string]any) {
 		c["services"] = append(c["services"].([]map[string]any), map[string]any{"name": "more-events", "max_conns": 50})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -37,18 +37,25 @@
 //
 // Add -soak.restore to let the store come back from older copies as well.
 func TestSoak(t *testing.T) {
+	t.Parallel()
 	binary := buildHost(t)
-	for _, seed := range regressionSeeds {
-		runSeed(t, binary, seed, regressionLength, *faultKinds)
-	}
 	for i := range *seedCount {
 		runSeed(t, binary, *firstSeed+i, *faultLength, *faultKinds)
 	}
 }
 
+func TestSoakRegressions(t *testing.T) {
+	t.Parallel()
+	binary := buildHost(t)
+	for _, seed := range regressionSeeds {
+		runSeed(t, binary, seed, regressionLength, *faultKinds)
+	}
+}
+
 // Guards against requests that are lost or run twice, and service that does not
 // come back, when the store comes back from older copies among other faults.
 func TestSoakWithRestoredStore(t *testing.T) {
+	t.Parallel()
 	runSeed(t, buildHost(t), 1, *faultLength, "base,restore")
 }
 
