member, ownership: hosts of the host list are members at once, tasks belong to addresses

Callers: after all 195 hosts of the large site were killed at 8 s, of the requests of 8 to 10 s 171 of 621 were in time, of 10 to 12 s 421 of 598. Hosts learned of each other by datagrams only, over three seconds, and each chose owners among the members it knew; a process that starts again also had another rank than the one before. For the same time each host took the fleet for a small one and watched the store itself. Change: the host list's entries (address, ID, place, capacity) make members at once, with a record that any other evidence replaces and that is not sent to other hosts. The newest entry of an address counts. The list is read when it changes. Owners and the store's watchers are ranked by address, so that a host that has seen the former process's entry and one that has seen the new one agree.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -9,6 +9,9 @@
 	"context"
 	"log/slog"
 	"maps"
+	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -83,6 +86,9 @@
 	Registerer prometheus.Registerer
 	// OnConfig is called with each configuration after it was applied.
 	OnConfig func(*routing.Table)
+	// OnHosts is called after entries of hosts changed; nil ignores that. It must return
+	// at once.
+	OnHosts func()
 	// OnItem is called with each item that is neither the configuration nor the entry of
 	// an upstream or a host; nil ignores them. It must return at once.
 	OnItem func(Item)
@@ -162,16 +168,21 @@
 	return d.asOf
 }
 
-// List returns the hosts that have an entry in the store.
+// List returns the hosts that have an entry in the store, the newest for each address:
+// a process that ended without notice has one until its lease ends.
 func (d *Directory) List(context.Context) ([]infra.Listing, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var all []infra.Listing
+	newest := make(map[netip.AddrPort]hostEntry, len(d.hosts))
 	for _, h := range d.hosts {
-		if !h.Removed {
-			all = append(all, infra.Listing{Addr: h.Info.LinkAddr, Place: h.Info.Place})
+		if other, twice := newest[h.Info.LinkAddr]; !h.Removed && (!twice || h.position().After(other.position())) {
+			newest[h.Info.LinkAddr] = h
 		}
 	}
+	all := make([]infra.Listing, 0, len(newest))
+	for _, h := range newest {
+		all = append(all, infra.Listing{Addr: h.Info.LinkAddr, Place: h.Info.Place, Info: h.Info})
+	}
 	return all, nil
 }
 
@@ -202,6 +213,13 @@
 	d.mu.Unlock()
 	d.advancePosition(asOf, now)
 	d.wakeFollowers()
+	d.hostsChanged()
+}
+
+func (d *Directory) hostsChanged() {
+	if d.config.OnHosts != nil {
+		d.config.OnHosts()
+	}
 }
 
 // removeUnlisted removes the upstreams that a complete listing lacks, as
@@ -229,6 +247,9 @@
 	if len(items) > 0 {
 		d.wakeFollowers()
 	}
+	if slices.ContainsFunc(items, func(i Item) bool { return isHostKey(i.Key) }) {
+		d.hostsChanged()
+	}
 	return true
 }
 
@@ -243,7 +264,7 @@
 		if !item.Removed {
 			d.applyConfig(item.Value, item.Revision)
 		}
-	case len(item.Key) > len(HostPrefix) && item.Key[:len(HostPrefix)] == HostPrefix:
+	case isHostKey(item.Key):
 		d.applyHost(item)
 	case d.config.OnItem != nil:
 		d.config.OnItem(item)
@@ -298,6 +319,10 @@
 	}
 }
 
+func isHostKey(key string) bool {
+	return len(key) > len(HostPrefix) && strings.HasPrefix(key, HostPrefix)
+}
+
 // applyHost applies the entry of a host.
 func (d *Directory) applyHost(item Item) {
 	entry := hostEntry{Key: item.Key, Era: item.Era, Revision: item.Revision, Removed: item.Removed}
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -63,7 +63,7 @@
 	}
 	rank := make(map[host.ID]uint64, len(alive))
 	for _, h := range alive {
-		rank[h.ID] = xxh3.HashString("watcher\x00" + string(h.ID))
+		rank[h.ID] = xxh3.HashString("watcher\x00" + h.LinkAddr.String())
 	}
 	slices.SortFunc(alive, func(a, b host.Info) int { return cmp.Compare(rank[a.ID], rank[b.ID]) })
 	return alive[:minWatchers+len(alive)/hostsPerWatcher]
@@ -292,6 +292,9 @@
 	if !answer.isEmpty() {
 		d.wakeFollowers()
 	}
+	if len(answer.Hosts) > 0 {
+		d.hostsChanged()
+	}
 	return true
 }
 
--- /dev/null
+++ b/directory/start_test.go
@@ -0,0 +1,63 @@
+package directory
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/host/hosttest"
+	"github.com/galenaseam/galenaseam/infra"
+	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/link"
+	"github.com/galenaseam/galenaseam/member"
+	"github.com/galenaseam/galenaseam/routing"
+)
+
+// loneHost stands in for the other hosts of a host that knows none.
+type loneHost struct{ hosttest.Fleet }
+
+func (loneHost) Subscribe(member.Topic, func(member.Fact))  {}
+func (loneHost) Publish(member.Topic, string, []byte) error { return nil }
+func (loneHost) Handle(link.Method, link.Handler)           {}
+func (loneHost) Call(context.Context, netip.AddrPort, link.Method, any, any) error {
+	return context.Canceled
+}
+
+func newLoneDirectory(store *testStore, onHosts func()) *Directory {
+	fleet := loneHost{hosttest.Fleet{{Info: host.Info{ID: "self"}}}}
+	return New(Config{
+		Source: source{store, 0}, Format: testFormat{}, Instances: instance.NewTable(nil), Fleet: fleet, Gossip: fleet, Caller: fleet,
+		MaxPropagationDelay: testMaxDelay, Logger: slog.New(slog.DiscardHandler), OnConfig: func(*routing.Table) {}, OnHosts: onHosts,
+	}, fleet)
+}
+
+// Guards against two members at one address: a process that was killed stays listed until its
+// lease ends.
+func TestNewestHostOfEachAddressIsListed(t *testing.T) {
+	changes := 0
+	d := newLoneDirectory(&testStore{}, func() { changes++ })
+	entry := func(id host.ID, addr string, revision int64) Item {
+		raw, err := cbor.Marshal(host.Info{ID: id, LinkAddr: netip.MustParseAddrPort(addr)})
+		require.NoError(t, err)
+		return Item{Key: HostPrefix + string(id), Value: raw, Revision: revision}
+	}
+	d.applySnapshot([]Item{entry("b-new", "10.0.0.2:1", 7), entry("a", "10.0.0.1:1", 5), entry("b-old", "10.0.0.2:1", 6)}, infra.Position{Revision: 7}, time.Now())
+	require.Equal(t, 1, changes)
+	require.True(t, d.applyChanges([]Item{entry("a-new", "10.0.0.1:1", 8)}, infra.Position{Revision: 8}, time.Now()))
+	require.Equal(t, 2, changes)
+	require.True(t, d.applyChanges([]Item{{Key: "up/u1", Removed: true, Revision: 9}}, infra.Position{Revision: 9}, time.Now()))
+	require.Equal(t, 2, changes, "no host changed")
+	listings, err := d.List(t.Context())
+	require.NoError(t, err)
+	var ids []host.ID
+	for _, l := range listings {
+		ids = append(ids, l.Info.ID)
+	}
+	require.ElementsMatch(t, []host.ID{"a-new", "b-new"}, ids)
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -175,7 +175,7 @@
 	h.directory = directory.New(directory.Config{
 		Source: h.platform.Source, Format: h.platform.Format, Instances: h.instances, Fleet: h.members,
 		Gossip: h.members, Caller: h.peerClient, MaxPropagationDelay: h.settings.MaxPropagationDelay, Logger: h.logger,
-		Registerer: h.registry, OnConfig: h.onConfig, OnItem: h.onStoreItem,
+		Registerer: h.registry, OnConfig: h.onConfig, OnHosts: h.members.HostListChanged, OnItem: h.onStoreItem,
 	}, h.mux)
 	hostList.setDirectory(h.directory)
 	return nil
--- a/host/host.go
+++ b/host/host.go
@@ -67,6 +67,9 @@
 	Incarnation uint64 `json:"incarnation"`
 	// Generation is the configuration generation the member last announced.
 	Generation uint64 `json:"generation"`
+	// Listed is true if the host is known only from the host list, so that its state and
+	// generation are not known yet.
+	Listed bool `json:"listed,omitempty"`
 }
 
 // View is a read-only view of the fleet's hosts. Implementations are safe for
--- a/infra/hostlist.go
+++ b/infra/hostlist.go
@@ -16,6 +16,9 @@
 	Pool string
 	// Leaving reports whether the platform is about to remove the machine.
 	Leaving bool
+	// Info describes the process of an entry host that wrote its own entry. It is zero
+	// if the list does not say.
+	Info host.Info
 }
 
 // HostList is the platform's list of live and leaving machines. The list may be
--- a/member/core.go
+++ b/member/core.go
@@ -26,6 +26,7 @@
 	heardAt   time.Time
 	suspicion *suspicion
 	deadAt    time.Time
+	listed    bool // known only from the host list; the record has incarnation 0
 }
 
 // core is the protocol's state machine, in the manner of SWIM with Lifeguard. It
@@ -45,6 +46,7 @@
 
 	peers      map[host.ID]*peer
 	suspected  map[host.ID]*peer
+	listedAt   map[netip.AddrPort]host.ID // peers that are known only from the host list
 	scope      scope
 	heartbeats map[host.DataCentre]*centreHeartbeat
 
@@ -74,6 +76,7 @@
 		guard:      newReplayGuard(self.ID, timing.MaxAge),
 		peers:      make(map[host.ID]*peer),
 		suspected:  make(map[host.ID]*peer),
+		listedAt:   make(map[netip.AddrPort]host.ID),
 		heartbeats: make(map[host.DataCentre]*centreHeartbeat),
 		prober:     newProber(),
 		queue:      newGossipQueue(),
@@ -270,6 +273,9 @@
 }
 
 func (c *core) forgetPeer(id host.ID) {
+	if p := c.peers[id]; p != nil && p.listed {
+		delete(c.listedAt, p.Info.LinkAddr)
+	}
 	delete(c.peers, id)
 	delete(c.suspected, id)
 	c.facts.dropHost(id)
--- a/member/membership.go
+++ b/member/membership.go
@@ -62,6 +62,8 @@
 
 	view atomic.Pointer[view]
 
+	listChanged chan struct{} // wakes pollHostList
+
 	subscribersMu   sync.Mutex
 	subscribers     map[Topic][]func(Fact)
 	changeCallbacks []func()
@@ -103,6 +105,7 @@
 		metrics:     newMetrics(config.Registerer),
 		core:        newCore(config.Self, config.Timing, config.Rand, config.Now()),
 		subscribers: make(map[Topic][]func(Fact)),
+		listChanged: make(chan struct{}, 1),
 	}
 	m.core.setSeeds(config.Now(), config.Seeds)
 	if config.HostList == nil {
@@ -243,26 +246,40 @@
 		if listings, err := m.config.HostList.List(ctx); err != nil {
 			m.config.Logger.Warn("host list unreadable, keeping the previous seeds", "error", err)
 		} else {
-			m.setSeeds(listings)
+			m.setHostList(listings)
 		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+		case <-m.listChanged:
 		}
 	}
 }
 
-func (m *Membership) setSeeds(listings []infra.Listing) {
+// HostListChanged has the host list read now instead of at the next ListInterval.
+func (m *Membership) HostListChanged() {
+	select {
+	case m.listChanged <- struct{}{}:
+	default:
+	}
+}
+
+// setHostList takes the seeds, and the hosts that are members, from the host list.
+func (m *Membership) setHostList(listings []infra.Listing) {
 	seeds := append([]netip.AddrPort(nil), m.config.Seeds...)
+	var listed []host.Info
 	for _, l := range listings {
 		if l.Pool == "" {
 			seeds = append(seeds, l.Addr)
+			listed = append(listed, l.Info)
 		}
 	}
 	m.coreMu.Lock()
-	defer m.coreMu.Unlock()
 	m.core.setSeeds(m.config.Now(), seeds)
+	m.core.setListed(m.config.Now(), listed)
+	m.coreMu.Unlock()
+	m.refreshView()
 }
 
 // Leave announces that the host is leaving and gives the announcement time to
--- a/member/roster.go
+++ b/member/roster.go
@@ -58,6 +58,7 @@
 // declareDeadAt declares dead the hosts at an address at which a new host runs:
 // they ended before it could start there.
 func (c *core) declareDeadAt(addr netip.AddrPort) {
+	c.dropListed(addr)
 	for _, id := range sortedIDs(c.peers) {
 		if p := c.peers[id]; p.State != host.Dead && p.Info.LinkAddr == addr {
 			c.declareDead(p, p.Incarnation)
@@ -166,6 +167,7 @@
 // addPeer adds a host that was not known before.
 func (c *core) addPeer(r record) *peer {
 	r.Accuser = ""
+	c.dropListed(r.Info.LinkAddr)
 	p := &peer{record: r}
 	c.peers[r.Info.ID] = p
 	c.markChanged()
@@ -176,6 +178,7 @@
 // updateRecord replaces the record of a host by a newer one.
 func (c *core) updateRecord(p *peer, r record) {
 	r.Accuser = ""
+	c.confirm(p)
 	p.record = r
 	c.markChanged()
 }
@@ -193,6 +196,7 @@
 
 // declareDead marks a host as dead, drops its facts and gossips the death.
 func (c *core) declareDead(p *peer, incarnation uint64) {
+	c.confirm(p)
 	p.Incarnation = incarnation
 	p.State = host.Dead
 	p.deadAt = c.now
--- a/member/scope.go
+++ b/member/scope.go
@@ -90,7 +90,9 @@
 	s.digests[c.self.Info.Place.DataCentre] ^= recordDigest(c.self)
 	for _, p := range notDead {
 		centre := p.Info.Place.DataCentre
-		s.digests[centre] ^= recordDigest(p.record)
+		if !p.listed {
+			s.digests[centre] ^= recordDigest(p.record)
+		}
 		if s.local[centre] {
 			continue
 		}
--- a/member/sync.go
+++ b/member/sync.go
@@ -104,7 +104,7 @@
 func (c *core) unknownSeeds() []netip.AddrPort {
 	taken := map[netip.AddrPort]bool{c.self.Info.LinkAddr: true}
 	for _, p := range c.peers {
-		if p.State != host.Dead && p.State != host.Suspect {
+		if p.State != host.Dead && p.State != host.Suspect && !p.listed {
 			taken[p.Info.LinkAddr] = true
 		}
 	}
@@ -139,7 +139,7 @@
 		items = append(items, &item{raw: encodeRecord(c.self)})
 	}
 	for _, id := range sortedIDs(c.peers) {
-		if p := c.peers[id]; wanted(p.Info.Place.DataCentre) {
+		if p := c.peers[id]; !p.listed && wanted(p.Info.Place.DataCentre) {
 			r := p.record
 			if r.State == host.Suspect {
 				r.State = host.Alive
--- a/member/view.go
+++ b/member/view.go
@@ -18,6 +18,7 @@
 			continue
 		}
 		m := memberOf(p.record)
+		m.Listed = p.listed
 		if unreachable[m.Place.DataCentre] && m.State == host.Alive {
 			m.State = host.Suspect
 		}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -38,8 +38,10 @@
 	return &Table{fleet: fleet, start: start}
 }
 
-// Owner returns the host that owns a task, by rendezvous hashing over the hosts
-// that are alive and strong enough. own is true if it is the local host.
+// Owner returns the host that owns a task, by rendezvous hashing over the addresses of the
+// hosts that are alive and strong enough. A process that starts again at its address, as
+// all do after a loss of power, owns what the former one owned. own is true if the owner is
+// the local host.
 func (t *Table) Owner(task string, now time.Time) (owner host.Info, own bool) {
 	self := t.fleet.Self()
 	members := t.fleet.Members()
@@ -52,13 +54,13 @@
 	}
 	best, bestRank := self, uint64(0)
 	for _, m := range members {
-		if newest > 0 && m.Generation == 0 {
+		if newest > 0 && m.Generation == 0 && !m.Listed {
 			continue // the host has no configuration yet
 		}
 		if m.State != host.Alive || m.Capacity < minCapacityFraction*strongest || t.avoided.Has(m.ID, now) {
 			continue
 		}
-		if rank := xxh3.HashString(task + "\x00" + string(m.ID)); rank >= bestRank {
+		if rank := xxh3.HashString(task + "\x00" + m.LinkAddr.String()); rank >= bestRank {
 			best, bestRank = m.Info, rank
 		}
 	}
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,10 +16,14 @@
 
 type fleet = hosttest.Fleet
 
+func addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
+}
+
 func members(n int) fleet {
 	var f fleet
 	for i := range n {
-		f = append(f, host.Member{Info: host.Info{ID: host.ID(fmt.Sprint("h", i)), Capacity: 0.27}})
+		f = append(f, host.Member{Info: host.Info{ID: host.ID(fmt.Sprint("h", i)), LinkAddr: addr(i), Capacity: 0.27}})
 	}
 	return f
 }
@@ -95,3 +101,28 @@
 	require.False(t, ownership.New(members(1), start).Formed(start.Add(500*time.Millisecond)))
 	require.True(t, ownership.New(members(1), start).Formed(start.Add(1500*time.Millisecond)))
 }
+
+// All hosts are killed at once and start again, each at its address with a new ID. Guards
+// against owners that differ while each host knows another part of the new processes.
+func TestOwnersAgreeWhileTheWholeFleetStartsAgain(t *testing.T) {
+	former := members(195)
+	var views []fleet
+	for known := 0; known <= len(former); known += 39 {
+		view := slices.Clone(former)
+		for i := range known {
+			view[i].ID, view[i].Generation = host.ID(fmt.Sprint("new-", i)), 2
+		}
+		for i := known; i < len(view); i++ {
+			view[i].Listed = true
+		}
+		views = append(views, view)
+	}
+	for i := range 20 {
+		task := fmt.Sprint("stage", i)
+		want, _ := ownership.New(views[0], start).Owner(task, start)
+		for _, view := range views {
+			got, _ := ownership.New(view, start).Owner(task, start)
+			require.Equal(t, want.LinkAddr, got.LinkAddr, task)
+		}
+	}
+}
