gateway: a request that reaches a starting host waits for its configuration

Cause: a host listens before its first read of the store is done, and refused at once; the gatherer of a service refused groups of a service that its configuration lacks. Change: a request waits for the first read, a quarter of its time and one second at most, unless the store has failed or has no configuration: then it is refused at once as before. A group waits one second for its service to be configured. Tests: TestRoutesAreAwaitedOnlyDuringTheFirstRead, TestGroupWaitsUntilItsServiceIsConfigured (fails with a refusal at once: PieceRefused).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -158,6 +158,24 @@
 // Routes returns the configuration in force, or nil if there is none yet.
 func (d *Directory) Routes() *routing.Table { return d.routes.Load() }
 
+// AwaitRoutes returns the configuration in force. While the first read of the store is in
+// progress it waits for that, until ctx ends. It returns nil if there is none.
+func (d *Directory) AwaitRoutes(ctx context.Context) *routing.Table {
+	for {
+		d.mu.Lock()
+		changed, reading := d.changed, d.asOf == (infra.Position{}) && d.storeFailedAt.IsZero()
+		d.mu.Unlock()
+		if table := d.Routes(); table != nil || !reading {
+			return table
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return d.Routes()
+		}
+	}
+}
+
 // Revision returns the store's revision up to which changes are applied.
 func (d *Directory) Revision() int64 { return d.position().Revision }
 
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -65,6 +65,7 @@
 		d.mu.Unlock()
 		if connected {
 			d.config.Logger.Warn("connection to the store lost", "as_of", d.Revision(), "error", err.Error())
+			d.wakeFollowers() // and the requests that wait for the first read
 		}
 		connected = false
 		_ = sleep.For(ctx, delay)
--- a/directory/start_test.go
+++ b/directory/start_test.go
@@ -37,6 +37,34 @@
 	}, fleet)
 }
 
+// All hosts are killed at once and their callers come to hosts that are starting. Guards
+// against the refusal of a request that could be served some milliseconds later, and against
+// waiting where nothing is to be expected.
+func TestRoutesAreAwaitedOnlyDuringTheFirstRead(t *testing.T) {
+	t.Parallel()
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	d := newLoneDirectory(&testStore{}, nil)
+	got := make(chan *routing.Table, 1)
+	go func() { got <- d.AwaitRoutes(ctx) }()
+	require.Never(t, func() bool { return len(got) > 0 }, 50*time.Millisecond, 5*time.Millisecond, "the read is in progress")
+	d.applySnapshot([]Item{{Key: "config", Value: []byte("c"), Revision: 1}}, infra.Position{Revision: 1}, time.Now())
+	require.NotNil(t, <-got)
+
+	withoutConfig := newLoneDirectory(&testStore{}, nil)
+	withoutConfig.applySnapshot(nil, infra.Position{Revision: 1}, time.Now())
+	require.Nil(t, withoutConfig.AwaitRoutes(ctx), "the store has none")
+
+	down := newLoneDirectory(&testStore{rejectCalls: true, changed: make(chan struct{})}, nil)
+	go func() { got <- down.AwaitRoutes(ctx) }()
+	go func() { _ = down.Run(ctx) }()
+	require.Nil(t, <-got, "the store has failed")
+
+	ended, end := context.WithCancel(ctx)
+	end()
+	require.Nil(t, newLoneDirectory(&testStore{}, nil).AwaitRoutes(ended), "the caller waits no longer")
+}
+
 // Guards against two members at one address: a process that was killed stays listed until its
 // lease ends.
 func TestNewestHostOfEachAddressIsListed(t *testing.T) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -217,7 +217,7 @@
 	}, h.mux)
 	h.streams = resume.New(resume.Config{Fleet: h.members, Caller: h.peerClient, Logger: h.logger, Registerer: h.registry}, h.mux)
 	h.gateway = gateway.New(gateway.Config{
-		Codec: h.platform.Codec, Routes: h.directory.Routes, Instances: h.instances, Transport: h.transport,
+		Codec: h.platform.Codec, Routes: h.directory.Routes, AwaitRoutes: h.directory.AwaitRoutes, Instances: h.instances, Transport: h.transport,
 		Stages: staging.NewRunner(staging.RunnerConfig{
 			Owners: h.owners, Caller: h.peerClient, Gatherer: h.gatherer, Service: h.service, Logger: h.logger,
 		}, h.mux),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,7 +52,9 @@
 type Config struct {
 	Codec Codec
 	// Routes returns the current configuration, nil if none is known yet.
-	Routes        func() *routing.Table
+	Routes func() *routing.Table
+	// AwaitRoutes is Routes, but waits for the first configuration while it is read.
+	AwaitRoutes   func(context.Context) *routing.Table
 	Instances     *instance.Table
 	Transport     *transport.Client
 	Stages        *staging.Runner
@@ -184,7 +186,7 @@
 // prepare finds the route and the workspace and reads the body. It returns false
 // and a refusal if the request can't be served.
 func (x *exchange) prepare() (refusal, bool) {
-	x.table = x.config.Routes()
+	x.table = x.configuration()
 	if x.table == nil {
 		return refusal{status: http.StatusServiceUnavailable, reason: "no_configuration", retryAfter: configurationRetryAfter}, false
 	}
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -11,12 +11,36 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/galenaseam/galenaseam/quarantine"
+	"github.com/galenaseam/galenaseam/routing"
 	"github.com/galenaseam/galenaseam/staging"
 )
 
 // hashName returns a 64-bit hash of a name.
 func hashName(name string) uint64 { return xxh3.HashString(name) }
 
+const (
+	// maxConfigurationWait bounds how long a request waits for the configuration that a
+	// host reads at its start, also as a divisor of the caller's timeout.
+	maxConfigurationWait        = time.Second
+	configurationWaitShareOfAll = 4
+)
+
+// configuration returns the configuration in force, nil if there is none. A request that
+// arrives while the host starts waits for it: its caller may have few retries, and all hosts
+// may be starting.
+func (x *exchange) configuration() *routing.Table {
+	if table := x.config.Routes(); table != nil {
+		return table
+	}
+	wait := maxConfigurationWait
+	if x.request.CallerTimeout > 0 {
+		wait = min(wait, x.request.CallerTimeout/configurationWaitShareOfAll)
+	}
+	ctx, cancel := context.WithTimeout(x.r.Context(), wait)
+	defer cancel()
+	return x.config.AwaitRoutes(ctx)
+}
+
 // readBody reads the request's body within the size and time limits.
 func (x *exchange) readBody() (refusal, bool) {
 	if x.r.Body == nil || x.r.ContentLength == 0 {
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -278,7 +278,7 @@
 	}
 	spec, known := g.spec(s.name)
 	if !known {
-		return s.failAll(call.PieceRefused)
+		return s.refuseUnknown(now)
 	}
 	for _, late := range s.queue.expire(now, spec.CallTime) {
 		callbacks = append(callbacks, late.end(call.PieceDeadlineExceeded))
@@ -333,12 +333,20 @@
 	return 1
 }
 
-// failAll fails every queued group.
-func (s *serviceState) failAll(f call.PieceFailure) (callbacks []func()) {
-	for _, w := range s.queue.waiting {
-		callbacks = append(callbacks, w.end(f))
-	}
-	s.queue.waiting = nil
+// unknownServiceWait is how long a group waits for a configuration that has its service. The
+// host that sent the group may have read the configuration earlier than this one.
+const unknownServiceWait = time.Second
+
+// refuseUnknown refuses the groups that have waited long enough for their service to appear
+// in the configuration.
+func (s *serviceState) refuseUnknown(now time.Time) (callbacks []func()) {
+	s.queue.waiting = slices.DeleteFunc(s.queue.waiting, func(w *workItem) bool {
+		late := now.Sub(w.queued) >= unknownServiceWait || now.After(w.deadline)
+		if late {
+			callbacks = append(callbacks, w.end(call.PieceRefused))
+		}
+		return late || w.ended
+	})
 	return callbacks
 }
 
--- a/staging/gatherer_test.go
+++ b/staging/gatherer_test.go
@@ -31,6 +31,8 @@
 	// cutAt is when every running call loses its connection. The servers finish
 	// the work and keep the results.
 	cutAt time.Time
+	// configuredAt is when the gatherer learns of the service.
+	configuredAt time.Time
 
 	mu            sync.Mutex
 	used          map[instance.ID]int64
@@ -121,7 +123,9 @@
 	t.Cleanup(stop)
 	g := NewGatherer(GathererConfig{
 		Servers: table, Caller: f, Logger: slog.New(slog.DiscardHandler),
-		Service: func(string) (*routing.Service, bool) { return &routing.Service{Name: "pieces", Stages: f.spec}, true },
+		Service: func(string) (*routing.Service, bool) {
+			return &routing.Service{Name: "pieces", Stages: f.spec}, !time.Now().Before(f.configuredAt)
+		},
 		Retries: retry.New(retry.Bounds{Ratio: 0.2, Slack: 104, Window: 10 * time.Second}, func() int { return 1 }, time.Now()),
 	})
 	go func() { _ = g.Run(ctx) }()
@@ -272,3 +276,24 @@
 		require.Empty(t, f.holder)
 	})
 }
+
+// All hosts start at once: the owner of a service reads the configuration later than the hosts
+// that send it groups. Guards against the refusal of these groups.
+func TestGroupWaitsUntilItsServiceIsConfigured(t *testing.T) {
+	for _, after := range []time.Duration{300 * time.Millisecond, time.Minute} {
+		synctest.Test(t, func(t *testing.T) {
+			begun := time.Now()
+			g := newTestGatherer(t, 1, &fakeServers{
+				spec:         &routing.StageServer{Concurrency: 1, BatchSize: 8, CallTime: 20 * time.Millisecond, ResultMemory: 1 << 30, ResultTTL: 4 * time.Second},
+				configuredAt: begun.Add(after), bytes: 100,
+			})
+			results := g.Gather(t.Context(), Group{Service: "pieces", RequestID: "r", Pieces: 1, Remaining: 5 * time.Second, RemainingToTarget: time.Second})
+			if took := time.Since(begun); after < unknownServiceWait {
+				require.Equal(t, call.PieceDone, failure(results))
+			} else {
+				require.Equal(t, call.PieceRefused, failure(results))
+				require.Less(t, took, unknownServiceWait+200*time.Millisecond, "a service that stays unknown is refused soon")
+			}
+		})
+	}
+}
