--- a/directory/follow.go
+++ b/directory/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -20,6 +21,9 @@
 	// maxRetryDelay, so that a returning store is not flooded.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
+	// followerRetryFraction of Config.MaxPropagationDelay is the maximum for the followers
+	// of a large fleet: the watchers find out first that the store is back.
+	followerRetryFraction = 0.5
 	// smallFleetBatchDelay is the pause after changes in a small fleet, so
 	// that changes close together are read in one call. The store counts every
 	// call.
@@ -69,11 +73,21 @@
 		}
 		connected = false
 		_ = sleep.For(ctx, delay)
-		delay = min(2*delay, maxRetryDelay)
+		delay = d.nextRetryDelay(delay, rand.Float64())
 	}
 	return nil
 }
 
+// nextRetryDelay returns the delay after the next failed store call in a row. jitter is
+// from 0 to 1.
+func (d *Directory) nextRetryDelay(delay time.Duration, jitter float64) time.Duration {
+	if !d.isLarge() || d.isWatcher() || d.Revision() == 0 {
+		return min(2*delay, maxRetryDelay)
+	}
+	longest := d.fractionOfMaxDelay(followerRetryFraction)
+	return min(2*delay, time.Duration((1+jitter)/2*float64(longest)))
+}
+
 // batchDelay is the pause after changes, so that changes close together are
 // read in one call.
 func (d *Directory) batchDelay() time.Duration {
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -88,6 +88,12 @@
 	return chosen, found
 }
 
+// isWatcher reports whether this host is one of those that watch the store.
+func (d *Directory) isWatcher() bool {
+	self := d.config.Fleet.Self().ID
+	return slices.ContainsFunc(watchers(d.config.Fleet.Members()), func(w host.Info) bool { return w.ID == self })
+}
+
 // isLarge reports whether the fleet is large enough for hosts to follow
 // watchers.
 func (d *Directory) isLarge() bool { return len(d.config.Fleet.Members()) > maxSmallFleet }
--- a/directory/start_test.go
+++ b/directory/start_test.go
@@ -89,3 +89,27 @@
 	}
 	require.ElementsMatch(t, []host.ID{"a-new", "b-new"}, ids)
 }
+
+// The store is down for seconds and counts each call. Guards against calls that grow with the
+// fleet, from hosts whose watchers have lost the store too.
+func TestFollowersCallTheStoreSeldomDuringAnOutage(t *testing.T) {
+	t.Parallel()
+	const hosts, outage = 100, 6 * time.Second
+	f := newTestFleet(t, hosts)
+	f.store.mu.Lock()
+	f.store.rejectCalls = true
+	f.store.mu.Unlock()
+	time.Sleep(testMaxDelay) // the watchers' last confirmations become stale
+	f.store.mu.Lock()
+	f.store.calls = 0
+	f.store.mu.Unlock()
+	time.Sleep(outage)
+	f.store.mu.Lock()
+	calls, perHost := f.store.calls, int(outage/(testMaxDelay/4))
+	f.store.rejectCalls = false
+	f.store.mu.Unlock()
+	require.LessOrEqual(t, calls, hosts*perHost, "the store is called once in a quarter of the delay at most")
+	f.store.put("up/u3", instance.Entry{Service: "s", Leaving: true}, false)
+	time.Sleep(testMaxDelay)
+	require.Zero(t, f.countWrong("u3", false), "the return is noticed in time")
+}
