staging: groups that starve behind new ones are refused at once

Cause: groups that can still be in time go first, and their arrivals never end in a burst. The estimate of a late group's wait counted only what was queued before it, and so it was kept until its caller's patience ended. The other way round, the wait that requests are admitted by counted the late groups, which a new one goes before. Change: late work is expected to get what the rate leaves over from arrivals that can be in time, a twentieth at least. Two waits are reported, for groups in time and late; a request is refused at once if it would be late and the late wait is too long.

--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -84,16 +84,19 @@
 
 // serviceState is the queue and the servers' state of one service.
 type serviceState struct {
-	name       string
-	queue      queue
-	memory     *resultMemory
-	running    map[instance.ID]int       // calls in progress
-	paused     map[instance.ID]time.Time // when the pause of a server ends
-	slowdown   map[instance.ID]float64   // call duration relative to the expected one
-	pieceRate  rateEstimator             // in pieces per second
-	byteRate   rateEstimator             // in bytes of results per second
-	untracked  map[instance.ID]untrackedMemory
-	lastLogged time.Time // when the queue was last logged
+	name      string
+	queue     queue
+	memory    *resultMemory
+	running   map[instance.ID]int       // calls in progress
+	paused    map[instance.ID]time.Time // when the pause of a server ends
+	slowdown  map[instance.ID]float64   // call duration relative to the expected one
+	pieceRate rateEstimator             // in pieces per second
+	byteRate  rateEstimator             // in bytes of results per second
+	// pieceArrivals and byteArrivals are the work of groups that arrive in time.
+	pieceArrivals arrivalRate
+	byteArrivals  arrivalRate
+	untracked     map[instance.ID]untrackedMemory
+	lastLogged    time.Time // when the queue was last logged
 	// disownedSince is the time since which another host owns the service; zero
 	// while this host owns it.
 	disownedSince time.Time
@@ -116,6 +119,8 @@
 	var callbacks []func()
 	for _, s := range g.services {
 		s.memory.expire(now)
+		s.pieceArrivals.update(now)
+		s.byteArrivals.update(now)
 		callbacks = append(callbacks, g.handOver(s, now)...)
 		if spec, known := g.spec(s.name); known {
 			servers := g.config.Servers.Service(s.name, now)
@@ -210,6 +215,7 @@
 		return w.failed(call.PieceOverload)
 	}
 	s.queue.push(w)
+	s.countArrival(w, now, g)
 	callbacks := g.dispatch(s, now)
 	g.mu.Unlock()
 	runAll(callbacks)
@@ -259,15 +265,33 @@
 	return described.Stages, true
 }
 
-// Wait estimates how long a new group of a service is queued.
-func (g *Gatherer) Wait(service string) time.Duration {
+// countArrival counts a group that was queued if it can still be in time. The caller holds
+// mu of g.
+func (s *serviceState) countArrival(w *workItem, now time.Time, g *Gatherer) {
+	if spec, known := g.spec(s.name); known && w.canMeetTarget(now, spec.FullBatchTime()) {
+		s.pieceArrivals.add(float64(w.Pieces))
+		s.byteArrivals.add(float64(int64(w.Pieces) * w.ResultBytes))
+	}
+}
+
+// QueueWaits are estimates of how long new groups of a service are queued.
+type QueueWaits struct {
+	InTime time.Duration // a group that can meet its target
+	Late   time.Duration // one that can't
+}
+
+// Waits estimates how long new groups of a service are queued.
+func (g *Gatherer) Waits(service string, now time.Time) QueueWaits {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.services[service]
-	if s == nil {
-		return 0
+	spec, known := g.spec(service)
+	if s == nil || !known {
+		return QueueWaits{}
 	}
-	return max(s.pieceRate.timeFor(float64(s.queue.totalPieces())), s.byteRate.timeFor(float64(s.queue.totalBytes())))
+	all := s.queue.backlog(now, spec.FullBatchTime())
+	inTime := backlog{inTime: all.inTime}
+	return QueueWaits{InTime: max(s.pieceWait(inTime), s.byteWait(inTime)), Late: max(s.pieceWait(all), s.byteWait(all))}
 }
 
 // dispatch sends queued pieces to available servers. The caller holds mu and
--- a/staging/queue.go
+++ b/staging/queue.go
@@ -126,21 +126,44 @@
 	return oldest
 }
 
-// totalPieces counts the queued pieces.
-func (q *queue) totalPieces() int {
-	n := 0
+// amount is an amount of queued work.
+type amount struct {
+	pieces float64
+	bytes  float64 // of results
+}
+
+func (a *amount) add(w *workItem) {
+	a.pieces += float64(len(w.waiting))
+	a.bytes += float64(int64(len(w.waiting)) * w.ResultBytes)
+}
+
+// backlog is queued work: that of groups that can meet their targets, and that of the late
+// groups, which are served after these.
+type backlog struct {
+	inTime, late amount
+}
+
+func (b *backlog) add(w *workItem, now time.Time, batchTime time.Duration) {
+	if w.canMeetTarget(now, batchTime) {
+		b.inTime.add(w)
+	} else {
+		b.late.add(w)
+	}
+}
+
+// backlog returns all queued work.
+func (q *queue) backlog(now time.Time, batchTime time.Duration) (all backlog) {
 	for _, w := range q.waiting {
-		n += len(w.waiting)
+		all.add(w, now, batchTime)
 	}
-	return n
+	return all
 }
 
-// totalBytes returns the memory that the results of all queued pieces will
-// take.
-func (q *queue) totalBytes() int64 {
-	n := int64(0)
+// totalPieces counts the queued pieces.
+func (q *queue) totalPieces() int {
+	n := 0
 	for _, w := range q.waiting {
-		n += int64(len(w.waiting)) * w.ResultBytes
+		n += len(w.waiting)
 	}
 	return n
 }
@@ -154,16 +177,14 @@
 	return n
 }
 
-// ahead returns the number of pieces that would be served before a new group,
-// and the bytes of their results.
-func (q *queue) ahead(w *workItem, now time.Time, batchTime time.Duration) (pieces int, bytes int64) {
+// ahead returns the work that would be served before a new group.
+func (q *queue) ahead(w *workItem, now time.Time, batchTime time.Duration) (all backlog) {
 	for _, other := range q.waiting {
 		if compare(other, w, now, batchTime) <= 0 {
-			pieces += len(other.waiting)
-			bytes += int64(len(other.waiting)) * other.ResultBytes
+			all.add(other, now, batchTime)
 		}
 	}
-	return pieces, bytes
+	return all
 }
 
 // expire removes and returns the groups that can no longer meet their deadline.
--- a/staging/rate.go
+++ b/staging/rate.go
@@ -59,6 +59,35 @@
 	return min(time.Duration(units/max(e.rate, minRate)*float64(time.Second)), maxWait)
 }
 
+// lateTimeFor estimates how long an amount of work takes that is done only when no work that
+// arrives can still be in time.
+func (e *rateEstimator) lateTimeFor(units float64, arriving arrivalRate) time.Duration {
+	left := rateEstimator{rate: max(e.rate-arriving.rate, minLateShare*e.rate)}
+	return left.timeFor(units)
+}
+
+// minLateShare is the least share of the rate that late work is expected to get. Arrivals are
+// not steady.
+const minLateShare = 0.05
+
+// arrivalRate measures how much work arrives that can still be in time.
+type arrivalRate struct {
+	rate    float64 // units per second
+	arrived float64 // units since the last update
+	updated time.Time
+}
+
+func (a *arrivalRate) add(units float64) { a.arrived += units }
+
+// update adjusts the rate by the work that has arrived since the last update.
+func (a *arrivalRate) update(now time.Time) {
+	elapsed := now.Sub(a.updated).Seconds()
+	if !a.updated.IsZero() && elapsed > 0 {
+		a.rate += (1 - math.Exp(-elapsed/busyTimeConstant.Seconds())) * (a.arrived/elapsed - a.rate)
+	}
+	a.arrived, a.updated = 0, now
+}
+
 // maxWait caps estimates. It is longer than any caller waits.
 const maxWait = time.Minute
 
@@ -91,20 +120,33 @@
 // canMeetDeadline reports whether a new group can finish before its deadline,
 // given the groups that are served before it.
 func (s *serviceState) canMeetDeadline(w *workItem, spec *routing.StageServer, now time.Time) bool {
-	pieces, bytes := s.queue.ahead(w, now, spec.FullBatchTime())
-	return !now.Add(s.estimateDuration(w, spec, pieces, bytes)).After(w.deadline)
+	ahead := s.queue.ahead(w, now, spec.FullBatchTime())
+	return !now.Add(s.estimateDuration(w, spec, ahead, now)).After(w.deadline)
 }
 
-// estimateDuration estimates how long a group takes when the given pieces and
-// bytes of results are served before it.
-func (s *serviceState) estimateDuration(w *workItem, spec *routing.StageServer, pieces int, bytes int64) time.Duration {
-	wait := s.pieceRate.timeFor(float64(pieces))
+// estimateDuration estimates how long a group takes when the given work is served before it.
+// A late group also waits for the groups that arrive until then and can be in time.
+func (s *serviceState) estimateDuration(w *workItem, spec *routing.StageServer, ahead backlog, now time.Time) time.Duration {
+	if !w.canMeetTarget(now, spec.FullBatchTime()) {
+		ahead.late.add(w)
+	}
+	wait := s.pieceWait(ahead)
 	if w.ResultBytes > 0 && w.ResultBytes >= s.queue.largestResult()/smallResultDivisor {
-		wait = max(wait, s.byteRate.timeFor(float64(bytes)))
+		wait = max(wait, s.byteWait(ahead))
 	}
 	return wait + spec.CallTime + time.Duration(w.Pieces)*spec.PieceTime
 }
 
+// pieceWait estimates how long the servers need for the pieces of a backlog.
+func (s *serviceState) pieceWait(b backlog) time.Duration {
+	return s.pieceRate.timeFor(b.inTime.pieces) + s.pieceRate.lateTimeFor(b.late.pieces, s.pieceArrivals)
+}
+
+// byteWait estimates how long it takes until there is memory for the results of a backlog.
+func (s *serviceState) byteWait(b backlog) time.Duration {
+	return s.byteRate.timeFor(b.inTime.bytes) + s.byteRate.lateTimeFor(b.late.bytes, s.byteArrivals)
+}
+
 // smallResultDivisor: results smaller than 1/smallResultDivisor of the largest
 // queued ones fit into the memory that larger ones leave free, so they do not
 // wait for memory.
@@ -114,15 +156,14 @@
 // their callers are told at once. Groups with pieces on a server stay.
 func (s *serviceState) refuseLate(now time.Time, spec *routing.StageServer) (callbacks []func()) {
 	s.queue.sort(now, spec.FullBatchTime())
-	pieces, bytes := 0, int64(0)
+	var ahead backlog
 	kept := s.queue.waiting[:0]
 	for _, w := range s.queue.waiting {
-		if w.unfinished == len(w.waiting) && now.Add(s.estimateDuration(w, spec, pieces, bytes)).After(w.deadline) {
+		if w.unfinished == len(w.waiting) && now.Add(s.estimateDuration(w, spec, ahead, now)).After(w.deadline) {
 			callbacks = append(callbacks, w.end(call.PieceOverload))
 			continue
 		}
-		pieces += len(w.waiting)
-		bytes += int64(len(w.waiting)) * w.ResultBytes
+		ahead.add(w, now, spec.FullBatchTime())
 		kept = append(kept, w)
 	}
 	s.queue.waiting = kept
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -66,7 +66,7 @@
 
 // queueWait is the queueing time that a service's gatherer last reported.
 type queueWait struct {
-	wait      time.Duration
+	QueueWaits
 	pausedFor time.Duration
 	at        time.Time
 }
@@ -87,7 +87,10 @@
 	r := &Runner{config: config, queueWaits: make(map[string]queueWait)}
 	link.HandleTyped(registrar, gatherMethod, func(ctx context.Context, g Group) (gatherReply, error) {
 		results := config.Gatherer.Gather(ctx, g)
-		return gatherReply{Results: results, Wait: config.Gatherer.Wait(g.Service), PausedFor: config.Gatherer.PausedFor(g.Service, time.Now())}, nil
+		waits := config.Gatherer.Waits(g.Service, time.Now())
+		return gatherReply{
+			Results: results, Wait: waits.InTime, LateWait: waits.Late, PausedFor: config.Gatherer.PausedFor(g.Service, time.Now()),
+		}, nil
 	})
 	link.HandleTyped(registrar, freeMethod, func(_ context.Context, f freeRequest) (struct{}, error) {
 		config.Gatherer.Free(f.Handles)
@@ -99,8 +102,10 @@
 // gatherReply is the answer to staging.Gather.
 type gatherReply struct {
 	Results []call.PieceResult `cbor:"1,keyasint"`
-	// Wait estimates how long a new group is queued.
-	Wait time.Duration `cbor:"2,keyasint"`
+	// Wait estimates how long a new group is queued that can meet its target, LateWait one
+	// that can't.
+	Wait     time.Duration `cbor:"2,keyasint"`
+	LateWait time.Duration `cbor:"4,keyasint,omitempty"`
 	// PausedFor is how long until the first server accepts calls of the gatherer
 	// again; 0 unless all are paused.
 	PausedFor time.Duration `cbor:"3,keyasint"`
@@ -236,7 +241,8 @@
 		results.addInputBytes(pieces, group.ResultBytes)
 	}
 	if reason := failure(pieces); reason != call.PieceDone {
-		wait, _ := r.recentQueueWait(group.Service)
+		waits, _ := r.recentQueueWaits(group.Service, time.Now())
+		wait := waits.InTime
 		if reason == call.PiecePaused {
 			wait = r.pausedFor(group.Service, time.Now())
 		}
@@ -279,31 +285,33 @@
 // queueWaitMaxAge is how long a queueing time reported by a gatherer is used.
 const queueWaitMaxAge = 700 * time.Millisecond
 
-// predictOverload returns the failure of the first stage whose queue is known
-// to be too long to meet the deadline. Such a request is refused before any
-// work is done for it.
+// predictOverload returns the failure of the first stage whose queue is known to be too
+// long: the request would be late there, and groups that are late wait too long to meet the
+// deadline. Such a request is refused before any work is done for it.
 func (r *Runner) predictOverload(w Work, g *graph, now time.Time) error {
 	for i, s := range g.stages {
 		if g.pieces[i] == 0 {
 			continue
 		}
-		wait, known := r.recentQueueWait(s.Service)
-		if known && now.Add(wait+r.timeAfter(g, i)).After(w.Deadline) {
-			return &Failure{Stage: i, Service: s.Service, Reason: call.PieceOverload, Wait: wait}
+		waits, known := r.recentQueueWaits(s.Service, now)
+		inTime := !now.Add(waits.InTime + r.timeAfter(g, i)).After(w.TargetTime)
+		if known && !inTime && now.Add(waits.Late+r.timeAfter(g, i)).After(w.Deadline) {
+			return &Failure{Stage: i, Service: s.Service, Reason: call.PieceOverload, Wait: waits.InTime}
 		}
 	}
 	return nil
 }
 
-// recentQueueWait returns the queueing time that a service's gatherer recently
-// reported. known is false if there is none.
-func (r *Runner) recentQueueWait(service string) (wait time.Duration, known bool) {
+// recentQueueWaits returns the queueing times that a service's gatherer recently
+// reported. known is false if there are none.
+func (r *Runner) recentQueueWaits(service string, now time.Time) (waits QueueWaits, known bool) {
+	if _, own := r.config.Owners.Owner(service, now); own {
+		return r.config.Gatherer.Waits(service, now), true
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if w := r.queueWaits[service]; time.Since(w.at) < queueWaitMaxAge {
-		return w.wait, true
-	}
-	return 0, false
+	w := r.queueWaits[service]
+	return w.QueueWaits, now.Sub(w.at) < queueWaitMaxAge
 }
 
 // startAfter returns the stage that a stage with large results and no inputs
@@ -448,7 +456,7 @@
 		return nil, Error.New("gatherer returned %d results for %d pieces", len(got.Results), g.Pieces)
 	}
 	r.mu.Lock()
-	r.queueWaits[g.Service] = queueWait{wait: got.Wait, pausedFor: got.PausedFor, at: time.Now()}
+	r.queueWaits[g.Service] = queueWait{QueueWaits: QueueWaits{InTime: got.Wait, Late: max(got.Wait, got.LateWait)}, pausedFor: got.PausedFor, at: time.Now()}
 	r.mu.Unlock()
 	return got.Results, nil
 }
