--- a/instance/notices.go
+++ b/instance/notices.go
@@ -153,7 +153,7 @@
 // predecessor. The caller holds mu.
 func (t *Table) inherit(i *Instance, predecessor Process) {
 	former, found := t.kept[predecessor.key()]
-	if !found || !i.notice.isEmpty() || !i.StartTime.After(predecessor.StartTime) || !i.ranUnlisted(former.saidAt) {
+	if !found || !i.isEmpty() || !i.StartTime.After(predecessor.StartTime) || !i.ranUnlisted(former.saidAt) {
 		return
 	}
 	i.notice = former.notice
