gateway: callers of a host without configuration come back later, and spread

Callers: on the large site, all hosts killed while the store is down: 1,773 refusals in the 1.7 s until the store was back, each with Retry-After 0.5 s. Callers have one retry, so most of them used it up before the store was back. Cause: the time was that of a start with the store in reach, which requests wait for now. Change: 1.5 to 3 s, at random. Test: TestCallersOfHostsWithoutConfigurationComeBackLateAndSpread (0.5 before).

--- a/edge/store_test.go
+++ b/edge/store_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -142,3 +144,24 @@
 	time.Sleep(2 * time.Second)
 	require.Equal(t, http.StatusOK, f.send(n, http.MethodGet, "/read/1", "r2").status)
 }
+
+// All hosts start while the store is down, and callers have one retry. Guards against callers
+// who come back together, and before the store does.
+func TestCallersOfHostsWithoutConfigurationComeBackLateAndSpread(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.store.SetFault(func(string) platformtest.Fault { return platformtest.FaultUnavailable })
+	n := f.startUnready(f.store.Addr())
+	var waits []float64
+	for range 20 {
+		got := f.send(n, http.MethodPost, "/talk/1", "r1")
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		wait, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		waits = append(waits, wait)
+	}
+	require.GreaterOrEqual(t, slices.Min(waits), 1.5)
+	require.LessOrEqual(t, slices.Max(waits), 3.0)
+	require.Greater(t, slices.Max(waits)-slices.Min(waits), 0.5)
+}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -12,9 +12,10 @@
 
 // How long refused callers should wait before they retry.
 const (
-	// configurationRetryAfter is about the time that a starting host needs to
-	// get the configuration.
-	configurationRetryAfter = 500 * time.Millisecond
+	// configurationRetryAfter is for a host that has no configuration although the request
+	// has waited for the first read: the store is down. Callers have few retries, so they
+	// come back late rather than twice in vain. A random time of the same length is added.
+	configurationRetryAfter = 1500 * time.Millisecond
 	// quarantineRetryAfter is how long another host may run a suspected request
 	// alone.
 	quarantineRetryAfter = 2 * time.Second
@@ -58,6 +59,11 @@
 	return wait + time.Duration(x.random.Int64N(int64(overloadRetryAfter)))
 }
 
+// spread returns a random time from wait to twice that.
+func (x *exchange) spread(wait time.Duration) time.Duration {
+	return wait + time.Duration(x.random.Int64N(int64(wait)))
+}
+
 // refuse logs a refusal and sends it.
 func (x *exchange) refuse(f refusal) {
 	if f.abort || x.started {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,7 +188,7 @@
 func (x *exchange) prepare() (refusal, bool) {
 	x.table = x.configuration()
 	if x.table == nil {
-		return refusal{status: http.StatusServiceUnavailable, reason: "no_configuration", retryAfter: configurationRetryAfter}, false
+		return refusal{status: http.StatusServiceUnavailable, reason: "no_configuration", retryAfter: x.spread(configurationRetryAfter)}, false
 	}
 	route, found := x.table.Match(x.request.Host, x.request.Target)
 	if !found {
