ownership: hosts without a known generation may own tasks while the fleet is young

Callers: on the large site, all hosts killed while the store is down, the store back at 10.3 s: until 14 s up to ten hosts gathered for one stage service, 1,319 stage calls met a full server, 280 requests were refused. Cause, from the hosts' logs: a host whose configuration's version is not known owned nothing as soon as any other's was. All hosts read their configuration within 0.4 s, but their versions spread by datagrams over seconds, and each host knew others of them. Change: versions are asked for 5 s after the host's own first configuration. A gatherer that lacks the service makes its caller go to the next owner, after the second that it waits for the configuration, in place of refusing the request.

--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -30,6 +30,8 @@
 	memberCount      int
 	membersChangedAt time.Time
 	formed           bool // Formed has returned true
+	// configuredAt is when the local host was first seen to have a configuration.
+	configuredAt time.Time
 }
 
 // New creates a table over the members of a fleet. The local host starts to
@@ -45,17 +47,18 @@
 func (t *Table) Owner(task string, now time.Time) (owner host.Info, own bool) {
 	self := t.fleet.Self()
 	members := t.fleet.Members()
-	strongest, newest := 0.0, uint64(0)
+	strongest, configured := 0.0, false
 	for _, m := range members {
 		if m.State == host.Alive {
 			strongest = max(strongest, m.Capacity)
-			newest = max(newest, m.Generation)
+			configured = configured || m.ID == self.ID && m.Generation > 0
 		}
 	}
+	needConfiguration := configured && t.configuredFor(now) >= generationSpreadTime
 	best, bestRank := self, uint64(0)
 	for _, m := range members {
-		if newest > 0 && m.Generation == 0 && !m.Listed {
-			continue // the host has no configuration yet
+		if needConfiguration && m.Generation == 0 && !m.Listed {
+			continue // the host can't read the store
 		}
 		if m.State != host.Alive || m.Capacity < minCapacityFraction*strongest || t.avoided.Has(m.ID, now) {
 			continue
@@ -67,6 +70,21 @@
 	return best, best.ID == self.ID
 }
 
+// generationSpreadTime is how long after the local host has read its first configuration
+// the others' generations have arrived. Until then they say nothing about who has none: hosts
+// that start together read it together, and would choose different owners.
+const generationSpreadTime = 5 * time.Second
+
+// configuredFor returns for how long the local host, which has a configuration, has had one.
+func (t *Table) configuredFor(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.configuredAt.IsZero() {
+		t.configuredAt = now
+	}
+	return now.Sub(t.configuredAt)
+}
+
 const (
 	// minFormTime is the least time that hosts which start together need to
 	// discover each other. Until then each of them would consider itself the
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -87,6 +87,9 @@
 	r := &Runner{config: config, queueWaits: make(map[string]queueWait)}
 	link.HandleTyped(registrar, gatherMethod, func(ctx context.Context, g Group) (gatherReply, error) {
 		results := config.Gatherer.Gather(ctx, g)
+		if failure(results) == call.PieceRefused {
+			return gatherReply{}, Error.New("service %q is not in the configuration of this host", g.Service) // another host may have it
+		}
 		waits := config.Gatherer.Waits(g.Service, time.Now())
 		return gatherReply{
 			Results: results, Wait: waits.InTime, LateWait: waits.Late, PausedFor: config.Gatherer.PausedFor(g.Service, time.Now()),
