balance: the latency of an upstream that gets no requests loses its weight

Callers: none seen. Cause: a host's estimate of a latency changed with answers of that upstream only. Change: the estimate approaches the lowest one with the number of requests that the host sends to others, half in 16 requests. It is measured in requests, not in time, so that hosts of a large fleet, which send few each, do not try slow upstreams more often.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,6 +22,9 @@
 	remoteFactor = 1.15
 	// defaultLatency is used while the latency of no upstream is known.
 	defaultLatency = 20 * time.Millisecond
+	// latencyHalfLife is after how many requests to other upstreams a measured latency
+	// counts half. An upstream that stays slow gets a few requests in a hundred.
+	latencyHalfLife = 16
 	// errorFactor sets how strongly errors raise the score: an upstream that
 	// fails every call counts as 1 + errorFactor times as loaded.
 	errorFactor = 20
@@ -59,12 +62,9 @@
 // there is none to choose.
 func ChooseUpstream(all []instance.Status, need Need, random *rand.Rand) (instance.Status, bool) {
 	candidates := usable(all, need)
-	unknown := lowestLatency(candidates)
+	lowest := lowestLatency(candidates)
 	return lowestScore(candidates, func(s instance.Status) float64 {
-		latency := s.Latency
-		if latency == 0 {
-			latency = unknown
-		}
+		latency := expectedLatency(s, lowest)
 		load := float64(s.InFlight+1) / float64(max(s.Slots, 1))
 		score := latency.Seconds() * (1 + load) * (1 + errorFactor*s.ErrorRate*s.ErrorRate)
 		if s.DataCentre != need.PreferredDataCentre {
@@ -74,6 +74,17 @@
 	})
 }
 
+// expectedLatency returns the latency of an upstream as far as it is known. The measured one
+// loses its weight while the host sends its requests to others, so that an upstream that was
+// slow once is tried again.
+func expectedLatency(s instance.Status, lowest time.Duration) time.Duration {
+	if s.Latency == 0 {
+		return lowest
+	}
+	weight := math.Exp2(-float64(s.SinceAnswer) / latencyHalfLife)
+	return lowest + time.Duration(weight*float64(s.Latency-lowest))
+}
+
 // lowestLatency returns the latency that an upstream without an answer is taken to have:
 // that of the fastest one, or else it would get no requests beside upstreams that are
 // faster than any default.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -76,17 +76,21 @@
 	ejections    int // since the last answered call
 	ejectedUntil time.Time
 	latency      time.Duration // moving average over successful answers
+	measuredAt   uint64        // the table's count of requests to the service at the last answer
 	errorRate    float64       // moving average of the share of calls that failed or broke
 }
 
 // Status is a snapshot of an upstream, used to choose one for a request.
 type Status struct {
 	Entry
-	InFlight  int
-	Tokens    int
-	Ejected   bool
-	Latency   time.Duration
-	ErrorRate float64
+	InFlight int
+	Tokens   int
+	Ejected  bool
+	Latency  time.Duration
+	// SinceAnswer is how many requests this host has sent to the service since Latency was
+	// measured.
+	SinceAnswer uint64
+	ErrorRate   float64
 }
 
 // HasVersion reports whether the upstream has a required version of the software;
@@ -113,6 +117,7 @@
 	mu             sync.Mutex
 	byID           map[ID]*Instance
 	byService      map[string][]*Instance // ordered by ID
+	requests       map[string]uint64      // requests that this host has begun, by service
 	tombstones     map[ID]tombstone       // removals; entries up to their positions are ignored
 	tombstoneFloor infra.Position         // removals before this position may be missing
 	// formerVersions is when the last upstream of a software version was removed, by
@@ -155,6 +160,7 @@
 	return &Table{
 		byID:       make(map[ID]*Instance),
 		byService:  make(map[string][]*Instance),
+		requests:   make(map[string]uint64),
 		tombstones: make(map[ID]tombstone),
 		kept:       make(map[processKey]keptNotice),
 
@@ -323,7 +329,7 @@
 		}
 		all = append(all, Status{
 			Entry: i.Entry, InFlight: i.inFlight, Tokens: i.tokens,
-			Ejected: now.Before(i.ejectedUntil), Latency: i.latency, ErrorRate: i.errorRate,
+			Ejected: now.Before(i.ejectedUntil), Latency: i.latency, SinceAnswer: t.requests[name] - i.measuredAt, ErrorRate: i.errorRate,
 		})
 	}
 	return all
@@ -384,6 +390,7 @@
 	if i == nil || i.isLeaving() {
 		return nil, false
 	}
+	t.requests[i.Service]++
 	i.inFlight++
 	i.tokens += tokens
 	return &Use{table: t, instance: i, tokens: tokens}, true
@@ -401,6 +408,9 @@
 	u.instance.inFlight--
 	u.instance.tokens -= u.tokens
 	u.instance.recordOutcome(outcome, took, now)
+	if outcome == Answered {
+		u.instance.measuredAt = u.table.requests[u.instance.Service]
+	}
 }
 
 // Outcome is how a call to an upstream ended.
