edge: requests that a host aborts are logged before it ends

Change: the host closes callers' connections itself and waits up to 0.2 s for their requests to end. Test: TestAbortedRequestIsLoggedBeforeItsHostEnds fails without the wait (0 lines).

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenaseam/galenaseam/internal/sleep"
@@ -42,6 +43,8 @@
 
 	idle idleLimit // only closeExpired uses it
 
+	inProgress atomic.Int64 // requests
+
 	mu   sync.Mutex // guards open
 	open map[*callerConn]struct{}
 }
@@ -71,9 +74,29 @@
 		w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
 		return
 	}
+	c.inProgress.Add(1)
+	defer c.inProgress.Add(-1)
 	c.handler.ServeHTTP(w, r)
 }
 
+const (
+	// maxAbortTime bounds the wait for aborted requests, and abortCheckInterval is how often
+	// they are counted.
+	maxAbortTime       = 200 * time.Millisecond
+	abortCheckInterval = 5 * time.Millisecond
+)
+
+// abort closes all connections and waits for the requests on them to end, so that each of
+// them is logged.
+func (c *callerServer) abort() {
+	if err := c.server.Close(); err != nil {
+		c.logger.Warn("failed to close callers' connections", "error", err.Error())
+	}
+	for until := time.Now().Add(maxAbortTime); c.inProgress.Load() > 0 && time.Now().Before(until); {
+		time.Sleep(abortCheckInterval)
+	}
+}
+
 // headerBytes returns the size of the request line and headers as they were
 // sent.
 func headerBytes(r *http.Request) int {
--- a/edge/drain_test.go
+++ b/edge/drain_test.go
@@ -218,3 +218,18 @@
 	require.Eventually(t, func() bool { return len(n.result) > 0 }, waitTimeout, time.Millisecond)
 	require.Less(t, time.Since(start), 2700*time.Millisecond, "a machine with a fifth of a core needs the rest")
 }
+
+// Guards against a request that a host aborts at the end of its grace period and does not log.
+func TestAbortedRequestIsLoggedBeforeItsHostEnds(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, eachRoute("timeout_ms", 20_000))
+	u := f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Events: 400, EventPause: 20 * time.Millisecond})
+	n := f.startWith(f.store.Addr(), func(s *edge.Settings) { s.Grace = 2 * time.Second })
+	require.NoError(t, n.waitReady())
+	go f.send(n, http.MethodPost, "/talk/1", "r1", "Deadline-Ms", "20000")
+	require.Eventually(t, func() bool { return len(u.Runs()) == 1 }, waitTimeout, time.Millisecond)
+	n.stop()
+	require.Eventually(t, func() bool { return len(n.result) > 0 }, waitTimeout, time.Millisecond)
+	require.Equal(t, 1, n.log.count(`"msg":"request"`, `"request":"r1"`))
+}
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -10,7 +10,9 @@
 	"log/slog"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -49,6 +51,25 @@
 	stop      context.CancelFunc
 	result    chan error
 	storeAddr netip.AddrPort
+	log       *hostLog
+}
+
+// hostLog holds the lines that a host has logged.
+type hostLog struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+// count returns how many lines contain all of the given texts.
+func (l *hostLog) count(texts ...string) (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, line := range l.lines {
+		if !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(line, text) }) {
+			n++
+		}
+	}
+	return n
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -135,16 +156,16 @@
 // launch starts a host and waits until it listens. It returns the host's error at
 // once if the host ends before.
 func (f *fleet) launch(s edge.Settings, store netip.AddrPort) (*node, error) {
-	listening := make(chan struct{})
+	listening, log := make(chan struct{}), &hostLog{}
 	client := platform.NewStore(platform.StoreSettings{Addr: store}, 500*time.Millisecond)
 	built, err := edge.New(s, edge.Platform{
 		Codec: platform.HTTPCodec{}, Source: platform.Source{Store: client}, Format: platform.Format{},
 		Stages:   func(t *transport.Client) staging.Caller { return platform.StageCalls{Transport: t} },
 		Register: client.Register, Keep: client.Keep, Delete: client.Delete,
-	}, slog.New(slog.NewJSONHandler(testWriter{f.t, listening}, nil)), prometheus.NewRegistry())
+	}, slog.New(slog.NewJSONHandler(testWriter{f.t, listening, log}, nil)), prometheus.NewRegistry())
 	require.NoError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
-	n := &node{Host: built, settings: s, stop: stop, result: make(chan error, 1), storeAddr: store}
+	n := &node{Host: built, settings: s, stop: stop, result: make(chan error, 1), storeAddr: store, log: log}
 	f.hosts = append(f.hosts, n)
 	go func() {
 		n.result <- built.Run(ctx)
@@ -170,9 +191,13 @@
 type testWriter struct {
 	t         *testing.T
 	listening chan struct{}
+	log       *hostLog
 }
 
 func (w testWriter) Write(p []byte) (int, error) {
+	w.log.mu.Lock()
+	w.log.lines = append(w.log.lines, string(p))
+	w.log.mu.Unlock()
 	w.t.Log(strings.TrimSpace(string(p)))
 	if strings.Contains(string(p), `"msg":"host started"`) {
 		close(w.listening)
--- a/edge/run.go
+++ b/edge/run.go
@@ -189,5 +189,6 @@
 	defer cancelShutdown()
 	if err := h.callers.server.Shutdown(shutdownCtx); err != nil {
 		h.logger.Warn("requests aborted at the end of the grace period", "error", err.Error())
+		h.callers.abort()
 	}
 }
