soak: the end of a grace period excuses a cut answer

Trace, from entry-2's log: SIGTERM at 45:58.19, the request sent at 46:00.67 (2.48 s later), requests aborted at 46:03.59 (5.40 s of 6 s of grace); turns-13 had sent 14 of 25 events. The users' rule LOST does not count a cut in the last sixth of the grace period, with the server at work, of a request sent no later than 3 s after SIGTERM. Change: just that is excused, and a test holds the edges.

--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -27,13 +27,13 @@
 
 // checkNotCut checks that a request got its whole answer if an upstream ran it and
 // was only silent. A caller that left, a deadline, a killed host and a connection
-// that was reset excuse a missing answer; so does the last upstream that the route
+// that was reset excuse a missing answer, and the end of a grace period; so does the last upstream that the route
 // allows if it took over and broke off.
 func (e *environment) checkNotCut(o outcome, runs []serverRun) []string {
 	if o.status == http.StatusOK && o.complete || o.abandoned || o.endedAt.Sub(o.sentAt) > o.deadline-timeoutSlack {
 		return nil
 	}
-	if e.host(o.host).wasDisrupted(o.sentAt, o.endedAt, killed) {
+	if e.host(o.host).wasDisrupted(o.sentAt, o.endedAt, killed) || e.host(o.host).graceEnded(o.sentAt, o.endedAt) {
 		return nil
 	}
 	brokeOff := func(run serverRun) bool {
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -90,6 +90,25 @@
 	return false
 }
 
+const (
+	// lastGrace is the last sixth of the grace period, in which a host may abort requests.
+	lastGrace = graceSeconds * time.Second / 6
+	// graceRequestTime is how long after SIGTERM requests may be sent that are aborted then.
+	graceRequestTime = 3 * time.Second
+)
+
+// graceEnded reports whether the host was in the last sixth of its grace period at a time, and
+// whether that may have aborted a request.
+func (h *hostProcess) graceEnded(sentAt, at time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.disruptions, func(d *disruption) bool {
+		age := at.Sub(d.from)
+		return d.kind == stopped && sentAt.Before(d.from.Add(graceRequestTime)) &&
+			age >= graceSeconds*time.Second-lastGrace && age <= graceSeconds*time.Second
+	})
+}
+
 // newHost writes the settings file of a host and opens its log.
 func newHost(binary, dir string, s platformtest.HostSettings, metricsPort uint16, storeProxy *platformtest.FaultProxy) (*hostProcess, error) {
 	h := &hostProcess{binary: binary, settings: s, metricsPort: metricsPort, storeProxy: storeProxy, settingsPath: filepath.Join(dir, s.Name+".conf")}
--- a/internal/soak/host_test.go
+++ b/internal/soak/host_test.go
@@ -84,3 +84,16 @@
 	require.EqualError(t, h.start(), "entry-0 exited with code 3 during startup: the reason")
 	require.Less(t, time.Since(started), startTimeout/2)
 }
+
+// A host may abort a request at the end of its grace period, not before, and none that is sent
+// late.
+func TestRequestsAreExcusedAtTheEndOfAGracePeriodOnly(t *testing.T) {
+	term := time.Unix(1000, 0)
+	h := &hostProcess{disruptions: []*disruption{{kind: stopped, from: term, until: term.Add(graceSeconds * time.Second)}}}
+	for _, c := range []struct {
+		sent, ended time.Duration
+		excused     bool
+	}{{2480 * time.Millisecond, 5400 * time.Millisecond, true}, {2 * time.Second, 4900 * time.Millisecond, false}, {3100 * time.Millisecond, 5400 * time.Millisecond, false}, {2 * time.Second, 6100 * time.Millisecond, false}} {
+		require.Equal(t, c.excused, h.graceEnded(term.Add(c.sent), term.Add(c.ended)), "sent after %s, ended after %s", c.sent, c.ended)
+	}
+}
