ports: no process is forked while a port is checked

Cause: a reservation opens a TCP and a UDP socket on the port to see that it is free, and closes them. A process that is forked in between has them until its exec, so that the port is still in use for the caller of Reserve. Change: the check holds syscall.ForkLock.

--- a/internal/ports/ports.go
+++ b/internal/ports/ports.go
@@ -102,8 +102,11 @@
 	return nil, nil
 }
 
-// checkUnused returns an error if a TCP or UDP socket is open on the port.
+// checkUnused returns an error if a TCP or UDP socket is open on the port. No process is
+// forked during the check: a child has the sockets of the check until its exec.
 func (r *Reservation) checkUnused() error {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	tcp, err := net.Listen("tcp4", r.addr.String())
 	if err != nil {
 		return err
