--- a/member/transport.go
+++ b/member/transport.go
@@ -39,14 +39,22 @@
 
 // run receives datagrams until ctx ends. It may be called once.
 func (t *transport) run(ctx context.Context) error {
+	stopped := make(chan struct{})
+	running, end := context.WithCancel(context.Background())
 	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
 		if t.waitReady(context.Background()) == nil {
-			ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+			ctx, cancel := context.WithTimeout(running, stopTimeout)
 			defer cancel()
-			_ = t.engine.Stop(ctx) // returns up to half a second after the event loop has ended
+			_ = t.engine.Stop(ctx) // polls twice a second for the end of the event loop
 		}
 	})
-	defer stop()
+	defer func() {
+		end()
+		if !stop() {
+			<-stopped
+		}
+	}()
 	defer close(t.ended)
 	if err := gnet.Run(t, "udp://"+t.addr, gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLogger{t.logger})); err != nil {
 		t.runErr = Error.New("receive datagrams on %s: %w", t.addr, err)
