--- /dev/null
+++ b/review/harness/caller.go
@@ -0,0 +1,125 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenaseam/galenaseam/platform/platformtest"
+)
+
+// Outcome is what a caller saw of one request.
+type Outcome struct {
+	ID       string
+	Host     string
+	SentAt   time.Time
+	EndedAt  time.Time
+	Status   int // 0 if there was no answer
+	Body     string
+	Complete bool
+	Err      error
+	Header   http.Header
+}
+
+// Callers send requests and record the outcomes.
+type Callers struct {
+	// Key is the API key.
+	Key string
+	// Deadline is how long the callers wait.
+	Deadline time.Duration
+
+	record *Record
+	client *http.Client
+	number atomic.Int64
+
+	mu       sync.Mutex // guards outcomes
+	outcomes []Outcome
+}
+
+// NewCallers creates callers that keep their connections.
+func NewCallers(record *Record, key string, deadline time.Duration) *Callers {
+	return &Callers{
+		Key: key, Deadline: deadline, record: record,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}},
+	}
+}
+
+// Send sends one request with a new ID to a host, and waits for its end. header is added.
+func (c *Callers) Send(h *Host, method, path string, header http.Header) Outcome {
+	o := Outcome{ID: fmt.Sprintf("%016x", 0x1c41d07b00000000+c.number.Add(1)), Host: h.Name, SentAt: time.Now()}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Deadline)
+	defer cancel()
+	var body io.Reader
+	if method != http.MethodGet {
+		body = strings.NewReader("body of " + o.ID)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+h.CallerAddr().String()+path+o.ID, body)
+	if err != nil {
+		panic(err) // this package built the URL
+	}
+	r.Host = platformtest.Host
+	r.Header = http.Header{
+		"Attempt-Id":    {o.ID},
+		"Deadline-Ms":   {fmt.Sprint(c.Deadline.Milliseconds())},
+		"Authorization": {"Bearer " + c.Key},
+	}
+	maps.Copy(r.Header, header)
+	c.finish(r, &o)
+	c.record.PrintfAt(o.SentAt, "caller sent %s %s%s to %s: status %d, complete %t, after %d ms, error %v",
+		method, path, o.ID, h.Name, o.Status, o.Complete, o.EndedAt.Sub(o.SentAt).Milliseconds(), o.Err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes = append(c.outcomes, o)
+	return o
+}
+
+// finish makes the call and reads its answer.
+func (c *Callers) finish(r *http.Request, o *Outcome) {
+	defer func() { o.EndedAt = time.Now() }()
+	answer, err := c.client.Do(r)
+	if err != nil {
+		o.Err = err
+		return
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	o.Status, o.Header, o.Body, o.Complete, o.Err = answer.StatusCode, answer.Header, string(body), err == nil, err
+}
+
+// Load sends requests to every host, one each interval, until stop is called. stop waits
+// for those under way.
+func (c *Callers) Load(hosts []*Host, interval time.Duration, method, path string, header http.Header) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, h := range hosts {
+		running.Go(func() {
+			ticker := time.NewTicker(interval)
+			defer ticker.Stop()
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case <-ticker.C:
+					running.Go(func() { c.Send(h, method, path, header) })
+				}
+			}
+		})
+	}
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// Outcomes returns what the callers have seen so far.
+func (c *Callers) Outcomes() []Outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]Outcome(nil), c.outcomes...)
+}
