--- a/review/harness/caller.go
+++ b/review/harness/caller.go
@@ -27,6 +27,9 @@
 	Header   http.Header
 }
 
+// requestNumber counts the requests of all callers, so that each has an ID of its own.
+var requestNumber atomic.Int64
+
 // Callers send requests and record the outcomes.
 type Callers struct {
 	// Key is the API key.
@@ -36,7 +39,6 @@
 
 	record *Record
 	client *http.Client
-	number atomic.Int64
 
 	mu       sync.Mutex // guards outcomes
 	outcomes []Outcome
@@ -52,7 +54,7 @@
 
 // Send sends one request with a new ID to a host, and waits for its end. header is added.
 func (c *Callers) Send(h *Host, method, path string, header http.Header) Outcome {
-	o := Outcome{ID: fmt.Sprintf("%016x", 0x1c41d07b00000000+c.number.Add(1)), Host: h.Name, SentAt: time.Now()}
+	o := Outcome{ID: fmt.Sprintf("%016x", 0x1c41d07b00000000+requestNumber.Add(1)), Host: h.Name, SentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), c.Deadline)
 	defer cancel()
 	var body io.Reader
