--- a/review/harness/caller.go
+++ b/review/harness/caller.go
@@ -36,6 +36,8 @@
 	Key string
 	// Deadline is how long the callers wait.
 	Deadline time.Duration
+	// BodyBytes is the length of the bodies; 0 sends a short text.
+	BodyBytes int
 
 	record *Record
 	client *http.Client
@@ -57,14 +59,13 @@
 	o := Outcome{ID: fmt.Sprintf("%016x", 0x1c41d07b00000000+requestNumber.Add(1)), Host: h.Name, SentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), c.Deadline)
 	defer cancel()
-	var body io.Reader
-	if method != http.MethodGet {
-		body = strings.NewReader("body of " + o.ID)
-	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+h.CallerAddr().String()+path+o.ID, body)
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+h.CallerAddr().String()+path+o.ID, nil)
 	if err != nil {
 		panic(err) // this package built the URL
 	}
+	if method != http.MethodGet {
+		c.setBody(r, "body of "+o.ID)
+	}
 	r.Host = platformtest.Host
 	r.Header = http.Header{
 		"Attempt-Id":    {o.ID},
@@ -81,6 +82,16 @@
 	return o
 }
 
+// padding fills the bodies of all callers.
+var padding = strings.Repeat(".", 8<<20)
+
+// setBody gives a request a body of BodyBytes that begins with a text.
+func (c *Callers) setBody(r *http.Request, text string) {
+	rest := min(max(c.BodyBytes-len(text), 0), len(padding))
+	r.ContentLength = int64(len(text) + rest)
+	r.Body = io.NopCloser(io.MultiReader(strings.NewReader(text), strings.NewReader(padding[:rest])))
+}
+
 // finish makes the call and reads its answer.
 func (c *Callers) finish(r *http.Request, o *Outcome) {
 	defer func() { o.EndedAt = time.Now() }()
