--- a/review/harness/caller.go
+++ b/review/harness/caller.go
@@ -67,11 +67,7 @@
 		c.setBody(r, "body of "+o.ID)
 	}
 	r.Host = platformtest.Host
-	r.Header = http.Header{
-		"Attempt-Id":    {o.ID},
-		"Deadline-Ms":   {fmt.Sprint(c.Deadline.Milliseconds())},
-		"Authorization": {"Bearer " + c.Key},
-	}
+	r.Header = platformtest.CallerHeader(o.ID, c.Key, c.Deadline)
 	maps.Copy(r.Header, header)
 	c.finish(r, &o)
 	c.record.PrintfAt(o.SentAt, "caller sent %s %s%s to %s: status %d, complete %t, after %d ms, error %v",
--- a/review/harness/cutter.go
+++ b/review/harness/cutter.go
@@ -7,7 +7,6 @@
 	"net/http/httputil"
 	"net/netip"
 	"net/url"
-	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -27,7 +26,7 @@
 	forward.ErrorHandler = func(http.ResponseWriter, *http.Request, error) { panic(http.ErrAbortHandler) }
 	c.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		after := time.Duration(c.after.Load())
-		if after == 0 || !strings.HasSuffix(r.URL.Path, "/kv-watch") {
+		if after == 0 || !r.URL.Query().Has("wait_ms") {
 			forward.ServeHTTP(w, r)
 			return
 		}
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -15,6 +15,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/galenaseam/galenaseam/platform"
 )
 
 // Ports on which each host listens at its own loopback address, as the platform does.
@@ -182,7 +184,7 @@
 	}
 	defer log.Close()
 	h.command = exec.Command(words[0], words[1:]...)
-	h.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GALENASEAM_BOOT=" + h.settings}
+	h.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), platform.SettingsVariable + "=" + h.settings}
 	h.command.Stdout, h.command.Stderr = log, log
 	if err := h.command.Start(); err != nil {
 		return err
