--- a/review/2/main.go
+++ b/review/2/main.go
@@ -16,9 +16,9 @@
 const (
 	hosts   = 3
 	servers = 4
-	service = "noma-kodols"
-	path    = "/order-booking/"
-	apiKey  = "welders-key"
+	service = "plan-registry"
+	path    = "/plan-commit/"
+	apiKey  = "staff-key"
 
 	// drainTime is bounds.drain_ms of the settings.
 	drainTime = 2 * time.Second
@@ -36,7 +36,7 @@
 	// sendInterval is the time between two bookings to one host.
 	sendInterval = 20 * time.Millisecond
 	// callerDeadline is the deadline of a booking on the sheet.
-	callerDeadline = time.Second
+	callerDeadline = 1500 * time.Millisecond
 )
 
 func main() { harness.Main(run) }
--- a/review/harness/caller.go
+++ b/review/harness/caller.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,8 @@
 	Complete bool
 	Err      error
 	Header   http.Header
+	// Kept means that the connection had served a request before.
+	Kept bool
 }
 
 // requestNumber counts the requests of all callers, so that each has an ID of its own.
@@ -59,6 +62,7 @@
 	o := Outcome{ID: fmt.Sprintf("%016x", 0x1c41d07b00000000+requestNumber.Add(1)), Host: h.Name, SentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), c.Deadline)
 	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { o.Kept = i.Reused }})
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+h.CallerAddr().String()+path+o.ID, nil)
 	if err != nil {
 		panic(err) // this package built the URL
