directory: only an outage in which entries can expire keeps removed upstreams

What callers saw: bookings were sent to an upstream up to 2.5 s after the store had acknowledged the removal of its entry (2 s are allowed). Some ran there and were cut when it exited; their callers got 502.

Cause: each failed call to the store counted as an outage, also a watch that the store ended while it waited, as it may at any time. For 2.3 s after it every removal was taken for an entry that had expired because its upstream could not write. Beside that the HTTP client sent a cut watch again by itself on a kept connection, where it timed out.

Change: a directory/outage.go tracks the store's last sign of life and the failed calls since. An entry can expire only if its upstream could not write for three heartbeat intervals, of which one may have passed before the outage, so shorter silences explain no removal. A cut watch is a sign of life: the host asks for the changes up to now and watches again. After a failed call the changes are read, and everything only if they are no longer kept.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -52,13 +52,18 @@
 	Read(ctx context.Context) ([]Item, infra.Position, error)
 	// Changes waits for changes after a position, in the same era. It returns
 	// them and the position from which to continue. ErrHistoryGone means that
-	// Read is needed again, also because the store's era rose.
+	// Read is needed again, also because the store's era rose. ErrWatchCut means that
+	// the store closed the connection before the wait was over.
 	Changes(ctx context.Context, after infra.Position, wait time.Duration) ([]Item, infra.Position, error)
 }
 
 // ErrHistoryGone means that the store no longer holds the requested changes.
 var ErrHistoryGone = errs.New("history gone")
 
+// ErrWatchCut means that the store ended a waiting call without an answer, as it may at
+// any time. It is no sign of an outage.
+var ErrWatchCut = errs.New("watch cut")
+
 // Format decodes the store's keys and values.
 type Format interface {
 	// ConfigKey is the key of the operators' configuration.
@@ -81,7 +86,12 @@
 	// MaxPropagationDelay is the time within which every host must have applied
 	// a change.
 	MaxPropagationDelay time.Duration
-	Logger              *slog.Logger
+	// HeartbeatInterval is about how often each upstream writes its entry, and EntryTTL how
+	// long after the last write the store removes it. If both are 0, a removal after any
+	// failed call may be due to an outage.
+	HeartbeatInterval time.Duration
+	EntryTTL          time.Duration
+	Logger            *slog.Logger
 	// Registerer registers the metrics; nil registers none.
 	Registerer prometheus.Registerer
 	// OnConfig is called with each configuration after it was applied.
@@ -108,9 +118,9 @@
 	asOf           infra.Position // changes up to this position are applied
 	hosts          map[string]hostEntry
 	expiries       map[instance.ID]expiry // upstreams whose entries expired during an outage
-	storeFailedAt  time.Time              // time of the last failed store call
-	eraRoseAt      time.Time              // when the host noticed that the store had come back from a copy
-	heard          infra.Position         // the newest position that another host announced
+	outages        outageTracker
+	eraRoseAt      time.Time      // when the host noticed that the store had come back from a copy
+	heard          infra.Position // the newest position that another host announced
 	heardFrom      host.ID
 	published      infra.Position
 	// confirmedAt is when the store last confirmed, here or to the host that
@@ -121,6 +131,7 @@
 
 	avoidedWatchers ownership.Avoided // watchers that did not answer or had stale data
 	eraMetrics      eraMetrics
+	cutWatches      prometheus.Counter
 
 	// wake tells followPeers that another host has a newer position.
 	wake chan struct{}
@@ -146,9 +157,11 @@
 		config:     config,
 		hosts:      make(map[string]hostEntry),
 		expiries:   make(map[instance.ID]expiry),
+		outages:    newOutageTracker(config.HeartbeatInterval, config.EntryTTL),
 		changed:    make(chan struct{}),
 		wake:       make(chan struct{}, 1),
 		eraMetrics: newEraMetrics(config.Registerer),
+		cutWatches: newCutWatchCounter(config.Registerer),
 	}
 	config.Gossip.Subscribe(revisionTopic, d.handleRevision)
 	link.HandleTyped(registrar, followMethod, d.serveFollow)
@@ -163,7 +176,7 @@
 func (d *Directory) AwaitRoutes(ctx context.Context) *routing.Table {
 	for {
 		d.mu.Lock()
-		changed, reading := d.changed, d.asOf == (infra.Position{}) && d.storeFailedAt.IsZero()
+		changed, reading := d.changed, d.asOf == (infra.Position{}) && d.outages.failedAt.IsZero()
 		d.mu.Unlock()
 		if table := d.Routes(); table != nil || !reading {
 			return table
@@ -382,6 +395,7 @@
 	}
 	if confirmedAt.After(d.confirmedAt) {
 		d.confirmedAt = confirmedAt
+		d.outages.reached(confirmedAt)
 	}
 }
 
--- a/directory/expiry.go
+++ b/directory/expiry.go
@@ -7,8 +7,8 @@
 	"github.com/galenaseam/galenaseam/instance"
 )
 
-// expiryGrace is how long after the last failed store call an expired entry is
-// kept, so that its upstream can register again. The platform promises that
+// expiryGrace is how long after the last failed store call of an outage an expired
+// entry is kept, so that its upstream can register again. The platform promises that
 // this takes about two seconds.
 const expiryGrace = 2300 * time.Millisecond
 
@@ -21,13 +21,13 @@
 	position infra.Position
 }
 
-// outageEnd returns when the store was last known to be away: at a failed call,
-// or when it came back from a copy, which may lack entries. The caller holds mu.
+// outageEnd returns when entries of living upstreams may last have been lost: in an
+// outage, or when the store came back from a copy. The caller holds mu.
 func (d *Directory) outageEnd() time.Time {
-	if d.eraRoseAt.After(d.storeFailedAt) {
+	if d.eraRoseAt.After(d.outages.endedAt) {
 		return d.eraRoseAt
 	}
-	return d.storeFailedAt
+	return d.outages.endedAt
 }
 
 // removeUpstream removes an upstream. If its entry may be missing only because
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenaseam/galenaseam/internal/sleep"
@@ -46,38 +48,55 @@
 // there is one to follow, else from the store itself.
 func (d *Directory) followStore(ctx context.Context) error {
 	delay := minRetryDelay
-	readAll := true
-	connected := true
+	next := nextCall{readAll: true}
 	for ctx.Err() == nil {
 		if w, follows := d.chooseWatcher(time.Now()); follows && d.Revision() > 0 && d.followWatcher(ctx, w) {
 			continue
 		}
-		err := d.callStore(ctx, &readAll)
-		if err == nil {
-			if !connected {
-				d.config.Logger.Info("connection to the store restored", "as_of", d.Revision())
-			}
-			connected, delay = true, minRetryDelay
-			continue
-		}
-		if ctx.Err() != nil {
+		err := d.callStore(ctx, &next)
+		switch {
+		case ctx.Err() != nil:
 			return nil
+		case err == nil:
+			delay = minRetryDelay
+		default:
+			d.recordFailure(err, time.Now())
+			next = nextCall{readAll: next.readAll, confirm: true}
+			_ = sleep.For(ctx, delay)
+			delay = d.nextRetryDelay(delay, rand.Float64())
 		}
-		now := time.Now()
-		d.mu.Lock()
-		d.storeFailedAt = now
-		d.mu.Unlock()
-		if connected {
-			d.config.Logger.Warn("connection to the store lost", "as_of", d.Revision(), "error", err.Error())
-			d.wakeFollowers() // and the requests that wait for the first read
-		}
-		connected = false
-		_ = sleep.For(ctx, delay)
-		delay = d.nextRetryDelay(delay, rand.Float64())
 	}
 	return nil
 }
 
+// recordFailure records a failed call to the store.
+func (d *Directory) recordFailure(err error, now time.Time) {
+	d.mu.Lock()
+	first, asOf, reachedAt := d.outages.failed(now), d.asOf, d.outages.reachedAt
+	d.mu.Unlock()
+	if !first {
+		return
+	}
+	attrs := []any{"as_of", asOf.Revision, "error", err.Error()}
+	if !reachedAt.IsZero() {
+		attrs = append(attrs, "reached_ms_ago", now.Sub(reachedAt).Milliseconds())
+	}
+	d.config.Logger.Warn("connection to the store lost", attrs...)
+	d.wakeFollowers() // and the requests that wait for the first read
+}
+
+// recordAnswer records an answer of the store, before it is applied.
+func (d *Directory) recordAnswer(now time.Time) {
+	d.mu.Lock()
+	silence, isOutage := d.outages.answered(now)
+	asOf := d.asOf
+	d.mu.Unlock()
+	if silence > 0 {
+		d.config.Logger.Info("connection to the store restored", "as_of", asOf.Revision,
+			"silence_ms", silence.Milliseconds(), "entries_may_have_expired", isOutage)
+	}
+}
+
 // nextRetryDelay returns the delay after the next failed store call in a row. jitter is
 // from 0 to 1.
 func (d *Directory) nextRetryDelay(delay time.Duration, jitter float64) time.Duration {
@@ -97,37 +116,70 @@
 	return smallFleetBatchDelay
 }
 
-// callStore makes one call to the store and applies the result. It sets
-// readAll if the next call must read everything.
-func (d *Directory) callStore(ctx context.Context, readAll *bool) error {
-	if *readAll {
+// nextCall says what the next call to the store is for.
+type nextCall struct {
+	readAll bool // read everything instead of the changes
+	confirm bool // get the changes up to now without waiting for further ones
+}
+
+// confirmWait is the wait of a call that gets the changes up to now.
+const confirmWait = time.Millisecond
+
+// callStore makes one call to the store and applies the result. It sets what the next
+// call is for.
+func (d *Directory) callStore(ctx context.Context, next *nextCall) error {
+	if next.readAll {
 		items, asOf, err := d.config.Source.Read(ctx)
 		if err != nil {
 			return err
 		}
-		d.applySnapshot(items, asOf, time.Now())
-		*readAll = false
+		now := time.Now()
+		d.recordAnswer(now)
+		d.applySnapshot(items, asOf, now)
+		*next = nextCall{}
 		d.publishPosition()
 		return nil
 	}
-	items, asOf, err := d.config.Source.Changes(ctx, d.position(), d.watchWait())
-	if errors.Is(err, ErrHistoryGone) {
+	wait := d.watchWait()
+	if next.confirm {
+		wait = confirmWait
+	}
+	sent := time.Now()
+	items, asOf, err := d.config.Source.Changes(ctx, d.position(), wait)
+	now := time.Now()
+	switch {
+	case errors.Is(err, ErrHistoryGone):
 		at := d.position()
 		d.config.Logger.Warn("store no longer holds the changes to follow, reading everything", "era", at.Era, "as_of", at.Revision)
-		*readAll = true
+		*next = nextCall{readAll: true}
 		return nil
-	}
-	if err != nil {
-		*readAll = true
+	case errors.Is(err, ErrWatchCut) && !next.confirm:
+		d.recordCutWatch(now.Sub(sent), now)
+		*next = nextCall{confirm: true}
+		return sleep.For(ctx, minRetryDelay-now.Sub(sent))
+	case err != nil:
 		return err
 	}
-	if !d.applyChanges(items, asOf, time.Now()) {
-		*readAll = true
-		return nil
-	}
-	if len(items) > 0 {
+	d.recordAnswer(now)
+	*next = nextCall{readAll: !d.applyChanges(items, asOf, now)}
+	if len(items) > 0 && !next.readAll {
 		d.publishPosition()
 		_ = sleep.For(ctx, d.batchDelay())
 	}
 	return nil
 }
+
+// recordCutWatch records that the store has cut a waiting watch. It was reachable then.
+func (d *Directory) recordCutWatch(waited time.Duration, now time.Time) {
+	d.cutWatches.Inc()
+	d.config.Logger.Debug("watch cut by the store", "waited_ms", waited.Milliseconds())
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.outages.reached(now)
+}
+
+func newCutWatchCounter(registerer prometheus.Registerer) prometheus.Counter {
+	return promauto.With(registerer).NewCounter(prometheus.CounterOpts{
+		Name: "seam_store_watches_cut_total", Help: "Watches that the store ended without an answer before their wait was over.",
+	})
+}
--- /dev/null
+++ b/directory/outage_test.go
@@ -0,0 +1,75 @@
+package directory
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+	"github.com/zeebo/errs"
+
+	"github.com/galenaseam/galenaseam/infra"
+	"github.com/galenaseam/galenaseam/instance"
+)
+
+const (
+	testHeartbeat = 1200 * time.Millisecond
+	testEntryTTL  = 3 * testHeartbeat
+)
+
+// Guards against an upstream that is kept in use after its removal because a call failed
+// that explains no expiry, and against one that is dropped although it could not write.
+func TestOnlyAnOutageInWhichEntriesExpireKeepsRemovedUpstreams(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		reached  time.Duration // when the store was last known to be reachable
+		failures []time.Duration
+		answered time.Duration
+		kept     bool
+	}{
+		"no failure":                           {answered: 5 * time.Second},
+		"one failed call":                      {failures: []time.Duration{100 * time.Millisecond}, answered: 200 * time.Millisecond},
+		"failed call after a long watch":       {reached: 2 * time.Second, failures: []time.Duration{2100 * time.Millisecond}, answered: 2400 * time.Millisecond},
+		"outage too short for an expiry":       {failures: []time.Duration{0, 700 * time.Millisecond, 1900 * time.Millisecond}, answered: 2100 * time.Millisecond},
+		"outage long enough for an expiry":     {failures: []time.Duration{0, 1 * time.Second, 2200 * time.Millisecond}, answered: 2500 * time.Millisecond, kept: true},
+		"call without an answer for as long":   {failures: []time.Duration{3500 * time.Millisecond}, answered: 3600 * time.Millisecond, kept: true},
+		"answered longer than the grace after": {failures: []time.Duration{2500 * time.Millisecond}, answered: 2500*time.Millisecond + expiryGrace},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newLoneDirectory(&testStore{}, nil)
+			d.outages = newOutageTracker(testHeartbeat, testEntryTTL)
+			start := time.Unix(1000, 0)
+			raw, err := cbor.Marshal(instance.Entry{Service: "s"})
+			require.NoError(t, err)
+			d.applySnapshot([]Item{{Key: "up/u", Value: raw, Revision: 1}}, infra.Position{Revision: 1}, start)
+			if c.reached > 0 {
+				d.recordCutWatch(c.reached, start.Add(c.reached))
+			}
+			for _, at := range c.failures {
+				d.recordFailure(errs.New("call rejected"), start.Add(at))
+			}
+			answered := start.Add(c.answered)
+			d.recordAnswer(answered)
+			d.applyChanges([]Item{{Key: "up/u", Revision: 2, Removed: true}}, infra.Position{Revision: 2}, answered)
+			_, kept := d.config.Instances.Lookup("u")
+			require.Equal(t, c.kept, kept)
+			d.removeExpired(answered.Add(expiryGrace))
+			_, kept = d.config.Instances.Lookup("u")
+			require.False(t, kept, "the grace is over")
+		})
+	}
+}
+
+// Guards against watches in a loop without a pause while the store cuts each at once.
+func TestWatchesThatAreCutAtOnceAreRepeatedWithAPause(t *testing.T) {
+	t.Parallel()
+	store := &testStore{changed: make(chan struct{}), cutsWatches: true}
+	d := newLoneDirectory(store, nil)
+	ctx, stop := context.WithTimeout(t.Context(), time.Second)
+	defer stop()
+	require.NoError(t, d.Run(ctx))
+	require.InDelta(t, 2*time.Second/minRetryDelay, store.calls, 5, "a watch and a confirmation each time")
+	require.Zero(t, d.outages.failedAt)
+	require.WithinDuration(t, time.Now(), d.confirmedAt, 3*minRetryDelay, "the store keeps confirming that nothing changed")
+}
--- a/directory/peers.go
+++ b/directory/peers.go
@@ -138,7 +138,7 @@
 func (d *Directory) storeUnreliable(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.routes.Load() == nil || now.Sub(d.storeFailedAt) < outageWindow
+	return d.routes.Load() == nil || now.Sub(d.outages.failedAt) < outageWindow
 }
 
 // fetchFromRandomPeer fetches from a live host selected at random.
--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -58,6 +58,7 @@
 	calls       int
 	rejectCalls bool
 	silent      bool // waiting watches receive nothing until they time out
+	cutsWatches bool // ends watches at once instead of letting them wait
 }
 
 // put records a change.
@@ -138,8 +139,11 @@
 		s.mu.Lock()
 		items, changed := s.items[min(int(after.Revision), len(s.items)):], s.changed
 		newest := infra.Position{Era: s.era, Revision: int64(len(s.items))}
-		silent := s.silent
+		silent, cut := s.silent, s.cutsWatches && wait > confirmWait
 		s.mu.Unlock()
+		if cut {
+			return nil, infra.Position{}, ErrWatchCut
+		}
 		if silent {
 			<-ctx.Done()
 			return nil, infra.Position{}, ctx.Err()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -84,6 +84,10 @@
 	// MaxPropagationDelay is the time within which a change of the configuration or
 	// of an upstream's state must take effect.
 	MaxPropagationDelay time.Duration
+	// HeartbeatInterval is about how often each upstream writes its entry to the store,
+	// EntryTTL how long after the last write the store removes it. Both are 0 if unknown.
+	HeartbeatInterval time.Duration
+	EntryTTL          time.Duration
 	// DrainDelay is how long a stopping host keeps accepting connections; 0 takes
 	// DefaultDrainDelay.
 	DrainDelay time.Duration
@@ -175,7 +179,8 @@
 	}
 	h.directory = directory.New(directory.Config{
 		Source: h.platform.Source, Format: h.platform.Format, Instances: h.instances, Fleet: h.members,
-		Gossip: h.members, Caller: h.peerClient, MaxPropagationDelay: h.settings.MaxPropagationDelay, Logger: h.logger,
+		Gossip: h.members, Caller: h.peerClient, MaxPropagationDelay: h.settings.MaxPropagationDelay,
+		HeartbeatInterval: h.settings.HeartbeatInterval, EntryTTL: h.settings.EntryTTL, Logger: h.logger,
 		Registerer: h.registry, OnConfig: h.onConfig, OnHosts: h.members.HostListChanged, OnItem: h.onStoreItem,
 	}, h.mux)
 	hostList.setDirectory(h.directory)
