gateway: a host goes by the only version only if the store confirms it

Cause: a host that finds no record of a stream goes by the only software version of its list. The list may be old without the host knowing it; a host that has lost all others asks nobody, so that nobody fails to answer; and a list that was read again may lack versions that came and left.

Change: Directory.Confirm asks the store for the changes up to now before such a decision, and before a stream is refused for the lack of an upstream of its version; callers share calls. instance.Table knows since when it has missed nothing. What can't be confirmed in 0.2 s is refused before anything runs. How long versions count is a setting of the host, for tests.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -135,6 +135,8 @@
 
 	// wake tells followPeers that another host has a newer position.
 	wake chan struct{}
+
+	confirmer confirmer
 }
 
 // hostEntry is a host's entry in the store, or its removal. It is also sent
@@ -160,6 +162,7 @@
 		outages:    newOutageTracker(config.HeartbeatInterval, config.EntryTTL),
 		changed:    make(chan struct{}),
 		wake:       make(chan struct{}, 1),
+		confirmer:  newConfirmer(),
 		eraMetrics: newEraMetrics(config.Registerer),
 		cutWatches: newCutWatchCounter(config.Registerer),
 	}
@@ -235,6 +238,7 @@
 		d.apply(item, now)
 	}
 	d.removeUnlisted(listedUpstreams, asOf, now)
+	d.config.Instances.MarkGap(now)
 	d.mu.Lock()
 	for key, h := range d.hosts {
 		if !listedKeys[key] && !h.Removed && asOf.After(h.position()) {
@@ -312,7 +316,7 @@
 	entry, err := d.config.Format.DecodeUpstream(id, item.Value)
 	if err != nil {
 		d.config.Logger.Warn("upstream entry ignored", "upstream", string(id), "revision", item.Revision, "error", err.Error())
-		d.config.Instances.Remove(id, item.position())
+		d.config.Instances.Discard(id, item.position())
 		return
 	}
 	entry.Era, entry.Revision = item.Era, item.Revision
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -273,6 +273,7 @@
 	}
 	if answer.Complete && asOf.After(before) {
 		d.replaceUpstreams(answer.Entries, asOf, rose, now)
+		d.config.Instances.MarkGap(now)
 	}
 	for _, r := range answer.Removals {
 		d.config.Instances.Remove(r.ID, r.Position())
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -91,9 +91,15 @@
 	// DrainDelay is how long a stopping host keeps accepting connections; 0 takes
 	// DefaultDrainDelay.
 	DrainDelay time.Duration
-	Retries    retry.Bounds
+	// VersionMemory is how long a software version counts after its last upstream was
+	// removed; 0 takes DefaultVersionMemory. It must be longer than streams last.
+	VersionMemory time.Duration
+	Retries       retry.Bounds
 }
 
+// DefaultVersionMemory is longer than the streams of the platform's callers last.
+const DefaultVersionMemory = 30 * time.Second
+
 // Host is an entry host.
 type Host struct {
 	settings Settings // those that the host was started with
@@ -135,6 +141,7 @@
 // New builds a host. It serves nothing until Run.
 func New(settings Settings, platform Platform, logger *slog.Logger, registry *prometheus.Registry) (*Host, error) {
 	defaults.Set(&settings.DrainDelay, DefaultDrainDelay)
+	defaults.Set(&settings.VersionMemory, DefaultVersionMemory)
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryBytes)))
 	}
@@ -227,7 +234,8 @@
 		Stages: staging.NewRunner(staging.RunnerConfig{
 			Owners: h.owners, Caller: h.peerClient, Gatherer: h.gatherer, Service: h.service, Logger: h.logger,
 		}, h.mux),
-		Retries: h.retries, ResponseTimes: pace.NewTable(), Placer: placer, Streams: h.streams, Quarantine: suspects, Parts: h.parts,
+		Retries: h.retries, ResponseTimes: pace.NewTable(), Placer: placer, Streams: h.streams,
+		ConfirmUpstreams: h.directory.Confirm, VersionMemory: h.settings.VersionMemory, Quarantine: suspects, Parts: h.parts,
 		DataCentre: h.settings.Place.DataCentre, Logger: h.logger, Metrics: gateway.NewMetrics(h.registry),
 	})
 	h.callers = newCallerServer(h.gateway, h.directory.Routes, h.logger)
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -36,6 +36,7 @@
 func (h *Host) reload(signalled bool, read func() (Settings, error)) {
 	updated, err := read()
 	defaults.Set(&updated.DrainDelay, DefaultDrainDelay)
+	defaults.Set(&updated.VersionMemory, DefaultVersionMemory)
 	h.settingsMu.Lock()
 	defer h.settingsMu.Unlock()
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,12 @@
 	ResponseTimes *pace.Table
 	Placer        *placement.Placer
 	Streams       *resume.Keeper
+	// ConfirmUpstreams brings Instances up to date with what the store has acknowledged when
+	// it is called.
+	ConfirmUpstreams func(context.Context) error
+	// VersionMemory is how long a software version counts after its last upstream was
+	// removed. It must be longer than streams last.
+	VersionMemory time.Duration
 	Quarantine    *quarantine.Quarantine
 	Parts         *quarantine.Parts
 	DataCentre    host.DataCentre
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -16,9 +17,8 @@
 	// resumeMargin is how long after its caller's deadline a stream may still be
 	// resumed. It covers the way of the caller's last request.
 	resumeMargin = 2 * time.Second
-	// versionMemory is how long a software version counts after its last upstream
-	// was removed. It is longer than streams last.
-	versionMemory = 30 * time.Second
+	// confirmTimeout bounds asking the store for changes of a service's upstreams.
+	confirmTimeout = 200 * time.Millisecond
 )
 
 // sourceOneVersion is the source of a required version that no host has a record
@@ -31,6 +31,7 @@
 	version    string // that the stream must go on at; "" if unknown
 	source     string // where the version comes from
 	unanswered int    // hosts that were asked for it and did not answer
+	confirmErr error  // why the store could not be asked for changes; nil if it was not needed
 }
 
 func (s *resumption) logAttrs() []slog.Attr {
@@ -38,6 +39,9 @@
 	if s.unanswered > 0 {
 		attrs = append(attrs, slog.Int("version_unanswered", s.unanswered))
 	}
+	if s.confirmErr != nil {
+		attrs = append(attrs, slog.String("version_error", s.confirmErr.Error()))
+	}
 	return attrs
 }
 
@@ -56,7 +60,7 @@
 	if x.version == "" {
 		return x.versionRefusal("stream_version_unknown"), false
 	}
-	if len(instance.OfVersion(x.config.Instances.Service(x.service, time.Now()), x.version)) == 0 {
+	if !x.versionIsServed() {
 		return x.versionRefusal("version_gone"), false
 	}
 	if x.request.Resumes != "" {
@@ -81,16 +85,55 @@
 			return found
 		}
 	}
-	versions, complete := x.config.Instances.Versions(x.service, time.Now().Add(-versionMemory))
-	if version, sure := onlyVersion(versions, complete, found.unanswered); sure {
-		found.version, found.source = version, sourceOneVersion
+	if found.version, found.confirmErr = x.findOnlyVersion(found.unanswered); found.version != "" {
+		found.source = sourceOneVersion
 	}
 	return found
 }
 
+// findOnlyVersion returns the version of a stream without a record if the service has had
+// only one, else "". This host may be out of touch, so the store is asked for the upstreams
+// that it does not know yet.
+func (x *exchange) findOnlyVersion(unanswered int) (version string, err error) {
+	if _, sure := x.onlyVersionKnown(unanswered); !sure {
+		return "", nil
+	}
+	if err := x.confirmUpstreams(); err != nil {
+		return "", err
+	}
+	version, _ = x.onlyVersionKnown(unanswered)
+	return version, nil
+}
+
+// onlyVersionKnown is onlyVersion by what this host knows of the service.
+func (x *exchange) onlyVersionKnown(unanswered int) (version string, sure bool) {
+	versions, complete := x.config.Instances.Versions(x.service, time.Now().Add(-x.config.VersionMemory))
+	return onlyVersion(versions, complete, unanswered)
+}
+
+// confirmUpstreams brings what this host knows of the upstreams up to date.
+func (x *exchange) confirmUpstreams() error {
+	ctx, cancel := context.WithTimeout(x.ctx, confirmTimeout)
+	defer cancel()
+	return x.config.ConfirmUpstreams(ctx)
+}
+
+// versionIsServed reports whether the service has an upstream of the required version. If
+// this host knows none, it asks the store for those that have just come.
+func (x *exchange) versionIsServed() bool {
+	isServed := func() bool {
+		return len(instance.OfVersion(x.config.Instances.Service(x.service, time.Now()), x.version)) > 0
+	}
+	if isServed() {
+		return true
+	}
+	x.resumption.confirmErr = x.confirmUpstreams()
+	return isServed()
+}
+
 // onlyVersion returns the version that must have begun a stream without a record: the
-// only one that the service has had for versionMemory. A host that has not seen the
-// service for so long, or could not ask all others for the record, can't be sure.
+// only one that the service has had for as long as versions count. A host that may have
+// missed others, or could not ask all hosts for the record, can't be sure.
 func onlyVersion(versions []string, complete bool, unanswered int) (version string, sure bool) {
 	if !complete || unanswered > 0 || len(versions) != 1 {
 		return "", false
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -123,11 +123,12 @@
 	// formerVersions is when the last upstream of a software version was removed, by
 	// service and version.
 	formerVersions map[string]map[string]time.Time
-	kept           map[processKey]keptNotice
-	keptOrder      uint64
-	lastPauseEnd   time.Time // no pause lasts longer
-	changed        func(Change)
-	created        time.Time
+	// completeSince is the time since when the table has received every change.
+	completeSince time.Time
+	kept          map[processKey]keptNotice
+	keptOrder     uint64
+	lastPauseEnd  time.Time // no pause lasts longer
+	changed       func(Change)
 }
 
 // Change describes a change of the table, for logging.
@@ -165,8 +166,8 @@
 		kept:       make(map[processKey]keptNotice),
 
 		formerVersions: make(map[string]map[string]time.Time),
+		completeSince:  time.Now(),
 		changed:        changed,
-		created:        time.Now(),
 	}
 }
 
@@ -208,21 +209,52 @@
 // Remove removes an upstream unless a newer entry is known.
 func (t *Table) Remove(id ID, at infra.Position) {
 	t.mu.Lock()
+	if _, buried := t.tombstones[id]; t.byID[id] == nil && !buried {
+		t.completeSince = time.Now() // its entry was never received
+	}
+	removed := t.remove(id, at)
+	t.mu.Unlock()
+	t.removalDone(removed)
+}
+
+// Discard removes an upstream whose entry can't be read, unless a newer one is known.
+func (t *Table) Discard(id ID, at infra.Position) {
+	t.mu.Lock()
+	removed := t.remove(id, at)
+	t.mu.Unlock()
+	t.removalDone(removed)
+}
+
+// remove removes an upstream and returns it, or nil if there is none or a newer entry is
+// known. The caller holds mu.
+func (t *Table) remove(id ID, at infra.Position) (removed *Instance) {
 	old := t.byID[id]
-	gone := old != nil && at.After(old.Position())
-	if gone {
+	if old != nil && at.After(old.Position()) {
 		t.drop(old)
+		removed = old
 	}
 	t.bury(id, old, at)
 	if len(t.tombstones) > maxTombstones {
 		t.pruneTombstones()
 	}
-	t.mu.Unlock()
-	if gone {
-		t.changed(Change{Entry: old.Entry, Kind: "removed", Source: SourceEntry})
+	return removed
+}
+
+// removalDone tells the table's owner of a removal. removed may be nil.
+func (t *Table) removalDone(removed *Instance) {
+	if removed != nil {
+		t.changed(Change{Entry: removed.Entry, Kind: "removed", Source: SourceEntry})
 	}
 }
 
+// MarkGap records that the table was brought up to date from a listing, so that upstreams
+// that came and went before it may be missing.
+func (t *Table) MarkGap(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.completeSince = now
+}
+
 // pruneTombstones drops the older half of the removals. Updates arrive within
 // seconds, so no update that these removals would have to suppress is still
 // expected.
@@ -282,8 +314,8 @@
 
 // Versions returns the software versions of a service's upstreams, in no
 // particular order: of those that may get new work, those that are leaving, and
-// those that were removed after a time. complete is false if the table is younger, so
-// that it may have missed others.
+// those that were removed after a time. complete is false if the table has missed
+// changes since then, so that there may be others.
 func (t *Table) Versions(service string, removedAfter time.Time) (all []string, complete bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -298,7 +330,7 @@
 			delete(t.formerVersions[service], version)
 		}
 	}
-	return slices.Collect(maps.Keys(versions)), t.created.Before(removedAfter)
+	return slices.Collect(maps.Keys(versions)), t.completeSince.Before(removedAfter)
 }
 
 // Entries returns all entries in no particular order.
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -139,3 +139,32 @@
 	_, complete = table.Versions("s", time.Now())
 	require.True(t, complete)
 }
+
+// Guards against a version that counts as the only one, although another may have come and
+// left while the table was not kept up to date.
+func TestVersionsAreIncompleteAfterMissedChanges(t *testing.T) {
+	complete := func(table *instance.Table, since time.Time) bool {
+		_, complete := table.Versions("s", since)
+		return complete
+	}
+	for name, change := range map[string]struct {
+		apply  func(*instance.Table)
+		missed bool
+	}{
+		"known upstream removed":   {apply: func(t *instance.Table) { t.Remove("a", infra.Position{Revision: 5}) }},
+		"unreadable entry":         {apply: func(t *instance.Table) { t.Discard("b", infra.Position{Revision: 5}) }},
+		"unknown upstream removed": {apply: func(t *instance.Table) { t.Remove("b", infra.Position{Revision: 5}) }, missed: true},
+		"listing read again":       {apply: func(t *instance.Table) { t.MarkGap(time.Now()) }, missed: true},
+	} {
+		table := instance.NewTable(nil)
+		table.Put(instance.Entry{ID: "a", Service: "s", Revision: 1, Version: "v1"})
+		before := time.Now()
+		change.apply(table)
+		require.Equal(t, !change.missed, complete(table, before), name)
+		require.True(t, complete(table, time.Now()), name)
+		before = time.Now()
+		table.Remove("a", infra.Position{Revision: 6})
+		table.Remove("a", infra.Position{Revision: 7})
+		require.True(t, complete(table, before), "%s: an upstream that was known is removed twice", name)
+	}
+}
