--- a/edge/store_test.go
+++ b/edge/store_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,6 +46,40 @@
 	}
 }
 
+// Guards against hosts that can't tell each other what is in the store, or send requests to
+// themselves, because another client of the store wrote an odd entry among the upstreams'.
+func TestOddUpstreamEntriesStopNoHost(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, nil)
+	for name, raw := range platformtest.OddEntries("plain") {
+		f.store.Put("servers/odd: "+name, raw)
+		f.store.Put("servers/odd-"+strings.ReplaceAll(name, " ", "-"), raw)
+	}
+	u := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
+	f.store.Put("servers/not a header\r\nvalue", u.Entry("ready"))
+	f.start()
+	front := platformtest.NewFaultProxy(f.store.Addr())
+	t.Cleanup(front.Close)
+	n := f.startUnready(front.Addr())
+	require.NoError(t, n.waitReady())
+	for range 30 {
+		require.Equal(t, http.StatusOK, f.send(n, http.MethodPost, "/order/1", "r1").status)
+	}
+	front.SetFault(platformtest.FaultUnavailable)
+	for name, raw := range platformtest.OddEntries("plain") {
+		f.store.Put("servers/new-"+strings.ReplaceAll(name, " ", "-"), raw)
+	}
+	f.configure(2, func(c map[string]any) {
+		c["tenants"] = []map[string]any{{"name": "welders", "api_keys": []string{"new"}}}
+	})
+	require.Eventually(t, func() bool {
+		return f.send(n, http.MethodGet, "/read/1", "r1").status == http.StatusUnauthorized
+	}, 5*time.Second, 10*time.Millisecond, "another host tells it of the configuration")
+	require.Equal(t, 30, u.Arrived("/order/1"))
+	require.Zero(t, n.log.count("directory not fetched from another host"))
+}
+
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
