soak: watches that are cut, and odd entries among the upstreams'

A new kind of fault, entry: the store cuts the watches of all hosts for a while, or another client writes entries that name no upstream. Neither disturbs a host, so every bound holds while it lasts.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -29,7 +29,7 @@
 
 // EnabledKinds are the kinds of faults that a run plays by default. Each kind draws
 // from random sources of its own, so a seed's base faults don't depend on the others.
-var EnabledKinds = []string{"base", "planned", "silence", "release", "notice", "restore", "crash", "limit"}
+var EnabledKinds = []string{"base", "planned", "silence", "release", "notice", "restore", "crash", "limit", "entry"}
 
 // faultKind is faults that one or more series draw from.
 type faultKind struct {
@@ -47,6 +47,7 @@
 	"restore": {faults: restoreFaults, series: 1, source: 500},
 	"crash":   {faults: crashFaults, series: 1, source: 600},
 	"limit":   {faults: limitFaults, series: 2, source: 700},
+	"entry":   {faults: entryFaults, series: 1, source: 800},
 }
 
 // Run starts the hosts, sends load and injects the faults of the given kinds and
