edge: a stopping host answers the requests that it does not finish

Cause: at the end of the grace period the host only closed connections, and then took its own end for the caller's. What a draining host read had the caller's deadline, not the end of the grace period.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -80,21 +80,26 @@
 }
 
 const (
-	// maxAbortTime bounds the wait for aborted requests, and abortCheckInterval is how often
-	// they are counted.
+	// maxAbortTime bounds each wait for requests that were ended, and abortCheckInterval is
+	// how often they are counted.
 	maxAbortTime       = 200 * time.Millisecond
 	abortCheckInterval = 5 * time.Millisecond
 )
 
+// awaitRequests waits for requests that were ended to be answered.
+func (c *callerServer) awaitRequests() {
+	for until := time.Now().Add(maxAbortTime); c.inProgress.Load() > 0 && time.Now().Before(until); {
+		time.Sleep(abortCheckInterval)
+	}
+}
+
 // abort closes all connections and waits for the requests on them to end, so that each of
 // them is logged.
 func (c *callerServer) abort() {
 	if err := c.server.Close(); err != nil {
 		c.logger.Warn("failed to close callers' connections", "error", err.Error())
 	}
-	for until := time.Now().Add(maxAbortTime); c.inProgress.Load() > 0 && time.Now().Before(until); {
-		time.Sleep(abortCheckInterval)
-	}
+	c.awaitRequests()
 }
 
 // headerBytes returns the size of the request line and headers as they were
--- a/edge/drain_test.go
+++ b/edge/drain_test.go
@@ -41,6 +41,66 @@
 	require.NoError(t, <-n.result)
 }
 
+// Guards against requests that a stopping host has read and ends without an answer, wherever
+// they wait at the end of its grace period.
+func TestStoppingHostAnswersWhatItDoesNotFinish(t *testing.T) {
+	t.Parallel()
+	const long = 10 * time.Second
+	for name, c := range map[string]struct {
+		path      string
+		slow      *platformtest.Upstream
+		late      bool // the request arrives while the host drains
+		status    int
+		fault     platformtest.UpstreamFault
+		neverRuns bool
+	}{
+		"stage call":             {path: "/staged/1", slow: &platformtest.Upstream{ID: "slow", Service: "pieces", Work: long}, status: http.StatusServiceUnavailable, neverRuns: true},
+		"stage call, late":       {path: "/staged/1", slow: &platformtest.Upstream{ID: "slow", Service: "pieces", Work: long}, late: true, status: http.StatusServiceUnavailable, neverRuns: true},
+		"call that may run once": {path: "/order/1", slow: &platformtest.Upstream{ID: "slow", Service: "plain", Work: long}, status: http.StatusBadGateway},
+		"repeatable call":        {path: "/read/1", slow: &platformtest.Upstream{ID: "slow", Service: "plain", Work: long}, late: true, status: http.StatusBadGateway},
+		"silent stream":          {path: "/talk/1", slow: &platformtest.Upstream{ID: "slow", Service: "events", Events: 3}, fault: platformtest.Hang, status: http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.configure(1, func(config map[string]any) {
+				for _, r := range config["routes"].([]map[string]any) {
+					r["timeout_ms"], r["goal_ms"] = 20_000, 5_000
+				}
+			})
+			events := f.upstream(&platformtest.Upstream{ID: "events", Service: "events", Events: 3})
+			slow := f.upstream(c.slow)
+			slow.QueueFaults(c.fault, c.fault)
+			if c.slow.Service == "events" {
+				f.store.Delete("servers/events")
+			}
+			n := f.startWith(f.store.Addr(), func(s *edge.Settings) { s.Grace, s.DrainDelay = 2*time.Second, time.Second })
+			require.NoError(t, n.waitReady())
+			answer := make(chan callerResponse, 1)
+			send := func() {
+				answer <- f.send(n, http.MethodPost, c.path, "r1", "Deadline-Ms", "20000", "Chunks", "1,1", "Chunk-Key", "k")
+			}
+			if !c.late {
+				go send()
+				time.Sleep(300 * time.Millisecond)
+			}
+			n.stop()
+			if c.late {
+				time.Sleep(300 * time.Millisecond)
+				go send()
+			}
+			got := <-answer
+			require.NoError(t, got.err, "the connection is closed without an answer")
+			require.Equal(t, c.status, got.status)
+			require.Equal(t, c.neverRuns, got.header.Get("Retry-After") != "")
+			require.NoError(t, <-n.result)
+			if c.neverRuns {
+				require.Empty(t, events.Runs())
+			}
+		})
+	}
+}
+
 func TestDrainingHostServesRequestsAndClosesConnections(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
--- a/edge/run.go
+++ b/edge/run.go
@@ -170,13 +170,13 @@
 	return h.platform.Register(ctx, directory.HostPrefix+string(h.info.ID), value, h.logger)
 }
 
-// drain stops serving. Requests in flight complete, unless they take longer than
-// the grace period.
+// drain stops serving. Requests in flight complete. Those that would take longer than the
+// grace period get a refusal while there is time to send it.
 func (h *Host) drain() {
 	start := time.Now()
 	grace := h.grace()
 	h.draining.Store(true)
-	h.gateway.Drain()
+	h.gateway.Drain(start.Add(grace - shutdownMargin))
 	h.unregister() // now, since the store may take longer to answer than there is time at the end
 	h.logger.Info("draining", "grace_ms", grace.Milliseconds())
 	leaveCtx, cancel := context.WithTimeout(context.Background(), grace)
@@ -188,7 +188,9 @@
 	shutdownCtx, cancelShutdown := context.WithDeadline(context.Background(), start.Add(grace-shutdownMargin))
 	defer cancelShutdown()
 	if err := h.callers.server.Shutdown(shutdownCtx); err != nil {
-		h.logger.Warn("requests aborted at the end of the grace period", "error", err.Error())
+		h.logger.Warn("requests ended at the end of the grace period", "requests", h.callers.inProgress.Load(), "error", err.Error())
+		h.gateway.Stop()
+		h.callers.awaitRequests()
 		h.callers.abort()
 	}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -91,7 +91,8 @@
 	}
 	ctx, stop := context.WithDeadline(ctx, r.deadline)
 	ctx, cancel := context.WithCancelCause(ctx)
-	s.ctx, s.cancel = ctx, func(cause error) { cancel(cause); stop() }
+	unwatch := context.AfterFunc(r.stopped, stop)
+	s.ctx, s.cancel = ctx, func(cause error) { unwatch(); cancel(cause); stop() }
 	return s
 }
 
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -29,6 +29,9 @@
 	// noUpstreamRetryAfter is about the time in which a crashed upstream
 	// restarts. A random time is added to it.
 	noUpstreamRetryAfter = 700 * time.Millisecond
+	// stopRetryAfter is the longest time after which callers of a stopping host come back
+	// to others. A random part of it spreads them.
+	stopRetryAfter = 300 * time.Millisecond
 )
 
 // refusal is a final answer from the gateway itself.
@@ -101,6 +104,8 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		return refusal{reason: "caller_left", abort: true}
+	case x.hostStops():
+		return x.stopRefusal()
 	case !x.mayHaveRun:
 		f.status = http.StatusServiceUnavailable
 		f.retryAfter = noUpstreamRetryAfter + time.Duration(x.random.Int64N(int64(noUpstreamRetryAfter)))
@@ -116,6 +121,28 @@
 	return f
 }
 
+// hostStops reports whether the host ends its requests, or has no time left for one that
+// arrived while it was draining.
+func (x *exchange) hostStops() bool {
+	if x.stopped.Err() != nil {
+		return true
+	}
+	end := x.drainEnd.Load()
+	return end != nil && x.deadline.Equal(*end) && !time.Now().Before(*end)
+}
+
+// stopRefusal returns the refusal of a request that the stopping host does not finish.
+// Other hosts serve, so that its caller may come back soon if it has not run.
+func (x *exchange) stopRefusal() refusal {
+	if x.mayHaveRun {
+		return refusal{status: http.StatusBadGateway, reason: "host_stops"}
+	}
+	return refusal{
+		status: http.StatusServiceUnavailable, reason: "host_stops",
+		retryAfter: time.Duration(x.random.Int64N(int64(stopRetryAfter))),
+	}
+}
+
 // writeAnswer sends an upstream's complete answer to the caller.
 func (x *exchange) writeAnswer(a *call.Answer, body []byte) {
 	x.log("answered", a.Status, "")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,15 +77,29 @@
 
 // Gateway serves callers. It is safe for concurrent use.
 type Gateway struct {
-	config   Config
-	draining atomic.Bool
+	config Config
+	// drainEnd is when the host ends the requests that are then in progress; nil unless it
+	// is draining.
+	drainEnd atomic.Pointer[time.Time]
+	// stopped is done when Stop was called.
+	stopped context.Context
+	stop    context.CancelFunc
 }
 
 // New creates a gateway.
-func New(config Config) *Gateway { return &Gateway{config: config} }
+func New(config Config) *Gateway {
+	g := &Gateway{config: config}
+	g.stopped, g.stop = context.WithCancel(context.Background())
+	return g
+}
+
+// Drain makes every further answer close its connection. Requests that arrive from now on
+// are served as far as they can be by the given time.
+func (g *Gateway) Drain(until time.Time) { g.drainEnd.Store(&until) }
 
-// Drain makes every further answer close its connection.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+// Stop ends the requests in progress. Those whose answer has not begun are refused with what
+// is known of them, the others are cut.
+func (g *Gateway) Stop() { g.stop() }
 
 const (
 	// defaultTimeout applies when neither the caller nor the route sets one.
@@ -146,7 +160,8 @@
 	targetTime time.Time
 	// startBy is when a stream must have begun, since its caller gives up then.
 	startBy time.Time
-	// ctx is done when the caller's connection closes or the deadline passes.
+	// ctx is done when the caller's connection closes, the deadline passes or the host ends
+	// its requests.
 	ctx    context.Context
 	random *rand.Rand
 
@@ -171,7 +186,7 @@
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if g.draining.Load() {
+	if g.drainEnd.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{Gateway: g, w: w, r: r, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
@@ -226,6 +241,9 @@
 		timeout = min(timeout, x.route.Timeout)
 	}
 	x.deadline = x.request.Arrived.Add(timeout - answerMargin)
+	if end := x.drainEnd.Load(); end != nil {
+		x.deadline = earlier(x.deadline, *end)
+	}
 	x.startBy = x.deadline
 	if x.route.Kind == routing.Stream {
 		x.startBy = earlier(x.deadline, x.request.Arrived.Add(callerPatience(x.route)-firstEventMargin))
@@ -252,6 +270,7 @@
 func (x *exchange) serve() {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(x.stopped, cancel)()
 	x.ctx = ctx
 	if refused, ok := x.checkQuarantine(); !ok {
 		x.refuse(refused)
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -113,6 +113,9 @@
 	if x.r.Context().Err() != nil {
 		return refusal{reason: "caller_left", abort: true}, false
 	}
+	if x.hostStops() {
+		return x.stopRefusal(), false
+	}
 	return refusal{
 		status: http.StatusServiceUnavailable, reason: "stages_failed", detail: err.Error(),
 		retryAfter: x.retryAfterOverload(err),
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -57,6 +57,9 @@
 	if x.r.Context().Err() != nil {
 		return refusal{reason: "caller_left", abort: true}, false
 	}
+	if x.hostStops() {
+		return x.stopRefusal(), false
+	}
 	if x.version == "" {
 		return x.versionRefusal("stream_version_unknown"), false
 	}
