gateway: the bodies of all requests share a part of the host's memory

Cause: each body is read whole and kept until its request ends; only the configuration's limit bounds one of them, nothing all. Buffers grew beside that, and a large body was copied while it was sent.

Bodies are sent without a copy.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -138,6 +138,10 @@
 // runtime's soft memory limit. The rest is for stacks and kernel buffers.
 const memoryLimitShare = 0.7
 
+// bodyMemoryShare is the fraction of the process's memory that the bodies of requests may
+// take. What is left below the soft limit is for the process itself.
+const bodyMemoryShare = 0.45
+
 // New builds a host. It serves nothing until Run.
 func New(settings Settings, platform Platform, logger *slog.Logger, registry *prometheus.Registry) (*Host, error) {
 	defaults.Set(&settings.DrainDelay, DefaultDrainDelay)
@@ -235,7 +239,8 @@
 			Owners: h.owners, Caller: h.peerClient, Gatherer: h.gatherer, Service: h.service, Logger: h.logger,
 		}, h.mux),
 		Retries: h.retries, ResponseTimes: pace.NewTable(), Placer: placer, Streams: h.streams,
-		ConfirmUpstreams: h.directory.Confirm, VersionMemory: h.settings.VersionMemory, Quarantine: suspects, Parts: h.parts,
+		ConfirmUpstreams: h.directory.Confirm, VersionMemory: h.settings.VersionMemory,
+		BodyMemory: int64(bodyMemoryShare * float64(h.settings.MemoryBytes)), Quarantine: suspects, Parts: h.parts,
 		DataCentre: h.settings.Place.DataCentre, Logger: h.logger, Metrics: gateway.NewMetrics(h.registry),
 	})
 	h.callers = newCallerServer(h.gateway, h.directory.Routes, h.logger)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,9 +70,12 @@
 	VersionMemory time.Duration
 	Quarantine    *quarantine.Quarantine
 	Parts         *quarantine.Parts
-	DataCentre    host.DataCentre
-	Logger        *slog.Logger
-	Metrics       *Metrics
+	// BodyMemory bounds the bodies that requests in progress hold, in bytes; 0 means no
+	// limit.
+	BodyMemory int64
+	DataCentre host.DataCentre
+	Logger     *slog.Logger
+	Metrics    *Metrics
 }
 
 // Gateway serves callers. It is safe for concurrent use.
@@ -81,6 +84,7 @@
 	// drainEnd is when the host ends the requests that are then in progress; nil unless it
 	// is draining.
 	drainEnd atomic.Pointer[time.Time]
+	bodies   *bodyMemory
 	// stopped is done when Stop was called.
 	stopped context.Context
 	stop    context.CancelFunc
@@ -88,7 +92,7 @@
 
 // New creates a gateway.
 func New(config Config) *Gateway {
-	g := &Gateway{config: config}
+	g := &Gateway{config: config, bodies: newBodyMemory(config.BodyMemory, config.Metrics.bodyBytes)}
 	g.stopped, g.stop = context.WithCancel(context.Background())
 	return g
 }
@@ -130,9 +134,11 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	request *call.Request
-	table   *routing.Table
-	route   *routing.Route
-	service string
+	// bodyRoom is the memory of the request's body.
+	bodyRoom bodyRoom
+	table    *routing.Table
+	route    *routing.Route
+	service  string
 	// version is the software version of the upstreams that may serve the request;
 	// "" means any. A stream has the one that began it.
 	version string
@@ -189,7 +195,7 @@
 	if g.drainEnd.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{Gateway: g, w: w, r: r, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	x := &exchange{Gateway: g, w: w, r: r, bodyRoom: bodyRoom{memory: g.bodies}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	request, err := g.config.Codec.DecodeRequest(r, arrived)
 	if err != nil {
 		x.request = &call.Request{Arrived: arrived, Target: r.RequestURI}
@@ -197,6 +203,7 @@
 		return
 	}
 	x.request = request
+	defer x.bodyRoom.free()
 	if refused, ok := x.prepare(); !ok {
 		x.refuse(refused)
 		return
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -57,10 +56,16 @@
 	// If the connection does not support a read deadline, the body is read
 	// without one.
 	_ = control.SetReadDeadline(x.request.Arrived.Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	limited := http.MaxBytesReader(x.w, x.r.Body, limit)
+	body, err := x.bodyRoom.read(x.r.Context(), limited, x.r.ContentLength, limit)
+	if errors.Is(err, errNoRoom) {
+		discardBody(limited)
+	}
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoRoom):
+		return x.noRoom(), false
 	case errors.As(err, &tooLarge):
 		return refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}, false
 	case err != nil:
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -310,7 +310,8 @@
 	}
 	sent := make(chan error, 1)
 	go func() {
-		_, err := n.Write(appendBody(nil, call))
+		parts := bodyParts(call)
+		_, err := parts.WriteTo(n)
 		sent <- err
 	}()
 	return sent, nil
--- a/transport/wire.go
+++ b/transport/wire.go
@@ -27,17 +27,25 @@
 	return b.Bytes()
 }
 
-// appendBody appends the body, as a single chunk if the call is chunked.
+// appendBody appends the body as it is sent.
 func appendBody(to []byte, call *Call) []byte {
-	if !call.Chunked {
-		return append(to, call.Body...)
+	for _, part := range bodyParts(call) {
+		to = append(to, part...)
 	}
-	if len(call.Body) > 0 {
-		to = append(to, strconv.FormatInt(int64(len(call.Body)), 16)+"\r\n"...)
-		to = append(to, call.Body...)
-		to = append(to, "\r\n"...)
+	return to
+}
+
+// bodyParts returns what is sent as the body, as a single chunk if the call is chunked. The
+// body itself is not copied.
+func bodyParts(call *Call) net.Buffers {
+	switch {
+	case !call.Chunked:
+		return net.Buffers{call.Body}
+	case len(call.Body) == 0:
+		return net.Buffers{[]byte("0\r\n\r\n")}
 	}
-	return append(to, "0\r\n\r\n"...)
+	size := strconv.FormatInt(int64(len(call.Body)), 16) + "\r\n"
+	return net.Buffers{[]byte(size), call.Body, []byte("\r\n0\r\n\r\n")}
 }
 
 // setTCPUserTimeout makes the kernel close a connection whose peer does not
