edge: a host follows the store to another address

Cause: the client of the store was built once from the first settings, and a reload did not say which changes it ignored.

Every changed setting that waits for a restart is named and counted.

--- a/cmd/seamedge/main.go
+++ b/cmd/seamedge/main.go
@@ -121,8 +121,9 @@
 		Name: s.Name, Place: s.Place, CallerAddr: s.CallerAddr, ReadinessAddr: s.ReadinessAddr, PeerAddr: s.PeerAddr,
 		MetricsPort: uint16(f.metricsPort), Seeds: s.Seeds, FleetKey: key[:], MemoryBytes: s.MemoryBytes, Grace: s.Grace, MaxPropagationDelay: s.MaxPropagationDelay,
 		HeartbeatInterval: s.HeartbeatInterval, EntryTTL: s.EntryTTL,
-		Capacity: min(s.CPUShare, s.LinkMegabits/megabitsPerCore),
-		Retries:  retry.Bounds{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window},
+		Capacity:  min(s.CPUShare, s.LinkMegabits/megabitsPerCore),
+		Retries:   retry.Bounds{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window},
+		StoreAddr: s.Store.Addr,
 	}
 }
 
@@ -137,5 +138,7 @@
 		Register: store.Register,
 		Keep:     store.Keep,
 		Delete:   store.Delete,
+
+		MoveStore: store.MoveTo,
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -55,6 +55,8 @@
 	// one before.
 	Keep   func(ctx context.Context, key string, value []byte, ttl time.Duration) error
 	Delete func(ctx context.Context, key string) error
+	// MoveStore makes all further calls at another address of the store.
+	MoveStore func(addr netip.AddrPort)
 }
 
 // Settings configure one host.
@@ -95,6 +97,8 @@
 	// removed; 0 takes DefaultVersionMemory. It must be longer than streams last.
 	VersionMemory time.Duration
 	Retries       retry.Bounds
+	// StoreAddr is the address of the platform's store.
+	StoreAddr netip.AddrPort
 }
 
 // DefaultVersionMemory is longer than the streams of the platform's callers last.
@@ -107,6 +111,7 @@
 	settingsMu      sync.Mutex // guards latestSettings and lastReloadError
 	latestSettings  Settings
 	lastReloadError string
+	pendingSettings prometheus.Gauge
 
 	platform Platform
 	logger   *slog.Logger
@@ -152,6 +157,10 @@
 	h := &Host{settings: settings, latestSettings: settings, platform: platform, logger: logger, registry: registry, mux: link.NewMux()}
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	h.notices = newNoticeMetrics(registry)
+	h.pendingSettings = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "seam_settings_awaiting_restart", Help: "Settings that have changed and take effect only at the next start.",
+	})
+	registry.MustRegister(h.pendingSettings)
 	h.info = host.Info{
 		ID:       host.ID(settings.Name + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)),
 		Place:    settings.Place,
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/galenaseam/galenaseam/internal/defaults"
@@ -31,8 +32,9 @@
 	}
 }
 
-// reload rereads the settings and applies the grace period and retry bounds.
-// Changes of other settings need a restart.
+// reload rereads the settings and applies those that may change while the host runs: the
+// grace period, the retry bounds and the store's address. Others need a restart and are
+// named in a warning.
 func (h *Host) reload(signalled bool, read func() (Settings, error)) {
 	updated, err := read()
 	defaults.Set(&updated.DrainDelay, DefaultDrainDelay)
@@ -48,15 +50,39 @@
 		return
 	}
 	h.lastReloadError = ""
-	changed := !reflect.DeepEqual(updated, h.latestSettings)
+	before := h.latestSettings
+	changed := !reflect.DeepEqual(updated, before)
 	h.latestSettings = updated
 	if !changed && !signalled {
 		return
 	}
-	needsRestart := updated.CallerAddr != h.settings.CallerAddr || updated.ReadinessAddr != h.settings.ReadinessAddr || updated.PeerAddr != h.settings.PeerAddr
 	h.retries.SetBounds(updated.Retries)
-	h.logger.Info("settings reloaded", "signalled", signalled, "changed", changed, "needs_restart", needsRestart,
-		"grace_ms", updated.Grace.Milliseconds(), "retry_ratio", updated.Retries.Ratio, "retry_slack", updated.Retries.Slack)
+	if updated.StoreAddr != before.StoreAddr {
+		h.platform.MoveStore(updated.StoreAddr)
+	}
+	h.logger.Info("settings reloaded", "signalled", signalled, "changed", changed, "grace_ms", updated.Grace.Milliseconds(),
+		"retry_ratio", updated.Retries.Ratio, "retry_slack", updated.Retries.Slack, "store", updated.StoreAddr.String())
+	kept := restartSettings(h.settings, updated)
+	h.pendingSettings.Set(float64(len(kept)))
+	if len(kept) > 0 {
+		h.logger.Warn("changed settings are not in force until a restart", "settings", kept)
+	}
+}
+
+// reloadable are the fields of Settings that take effect without a restart.
+var reloadable = []string{"Grace", "Retries", "StoreAddr"}
+
+// restartSettings returns the names of the settings that differ from those that the host was
+// started with and take effect only at the next start.
+func restartSettings(started, updated Settings) (names []string) {
+	was, is := reflect.ValueOf(started), reflect.ValueOf(updated)
+	for i := range was.NumField() {
+		name := was.Type().Field(i).Name
+		if !slices.Contains(reloadable, name) && !reflect.DeepEqual(was.Field(i).Interface(), is.Field(i).Interface()) {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
 // grace returns the time from the request to stop until the process must have
