resume: records of streams outlive all hosts while two versions serve

Cause: the version that began a stream was held by hosts alone.

Change: one host collects the records of services with more than one version and writes them to the store every 0.3 s under a shared lease; hosts read them at their start. Streams that are taken up stand one priority step ahead.

Tests: TestStreamContinuesAtItsVersionAfterAllHostsAreLost and TestVersionsOfStreamsOutliveAllHosts (there was no such mechanism before). TestHostCutOffFromOthersRefusesStreamsItDidNotBegin and TestHostOutOfStepRefusesStreamsOfVersionsItHasNotSeen had hosts that reach the store, where they now find the record: in the first the host is cut off from the store as well, in the second a host in touch again may also go on at the right version, and then the whole stream is checked.

--- a/cmd/seamedge/main.go
+++ b/cmd/seamedge/main.go
@@ -139,6 +139,7 @@
 		Keep:     store.Keep,
 		Delete:   store.Delete,
 
-		MoveStore: store.MoveTo,
+		KeepBriefly: store.KeepBriefly,
+		MoveStore:   store.MoveTo,
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -52,9 +52,11 @@
 	// own address there, so that other hosts find it.
 	Register func(ctx context.Context, key string, value []byte, logger *slog.Logger) error
 	// Keep writes a value to the store, which removes it after a time. Delete removes
-	// one before.
-	Keep   func(ctx context.Context, key string, value []byte, ttl time.Duration) error
-	Delete func(ctx context.Context, key string) error
+	// one before. KeepBriefly is Keep for many values, each of which the store keeps for up to
+	// twice the time.
+	Keep        func(ctx context.Context, key string, value []byte, ttl time.Duration) error
+	KeepBriefly func(ctx context.Context, key string, value []byte, ttl time.Duration) error
+	Delete      func(ctx context.Context, key string) error
 	// MoveStore makes all further calls at another address of the store.
 	MoveStore func(addr netip.AddrPort)
 }
@@ -241,7 +243,13 @@
 		Engines: h.instances, Service: h.service, Owners: h.owners, Caller: h.peerClient,
 		DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
 	}, h.mux)
-	h.streams = resume.New(resume.Config{Fleet: h.members, Caller: h.peerClient, Logger: h.logger, Registerer: h.registry}, h.mux)
+	h.streams = resume.New(resume.Config{
+		Fleet: h.members, Caller: h.peerClient, Logger: h.logger, Registerer: h.registry, Archive: &resume.ArchiveConfig{
+			Self:      h.info.ID,
+			Archivist: func(now time.Time) (host.Info, bool) { return h.owners.Owner(archiveTask, now) },
+			IsMixed:   h.isMixed, Write: h.platform.KeepBriefly,
+		},
+	}, h.mux)
 	h.gateway = gateway.New(gateway.Config{
 		Codec: h.platform.Codec, Routes: h.directory.Routes, AwaitRoutes: h.directory.AwaitRoutes, Instances: h.instances, Transport: h.transport,
 		Stages: staging.NewRunner(staging.RunnerConfig{
@@ -256,6 +264,15 @@
 	return nil
 }
 
+// archiveTask is the task of the host that keeps streams' versions in the store.
+const archiveTask = "stream versions"
+
+// isMixed reports whether a service has, or had lately, more than one software version.
+func (h *Host) isMixed(service string) bool {
+	versions, _ := h.instances.Versions(service, time.Now().Add(-h.settings.VersionMemory))
+	return len(versions) > 1
+}
+
 // hostCount returns the number of hosts that serve requests, at least 1.
 func (h *Host) hostCount() int {
 	n := 0
--- a/edge/parts.go
+++ b/edge/parts.go
@@ -40,8 +40,16 @@
 	}()
 }
 
-// onStoreItem takes over a condemned part from the store.
+// onStoreItem takes over what this host and others keep in the store.
 func (h *Host) onStoreItem(item directory.Item) {
+	if !item.Removed {
+		h.streams.OnArchived(item.Key, item.Value, time.Now())
+	}
+	h.onStoredPart(item)
+}
+
+// onStoredPart takes over a condemned part from the store.
+func (h *Host) onStoredPart(item directory.Item) {
 	part, found := strings.CutPrefix(item.Key, partPrefix)
 	if !found || item.Removed {
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -157,7 +157,9 @@
 	// it to its end.
 	runAlone  bool
 	completed bool
-	priority  int
+	// priority is the rank in queues; lower is more urgent. A stream that its caller takes
+	// up is one step ahead of new ones: the caller holds a part of the answer.
+	priority int
 	// workspace is the workspace's name, which upstreams are sent; "" if the
 	// request has none.
 	workspace string
@@ -233,6 +235,9 @@
 		workspace = nil
 	}
 	x.priority = routing.PriorityOf(route, workspace)
+	if x.resumesStream() {
+		x.priority--
+	}
 	x.service = route.Target(hashName(x.request.ID))
 	x.setTimes()
 	return x.readBody()
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -45,11 +45,16 @@
 	return attrs
 }
 
+// resumesStream reports whether the caller takes up a stream that has begun.
+func (x *exchange) resumesStream() bool {
+	return x.route.Kind == routing.Stream && (x.request.Resumes != "" || x.request.LastEvent != call.NoEvent)
+}
+
 // requireVersion finds the software version at which a stream that the caller
 // resumes must go on. It returns false and a refusal if the version is unknown or
 // no upstream has it.
 func (x *exchange) requireVersion() (refusal, bool) {
-	if x.route.Kind != routing.Stream || x.request.Resumes == "" && x.request.LastEvent == call.NoEvent {
+	if !x.resumesStream() {
 		return refusal{}, true
 	}
 	x.resumption = x.findVersion()
--- a/resume/keeper.go
+++ b/resume/keeper.go
@@ -44,6 +44,8 @@
 	Caller     link.Caller
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
+	// Archive keeps records in the store; nil keeps none there.
+	Archive *ArchiveConfig
 }
 
 // Keeper holds this host's records, sends new ones to other hosts and asks them for
@@ -55,6 +57,7 @@
 	avoided ownership.Avoided // hosts that a batch could not be sent to
 	senders sync.WaitGroup
 	lookups *prometheus.CounterVec
+	archive *archive // nil if no records are kept in the store
 }
 
 // New creates a keeper and registers the methods that other hosts call.
@@ -68,6 +71,9 @@
 	if config.Registerer != nil {
 		config.Registerer.MustRegister(k.lookups)
 	}
+	if config.Archive != nil {
+		k.startArchive(registrar)
+	}
 	link.HandleTyped(registrar, storeMethod, func(_ context.Context, batch []Record) (struct{}, error) {
 		now := time.Now()
 		for _, r := range batch {
@@ -82,9 +88,24 @@
 	return k
 }
 
-// Run waits until ctx ends and then for the senders that still work. Records that
+// startArchive prepares the records in the store.
+func (k *Keeper) startArchive(registrar link.Registrar) {
+	k.archive = newArchive(*k.config.Archive)
+	if k.config.Registerer != nil {
+		k.config.Registerer.MustRegister(k.archive.written)
+	}
+	link.HandleTyped(registrar, archiveMethod, func(_ context.Context, records []Record) (struct{}, error) {
+		k.archive.receive(records)
+		return struct{}{}, nil
+	})
+}
+
+// Run keeps records in the store until ctx ends, and then waits for the senders that still work. Records that
 // were not sent by then are dropped: this host takes no more streams.
 func (k *Keeper) Run(ctx context.Context) error {
+	if k.archive != nil {
+		k.runArchive(ctx)
+	}
 	<-ctx.Done()
 	k.outbox.close()
 	k.senders.Wait()
@@ -93,10 +114,14 @@
 
 // Store stores a record here and sends it to other hosts in the background.
 func (k *Keeper) Store(r Record) {
-	k.records.put(r, time.Now())
+	now := time.Now()
+	k.records.put(r, now)
 	for _, m := range k.replicas(r.Attempt) {
 		k.queue(m, outgoing{Record: r})
 	}
+	if k.archive != nil {
+		k.archive.add(r, func(service string) []Record { return k.records.ofService(service, now) })
+	}
 }
 
 // replicas returns the hosts that shall hold a record beside this one.
--- a/resume/table.go
+++ b/resume/table.go
@@ -63,6 +63,19 @@
 	return r, true
 }
 
+// ofService returns the records of a service. Their TTLs are what is left at now.
+func (t *table) ofService(service string, now time.Time) (all []Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.records.Values() {
+		if e.Service == service && now.Before(e.expires) {
+			e.TTL = e.expires.Sub(now)
+			all = append(all, e.Record)
+		}
+	}
+	return all
+}
+
 // dropExpired drops expired records, oldest first, up to the first that has not
 // expired. The caller holds mu.
 func (t *table) dropExpired(now time.Time) {
