soak: all hosts are killed at once during releases

A new kind of fault, herd, not played by default; TestSoakWithAllHostsKilled plays it with releases, cut watches and odd entries.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -27,7 +27,8 @@
 	minServedShare = 0.95
 )
 
-// EnabledKinds are the kinds of faults that a run plays by default. Each kind draws
+// EnabledKinds are the kinds of faults that a run plays by default: all but the loss of all
+// hosts, after which the others have little to disturb. Each kind draws
 // from random sources of its own, so a seed's base faults don't depend on the others.
 var EnabledKinds = []string{"base", "planned", "silence", "release", "notice", "restore", "crash", "limit", "entry"}
 
@@ -48,6 +49,7 @@
 	"crash":   {faults: crashFaults, series: 1, source: 600},
 	"limit":   {faults: limitFaults, series: 2, source: 700},
 	"entry":   {faults: entryFaults, series: 1, source: 800},
+	"herd":    {faults: herdFaults, series: 1, source: 900},
 }
 
 // Run starts the hosts, sends load and injects the faults of the given kinds and
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -59,6 +59,13 @@
 	runSeed(t, buildHost(t), 1, *faultLength, "base,restore")
 }
 
+// Guards against streams that are joined from two software versions, and service that does
+// not come back, when all hosts are lost again and again during releases.
+func TestSoakWithAllHostsKilled(t *testing.T) {
+	t.Parallel()
+	runSeed(t, buildHost(t), 1, *faultLength, "release,entry,herd")
+}
+
 // buildHost builds the host's program and returns its path.
 func buildHost(t *testing.T) string {
 	binary := filepath.Join(t.TempDir(), "seamedge")
