directory: an outage is noticed whoever reaches the store first

Change: the length of an outage is looked at with each sign of life, not only with the host's own next answer; a confirmation counts as an answer. TestOutageIsNoticedWhoeverReachesTheStoreFirst fails on the code before (the end of the outage stays unset). Package directory passed.

--- a/directory/confirm.go
+++ b/directory/confirm.go
@@ -53,7 +53,9 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	if !d.applyChanges(items, asOf, time.Now()) {
+	now := time.Now()
+	d.recordAnswer(now)
+	if !d.applyChanges(items, asOf, now) {
 		return Error.New("the store is in era %d, this host in another", asOf.Era)
 	}
 	if len(items) > 0 {
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -88,12 +88,12 @@
 // recordAnswer records an answer of the store, before it is applied.
 func (d *Directory) recordAnswer(now time.Time) {
 	d.mu.Lock()
-	silence, isOutage := d.outages.answered(now)
-	asOf := d.asOf
+	silence, restored := d.outages.answered(now)
+	asOf, outageEnd := d.asOf, d.outages.endedAt
 	d.mu.Unlock()
-	if silence > 0 {
+	if restored {
 		d.config.Logger.Info("connection to the store restored", "as_of", asOf.Revision,
-			"silence_ms", silence.Milliseconds(), "entries_may_have_expired", isOutage)
+			"silence_ms", silence.Milliseconds(), "entries_may_have_expired", now.Sub(outageEnd) < expiryGrace)
 	}
 }
 
--- a/directory/outage.go
+++ b/directory/outage.go
@@ -16,7 +16,7 @@
 	// one that it follows.
 	reachedAt time.Time
 	failedAt  time.Time // the last failed call
-	failing   bool      // the last call failed
+	failing   bool      // the last call of this host failed
 	endedAt   time.Time // the last failed call of the newest outage
 }
 
@@ -27,8 +27,13 @@
 	return outageTracker{minLength: max(entryTTL-longestGap, 0)}
 }
 
-// reached records that the store was reachable.
+// reached records that the store was reachable, by a call of this host or of another. If
+// calls of this host have failed since it was reachable before, that was an outage, provided
+// that it was long enough.
 func (o *outageTracker) reached(at time.Time) {
+	if o.failing && at.Sub(o.reachedAt) >= o.minLength {
+		o.endedAt = o.failedAt
+	}
 	if at.After(o.reachedAt) {
 		o.reachedAt = at
 	}
@@ -41,17 +46,12 @@
 	return first
 }
 
-// answered records an answer of the store, before it is applied. silence is the time for
-// which the store may have been away, 0 if the call before was answered too.
-func (o *outageTracker) answered(now time.Time) (silence time.Duration, isOutage bool) {
-	if o.failing {
-		silence = now.Sub(o.reachedAt)
-		isOutage = silence >= o.minLength
-	}
-	if isOutage {
-		o.endedAt = o.failedAt
-	}
-	o.failing = false
+// answered records an answer of the store to this host, before it is applied. restored is
+// true if the call before failed, and silence is then the time for which the store may have
+// been away.
+func (o *outageTracker) answered(now time.Time) (silence time.Duration, restored bool) {
+	silence, restored = now.Sub(o.reachedAt), o.failing
 	o.reached(now)
-	return silence, isOutage
+	o.failing = false
+	return silence, restored
 }
--- a/directory/outage_test.go
+++ b/directory/outage_test.go
@@ -61,6 +61,24 @@
 	}
 }
 
+// Guards against an outage that is overlooked because another host, or a request that asks for
+// confirmation, reaches the store before this host's own watch.
+func TestOutageIsNoticedWhoeverReachesTheStoreFirst(t *testing.T) {
+	start := time.Unix(1000, 0)
+	o := newOutageTracker(testHeartbeat, testEntryTTL)
+	o.reached(start)
+	o.failed(start.Add(time.Second))
+	o.reached(start.Add(time.Second)) // another host is still in touch
+	require.Zero(t, o.endedAt)
+	o.failed(start.Add(4 * time.Second))
+	o.reached(start.Add(4100 * time.Millisecond)) // another host is in touch again
+	_, restored := o.answered(start.Add(4200 * time.Millisecond))
+	require.True(t, restored)
+	require.Equal(t, start.Add(4*time.Second), o.endedAt)
+	_, restored = o.answered(start.Add(5 * time.Second))
+	require.False(t, restored)
+}
+
 // Guards against watches in a loop without a pause while the store cuts each at once.
 func TestWatchesThatAreCutAtOnceAreRepeatedWithAPause(t *testing.T) {
 	t.Parallel()
