transport: what is read for an answer to an earlier call is bounded on the wire

An upstream that answers with endless chunks of one byte makes a host read six bytes of framing for each byte that it counts.

Cause: only the body's bytes were bounded (1 MiB), so up to 6 MiB were parsed chunk by chunk before the call was given to another upstream.

Change: at most 2 MiB are read for such an answer.

--- a/transport/bounds.go
+++ b/transport/bounds.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"errors"
 	"io"
 	"net/http"
 
@@ -21,6 +22,8 @@
 	// maxStaleBodyBytes is the longest body of an answer to an earlier call that is
 	// read in order to reuse the connection.
 	maxStaleBodyBytes = 1 << 20
+	// maxStaleWireBytes bounds what is read for such a body, with the framing of its chunks.
+	maxStaleWireBytes = 2 * maxStaleBodyBytes
 	// maxErrorBytes bounds the text of an error, which may quote what was received.
 	maxErrorBytes = 300
 )
@@ -31,7 +34,7 @@
 // boundedReader limits how much is read.
 type boundedReader struct {
 	reader io.Reader
-	left   int64 // in bytes, for the head; below 0 for no limit
+	left   int64 // in bytes, for the head or a body to discard; below 0 for no limit
 }
 
 // Read returns errHeadTooLong if nothing may be read any more.
@@ -51,6 +54,9 @@
 // body from the connection.
 func (n *conn) limitHead() { n.bounded.left = maxHeadBytes + readBufferBytes }
 
+// limitStaleBody starts to limit what is read for a body that belongs to an earlier call.
+func (n *conn) limitStaleBody() { n.bounded.left = maxStaleWireBytes }
+
 // unlimit stops limiting what is read.
 func (n *conn) unlimit() { n.bounded.left = -1 }
 
@@ -69,8 +75,11 @@
 // discardBody reads a body that belongs to an earlier call.
 func discardBody(r *http.Response) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStaleBodyBytes+1))
-	if err == nil && n > maxStaleBodyBytes {
-		err = errs.New("answer to an earlier call is over %d bytes", maxStaleBodyBytes)
+	switch {
+	case errors.Is(err, errHeadTooLong):
+		return errs.New("answer to an earlier call takes over %d bytes with its chunks", maxStaleWireBytes)
+	case err == nil && n > maxStaleBodyBytes:
+		return errs.New("answer to an earlier call is over %d bytes", maxStaleBodyBytes)
 	}
 	return err
 }
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -341,6 +341,7 @@
 		if stale++; stale > maxStaleAnswers || response.Close {
 			return nil, errs.New("the connection carries answers to other calls")
 		}
+		n.limitStaleBody()
 		if err := discardBody(response); err != nil {
 			return nil, err
 		}
