--- a/resume/archive.go
+++ b/resume/archive.go
@@ -64,7 +64,7 @@
 	config  ArchiveConfig
 	written prometheus.Counter
 
-	mu        sync.Mutex // guards the fields below
+	mu        sync.Mutex // guards the fields below; locked before the table's mutex
 	mixed     map[string]bool
 	collected map[string]Record // of this host, by attempt, for the archivist
 	received  map[string]Record // of all hosts, if this one is the archivist
