--- a/gateway/bodies.go
+++ b/gateway/bodies.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/zeebo/errs"
 	"golang.org/x/sync/semaphore"
 )
 
@@ -19,8 +20,8 @@
 	// maxUnknownShare divides the limit to get the largest body whose length the caller does
 	// not state.
 	maxUnknownShare = 8
-	// maxRoomWait is how long a large body waits until others have ended. Its caller waits
-	// for the answer that long at most without having sent the body.
+	// maxRoomWait is how long a large body waits, unread, until others have ended. It is below
+	// the second after which callers abandon a request that is not read.
 	maxRoomWait = 400 * time.Millisecond
 	// noRoomRetryAfter is about the time in which streams end and free their bodies. A
 	// random time of the same length is added to it.
@@ -28,7 +29,7 @@
 )
 
 // errNoRoom means that the bodies of other requests take all the memory for bodies.
-var errNoRoom = errors.New("no memory for the request's body")
+var errNoRoom = errs.New("no memory for the request's body")
 
 // bodyMemory bounds the memory of the bodies that requests in progress hold. It is safe for
 // concurrent use.
