--- a/edge/run.go
+++ b/edge/run.go
@@ -176,7 +176,7 @@
 	start := time.Now()
 	grace := h.grace()
 	h.draining.Store(true)
-	h.gateway.Drain(start.Add(grace - shutdownMargin))
+	h.gateway.Drain()
 	h.unregister() // now, since the store may take longer to answer than there is time at the end
 	h.logger.Info("draining", "grace_ms", grace.Milliseconds())
 	leaveCtx, cancel := context.WithTimeout(context.Background(), grace)
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -121,15 +121,8 @@
 	return f
 }
 
-// hostStops reports whether the host ends its requests, or has no time left for one that
-// arrived while it was draining.
-func (x *exchange) hostStops() bool {
-	if x.stopped.Err() != nil {
-		return true
-	}
-	end := x.drainEnd.Load()
-	return end != nil && x.deadline.Equal(*end) && !time.Now().Before(*end)
-}
+// hostStops reports whether the host ends its requests.
+func (x *exchange) hostStops() bool { return x.stopped.Err() != nil }
 
 // stopRefusal returns the refusal of a request that the stopping host does not finish.
 // Other hosts serve, so that its caller may come back soon if it has not run.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,10 +80,8 @@
 
 // Gateway serves callers. It is safe for concurrent use.
 type Gateway struct {
-	config Config
-	// drainEnd is when the host ends the requests that are then in progress; nil unless it
-	// is draining.
-	drainEnd atomic.Pointer[time.Time]
+	config   Config
+	draining atomic.Bool
 	bodies   *bodyMemory
 	// stopped is done when Stop was called.
 	stopped context.Context
@@ -97,9 +95,8 @@
 	return g
 }
 
-// Drain makes every further answer close its connection. Requests that arrive from now on
-// are served as far as they can be by the given time.
-func (g *Gateway) Drain(until time.Time) { g.drainEnd.Store(&until) }
+// Drain makes every further answer close its connection.
+func (g *Gateway) Drain() { g.draining.Store(true) }
 
 // Stop ends the requests in progress. Those whose answer has not begun are refused with what
 // is known of them, the others are cut.
@@ -194,7 +191,7 @@
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if g.drainEnd.Load() != nil {
+	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{Gateway: g, w: w, r: r, bodyRoom: bodyRoom{memory: g.bodies}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
@@ -253,9 +250,6 @@
 		timeout = min(timeout, x.route.Timeout)
 	}
 	x.deadline = x.request.Arrived.Add(timeout - answerMargin)
-	if end := x.drainEnd.Load(); end != nil {
-		x.deadline = earlier(x.deadline, *end)
-	}
 	x.startBy = x.deadline
 	if x.route.Kind == routing.Stream {
 		x.startBy = earlier(x.deadline, x.request.Arrived.Add(callerPatience(x.route)-firstEventMargin))
