staging, transport: which host gathers for a failed stage, and why connections fail

The refusal's detail names the gatherer; seam_upstream_dial_failures_total counts by cause. No decision changes.

--- a/staging/runner.go
+++ b/staging/runner.go
@@ -48,11 +48,13 @@
 	// Wait is the estimated queueing time of the service, or the time until its
 	// servers accept calls again if Reason is PiecePaused; 0 if unknown.
 	Wait time.Duration
+	// Gatherer is the host that gathers for the service.
+	Gatherer host.ID
 }
 
 // Error returns the message of the failure.
 func (f *Failure) Error() string {
-	return "stage on service " + f.Service + " failed: " + f.Reason.String()
+	return "stage on service " + f.Service + " failed at gatherer " + string(f.Gatherer) + ": " + f.Reason.String()
 }
 
 // Runner runs the stages of this host's requests. It is safe for concurrent
@@ -249,7 +251,7 @@
 		if reason == call.PiecePaused {
 			wait = r.pausedFor(group.Service, time.Now())
 		}
-		return &Failure{Stage: stage, Service: group.Service, Reason: reason, Wait: wait}
+		return r.newFailure(stage, group.Service, reason, wait)
 	}
 	g.handles[stage] = handles
 	for _, before := range w.Stages[stage].DependsOn {
@@ -260,6 +262,13 @@
 	return nil
 }
 
+// newFailure returns the failure of a stage, with the host that gathers for its service
+// now.
+func (r *Runner) newFailure(stage int, service string, reason call.PieceFailure, wait time.Duration) *Failure {
+	owner, _ := r.config.Owners.Owner(service, time.Now())
+	return &Failure{Stage: stage, Service: service, Reason: reason, Wait: wait, Gatherer: owner.ID}
+}
+
 // timeAfter estimates how long the stages that depend on a stage take, along
 // the longest path.
 func (r *Runner) timeAfter(g *graph, stage int) time.Duration {
@@ -299,7 +308,7 @@
 		waits, known := r.recentQueueWaits(s.Service, now)
 		inTime := !now.Add(waits.InTime + r.timeAfter(g, i)).After(w.TargetTime)
 		if known && !inTime && now.Add(waits.Late+r.timeAfter(g, i)).After(w.Deadline) {
-			return &Failure{Stage: i, Service: s.Service, Reason: call.PieceOverload, Wait: waits.InTime}
+			return r.newFailure(i, s.Service, call.PieceOverload, waits.InTime)
 		}
 	}
 	return nil
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -93,6 +94,8 @@
 	maxIdle int
 	dials   prometheus.Counter
 	reuses  prometheus.Counter
+	// dialFailures counts by cause, see dialFailureCause.
+	dialFailures *prometheus.CounterVec
 	// onAnswer, admit and acquire are set before the first call.
 	onAnswer func(*Call, *http.Response)
 	admit    func(*Call) bool
@@ -113,9 +116,12 @@
 		reuses: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "seam_upstream_reuses_total", Help: "Calls sent on a connection that was used before.",
 		}),
+		dialFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "seam_upstream_dial_failures_total", Help: "Connections to upstreams that could not be opened, by cause.",
+		}, []string{"cause"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(c.dials, c.reuses)
+		registerer.MustRegister(c.dials, c.reuses, c.dialFailures)
 	}
 	return c
 }
@@ -203,18 +209,34 @@
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setTCPUserTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp4", call.Addr.String())
 	if err != nil {
+		c.dialFailures.WithLabelValues(dialFailureCause(err)).Inc()
 		return nil, err
 	}
 	bounded := &boundedReader{reader: raw, left: -1}
 	return &conn{Conn: raw, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes)}, nil
 }
 
+// dialFailureCause returns why a connection could not be opened, as a metric's label.
+func dialFailureCause(err error) string {
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, context.Canceled):
+		return "canceled"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "timeout"
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+		return "refused"
+	}
+	return "other"
+}
+
 // Probe opens a connection and closes it, to check whether the address accepts
 // connections.
 func (c *Client) Probe(ctx context.Context, addr netip.AddrPort) error {
 	c.dials.Inc()
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp4", addr.String())
 	if err != nil {
+		c.dialFailures.WithLabelValues(dialFailureCause(err)).Inc()
 		return Error.Wrap(err)
 	}
 	return Error.Wrap(raw.Close())
