--- a/edge/edge.go
+++ b/edge/edge.go
@@ -59,6 +59,8 @@
 	Delete      func(ctx context.Context, key string) error
 	// MoveStore makes all further calls at another address of the store.
 	MoveStore func(addr netip.AddrPort)
+	// Dial opens connections to upstreams; nil takes transport.DialTCP.
+	Dial transport.Dial
 }
 
 // Settings configure one host.
@@ -185,6 +187,9 @@
 	h.peerServer = link.NewServer(link.ServerConfig{Mux: h.mux, Key: h.settings.FleetKey, Logger: h.logger, Registerer: h.registry})
 	h.peerClient = link.NewClient(link.ClientConfig{Key: h.settings.FleetKey, DialTimeout: peerDialTimeout})
 	h.transport = transport.New(h.registry)
+	if h.platform.Dial != nil {
+		h.transport.DialWith(h.platform.Dial)
+	}
 	h.instances = instance.NewTable(h.onUpstreamChange)
 	h.transport.OnAnswer(h.onUpstreamAnswer)
 	h.transport.Admit(h.admitCall)
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -52,6 +52,7 @@
 	result    chan error
 	storeAddr netip.AddrPort
 	log       *hostLog
+	links     *upstreamLinks
 }
 
 // hostLog holds the lines that a host has logged.
@@ -156,16 +157,16 @@
 // launch starts a host and waits until it listens. It returns the host's error at
 // once if the host ends before.
 func (f *fleet) launch(s edge.Settings, store netip.AddrPort) (*node, error) {
-	listening, log := make(chan struct{}), &hostLog{}
+	listening, log, links := make(chan struct{}), &hostLog{}, &upstreamLinks{}
 	client := platform.NewStore(platform.StoreSettings{Addr: store}, 500*time.Millisecond)
 	built, err := edge.New(s, edge.Platform{
 		Codec: platform.HTTPCodec{}, Source: platform.Source{Store: client}, Format: platform.Format{},
 		Stages:   func(t *transport.Client) staging.Caller { return platform.StageCalls{Transport: t} },
-		Register: client.Register, Keep: client.Keep, KeepBriefly: client.KeepBriefly, Delete: client.Delete, MoveStore: client.MoveTo,
+		Register: client.Register, Keep: client.Keep, KeepBriefly: client.KeepBriefly, Delete: client.Delete, MoveStore: client.MoveTo, Dial: links.dial,
 	}, slog.New(slog.NewJSONHandler(testWriter{f.t, listening, log}, nil)), prometheus.NewRegistry())
 	require.NoError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
-	n := &node{Host: built, settings: s, stop: stop, result: make(chan error, 1), storeAddr: store, log: log}
+	n := &node{Host: built, settings: s, stop: stop, result: make(chan error, 1), storeAddr: store, log: log, links: links}
 	f.hosts = append(f.hosts, n)
 	go func() {
 		n.result <- built.Run(ctx)
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -96,7 +96,8 @@
 	reuses  prometheus.Counter
 	// dialFailures counts by cause, see dialFailureCause.
 	dialFailures *prometheus.CounterVec
-	// onAnswer, admit and acquire are set before the first call.
+	// dial, onAnswer, admit and acquire are set before the first call.
+	dial     Dial
 	onAnswer func(*Call, *http.Response)
 	admit    func(*Call) bool
 	acquire  func(context.Context, *Call) bool
@@ -107,6 +108,7 @@
 	c := &Client{
 		idle:     make(map[netip.AddrPort][]*conn),
 		maxIdle:  maxIdlePerUpstream,
+		dial:     DialTCP,
 		onAnswer: func(*Call, *http.Response) {},
 		admit:    func(*Call) bool { return true },
 		acquire:  func(context.Context, *Call) bool { return true },
@@ -126,6 +128,14 @@
 	return c
 }
 
+// Dial opens a connection to an upstream. It must return within the time that a sound
+// upstream takes to accept a connection, or when ctx ends.
+type Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+
+// DialWith sets how connections are opened, in place of DialTCP. It must be set before
+// the first call.
+func (c *Client) DialWith(dial Dial) { c.dial = dial }
+
 // OnAnswer sets the function that is called with the status and headers of each
 // answer that arrives, also of those that are discarded, before Do returns. It
 // must be set before the first call.
@@ -205,17 +215,30 @@
 			return idle, nil
 		}
 	}
-	c.dials.Inc()
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setTCPUserTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp4", call.Addr.String())
+	raw, err := c.open(ctx, call.Addr)
 	if err != nil {
-		c.dialFailures.WithLabelValues(dialFailureCause(err)).Inc()
 		return nil, err
 	}
 	bounded := &boundedReader{reader: raw, left: -1}
 	return &conn{Conn: raw, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes)}, nil
 }
 
+// open opens a connection to an upstream.
+func (c *Client) open(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	c.dials.Inc()
+	raw, err := c.dial(ctx, addr)
+	if err != nil {
+		c.dialFailures.WithLabelValues(dialFailureCause(err)).Inc()
+	}
+	return raw, err
+}
+
+// DialTCP opens a TCP connection to an upstream.
+func DialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setTCPUserTimeout}
+	return dialer.DialContext(ctx, "tcp4", addr.String())
+}
+
 // dialFailureCause returns why a connection could not be opened, as a metric's label.
 func dialFailureCause(err error) string {
 	var timeout interface{ Timeout() bool }
@@ -233,10 +256,8 @@
 // Probe opens a connection and closes it, to check whether the address accepts
 // connections.
 func (c *Client) Probe(ctx context.Context, addr netip.AddrPort) error {
-	c.dials.Inc()
-	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp4", addr.String())
+	raw, err := c.open(ctx, addr)
 	if err != nil {
-		c.dialFailures.WithLabelValues(dialFailureCause(err)).Inc()
 		return Error.Wrap(err)
 	}
 	return Error.Wrap(raw.Close())
