tunnel: a host that has lost its links to upstreams connects through other hosts

Cause: a host knew one way to an upstream, its own link. Without it each of its callers' requests waited for connections that could not be made, for up to a second each, and the tasks that it did for all hosts failed in the same way: two of the three gatherers of stage pieces were among the cut hosts, so that hosts with all their links refused with 'stage failed: overload'. A connection that can't be made was taken for a fault of the upstream: sound upstreams were ejected and reported as crashed.

Evidence: 'stage call failed', 'dial tcp4: i/o timeout' after 1,000 ms at both gatherers from 6.0 s; tries that end as not_sent at the eight hosts; 'upstream crashed' of engines that served others.

Change: package tunnel opens all connections to upstreams for the transport. If a direct one is refused, or does not open within 200 ms, another host is asked for one and passes the bytes on over a drpc stream. What is learned decides how the next connection is opened: an upstream that only others reach gets tunnels at once and a direct try each 0.5 s; after two such upstreams in a row the host takes its own links for lost; one that others can't reach either is tried directly alone. All that binds a request stays with the host that took it: at most once, deadline, budgets, cancellation, which upstream it may reach. A frame marks the orderly end, so that a host that is lost is no end of an answer. Probes take the same way, so a lost link is no evidence of a crash.

Since the gatherer's calls take that way too, the task stays where it is: handing it over would lose the pieces that were given to it.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -34,6 +34,7 @@
 	"github.com/galenaseam/galenaseam/staging"
 	"github.com/galenaseam/galenaseam/throttle"
 	"github.com/galenaseam/galenaseam/transport"
+	"github.com/galenaseam/galenaseam/tunnel"
 )
 
 // Error is the class of every error this package returns.
@@ -131,6 +132,7 @@
 	instances  *instance.Table
 	directory  *directory.Directory
 	transport  *transport.Client
+	tunnels    *tunnel.Server
 	gatherer   *staging.Gatherer
 	streams    *resume.Keeper
 	parts      *quarantine.Parts
@@ -187,9 +189,6 @@
 	h.peerServer = link.NewServer(link.ServerConfig{Mux: h.mux, Key: h.settings.FleetKey, Logger: h.logger, Registerer: h.registry})
 	h.peerClient = link.NewClient(link.ClientConfig{Key: h.settings.FleetKey, DialTimeout: peerDialTimeout})
 	h.transport = transport.New(h.registry)
-	if h.platform.Dial != nil {
-		h.transport.DialWith(h.platform.Dial)
-	}
 	h.instances = instance.NewTable(h.onUpstreamChange)
 	h.transport.OnAnswer(h.onUpstreamAnswer)
 	h.transport.Admit(h.admitCall)
@@ -211,9 +210,27 @@
 		Registerer: h.registry, OnConfig: h.onConfig, OnHosts: h.members.HostListChanged, OnItem: h.onStoreItem,
 	}, h.mux)
 	hostList.setDirectory(h.directory)
+	h.buildTunnels()
 	return nil
 }
 
+// buildTunnels makes connections to upstreams that this host can't reach go through other
+// hosts, and serves theirs.
+func (h *Host) buildTunnels() {
+	direct := h.platform.Dial
+	if direct == nil {
+		direct = transport.DialTCP
+	}
+	dialer, server := tunnel.New(tunnel.Config{
+		Direct: direct, Fleet: h.members, Opener: h.peerClient,
+		IsUpstream: func(addr netip.AddrPort) bool { _, is := h.instances.ProcessAt(addr, ""); return is },
+		OnLost:     h.transport.CloseIdle, OnAllLost: h.transport.Close,
+		Logger: h.logger, Registerer: h.registry,
+	}, h.mux)
+	h.transport.DialWith(dialer.Dial)
+	h.tunnels = server
+}
+
 const (
 	// hostListInterval is how often the membership reads the directory's list of
 	// hosts to find new ones.
--- a/edge/links_test.go
+++ b/edge/links_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/galenaseam/galenaseam/transport"
 )
@@ -50,8 +52,12 @@
 	l.mu.Unlock()
 	switch c {
 	case silentCut:
-		<-ctx.Done()
-		return nil, ctx.Err()
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(time.Second): // the transport's own time-out
+			return nil, os.ErrDeadlineExceeded
+		}
 	case resetCut, newOnlyCut:
 		return nil, syscall.ECONNREFUSED
 	}
--- a/edge/reach_test.go
+++ b/edge/reach_test.go
@@ -79,6 +79,7 @@
 			sent, served := f.firstTries(f.hosts, "after", 3)
 			require.Equal(t, sent, served, "requests served at the first try")
 			for _, n := range f.hosts[:c.hosts] {
+				require.Zero(t, n.log.count("upstream crashed"), "sound upstreams that a host takes for crashed")
 				n.links.set(noCut)
 			}
 			sent, served = f.firstTries(f.hosts, "healed", 1)
--- a/edge/run.go
+++ b/edge/run.go
@@ -177,6 +177,7 @@
 	grace := h.grace()
 	h.draining.Store(true)
 	h.gateway.Drain()
+	h.tunnels.Drain()
 	h.unregister() // now, since the store may take longer to answer than there is time at the end
 	h.logger.Info("draining", "grace_ms", grace.Milliseconds())
 	leaveCtx, cancel := context.WithTimeout(context.Background(), grace)
@@ -193,4 +194,5 @@
 		h.callers.awaitRequests()
 		h.callers.abort()
 	}
+	h.tunnels.Shutdown(shutdownCtx)
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -78,6 +78,8 @@
 	headTime       time.Duration // time to the status and headers of the answer
 	firstEventTime time.Duration // time to the first event; 0 before it
 	lastHeardAt    time.Time     // when the upstream last sent something; the zero value if it never did
+	sentDirectly   bool          // the request was sent on a direct connection
+	peer           string        // host through which the request was sent; "" for none
 }
 
 // newAttempt returns an attempt that has not begun.
@@ -227,6 +229,7 @@
 		IdleTimeout:   s.config.Codec.IdleTimeout,
 		NewConnection: !s.route.Repeatable(),
 		Admit:         func() bool { return !s.partsCondemned() },
+		Connected:     s.recordPath,
 	})
 	if err == nil {
 		s.mu.Lock()
@@ -237,6 +240,21 @@
 	return answer, err
 }
 
+// recordPath records how the request is sent: through a host, or directly if peer is "".
+func (s *upstreamAttempt) recordPath(peer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sentDirectly, s.peer = peer == "", peer
+}
+
+// hasLostPath reports whether the attempt's connection is direct, while a new one to its
+// upstream could only be opened through a host, probePeer.
+func (s *upstreamAttempt) hasLostPath(probePeer string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sentDirectly && probePeer != ""
+}
+
 // checkHead returns the report that ends the attempt if the answer's status and
 // headers say that the request did not run, or if the answer can't be used.
 func (s *upstreamAttempt) checkHead(a *call.Answer) (failed report, unusable bool) {
--- a/gateway/attempt_record.go
+++ b/gateway/attempt_record.go
@@ -12,6 +12,7 @@
 	Addr            string `json:"addr"`
 	Version         string `json:"version,omitempty"`
 	InFlight        int    `json:"in_flight"`
+	Peer            string `json:"through,omitempty"` // host through which it was sent
 	Owner           string `json:"keeper,omitempty"`
 	EstimatedWaitMS int64  `json:"foreseen_ms,omitempty"`
 	SentMS          int64  `json:"sent_ms"`
@@ -44,7 +45,7 @@
 	s.use.End(outcome, now.Sub(s.sentAt), now)
 	s.config.Metrics.countAttempt(s.service, label)
 	record := attemptRecord{
-		Upstream: string(s.chosen.ID), Addr: s.chosen.Addr.String(), Version: s.chosen.Version, InFlight: s.chosen.InFlight,
+		Upstream: string(s.chosen.ID), Addr: s.chosen.Addr.String(), Version: s.chosen.Version, InFlight: s.chosen.InFlight, Peer: s.peer,
 		Owner: s.ticket.Owner, EstimatedWaitMS: s.ticket.Wait.Milliseconds(),
 		SentMS: s.sentAt.Sub(s.request.Arrived).Milliseconds(), TookMS: now.Sub(s.sentAt).Milliseconds(),
 		SilentMS: s.silence(now).Milliseconds(), HeadMS: s.headTime.Milliseconds(), FirstEventMS: s.firstEventTime.Milliseconds(),
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -69,8 +69,8 @@
 	time.Sleep(crashCheckDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	err := x.config.Transport.Probe(ctx, l.upstream.Addr)
-	if err == nil {
+	var err error
+	if _, err = x.config.Transport.Probe(ctx, l.upstream.Addr); err == nil {
 		return
 	}
 	x.config.Logger.Warn("upstream crashed while running a request", "upstream", string(l.upstream.ID), "addr", l.upstream.Addr.String(),
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -142,8 +142,8 @@
 	return m.activity, true
 }
 
-// probe checks whether a silent upstream accepts connections, and reports each probe
-// that fails. It stops once a probe succeeds or the upstream sends something.
+// probe checks whether a silent upstream accepts connections in the way that the attempt's
+// goes, and reports each probe that fails. It stops once a probe succeeds or the upstream sends something.
 func (m *silenceMonitor) probe() {
 	if !m.probing.CompareAndSwap(false, true) {
 		return
@@ -152,9 +152,10 @@
 	activity := m.activityCount()
 	for range unreachableProbes {
 		ctx, cancel := context.WithTimeout(m.attempt.ctx, crashCheckTimeout)
-		err := m.attempt.config.Transport.Probe(ctx, m.addr)
+		peer, err := m.attempt.config.Transport.Probe(ctx, m.addr)
 		cancel()
-		if err == nil || m.attempt.ctx.Err() != nil || m.activityCount() != activity {
+		sound := err == nil && !m.attempt.hasLostPath(peer)
+		if sound || m.attempt.ctx.Err() != nil || m.activityCount() != activity {
 			return
 		}
 		m.attempt.report(report{kind: probeFailed, activity: activity})
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -85,6 +85,9 @@
 	// Admit, if not nil, decides before the call is connected, and again before it is
 	// sent, whether it may be sent.
 	Admit func() bool
+	// Connected, if not nil, is called before the call is sent. peer is the host that the
+	// connection goes through, "" if it is direct.
+	Connected func(peer string)
 }
 
 // Client makes calls and pools connections. It is safe for concurrent use.
@@ -157,6 +160,18 @@
 	bounded   *boundedReader // under reader
 	reader    *bufio.Reader
 	expiresAt time.Time
+	peer      string // host that the connection goes through, "" if it is direct
+}
+
+// throughPeer is a connection through another host.
+type throughPeer interface{ Peer() string }
+
+// peerOf returns the host that a connection goes through, "" if it is direct.
+func peerOf(c net.Conn) string {
+	if through, ok := c.(throughPeer); ok {
+		return through.Peer()
+	}
+	return ""
 }
 
 // Answer is an answer whose body is read from the connection. The caller must
@@ -189,6 +204,9 @@
 		_ = connection.Close()
 		return nil, errs.Combine(ErrNotSent, ErrWithheld)
 	}
+	if call.Connected != nil {
+		call.Connected(connection.peer)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	sent, err := connection.send(call)
 	if err == nil {
@@ -220,7 +238,7 @@
 		return nil, err
 	}
 	bounded := &boundedReader{reader: raw, left: -1}
-	return &conn{Conn: raw, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes)}, nil
+	return &conn{Conn: raw, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), peer: peerOf(raw)}, nil
 }
 
 // open opens a connection to an upstream.
@@ -254,13 +272,13 @@
 }
 
 // Probe opens a connection and closes it, to check whether the address accepts
-// connections.
-func (c *Client) Probe(ctx context.Context, addr netip.AddrPort) error {
+// connections. It returns the host that the connection went through, "" if it was direct.
+func (c *Client) Probe(ctx context.Context, addr netip.AddrPort) (peer string, err error) {
 	raw, err := c.open(ctx, addr)
 	if err != nil {
-		return Error.Wrap(err)
+		return "", Error.Wrap(err)
 	}
-	return Error.Wrap(raw.Close())
+	return peerOf(raw), Error.Wrap(raw.Close())
 }
 
 // takeIdle removes and returns the most recently used idle connection that is
@@ -425,11 +443,12 @@
 }
 
 // Close returns the connection to the pool if it can be reused, and closes it
-// otherwise.
+// otherwise. A connection through another host is not reused: what has arrived on it is not
+// known before it is read.
 func (a *Answer) Close() {
 	a.closeOnce.Do(func() {
 		ctxEnded := !a.stopWatch()
-		if !ctxEnded && a.bodyRead && !a.Response.Close && a.conn.reader.Buffered() == 0 && a.bodyFullyWritten() {
+		if !ctxEnded && a.conn.peer == "" && a.bodyRead && !a.Response.Close && a.conn.reader.Buffered() == 0 && a.bodyFullyWritten() {
 			a.client.putIdle(a.call.Addr, a.conn, a.idleTimeout())
 			return
 		}
--- /dev/null
+++ b/tunnel/peers.go
@@ -0,0 +1,52 @@
+package tunnel
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/ownership"
+)
+
+// peersMaxAge is how long a list of the other hosts is used, so that the members of a
+// large fleet are not walked for every connection.
+const peersMaxAge = 200 * time.Millisecond
+
+// peers chooses hosts to open tunnels through. It is safe for concurrent use.
+type peers struct {
+	fleet   host.View
+	avoided ownership.Avoided
+
+	mu       sync.Mutex // guards the fields below
+	alive    []host.Info
+	listedAt time.Time
+}
+
+// choose returns a random host that is alive and neither avoided nor tried.
+func (p *peers) choose(tried map[host.ID]bool, random *rand.Rand, now time.Time) (host.Info, bool) {
+	all := p.list(now)
+	for _, i := range random.Perm(len(all)) {
+		if peer := all[i]; !tried[peer.ID] && !p.avoided.Has(peer.ID, now) {
+			return peer, true
+		}
+	}
+	return host.Info{}, false
+}
+
+// list returns the other hosts that are alive.
+func (p *peers) list(now time.Time) []host.Info {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.listedAt) < peersMaxAge {
+		return p.alive
+	}
+	self := p.fleet.Self().ID
+	p.listedAt, p.alive = now, nil
+	for _, m := range p.fleet.Members() {
+		if m.State == host.Alive && m.ID != self {
+			p.alive = append(p.alive, m.Info)
+		}
+	}
+	return p.alive
+}
