edge: the test of brittle upstreams needs less processor

Requests of 200 ms keep the bound, half of what the slots bear, and the pressure of three times the slots.

--- a/edge/brittle_test.go
+++ b/edge/brittle_test.go
@@ -21,7 +21,7 @@
 	// brittleFalls is how often two upstreams may fall over in one time in which they are
 	// brittle: 2, and a tenth of their number.
 	brittleFalls = 2
-	work         = 40 * time.Millisecond
+	work         = 200 * time.Millisecond
 	eventPause   = 5 * time.Millisecond
 )
 
