gateway: what is no event of a stream is not passed on in its middle

Answers with an error status were never passed on, but what comes with status 200 was: an error of another media type (its text went into the stream), an empty one (the stream ended as complete), and the bytes of an error answer after the head of an event stream (head and text went into the stream).

Once a stream has begun, an answer that goes on with it must have its media type, and an event must have an ID if those before had one, unless it is only comments. What does not is taken for a stream that broke: another upstream is tried, or the connection is cut.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -19,6 +19,16 @@
 	id  int64 // call.NoEvent if the event has none
 }
 
+// isComment reports whether an event has nothing but comments.
+func (e event) isComment() bool {
+	for line := range bytes.Lines(e.raw) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventReader splits a stream into events.
 type eventReader struct {
 	reader *bufio.Reader
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -15,6 +15,7 @@
 var (
 	errNoEvent      = errors.New("stream ended without an event")
 	errWrongVersion = errors.New("another software version began the stream")
+	errForeign      = errors.New("answer is not a part of the stream that has begun")
 )
 
 // readEvents reports the events of an answer as they arrive, and its end. An unframed
@@ -48,6 +49,9 @@
 // onEvent forwards an event to the caller, unless the caller already has it from
 // another upstream.
 func (r *race) onEvent(s *upstreamAttempt, a *call.Answer, e event) (finished bool) {
+	if !r.continues(a, e) {
+		return r.onAttemptEnded(s, report{result: outcomeUnknown, outcome: instance.Broke, status: a.Status, label: "foreign", err: errForeign})
+	}
 	s.events++
 	if e.id != call.NoEvent && r.lastEventID != call.NoEvent && e.id <= r.lastEventID {
 		return false
@@ -75,6 +79,18 @@
 	return false
 }
 
+// continues reports whether an event of an answer may follow those that the caller has. An
+// upstream in trouble may write an error where the rest of the stream is due.
+func (r *race) continues(a *call.Answer, e event) bool {
+	return r.isOfStream(a) && (r.lastEventID == call.NoEvent || e.id != call.NoEvent || e.isComment())
+}
+
+// isOfStream reports whether an answer has the media type of the stream that has begun, if
+// one has.
+func (r *race) isOfStream(a *call.Answer) bool {
+	return !r.started || a.Header.Get("Content-Type") == r.w.Header().Get("Content-Type")
+}
+
 // recordSoundEvents records a sound answer once the upstream has sent events for long
 // enough.
 func (s *upstreamAttempt) recordSoundEvents(now time.Time) {
@@ -124,6 +140,9 @@
 	if len(r.running) > 1 && s != r.serving {
 		return r.onAttemptEnded(s, report{result: outcomeUnknown, outcome: instance.Broke, label: "broke_in_stream", err: errNoEvent})
 	}
+	if !r.isOfStream(a) {
+		return r.onAttemptEnded(s, report{result: outcomeUnknown, outcome: instance.Broke, status: a.Status, label: "foreign", err: errForeign})
+	}
 	r.win(s)
 	r.writeHead(a)
 	r.completed = true
