--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -266,3 +266,39 @@
 		require.EqualValues(t, admitted, accepted.Load())
 	}
 }
+
+// brokenOff starts a server that answers with some bytes and closes the connection.
+func brokenOff(t *testing.T, text string) netip.AddrPort {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, text)
+		}
+	}()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// A server stops in the middle of the head of its answer and closes. Guards against an
+// answer that looks whole and has an empty or short body.
+func TestHeadThatBreaksOffIsNoAnswer(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\nId: a\nContent-Length: 2\n\n",
+		"HTTP/1.1 103 Early Hints\r\nX: x\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\n\r\n",
+	} {
+		for length := range len(head) {
+			text := head[:length]
+			_, err := do(t, transport.New(nil), get(brokenOff(t, text), "a"))
+			require.Error(t, err, "%q", text)
+			require.NotErrorIs(t, err, transport.ErrNotSent, "%q", text)
+		}
+	}
+}
