tunnel, link: tunnels and link connections of lost hosts end

A host that loses power closes no connection. Link connections had keep-alive probes of net's defaults, nine times 15 s, and no user timeout, so sent data could wait for minutes. With tunnels, each such connection would hold two descriptors of the host that serves it.

A tunnel states how long its call may last and ends a second later. Link connections get a user timeout of 20 s at both ends, longer than hosts stand still; it also decides when keep-alive probes give up. No library that is used sets one by itself.

TestTunnelEndsWhenItsCallIsOver.

--- a/link/client.go
+++ b/link/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/internal/defaults"
+	"github.com/galenaseam/galenaseam/internal/sockopt"
 	"github.com/zeebo/errs"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
@@ -80,7 +81,7 @@
 		config: config,
 		auth:   authenticator{tls: config.TLS, key: config.Key, timeout: config.DialTimeout},
 		codec:  newCodec(config.MaxMessageBytes),
-		dialer: net.Dialer{Timeout: config.DialTimeout},
+		dialer: net.Dialer{Timeout: config.DialTimeout, Control: sockopt.UserTimeout(userTimeout)},
 		pool: drpcpool.New[netip.AddrPort, *pooledConn](drpcpool.Options{
 			Expiration:  config.IdleTimeout,
 			KeyCapacity: DefaultIdlePerPeer,
--- a/link/server.go
+++ b/link/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/internal/defaults"
+	"github.com/galenaseam/galenaseam/internal/sockopt"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
 	"storj.io/drpc"
@@ -20,6 +21,11 @@
 	"storj.io/drpc/drpcwire"
 )
 
+// userTimeout is how long the kernel waits for a peer's acknowledgement before it closes a
+// connection, at both ends: a peer that has lost power does not close its connections. It is
+// longer than hosts stand still.
+const userTimeout = 20 * time.Second
+
 // Defaults and limits of a Server. frameOverheadBytes and retainedBufferBytes also
 // apply to a Client.
 const (
@@ -146,6 +152,9 @@
 	stopClosing := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stopClosing()
 	defer conn.Close()
+	if err := sockopt.SetUserTimeout(conn, userTimeout); err != nil {
+		s.config.Logger.Warn("failed to set the user timeout of a link connection", "peer", conn.RemoteAddr().String(), "error", err)
+	}
 	secure, err := s.auth.serverHandshake(conn)
 	if err != nil {
 		s.recordRefusal(conn, err)
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -20,6 +20,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/internal/sockopt"
 )
 
 // Error is the class of every error this package returns.
@@ -290,7 +291,7 @@
 
 // DialTCP opens a TCP connection to an upstream.
 func DialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setTCPUserTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: sockopt.UserTimeout(tcpUserTimeout)}
 	return dialer.DialContext(ctx, "tcp4", addr.String())
 }
 
--- a/transport/wire.go
+++ b/transport/wire.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -48,19 +47,6 @@
 	return net.Buffers{[]byte(size), call.Body, []byte("\r\n0\r\n\r\n")}
 }
 
-// setTCPUserTimeout makes the kernel close a connection whose peer does not
-// acknowledge sent data.
-func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return optErr
-}
-
 // NothingReceived reports whether nothing has arrived on an idle connection that was
 // not read yet, neither the end of the stream nor bytes.
 func NothingReceived(c net.Conn) bool {
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -186,7 +186,7 @@
 	r.cancelTunnel = cancel
 	r.pending++
 	go func() {
-		conn, err := r.dialTunnel(ctx, r.addr)
+		conn, err := r.dialTunnel(ctx, openRequest{Addr: r.addr, Lifetime: r.lifetime()})
 		got := opened{err: err, tunnelled: true}
 		if err == nil {
 			got.conn = conn
@@ -195,6 +195,15 @@
 	}()
 }
 
+// lifetime returns how long the connection may be needed.
+func (r *race) lifetime() time.Duration {
+	deadline, bounded := r.ctx.Deadline()
+	if !bounded {
+		return defaultLifetime
+	}
+	return time.Until(deadline) + lifetimeSlack
+}
+
 // abandon ends the way that is still under way. After a tunnel was opened, a direct
 // connection goes on until it opens or fails, since that shows whether the path is lost.
 func (r *race) abandon() {
@@ -252,7 +261,7 @@
 }
 
 // dialTunnel opens a connection through another host.
-func (d *Dialer) dialTunnel(ctx context.Context, addr netip.AddrPort) (*Conn, error) {
+func (d *Dialer) dialTunnel(ctx context.Context, request openRequest) (*Conn, error) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	tried := make(map[host.ID]bool)
 	var failed []host.ID // hosts that could not connect
@@ -264,7 +273,7 @@
 			break
 		}
 		tried[peer.ID] = true
-		conn, said, err := d.openAt(ctx, peer, addr)
+		conn, said, err := d.openAt(ctx, peer, request)
 		if err == nil {
 			for _, id := range failed {
 				d.peers.avoided.Add(id, now)
@@ -276,7 +285,7 @@
 		case ctx.Err() != nil:
 		case said == unreachable:
 			if failed = append(failed, peer.ID); len(failed) == maxUnreachable {
-				d.paths.down(addr, now)
+				d.paths.down(request.Addr, now)
 				return nil, last
 			}
 		case said != unknown:
@@ -288,7 +297,7 @@
 
 // openAt asks one host for a connection to an upstream. After a failure, said is what the
 // host said; connected if it said nothing.
-func (d *Dialer) openAt(ctx context.Context, peer host.Info, addr netip.AddrPort) (conn *Conn, said result, err error) {
+func (d *Dialer) openAt(ctx context.Context, peer host.Info, request openRequest) (conn *Conn, said result, err error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	stream, err := d.config.Opener.Open(ctx, peer.LinkAddr, openMethod)
@@ -298,7 +307,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	var reply openReply
-	if err = stream.Send(openRequest{Addr: addr}); err == nil {
+	if err = stream.Send(request); err == nil {
 		err = stream.Recv(&reply)
 	}
 	if !stop() && err == nil {
@@ -314,5 +323,5 @@
 		_ = stream.Close()
 		return nil, reply.Result, Error.New("host %q says %s: %s", peer.ID, reply.Result, reply.Error)
 	}
-	return &Conn{stream: stream, peer: peer, addr: addr}, connected, nil
+	return &Conn{stream: stream, peer: peer, addr: request.Addr}, connected, nil
 }
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -91,6 +91,8 @@
 	}
 	s.track(conn)
 	defer s.untrack(conn)
+	ctx, cancel := context.WithTimeout(ctx, request.Lifetime)
+	defer cancel()
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 	if err := stream.Send(reply); err != nil {
 		return err
--- a/tunnel/tunnel.go
+++ b/tunnel/tunnel.go
@@ -32,6 +32,10 @@
 	// serverDialTimeout bounds opening a connection on behalf of another host. It is
 	// shorter than peerTimeout, so that the other host learns why it failed.
 	serverDialTimeout = 250 * time.Millisecond
+	// defaultLifetime is how long a tunnel may be needed if its call has no deadline.
+	// lifetimeSlack is added to the time until the deadline.
+	defaultLifetime = time.Minute
+	lifetimeSlack   = time.Second
 	// maxFrameBytes bounds the data of one frame.
 	maxFrameBytes = 16 << 10
 )
@@ -64,6 +68,8 @@
 // openRequest asks for a connection to an upstream.
 type openRequest struct {
 	Addr netip.AddrPort `cbor:"1,keyasint"`
+	// Lifetime is how long the connection may be needed.
+	Lifetime time.Duration `cbor:"2,keyasint"`
 }
 
 type openReply struct {
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -271,3 +271,18 @@
 		return false
 	}
 }
+
+// A host that loses power closes nothing. Guards against its tunnels taking the descriptors
+// of the host that serves them for good.
+func TestTunnelEndsWhenItsCallIsOver(t *testing.T) {
+	hosts := startHosts(t, 2, netip.AddrPort{})
+	closed := make(chan struct{})
+	addr := upstream(t, func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c); close(closed) })
+	hosts[0].cut.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	conn, err := hosts[0].Dial(ctx, addr)
+	require.NoError(t, err)
+	defer conn.Close()
+	require.Eventually(t, func() bool { return isClosed(closed) }, time.Second+2*lifetimeSlack, 10*time.Millisecond)
+}
