soak: hosts lose their links to upstreams, and upstreams are brittle

Two kinds of faults, both played by default: cuts between hosts and upstreams alone (silent, reset, new connections refused; one host or all but one), and services whose upstreams fall over when they must turn requests away. The checks are the users' bounds. A build tag lets the soak cut the links of one process: a proxy on loopback can't tell which host connects.

--- a/cmd/seamedge/main.go
+++ b/cmd/seamedge/main.go
@@ -33,6 +33,9 @@
 	exitSettings = 2 // the settings are invalid
 )
 
+// dialUpstream opens connections to upstreams; nil takes the default.
+var dialUpstream transport.Dial
+
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
 // flags holds the values of the command-line flags.
@@ -141,5 +144,6 @@
 
 		KeepBriefly: store.KeepBriefly,
 		MoveStore:   store.MoveTo,
+		Dial:        dialUpstream,
 	}
 }
--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -26,9 +26,9 @@
 }
 
 // checkNotCut checks that a request got its whole answer if an upstream ran it and
-// was only silent. A caller that left, a deadline, a killed host and a connection
-// that was reset excuse a missing answer, and the end of a grace period; so does the last upstream that the route
-// allows if it took over and broke off.
+// was only silent. A caller that left, a deadline, a killed host, a connection that was
+// reset, links that were cut and the end of a grace period excuse a missing answer; so does
+// the last upstream that the route allows if it took over and broke off.
 func (e *environment) checkNotCut(o outcome, runs []serverRun) []string {
 	if o.status == http.StatusOK && o.complete || o.abandoned || o.endedAt.Sub(o.sentAt) > o.deadline-timeoutSlack {
 		return nil
@@ -36,6 +36,9 @@
 	if e.host(o.host).wasDisrupted(o.sentAt, o.endedAt, killed) || e.host(o.host).graceEnded(o.sentAt, o.endedAt) {
 		return nil
 	}
+	if e.host(o.host).wasDisrupted(o.sentAt.Add(-pathBackTime), o.endedAt, linksCut) {
+		return nil
+	}
 	brokeOff := func(run serverRun) bool {
 		return run.Fault != platformtest.ServeNormally || run.server.proxy.wasReset(run.StartedAt.Add(-resetSlack), o.endedAt)
 	}
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/internal/ports"
+	"github.com/galenaseam/galenaseam/internal/soak/cutdial"
 	"github.com/galenaseam/galenaseam/platform/platformtest"
 )
 
@@ -46,6 +47,8 @@
 	// crashingPart is the part that callers send and that crashes engines; "" for none.
 	crashingPart string
 	limits       []namedLimit
+	cuts         []linkCut
+	brittle      []brittleTime
 }
 
 // server is an upstream behind a proxy.
@@ -193,11 +196,13 @@
 	e.store.SetFault(nil)
 	for _, h := range e.hosts {
 		h.storeProxy.SetFault(platformtest.FaultNone)
+		_ = h.setLinks(cutdial.Whole) // a link that stays cut shows in the requests that follow
 	}
 	for _, u := range e.servers() {
 		u.QueueFaults()
 		u.QueueSilences()
 		u.NameLimit("")
+		u.SetBrittle(nil)
 		u.proxy.setState(proxyState{})
 	}
 }
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/galenaseam/galenaseam/internal/logfile"
+	"github.com/galenaseam/galenaseam/internal/soak/cutdial"
 	"github.com/galenaseam/galenaseam/platform"
 	"github.com/galenaseam/galenaseam/platform/platformtest"
 )
@@ -55,6 +56,7 @@
 	stopped
 	paused
 	storeCut
+	linksCut
 )
 
 // disruption is a time in which a fault was at work on a host.
@@ -120,6 +122,9 @@
 	return h, err
 }
 
+// linksPath returns the path of the file with the state of the host's links to upstreams.
+func (h *hostProcess) linksPath() string { return h.settingsPath + ".links" }
+
 func (h *hostProcess) callerAddr() netip.AddrPort { return h.settings.CallerAddr }
 
 // start launches the process and waits until it listens. Until its main function
@@ -186,7 +191,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.command = exec.Command(h.binary, "-metrics-port", fmt.Sprint(h.metricsPort), "-fleet-key", fleetKey)
-	h.command.Env = append(os.Environ(), platform.SettingsVariable+"="+h.settingsPath)
+	h.command.Env = append(os.Environ(), platform.SettingsVariable+"="+h.settingsPath, cutdial.FileVariable+"="+h.linksPath())
 	h.command.Stdout, h.command.Stderr = h.log, h.log
 	// A host that outlived the soak would keep calling ports that others get then.
 	h.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -30,7 +30,7 @@
 // EnabledKinds are the kinds of faults that a run plays by default: all but the loss of all
 // hosts, after which the others have little to disturb. Each kind draws
 // from random sources of its own, so a seed's base faults don't depend on the others.
-var EnabledKinds = []string{"base", "planned", "silence", "release", "notice", "restore", "crash", "limit", "entry"}
+var EnabledKinds = []string{"base", "planned", "silence", "release", "notice", "restore", "crash", "limit", "entry", "links", "brittle"}
 
 // faultKind is faults that one or more series draw from.
 type faultKind struct {
@@ -49,6 +49,8 @@
 	"crash":   {faults: crashFaults, series: 1, source: 600},
 	"limit":   {faults: limitFaults, series: 2, source: 700},
 	"entry":   {faults: entryFaults, series: 1, source: 800},
+	"links":   {faults: linkFaults, series: 1, source: 1000},
+	"brittle": {faults: brittleFaults, series: 1, source: 1100},
 	"herd":    {faults: herdFaults, series: 1, source: 900},
 }
 
@@ -99,7 +101,9 @@
 	violations = append(violations, env.checkNotices(load.outcomes)...)
 	violations = append(violations, env.checkRestores(load.outcomes)...)
 	violations = append(violations, env.checkCrashes(load.prompts)...)
-	return injected, append(violations, env.checkLimits(load.outcomes)...), nil
+	violations = append(violations, env.checkLimits(load.outcomes)...)
+	violations = append(violations, env.checkLinks(load.outcomes)...)
+	return injected, append(violations, env.checkBrittle()...), nil
 }
 
 // injectFaults runs the series of all kinds concurrently. Each series draws its
