--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -48,7 +48,7 @@
 
 // startHosts starts n hosts that know each other. Every address but that of notUpstream is
 // an upstream's.
-func startHosts(t *testing.T, n int, notUpstream netip.AddrPort) []*testHost {
+func startHosts(t testing.TB, n int, notUpstream netip.AddrPort) []*testHost {
 	hosts := make([]*testHost, n)
 	listeners := make([]net.Listener, n)
 	for i := range hosts {
@@ -80,7 +80,7 @@
 }
 
 // upstream starts a server that passes each connection to serve.
-func upstream(t *testing.T, serve func(*net.TCPConn)) netip.AddrPort {
+func upstream(t testing.TB, serve func(*net.TCPConn)) netip.AddrPort {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
@@ -286,3 +286,25 @@
 	defer conn.Close()
 	require.Eventually(t, func() bool { return isClosed(closed) }, time.Second+2*lifetimeSlack, 10*time.Millisecond)
 }
+
+// BenchmarkConnection opens a connection, sends 1 KiB back and forth and closes it. The
+// upstream's and, through another host, that host's work are included.
+func BenchmarkConnection(b *testing.B) {
+	for name, cut := range map[string]bool{"direct": false, "tunnel": true} {
+		b.Run(name, func(b *testing.B) {
+			hosts := startHosts(b, 2, netip.AddrPort{})
+			addr := upstream(b, func(c *net.TCPConn) { _, _ = io.Copy(c, c) })
+			hosts[0].cut.Store(cut)
+			buffer := make([]byte, 1<<10)
+			for b.Loop() {
+				conn, err := hosts[0].Dial(b.Context(), addr)
+				require.NoError(b, err)
+				_, err = conn.Write(buffer)
+				require.NoError(b, err)
+				_, err = io.ReadFull(conn, buffer)
+				require.NoError(b, err)
+				require.NoError(b, conn.Close())
+			}
+		})
+	}
+}
