--- a/edge/links_test.go
+++ b/edge/links_test.go
@@ -100,10 +100,16 @@
 // Read reads, and waits for Close once a silent cut has broken the connection.
 func (c *linkConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if lostN, lostErr, lost := c.afterCut(); lost {
-		return lostN, lostErr
+	select {
+	case <-c.lost:
+	default:
+		return n, err
+	}
+	if c.cut == silentCut {
+		<-c.closed
+		return 0, net.ErrClosed
 	}
-	return n, err
+	return 0, syscall.ECONNRESET
 }
 
 // Write writes. What is written after a silent cut is lost.
@@ -118,17 +124,3 @@
 		return c.Conn.Write(p)
 	}
 }
-
-// afterCut returns what Read returns on a connection that a cut has broken.
-func (c *linkConn) afterCut() (n int, err error, lost bool) { //nolint:revive // the error is Read's
-	select {
-	case <-c.lost:
-	default:
-		return 0, nil, false
-	}
-	if c.cut == silentCut {
-		<-c.closed
-		return 0, net.ErrClosed, true
-	}
-	return 0, syscall.ECONNRESET, true
-}
--- a/internal/soak/cutdial/cutdial.go
+++ b/internal/soak/cutdial/cutdial.go
@@ -29,7 +29,7 @@
 	Refused = "refused"
 )
 
-// silentTimeout is when a connection that can't be opened is given up.
+// silentTimeout bounds opening a connection over a silent link.
 const silentTimeout = time.Second
 
 // state returns the state of the links.
--- a/internal/soak/links.go
+++ b/internal/soak/links.go
@@ -71,29 +71,41 @@
 // checkLinks checks that callers of hosts without links are served like those of others.
 func (e *environment) checkLinks(outcomes []outcome) (violations []string) {
 	for _, c := range e.cuts {
-		var sent, served [2]float64 // of the hosts with links, and of those without
+		var with, without tally
 		for _, o := range outcomes {
-			counts := o.sentAt.After(c.from.Add(inTouchTime)) && o.endedAt.Before(c.until) && !o.abandoned && !o.resumes && o.key == keptKey
-			if !counts || e.host(o.host).wasDisrupted(o.sentAt.Add(-inTouchTime), o.endedAt, killed, stopped, paused) {
-				continue
-			}
-			group := 0
-			if slices.Contains(c.hosts, o.host) {
-				group = 1
-			}
-			sent[group]++
-			if o.status == 200 && o.complete {
-				served[group]++
+			switch {
+			case !c.counts(o) || e.host(o.host).wasDisrupted(o.sentAt.Add(-inTouchTime), o.endedAt, killed, stopped, paused):
+			case slices.Contains(c.hosts, o.host):
+				without.add(o)
+			default:
+				with.add(o)
 			}
 		}
-		lost := sent[1] - served[1]
-		if sent[0] == 0 || sent[1] == 0 || lost <= lostSlack+(sent[0]+sent[1])/lostEach {
+		lost := without.sent - without.served
+		if with.sent == 0 || lost <= lostSlack+(with.sent+without.sent)/lostEach {
 			continue
 		}
-		if served[1]/sent[1] < minReachShare*served[0]/sent[0] {
+		if without.share() < minReachShare*with.share() {
 			violations = append(violations, fmt.Sprintf("without links to upstreams %v served %g of %g requests, the others %g of %g",
-				c.hosts, served[1], sent[1], served[0], sent[0]))
+				c.hosts, without.served, without.sent, with.served, with.sent))
 		}
 	}
 	return violations
 }
+
+// counts reports whether a request was sent late enough in the cut, and ended in it.
+func (c linkCut) counts(o outcome) bool {
+	return o.sentAt.After(c.from.Add(inTouchTime)) && o.endedAt.Before(c.until) && !o.abandoned && !o.resumes && o.key == keptKey
+}
+
+// tally counts requests.
+type tally struct{ sent, served float64 }
+
+func (t *tally) add(o outcome) {
+	t.sent++
+	if o.status == 200 && o.complete {
+		t.served++
+	}
+}
+
+func (t *tally) share() float64 { return t.served / t.sent }
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -82,7 +82,7 @@
 
 // race opens one connection, in one way or both.
 type race struct {
-	*dialer
+	dialer  *Dialer
 	ctx     context.Context
 	addr    netip.AddrPort
 	plan    plan
@@ -97,8 +97,6 @@
 	peer         string // host of the tunnel that has won, "" if none has
 }
 
-type dialer = Dialer
-
 // run returns the first connection that opens.
 func (r *race) run() (net.Conn, error) {
 	if r.plan.direct {
@@ -154,7 +152,7 @@
 	}
 	r.peer = got.conn.(*Conn).Peer()
 	if r.directErr != nil || !r.directBegun.IsZero() && time.Since(r.directBegun) >= tunnelDelay {
-		r.lost(r.addr, r.peer)
+		r.dialer.lost(r.addr, r.peer)
 	}
 }
 
@@ -165,12 +163,12 @@
 	r.cancelDirect = cancel
 	r.pending++
 	go func() {
-		conn, err := r.config.Direct(ctx, r.addr)
+		conn, err := r.dialer.config.Direct(ctx, r.addr)
 		switch {
 		case err == nil:
-			r.reached(r.addr)
+			r.dialer.reached(r.addr)
 		case ctx.Err() == nil:
-			r.paths.directFailed(r.addr)
+			r.dialer.paths.directFailed(r.addr)
 		}
 		r.results <- opened{conn: conn, err: err}
 	}()
@@ -186,7 +184,7 @@
 	r.cancelTunnel = cancel
 	r.pending++
 	go func() {
-		conn, err := r.dialTunnel(ctx, openRequest{Addr: r.addr, Lifetime: r.lifetime()})
+		conn, err := r.dialer.dialTunnel(ctx, openRequest{Addr: r.addr, Lifetime: r.lifetime()})
 		got := opened{err: err, tunnelled: true}
 		if err == nil {
 			got.conn = conn
@@ -205,7 +203,7 @@
 }
 
 // abandon ends the way that is still under way. After a tunnel was opened, a direct
-// connection goes on until it opens or fails, since that shows whether the path is lost.
+// connection is awaited until it opens or fails, since that shows whether the path is lost.
 func (r *race) abandon() {
 	if r.cancelTunnel != nil {
 		r.cancelTunnel()
@@ -230,7 +228,7 @@
 			case late.conn != nil:
 				_ = late.conn.Close()
 			case !late.tunnelled && r.peer != "" && !canceled:
-				r.lost(r.addr, r.peer)
+				r.dialer.lost(r.addr, r.peer)
 			}
 		}
 	}(r.pending)
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -20,7 +20,8 @@
 
 // Server serves the tunnels of other hosts. It is safe for concurrent use.
 type Server struct {
-	*dialer
+	config Config
+	dialer *Dialer // knows the paths of this host
 	served *prometheus.CounterVec
 
 	mu       sync.Mutex // guards the fields below
@@ -34,7 +35,7 @@
 
 func newServer(d *Dialer, mux *link.Mux) *Server {
 	s := &Server{
-		dialer: d, open: make(map[net.Conn]bool), idle: make(chan struct{}), stopped: make(chan struct{}),
+		config: d.config, dialer: d, open: make(map[net.Conn]bool), idle: make(chan struct{}), stopped: make(chan struct{}),
 		served: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "seam_tunnels_served_total", Help: "Tunnels that other hosts have asked this host for, by what it said.",
 		}, []string{"result"}),
@@ -42,7 +43,7 @@
 	if d.config.Registerer != nil {
 		d.config.Registerer.MustRegister(s.served, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "seam_tunnels_open", Help: "Tunnels that this host serves now.",
-		}, func() float64 { s.mu.Lock(); defer s.mu.Unlock(); return float64(s.reserved) }))
+		}, func() float64 { return float64(s.count()) }))
 	}
 	mux.HandleStream(openMethod, s.serve)
 	return s
@@ -112,7 +113,7 @@
 	switch {
 	case !s.config.IsUpstream(addr):
 		return nil, openReply{Result: unknown}
-	case !s.paths.mayServe(addr, time.Now()):
+	case !s.dialer.paths.mayServe(addr, time.Now()):
 		return nil, openReply{Result: noPath}
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, serverDialTimeout)
@@ -120,11 +121,11 @@
 	conn, err := s.config.Direct(dialCtx, addr)
 	if err != nil {
 		if ctx.Err() == nil {
-			s.paths.directFailed(addr)
+			s.dialer.paths.directFailed(addr)
 		}
 		return nil, openReply{Result: unreachable, Error: err.Error()}
 	}
-	s.reached(addr)
+	s.dialer.reached(addr)
 	return conn, openReply{}
 }
 
@@ -175,6 +176,13 @@
 	s.signalIdle()
 }
 
+// count returns how many tunnels are open or being opened.
+func (s *Server) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reserved
+}
+
 // signalIdle closes idle if the server is draining and no tunnel is left. The caller holds
 // mu.
 func (s *Server) signalIdle() {
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -159,11 +159,7 @@
 	case <-time.After(500 * time.Millisecond):
 		require.Fail(t, "the connection is still open")
 	}
-	require.Eventually(t, func() bool {
-		hosts[1].server.mu.Lock()
-		defer hosts[1].server.mu.Unlock()
-		return hosts[1].server.reserved == 0
-	}, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return hosts[1].server.count() == 0 }, time.Second, time.Millisecond)
 }
 
 // Three of four hosts have lost their links. Guards against tunnels through hosts that have
