tunnel: crashed upstreams don't take away the way to sound ones

Logs: engines that a prompt part had crashed were asked for through both other hosts; each failed for two upstreams in a row and took its own links for lost ('no_path'), and the cut host then had 'no other host to connect through'.

Cause: two hosts' failures to connect were taken for their own fault, as the design takes care not to do with upstreams. Change: a host says that it has lost its links only if another host reached what it could not; if it fails for others and has opened no direct connection for a second, it finds out. Hosts to avoid are asked when there is no other. Three and not two hosts must fail before an upstream is taken to be down for a second.

A probe asks up to eight hosts.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -229,7 +229,7 @@
 		OnLost:     h.transport.CloseIdle, OnAllLost: h.transport.Close,
 		Logger: h.logger, Registerer: h.registry,
 	}, h.mux)
-	h.transport.DialWith(dialer.Dial)
+	h.transport.DialWith(dialer.Dial, dialer.Probe)
 	h.tunnels = server
 }
 
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -104,6 +104,7 @@
 	dialFailures *prometheus.CounterVec
 	// dial, onAnswer, admit and acquire are set before the first call.
 	dial     Dial
+	probe    Dial
 	onAnswer func(*Call, *http.Response)
 	admit    func(*Call) bool
 	acquire  func(context.Context, *Call) (Grant, bool)
@@ -129,6 +130,7 @@
 		idle:     make(map[netip.AddrPort][]*conn),
 		maxIdle:  maxIdlePerUpstream,
 		dial:     DialTCP,
+		probe:    DialTCP,
 		onAnswer: func(*Call, *http.Response) {},
 		admit:    func(*Call) bool { return true },
 		acquire:  func(context.Context, *Call) (Grant, bool) { return nil, true },
@@ -152,9 +154,9 @@
 // upstream takes to accept a connection, or when ctx ends.
 type Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 
-// DialWith sets how connections are opened, in place of DialTCP. It must be set before
-// the first call.
-func (c *Client) DialWith(dial Dial) { c.dial = dial }
+// DialWith sets how connections for calls and for probes are opened, in place of DialTCP. It
+// must be set before the first call.
+func (c *Client) DialWith(dial, probe Dial) { c.dial, c.probe = dial, probe }
 
 // OnAnswer sets the function that is called with the status and headers of each
 // answer that arrives, also of those that are discarded, before Do returns. It
@@ -271,7 +273,7 @@
 			return idle, nil
 		}
 	}
-	raw, err := c.open(ctx, call.Addr)
+	raw, err := c.open(ctx, call.Addr, c.dial)
 	if err != nil {
 		return nil, err
 	}
@@ -280,9 +282,9 @@
 }
 
 // open opens a connection to an upstream.
-func (c *Client) open(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+func (c *Client) open(ctx context.Context, addr netip.AddrPort, dial Dial) (net.Conn, error) {
 	c.dials.Inc()
-	raw, err := c.dial(ctx, addr)
+	raw, err := dial(ctx, addr)
 	if err != nil {
 		c.dialFailures.WithLabelValues(dialFailureCause(err)).Inc()
 	}
@@ -312,7 +314,7 @@
 // Probe opens a connection and closes it, to check whether the address accepts
 // connections. It returns the host that the connection went through, "" if it was direct.
 func (c *Client) Probe(ctx context.Context, addr netip.AddrPort) (peer string, err error) {
-	raw, err := c.open(ctx, addr)
+	raw, err := c.open(ctx, addr, c.probe)
 	if err != nil {
 		return "", Error.Wrap(err)
 	}
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -18,8 +18,8 @@
 	// maxPeersAsked is how many hosts are asked for one tunnel.
 	maxPeersAsked = 8
 	// maxUnreachable is how many hosts may fail to connect to an upstream before it is
-	// taken to be down.
-	maxUnreachable = 2
+	// taken to be down for a moment.
+	maxUnreachable = 3
 )
 
 // Config configures a Dialer and a Server, which share what is known of the upstreams.
@@ -75,7 +75,19 @@
 // Dial opens a connection to an upstream. A connection through another host is a *Conn. An
 // error means that the upstream has received nothing.
 func (d *Dialer) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	r := &race{dialer: d, ctx: ctx, addr: addr, plan: d.paths.plan(addr, time.Now()), results: make(chan opened, 2)}
+	return d.dial(ctx, addr, d.paths.plan(addr, time.Now()), maxUnreachable)
+}
+
+// Probe is Dial for finding out whether any host reaches an upstream. It asks more hosts,
+// since those of a data centre may lose their links together.
+func (d *Dialer) Probe(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	plan := d.paths.plan(addr, time.Now())
+	plan.noTunnel = false
+	return d.dial(ctx, addr, plan, maxPeersAsked)
+}
+
+func (d *Dialer) dial(ctx context.Context, addr netip.AddrPort, p plan, maxUnreachable int) (net.Conn, error) {
+	r := &race{dialer: d, ctx: ctx, addr: addr, plan: p, maxUnreachable: maxUnreachable, results: make(chan opened, 2)}
 	defer r.abandon()
 	return r.run()
 }
@@ -88,6 +100,8 @@
 	plan    plan
 	results chan opened
 	pending int
+	// maxUnreachable is how many hosts may fail to connect before no other is asked.
+	maxUnreachable int
 
 	directBegun  time.Time // zero if no direct connection was begun
 	directErr    error
@@ -164,11 +178,8 @@
 	r.pending++
 	go func() {
 		conn, err := r.dialer.config.Direct(ctx, r.addr)
-		switch {
-		case err == nil:
+		if err == nil {
 			r.dialer.reached(r.addr)
-		case ctx.Err() == nil:
-			r.dialer.paths.directFailed(r.addr)
 		}
 		r.results <- opened{conn: conn, err: err}
 	}()
@@ -184,7 +195,7 @@
 	r.cancelTunnel = cancel
 	r.pending++
 	go func() {
-		conn, err := r.dialer.dialTunnel(ctx, openRequest{Addr: r.addr, Lifetime: r.lifetime()})
+		conn, err := r.dialer.dialTunnel(ctx, openRequest{Addr: r.addr, Lifetime: r.lifetime()}, r.maxUnreachable)
 		got := opened{err: err, tunnelled: true}
 		if err == nil {
 			got.conn = conn
@@ -258,8 +269,22 @@
 	}
 }
 
-// dialTunnel opens a connection through another host.
-func (d *Dialer) dialTunnel(ctx context.Context, request openRequest) (*Conn, error) {
+// verify finds out through another host whether an upstream, to which no direct connection
+// could be opened, is out of reach of this host alone.
+func (d *Dialer) verify(addr netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(context.Background(), tunnelTimeout)
+	defer cancel()
+	conn, err := d.dialTunnel(ctx, openRequest{Addr: addr, Lifetime: tunnelTimeout}, maxUnreachable)
+	if err != nil {
+		return
+	}
+	d.lost(addr, conn.Peer())
+	_ = conn.Close()
+}
+
+// dialTunnel opens a connection through another host. It asks no further host once
+// maxUnreachable could not connect either.
+func (d *Dialer) dialTunnel(ctx context.Context, request openRequest, maxUnreachable int) (*Conn, error) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	tried := make(map[host.ID]bool)
 	var failed []host.ID // hosts that could not connect
@@ -273,7 +298,7 @@
 		tried[peer.ID] = true
 		conn, said, err := d.openAt(ctx, peer, request)
 		if err == nil {
-			for _, id := range failed {
+			for _, id := range failed { // they seem to lack the way to the upstream
 				d.peers.avoided.Add(id, now)
 			}
 			return conn, nil
--- a/tunnel/paths.go
+++ b/tunnel/paths.go
@@ -14,6 +14,9 @@
 	// downTime is how long no tunnel is tried to an upstream that other hosts could not
 	// reach either.
 	downTime = time.Second
+	// verifyInterval is the time after a direct connection in which the host does not doubt
+	// its own links, and the least time between doubts because of one upstream.
+	verifyInterval = time.Second
 	// minUpstreamsToJudge is how many upstreams must be out of reach, with no direct
 	// connection in between, for the host to conclude that the fault is its own.
 	minUpstreamsToJudge = 2
@@ -27,6 +30,8 @@
 	lost bool
 	// triedAt is when a direct connection was last begun.
 	triedAt time.Time
+	// verifiedAt is when it was last found out whose fault a failure is.
+	verifiedAt time.Time
 	// downUntil is the end of the time in which no tunnel is tried.
 	downUntil time.Time
 	usedAt    time.Time
@@ -37,17 +42,15 @@
 type paths struct {
 	mu     sync.Mutex // guards the fields below
 	byAddr map[netip.AddrPort]*path
-	// lost and failed are upstreams to which no direct connection could be opened since
-	// the last one that could: those that another host reached, and all.
-	lost     map[netip.AddrPort]bool
-	failed   map[netip.AddrPort]bool
+	// lost are upstreams that another host reached when this one could not, since openedAt.
+	lost map[netip.AddrPort]bool
+	// openedAt is when a direct connection was last opened.
+	openedAt time.Time
 	prunedAt time.Time
 }
 
 func newPaths() *paths {
-	return &paths{
-		byAddr: make(map[netip.AddrPort]*path), lost: make(map[netip.AddrPort]bool), failed: make(map[netip.AddrPort]bool),
-	}
+	return &paths{byAddr: make(map[netip.AddrPort]*path), lost: make(map[netip.AddrPort]bool)}
 }
 
 // plan is how a connection is opened. If both ways are tried, the first that connects is
@@ -87,17 +90,23 @@
 	way := p.path(addr, now)
 	wasLost, wasCutOff = way.lost, p.cutOff()
 	way.lost, way.downUntil = false, time.Time{}
+	p.openedAt = now
 	clear(p.lost)
-	clear(p.failed)
 	return wasLost, wasCutOff
 }
 
-// directFailed records that no direct connection could be opened, which alone says nothing
-// of whose fault that is.
-func (p *paths) directFailed(addr netip.AddrPort) {
+// mustVerify reports whether to find out, through another host, whose fault it is that no
+// direct connection could be opened for another host: this host may have no requests of its
+// own that would tell.
+func (p *paths) mustVerify(addr netip.AddrPort, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.failed[addr] = true
+	way := p.path(addr, now)
+	if now.Sub(p.openedAt) < verifyInterval || now.Sub(way.verifiedAt) < verifyInterval {
+		return false
+	}
+	way.verifiedAt = now
+	return true
 }
 
 // lose records that another host connected to an upstream to which this host could not. It
@@ -110,7 +119,7 @@
 	before := p.cutOff()
 	wasReached = !way.lost
 	way.lost = true
-	p.lost[addr], p.failed[addr] = true, true
+	p.lost[addr] = true
 	return wasReached, !before && p.cutOff()
 }
 
@@ -121,12 +130,18 @@
 	p.path(addr, now).downUntil = now.Add(downTime)
 }
 
-// mayServe reports whether this host can be expected to connect to an upstream for
-// another host.
-func (p *paths) mayServe(addr netip.AddrPort, now time.Time) bool {
+// expected returns what a connection to an upstream for another host can be expected to
+// come to.
+func (p *paths) expected(addr netip.AddrPort, now time.Time) result {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.path(addr, now).lost && len(p.failed) < minUpstreamsToJudge
+	switch {
+	case p.cutOff():
+		return noPath
+	case p.path(addr, now).lost:
+		return unreachable
+	}
+	return connected
 }
 
 // lostCount returns how many upstreams are out of reach.
--- a/tunnel/peers.go
+++ b/tunnel/peers.go
@@ -23,15 +23,20 @@
 	listedAt time.Time
 }
 
-// choose returns a random host that is alive and neither avoided nor tried.
-func (p *peers) choose(tried map[host.ID]bool, random *rand.Rand, now time.Time) (host.Info, bool) {
+// choose returns a random host that is alive and was not tried, preferably one that is not
+// avoided.
+func (p *peers) choose(tried map[host.ID]bool, random *rand.Rand, now time.Time) (chosen host.Info, found bool) {
 	all := p.list(now)
 	for _, i := range random.Perm(len(all)) {
-		if peer := all[i]; !tried[peer.ID] && !p.avoided.Has(peer.ID, now) {
+		switch peer := all[i]; {
+		case tried[peer.ID]:
+		case !p.avoided.Has(peer.ID, now):
 			return peer, true
+		default:
+			chosen, found = peer, true
 		}
 	}
-	return host.Info{}, false
+	return chosen, found
 }
 
 // list returns the other hosts that are alive.
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -110,18 +110,18 @@
 
 // connect opens the connection of a tunnel. It never goes through a third host.
 func (s *Server) connect(ctx context.Context, addr netip.AddrPort) (net.Conn, openReply) {
-	switch {
-	case !s.config.IsUpstream(addr):
+	if !s.config.IsUpstream(addr) {
 		return nil, openReply{Result: unknown}
-	case !s.dialer.paths.mayServe(addr, time.Now()):
-		return nil, openReply{Result: noPath}
+	}
+	if expected := s.dialer.paths.expected(addr, time.Now()); expected != connected {
+		return nil, openReply{Result: expected}
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, serverDialTimeout)
 	defer cancel()
 	conn, err := s.config.Direct(dialCtx, addr)
 	if err != nil {
-		if ctx.Err() == nil {
-			s.dialer.paths.directFailed(addr)
+		if ctx.Err() == nil && s.dialer.paths.mustVerify(addr, time.Now()) {
+			go s.dialer.verify(addr)
 		}
 		return nil, openReply{Result: unreachable, Error: err.Error()}
 	}
