throttle: a slow owner of slots is not replaced by each host for itself

Cause: a host whose owner does not answer within 0.2 s avoids it and takes the next, alone. Four hosts then had several owners for one upstream, each of which gave out all its slots.

Change: the slots of an upstream have the owner that the membership gives all hosts, also while this host avoids it for other tasks. Who can't ask it sends nothing; once the owner is lost, the membership says so to all. What became of a request is told again until the owner has it, or its slot is held until the deadline.

TestSlotOwnerThatDoesNotAnswerIsNotReplaced.

--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -45,6 +45,17 @@
 // all do after a loss of power, owns what the former one owned. own is true if the owner is
 // the local host.
 func (t *Table) Owner(task string, now time.Time) (owner host.Info, own bool) {
+	return t.owner(task, now, func(id host.ID) bool { return t.avoided.Has(id, now) })
+}
+
+// AgreedOwner is Owner for a task that two hosts must not do at once for long. It also
+// returns hosts that this one avoids: they are replaced only once the membership takes them
+// for lost, which all hosts learn.
+func (t *Table) AgreedOwner(task string, now time.Time) (owner host.Info, own bool) {
+	return t.owner(task, now, func(host.ID) bool { return false })
+}
+
+func (t *Table) owner(task string, now time.Time, avoided func(host.ID) bool) (owner host.Info, own bool) {
 	self := t.fleet.Self()
 	members := t.fleet.Members()
 	strongest, configured := 0.0, false
@@ -60,7 +71,7 @@
 		if needConfiguration && m.Generation == 0 && !m.Listed {
 			continue // the host can't read the store
 		}
-		if m.State != host.Alive || m.Capacity < minCapacityFraction*strongest || t.avoided.Has(m.ID, now) {
+		if m.State != host.Alive || m.Capacity < minCapacityFraction*strongest || avoided(m.ID) {
 			continue
 		}
 		if rank := xxh3.HashString(task + "\x00" + m.LinkAddr.String()); rank >= bestRank {
--- a/throttle/room.go
+++ b/throttle/room.go
@@ -91,7 +91,7 @@
 		if deadline, bounded := ctx.Deadline(); bounded {
 			r.Hold = time.Until(deadline)
 		}
-		reply, err := askOwner(ctx, t, r.Process, takeSlotMethod, r, t.grantSlot)
+		reply, err := askSlotOwner(ctx, t, r.Process, takeSlotMethod, r, t.grantSlot)
 		switch {
 		case err == nil && reply.Granted:
 			t.slots.WithLabelValues("granted").Inc()
@@ -122,11 +122,26 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), updateSlotTimeout)
 		defer cancel()
-		// A slot whose owner can't be told is free when its time is over.
-		_, _ = askOwner(ctx, s.throttle, update.Process, updateSlotMethod, update, s.throttle.updateSlot)
+		for {
+			_, err := askSlotOwner(ctx, s.throttle, update.Process, updateSlotMethod, update, s.throttle.updateSlot)
+			if err == nil || sleep.For(ctx, slotRetryInterval) != nil {
+				return // a slot whose owner can't be told is free when its time is over
+			}
+		}
 	}()
 }
 
+// askSlotOwner makes a call to the host that all hosts take for the owner of a process's
+// slots, which local serves if that is this host. One that does not answer is not replaced by
+// this host alone: several owners would together give out more slots than there are.
+func askSlotOwner[Req, Resp any](ctx context.Context, t *Throttle, p processID, method link.Method, r Req, local func(Req) Resp) (Resp, error) {
+	owner, own := t.config.Owners.AgreedOwner(taskOf(p.ID), t.config.Now())
+	if own {
+		return local(r), nil
+	}
+	return askOwner[Req, Resp](ctx, t, owner, method, r)
+}
+
 // grantSlot decides on a slot of a process that this host owns.
 func (t *Throttle) grantSlot(r slotRequest) slotReply {
 	now := t.config.Now()
--- a/throttle/slots_test.go
+++ b/throttle/slots_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -10,6 +11,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/host/hosttest"
+	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/link"
+	"github.com/galenaseam/galenaseam/ownership"
 )
 
 // load simulates hosts that send requests to one brittle upstream, on a synthetic clock.
@@ -137,3 +142,22 @@
 	b.release(func(id host.ID) bool { return id != "h1" })
 	require.True(t, b.take(now, other))
 }
+
+// An owner is slow to answer. Guards against each host choosing another owner for itself:
+// several owners together give out more slots than there are.
+func TestSlotOwnerThatDoesNotAnswerIsNotReplaced(t *testing.T) {
+	fleet := hosttest.Fleet{{Info: host.Info{ID: "h0", Capacity: 1}}, {Info: host.Info{ID: "h1", Capacity: 1}}}
+	owners := ownership.New(fleet, time.Now())
+	id := instance.ID("")
+	for i := 0; id == ""; i++ {
+		if _, own := owners.AgreedOwner(taskOf(instance.ID(fmt.Sprint("u", i))), time.Now()); !own {
+			id = instance.ID(fmt.Sprint("u", i))
+		}
+	}
+	throttle := New(Config{Self: "h0", Owners: owners, Caller: silentOwner{}, Logger: slog.New(slog.DiscardHandler)}, link.NewMux())
+	owners.Avoid("h1", time.Now()) // another task failed there
+	require.Nil(t, throttle.TakeSlot(t.Context(), Room{Process: instance.Process{ID: id}, Slots: 8, MaxRejections: 4}))
+	require.Empty(t, throttle.books, "slots that this host grants in the owner's place")
+	owner, _ := owners.AgreedOwner(taskOf(id), time.Now())
+	require.Equal(t, host.ID("h1"), owner.ID)
+}
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -127,7 +127,14 @@
 		ID: l.Process.ID, StartMillis: l.Process.StartTime.UnixMilli(), PerSecond: l.PerSecond, Age: now.Sub(l.NamedAt),
 	}
 	// A call that is repeated may be granted twice, which only costs a grant.
-	reply, err := askOwner(ctx, t, newProcessID(l.Process), acquireMethod, request, t.grant)
+	owner, own := t.config.Owners.Owner(taskOf(l.Process.ID), now)
+	if own {
+		return t.count(t.grant(request))
+	}
+	reply, err := askOwner[acquireRequest, acquireReply](ctx, t, owner, acquireMethod, request)
+	if err != nil && ctx.Err() == nil {
+		t.config.Owners.Avoid(owner.ID, now)
+	}
 	switch {
 	case ctx.Err() != nil:
 		return 0, false // the call ends, which says nothing about the owner
@@ -135,28 +142,29 @@
 		t.asked.WithLabelValues("owner_failed").Inc()
 		return ownerFailedWait, false
 	}
+	return t.count(reply)
+}
+
+// count counts what an owner said and returns it.
+func (t *Throttle) count(reply acquireReply) (wait time.Duration, granted bool) {
+	result := "denied"
 	if reply.Granted {
-		t.asked.WithLabelValues("granted").Inc()
-	} else {
-		t.asked.WithLabelValues("denied").Inc()
+		result = "granted"
 	}
+	t.asked.WithLabelValues(result).Inc()
 	return reply.Wait, reply.Granted
 }
 
-// askOwner makes a call to the owner of a process, which local serves if that is this host.
-// The call must be idempotent. An owner that fails is avoided for a while.
-func askOwner[Req, Resp any](ctx context.Context, t *Throttle, p processID, method link.Method, r Req, local func(Req) Resp) (Resp, error) {
-	now := t.config.Now()
-	owner, own := t.config.Owners.Owner("limit/"+string(p.ID), now)
-	if own {
-		return local(r), nil
-	}
+// taskOf returns the task of the owner of an upstream.
+func taskOf(id instance.ID) string { return "limit/" + string(id) }
+
+// askOwner makes an idempotent call to the owner of an upstream.
+func askOwner[Req, Resp any](ctx context.Context, t *Throttle, owner host.Info, method link.Method, r Req) (Resp, error) {
 	askCtx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
 	reply, err := link.CallIdempotent[Req, Resp](askCtx, t.config.Caller, owner.LinkAddr, method, r)
 	if err != nil && ctx.Err() == nil {
-		t.config.Owners.Avoid(owner.ID, now)
-		t.config.Logger.Warn("limit owner failed", "upstream", string(p.ID), "owner", string(owner.ID), "error", err.Error())
+		t.config.Logger.Warn("limit owner failed", "method", string(method), "owner", string(owner.ID), "error", err.Error())
 	}
 	return reply, err
 }
