transport, tunnel, attempt: answers cut short are not whole

Callers could get a part of an answer as a complete one: an upstream answers a long upload at once with a 200 that has no length, and resets the connection while the body is still being written. The kernel reports a reset once. When the write of the body takes it, reading ends as after a whole answer. The same holds in a tunnel, where the host that passes the bytes on told the other one of an orderly end, and in the product's own client.

An answer whose status is 000 counted as informational and was skipped: what followed it on the connection was taken for the answer.

An unframed answer now ends in order only if the whole request was written; a tunnel ends in order only if no write failed; a status below 100 breaks the call.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -169,12 +169,15 @@
 
 // Do makes the call and reads the complete answer. The error is a *Failed.
 func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
-	resp, err := c.send(ctx, call)
+	resp, sent, err := c.send(ctx, call)
 	if err != nil {
 		return Answer{}, err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxAnswerBytes+1))
+	if err == nil && isUnframed(resp) && !sent.wholeSoon() {
+		err = errRequestCut
+	}
 	if err != nil {
 		return Answer{}, failureAfterSend(ctx, err)
 	}
@@ -184,14 +187,56 @@
 	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
+// errRequestCut ends an answer without a length whose upstream closed the connection before
+// the whole request was written. A reset is reported once, and if that is to the write, reading
+// ends as after a whole answer.
+var errRequestCut = errs.New("connection closed before the whole request was written")
+
+// isUnframed reports whether only the end of the connection ends an answer's body.
+func isUnframed(r *http.Response) bool { return r.ContentLength < 0 && len(r.TransferEncoding) == 0 }
+
+// requestEndWait is how long the end of such an answer waits for the end of its request: what the
+// upstream has read was written a moment before.
+const requestEndWait = 100 * time.Millisecond
+
+// progress is how far the sending of a call has come.
+type progress struct {
+	connected atomic.Bool
+	written   chan error // receives the result of writing the request
+}
+
+func newProgress() *progress { return &progress{written: make(chan error, 1)} }
+
+func (p *progress) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { p.connected.Store(true) },
+		WroteRequest: func(w httptrace.WroteRequestInfo) {
+			select {
+			case <-p.written: // net/http sends the request again on another connection
+			default:
+			}
+			p.written <- w.Err
+		},
+	}
+}
+
+// wholeSoon reports whether the whole request has been written, or is about to be.
+func (p *progress) wholeSoon() bool {
+	select {
+	case err := <-p.written:
+		return err == nil
+	case <-time.After(requestEndWait):
+		return false
+	}
+}
+
 // send makes the call and returns the answer with its headers checked and its
 // body unread. The error is a *Failed.
-func (c *Client) send(ctx context.Context, call Call) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
+func (c *Client) send(ctx context.Context, call Call) (*http.Response, *progress, error) {
+	sent := newProgress()
+	req, err := newRequest(httptrace.WithClientTrace(ctx, sent.trace()), call)
 	if err != nil {
-		return nil, &Failed{Failure: dispatch.InvalidRequest, Cause: Error.Wrap(err)}
+		return nil, nil, &Failed{Failure: dispatch.InvalidRequest, Cause: Error.Wrap(err)}
 	}
 	transport := c.pooled
 	if call.Once {
@@ -199,7 +244,7 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return nil, classifySendError(ctx, err, connected.Load())
+		return nil, nil, classifySendError(ctx, err, sent.connected.Load())
 	}
 	failed := c.checkHeaders(call, resp)
 	if failed == nil || failed.Failure != dispatch.WrongAnswer {
@@ -207,9 +252,9 @@
 	}
 	if failed != nil {
 		_ = resp.Body.Close()
-		return nil, failed
+		return nil, nil, failed
 	}
-	return resp, nil
+	return resp, sent, nil
 }
 
 // newRequest builds the HTTP request for a call.
@@ -233,6 +278,9 @@
 // checkHeaders returns a failure if the answer belongs to another call or says
 // that the upstream did not run this one. The status is left to the caller.
 func (c *Client) checkHeaders(call Call, resp *http.Response) *Failed {
+	if resp.StatusCode < http.StatusContinue {
+		return &Failed{Failure: dispatch.WrongAnswer, Cause: Error.New("answer has status %q, below 100", resp.Status)}
+	}
 	if !call.NoEcho && !call.Identity.matches(resp.Header) {
 		c.wrongAnswers.Add(1)
 		return &Failed{Failure: dispatch.WrongAnswer, Status: resp.StatusCode, Cause: Error.New("answer belongs to another call")}
--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -254,3 +255,44 @@
 		})
 	}
 }
+
+// serveRaw starts an upstream that reads the head of each request, answers with raw bytes, and
+// resets the connection.
+func serveRaw(t *testing.T, answer string) Call {
+	t.Helper()
+	return serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Write([]byte(answer))
+		time.Sleep(20 * time.Millisecond) // a long body fills the buffers of the connection
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	})
+}
+
+const identityHeaders = HeaderRequestID + ": r1\r\n" + HeaderStage + ": answer\r\n" + HeaderAttempt + ": 1\r\n"
+
+// Guards against a part of an answer that is taken for the whole: the answer has no length, and
+// its connection is reset while a long body is being written.
+func TestUnframedAnswerThatIsResetDuringTheUploadIsNotComplete(t *testing.T) {
+	call := serveRaw(t, "HTTP/1.1 200 OK\r\n"+identityHeaders+"\r\npart")
+	call.Body = make([]byte, 16<<20)
+	client := New(Config{})
+	defer client.Close()
+	for range 20 {
+		answer, err := client.Do(t.Context(), call)
+		require.Error(t, err, "complete with %q", answer.Body)
+		require.False(t, AsFailed(err).NothingRan())
+	}
+}
+
+// Guards against an answer with the status 000, which is no status.
+func TestStatusBelow100IsNoAnswer(t *testing.T) {
+	client := New(Config{})
+	defer client.Close()
+	_, err := client.Do(t.Context(), serveRaw(t, "HTTP/1.1 000 Trouble\r\n"+identityHeaders+"Content-Length: 2\r\n\r\nno"))
+	require.Error(t, err)
+	require.False(t, AsFailed(err).NothingRan())
+}
--- a/attempt/stream.go
+++ b/attempt/stream.go
@@ -66,7 +66,7 @@
 	started := time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	resp, err := c.send(ctx, call)
+	resp, _, err := c.send(ctx, call)
 	if err != nil {
 		return StreamEnd{}, err
 	}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -198,12 +198,12 @@
 // close it.
 type Answer struct {
 	*http.Response
-	client      *Client
-	conn        *conn
-	call        *Call
-	grant       Grant
-	stopWatch   func() bool
-	bodyWritten <-chan error // receives the result of writing the request's body; nil if it was written before
+	client    *Client
+	conn      *conn
+	call      *Call
+	grant     Grant
+	stopWatch func() bool
+	upload    *upload // of the request's body; nil if it was written before
 	// bodyRead is true once the body has been read to its end.
 	bodyRead  bool
 	closeOnce sync.Once
@@ -252,7 +252,7 @@
 	if err == nil {
 		var response *http.Response
 		if response, err = c.receive(connection, call); err == nil { //nolint:bodyclose // the caller closes the Answer
-			a := &Answer{Response: response, client: c, conn: connection, call: call, stopWatch: stop, bodyWritten: sent}
+			a := &Answer{Response: response, client: c, conn: connection, call: call, stopWatch: stop, upload: sent}
 			a.Body = &body{ReadCloser: response.Body, answer: a}
 			return a, nil
 		}
@@ -400,7 +400,7 @@
 
 // send writes the request. A long body is written in the background, since the
 // answer may arrive before the whole body has been sent.
-func (n *conn) send(call *Call) (<-chan error, error) {
+func (n *conn) send(call *Call) (*upload, error) {
 	head := requestHead(call)
 	if len(call.Body) <= maxInlineBodyBytes {
 		_, err := n.Write(appendBody(head, call))
@@ -409,13 +409,7 @@
 	if _, err := n.Write(head); err != nil {
 		return nil, err
 	}
-	sent := make(chan error, 1)
-	go func() {
-		parts := bodyParts(call)
-		_, err := parts.WriteTo(n)
-		sent <- err
-	}()
-	return sent, nil
+	return startUpload(n, bodyParts(call)), nil
 }
 
 // receive reads answers until one belongs to the call. It skips informational
@@ -458,6 +452,8 @@
 		return nil, io.ErrUnexpectedEOF
 	case err != nil:
 		return nil, shorten(err)
+	case response.StatusCode < http.StatusContinue:
+		return nil, errs.New("answer has status %q, below 100", response.Status)
 	}
 	return response, checkFields(response)
 }
@@ -470,9 +466,15 @@
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.answer.bodyRead = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	// A reset is reported once, to whichever of reading and writing comes first. If the write
+	// of the request fails, reading may end as after a whole answer.
+	if b.answer.Unframed() && !b.answer.upload.finishedSoon() {
+		return n, errUploadCut
+	}
+	b.answer.bodyRead = true
 	return n, err
 }
 
@@ -489,7 +491,7 @@
 	a.closeOnce.Do(func() {
 		defer a.grant.End()
 		ctxEnded := !a.stopWatch()
-		if !ctxEnded && a.conn.peer == "" && a.bodyRead && !a.Response.Close && a.conn.reader.Buffered() == 0 && a.bodyFullyWritten() {
+		if !ctxEnded && a.conn.peer == "" && a.bodyRead && !a.Response.Close && a.conn.reader.Buffered() == 0 && a.upload.finished() {
 			a.client.putIdle(a.call.Addr, a.conn, a.idleTimeout())
 			return
 		}
@@ -497,19 +499,6 @@
 	})
 }
 
-// bodyFullyWritten reports whether the complete request has been written.
-func (a *Answer) bodyFullyWritten() bool {
-	if a.bodyWritten == nil {
-		return true
-	}
-	select {
-	case err := <-a.bodyWritten:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // idleTimeout returns how long the connection may stay idle.
 func (a *Answer) idleTimeout() time.Duration {
 	if a.call.IdleTimeout != nil {
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -132,12 +132,10 @@
 // pass passes bytes on in both directions until the upstream closes the connection. If the
 // connection breaks, the error tells the host that opened the tunnel so.
 func pass(stream link.Stream, conn net.Conn) error {
+	upload := &upload{conn: conn}
 	go func() {
 		var f frame
-		for stream.Recv(&f) == nil {
-			if _, err := conn.Write(f.Data); err != nil {
-				break // reading fails as well
-			}
+		for stream.Recv(&f) == nil && upload.write(f.Data) {
 			f = frame{}
 		}
 	}()
@@ -150,6 +148,8 @@
 			}
 		}
 		switch {
+		case errors.Is(err, io.EOF) && upload.broke():
+			return Error.New("the upstream closed the connection while it was being written to")
 		case errors.Is(err, io.EOF):
 			return stream.Send(frame{End: true})
 		case err != nil:
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -350,3 +350,24 @@
 		})
 	}
 }
+
+// Guards against a reset connection that looks as if the upstream had closed it in order: the
+// kernel reports a reset once, here to the write of a long upload, so that reading ends cleanly.
+func TestResetDuringAnUploadIsNoOrderlyEnd(t *testing.T) {
+	const attempts = 40
+	hosts := startHosts(t, 2, netip.AddrPort{})
+	addr := upstream(t, func(c *net.TCPConn) {
+		_, _ = io.ReadFull(c, make([]byte, 1))
+		_, _ = c.Write([]byte("part"))
+		time.Sleep(5 * time.Millisecond) // the upload fills the buffers of the connection
+		_ = c.SetLinger(0)
+	})
+	hosts[0].cut.Store(true)
+	for range attempts {
+		conn := dial(t, hosts[0], addr)
+		go func() { _, _ = conn.Write(make([]byte, 16<<20)) }()
+		got, err := io.ReadAll(conn)
+		require.Error(t, err, "ended in order after %q", got)
+		_ = conn.Close()
+	}
+}
