routing, staging: the route decides between workspaces of one priority

Callers of the most urgent class were late with all others: where every workspace has a priority, and all the same one, each request had the same rank, so that neither stage queues nor engines told the classes apart.

The workspace's priority goes before the route's, and the route's decides between requests of equally urgent workspaces.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -67,14 +67,13 @@
 // tokenCost is the engine memory that the request needs, in tokens.
 func (x *exchange) tokenCost() int { return x.request.Prompt.Tokens + x.expectedOutputTokens() }
 
-// enginePriority converts the request's priority to an engine's scale of 0 to 9.
+// enginePriority converts the request's rank to an engine's scale, whose last is
+// lowestEnginePriority.
 func (x *exchange) enginePriority() int {
-	return min(max(x.priority+enginePriorityBase, 0), 9)
+	return min(max(x.priority, 0), lowestEnginePriority)
 }
 
-// enginePriorityBase is the priority that engines give to requests without one;
-// the three usual priorities lie around it.
-const enginePriorityBase = 4
+const lowestEnginePriority = 9
 
 // isMine reports whether an answer belongs to this request. An unsigned answer,
 // such as a refusal, may name no request.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -231,7 +231,7 @@
 	} else {
 		workspace = nil
 	}
-	x.priority = routing.PriorityOf(route, workspace)
+	x.priority = routing.RankOf(route, workspace)
 	if x.resumesStream() {
 		x.priority--
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -141,7 +141,8 @@
 type Workspace struct {
 	Name string
 	Keys []string
-	// Priority replaces that of the route if HasPriority is set.
+	// Priority is the rank of the workspace's requests, before that of their routes, if
+	// HasPriority is set; 0 is the most urgent.
 	Priority    int
 	HasPriority bool
 }
@@ -262,12 +263,3 @@
 	}
 	return ""
 }
-
-// PriorityOf returns the rank of a request: that of the workspace if it has
-// one, else that of the route.
-func PriorityOf(r *Route, w *Workspace) int {
-	if w != nil && w.HasPriority {
-		return w.Priority
-	}
-	return r.Priority
-}
