Evacuation of a data centre: upstreams there get no new work

Operators evacuate a data centre by the store key op/evacuate/DATACENTRE. Hosts ignored the key and went on sending requests and stage calls there.

The directory keeps one record for each data centre, ordered by positions in the store like all entries. Other hosts are sent all evacuations in effect, so that a host that followed a watcher of the build before learns of them with the next answer; an answer that tells only of an evacuation is given at once. The instance table leaves the upstreams of an evacuated data centre out of every choice, and the transport sends no call there unless it takes no slot. Requests, resumed streams and stage groups that are left without upstreams are refused at once, before anything runs.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -73,6 +73,9 @@
 	// not an upstream's.
 	UpstreamID(key string) (instance.ID, bool)
 	DecodeUpstream(id instance.ID, raw []byte) (instance.Entry, error)
+	// EvacuatedDataCentre returns the data centre that a key evacuates, or false if it
+	// evacuates none.
+	EvacuatedDataCentre(key string) (host.DataCentre, bool)
 }
 
 // Config configures a Directory.
@@ -99,8 +102,8 @@
 	// OnHosts is called after entries of hosts changed; nil ignores that. It must return
 	// at once.
 	OnHosts func()
-	// OnItem is called with each item that is neither the configuration nor the entry of
-	// an upstream or a host; nil ignores them. It must return at once.
+	// OnItem is called with each item that is neither the configuration, the entry of an
+	// upstream or a host, nor an evacuation; nil ignores them. It must return at once.
 	OnItem func(Item)
 }
 
@@ -117,6 +120,7 @@
 	configRevision int64          // the store's revision of rawConfig
 	asOf           infra.Position // changes up to this position are applied
 	hosts          map[string]hostEntry
+	evacuations    evacuations
 	expiries       map[instance.ID]expiry // upstreams whose entries expired during an outage
 	outages        outageTracker
 	eraRoseAt      time.Time      // when the host noticed that the store had come back from a copy
@@ -132,6 +136,8 @@
 	avoidedWatchers ownership.Avoided // watchers that did not answer or had stale data
 	eraMetrics      eraMetrics
 	cutWatches      prometheus.Counter
+	// unknownEvacuations counts evacuations of data centres that are not known.
+	unknownEvacuations prometheus.Counter
 
 	// wake tells followPeers that another host has a newer position.
 	wake chan struct{}
@@ -156,15 +162,18 @@
 // New returns an empty directory and registers its handler for other hosts.
 func New(config Config, registrar link.Registrar) *Directory {
 	d := &Directory{
-		config:     config,
-		hosts:      make(map[string]hostEntry),
-		expiries:   make(map[instance.ID]expiry),
-		outages:    newOutageTracker(config.HeartbeatInterval, config.EntryTTL),
-		changed:    make(chan struct{}),
-		wake:       make(chan struct{}, 1),
-		confirmer:  newConfirmer(),
-		eraMetrics: newEraMetrics(config.Registerer),
-		cutWatches: newCutWatchCounter(config.Registerer),
+		config:      config,
+		hosts:       make(map[string]hostEntry),
+		evacuations: make(evacuations),
+		expiries:    make(map[instance.ID]expiry),
+		outages:     newOutageTracker(config.HeartbeatInterval, config.EntryTTL),
+		changed:     make(chan struct{}),
+		wake:        make(chan struct{}, 1),
+		confirmer:   newConfirmer(),
+		eraMetrics:  newEraMetrics(config.Registerer),
+		cutWatches:  newCutWatchCounter(config.Registerer),
+
+		unknownEvacuations: newUnknownEvacuationCounter(config.Registerer),
 	}
 	config.Gossip.Subscribe(revisionTopic, d.handleRevision)
 	link.HandleTyped(registrar, followMethod, d.serveFollow)
@@ -228,6 +237,7 @@
 	if _, current := d.enterEra(asOf, "store", now); !current {
 		return
 	}
+	d.replaceEvacuations(d.evacuationsOf(items), asOf, now) // before upstreams that are added could get work
 	listedUpstreams := make(map[instance.ID]bool)
 	listedKeys := make(map[string]bool)
 	for _, item := range items {
@@ -246,6 +256,7 @@
 		}
 	}
 	d.mu.Unlock()
+	d.reportUnknownEvacuations()
 	d.advancePosition(asOf, now)
 	d.wakeFollowers()
 	d.hostsChanged()
@@ -278,6 +289,7 @@
 	for _, item := range items {
 		d.apply(item, now)
 	}
+	d.reportUnknownEvacuations()
 	d.advancePosition(asOf, now)
 	if len(items) > 0 {
 		d.wakeFollowers()
@@ -294,6 +306,10 @@
 		d.applyUpstream(id, item, now)
 		return
 	}
+	if dc, ok := d.config.Format.EvacuatedDataCentre(item.Key); ok {
+		d.applyEvacuation(dc, item, now)
+		return
+	}
 	switch {
 	case item.Key == d.config.Format.ConfigKey():
 		if !item.Removed {
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -145,6 +145,12 @@
 	Expiries map[instance.ID]wireExpiry `cbor:"9,keyasint"`
 	// Era is the era of AsOf.
 	Era int64 `cbor:"10,keyasint,omitempty"`
+	// Evacuations are all evacuations in effect. It is nil from hosts of the build before,
+	// which know none.
+	Evacuations []wireEvacuation `cbor:"11,keyasint"`
+	// evacuationsChanged is true if an evacuation has begun or ended since AsOf of the
+	// request.
+	evacuationsChanged bool
 }
 
 func (a *followAnswer) position() infra.Position {
@@ -203,6 +209,7 @@
 			answer.Hosts = append(answer.Hosts, h)
 		}
 	}
+	answer.Evacuations, answer.evacuationsChanged = d.evacuations.inEffect(), d.evacuations.changedSince(since)
 	var recorded bool
 	if answer.Entries, answer.Removals, recorded = d.config.Instances.ChangesSince(since); !recorded || since.Era < d.asOf.Era {
 		answer.Entries, answer.Complete = d.config.Instances.Entries(), true
@@ -211,7 +218,7 @@
 }
 
 func (a *followAnswer) isEmpty() bool {
-	return len(a.Config) == 0 && len(a.Entries) == 0 && len(a.Removals) == 0 && len(a.Hosts) == 0
+	return len(a.Config) == 0 && len(a.Entries) == 0 && len(a.Removals) == 0 && len(a.Hosts) == 0 && !a.evacuationsChanged
 }
 
 // followWatcher makes one call to a watcher and applies the answer. It returns
@@ -271,6 +278,9 @@
 	if !current {
 		return false
 	}
+	if answer.Evacuations != nil {
+		answer.evacuationsChanged = d.replaceEvacuations(answer.Evacuations, asOf, now)
+	}
 	if answer.Complete && asOf.After(before) {
 		d.replaceUpstreams(answer.Entries, asOf, rose, now)
 		d.config.Instances.MarkGap(now)
@@ -295,6 +305,7 @@
 		d.putHost(h)
 	}
 	d.mu.Unlock()
+	d.reportUnknownEvacuations()
 	d.advancePosition(asOf, now.Add(-answer.Age))
 	if !answer.isEmpty() {
 		d.wakeFollowers()
--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -42,6 +43,11 @@
 	return "", false
 }
 
+func (testFormat) EvacuatedDataCentre(key string) (host.DataCentre, bool) {
+	dc, is := strings.CutPrefix(key, "evacuate/")
+	return host.DataCentre(dc), is
+}
+
 func (testFormat) DecodeUpstream(id instance.ID, raw []byte) (e instance.Entry, err error) {
 	err = cbor.Unmarshal(raw, &e)
 	e.ID = id
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -191,6 +191,7 @@
 	h.peerClient = link.NewClient(link.ClientConfig{Key: h.settings.FleetKey, DialTimeout: peerDialTimeout})
 	h.transport = transport.New(h.registry)
 	h.instances = instance.NewTable(h.onUpstreamChange)
+	h.registry.MustRegister(newEvacuationMetric(h.instances))
 	h.transport.OnAnswer(h.onUpstreamAnswer)
 	h.transport.Admit(h.admitCall)
 	h.transport.Acquire(h.acquireCall)
@@ -323,7 +324,11 @@
 // onUpstreamChange logs that an upstream was added, is leaving, is paused, is limited or was
 // removed, and closes idle connections to removed ones.
 func (h *Host) onUpstreamChange(c instance.Change) {
-	if c.Kind == "changed" {
+	switch c.Kind {
+	case "changed":
+		return
+	case instance.KindEvacuated, instance.KindRestored:
+		h.onEvacuation(c)
 		return
 	}
 	h.notices.count(c)
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -248,7 +248,7 @@
 
 // upstream starts an upstream and registers it in the store.
 func (f *fleet) upstream(u *platformtest.Upstream) *platformtest.Upstream {
-	u.Zone = "riga-a"
+	u.Zone = cmp.Or(u.Zone, "riga-a")
 	u.Start()
 	f.t.Cleanup(u.Close)
 	u.Register(f.store, "ready")
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -124,7 +124,7 @@
 }
 
 // admitCall reports whether a call may be sent: not to an upstream that has asked
-// this host for a pause or is at its limit.
+// this host for a pause or is at its limit, or whose data centre is evacuated.
 func (h *Host) admitCall(c *transport.Call) bool {
-	return !h.instances.IsPaused(c.Upstream, c.Addr, time.Now())
+	return !h.isEvacuated(c) && !h.instances.IsPaused(c.Upstream, c.Addr, time.Now())
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -280,6 +280,9 @@
 	switch {
 	case errors.Is(err, transport.ErrWithheld):
 		notSent.outcome, notSent.label, notSent.withheld = instance.Abandoned, "paused", true
+		if s.config.Instances.IsEvacuated(s.chosen.DataCentre) {
+			notSent.label = "evacuated"
+		}
 		if s.partsCondemned() {
 			notSent.label = "part_quarantined"
 		}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -54,6 +54,9 @@
 func (x *exchange) retryAfterOverload(err error) time.Duration {
 	wait := overloadRetryAfter
 	if f := staging.AsFailure(err); f != nil {
+		if f.Evacuated {
+			return x.spread(evacuationRetryAfter)
+		}
 		if f.Reason == call.PiecePaused && f.Wait > 0 {
 			return f.Wait
 		}
@@ -112,6 +115,9 @@
 		if !x.partsRefusedUntil.IsZero() {
 			return quarantinedPart(x.partsRefusedUntil)
 		}
+		if x.isEvacuated() {
+			return x.evacuated()
+		}
 		if wait, paused := x.pausedFor(); paused {
 			f.reason, f.retryAfter = "upstreams_paused", wait
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -287,6 +287,10 @@
 		x.refuse(refused)
 		return
 	}
+	if refused, ok := x.requireUpstreams(); !ok {
+		x.refuse(refused)
+		return
+	}
 	if refused, ok := x.runStages(); !ok {
 		x.refuse(refused)
 		return
--- a/gateway/version.go
+++ b/gateway/version.go
@@ -69,6 +69,9 @@
 		return x.versionRefusal("stream_version_unknown"), false
 	}
 	if !x.versionIsServed() {
+		if x.isEvacuated() {
+			return x.evacuated(), false
+		}
 		return x.versionRefusal("version_gone"), false
 	}
 	if x.request.Resumes != "" {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -128,19 +128,23 @@
 	kept          map[processKey]keptNotice
 	keptOrder     uint64
 	lastPauseEnd  time.Time // no pause lasts longer
+	evacuated     map[host.DataCentre]bool
 	changed       func(Change)
 }
 
 // Change describes a change of the table, for logging.
 type Change struct {
 	Entry
-	Kind string // "added", "leaving", "paused", "limited", "unlimited", "removed" or "changed", or one of those in era.go
+	Kind string // "added", "leaving", "paused", "limited", "unlimited", "removed" or "changed", or one of those in era.go or evacuation.go
 	// Source is what told of the change.
 	Source Source
 	// Until is the end of a pause.
 	Until time.Time
 	// Limit is a limit that the upstream names, in requests a second.
 	Limit float64
+	// Upstreams and InFlight are how many upstreams a data centre has that is evacuated or
+	// restored, and how many requests of this host run there.
+	Upstreams, InFlight int
 }
 
 // Source is what told of a change.
@@ -164,6 +168,7 @@
 		requests:   make(map[string]uint64),
 		tombstones: make(map[ID]tombstone),
 		kept:       make(map[processKey]keptNotice),
+		evacuated:  make(map[host.DataCentre]bool),
 
 		formerVersions: make(map[string]map[string]time.Time),
 		completeSince:  time.Now(),
@@ -347,7 +352,7 @@
 // Service returns the upstreams of a service that this host may send new work to,
 // ordered by ID.
 func (t *Table) Service(name string, now time.Time) []Status {
-	return t.service(name, now, func(i *Instance) bool { return !i.isLeaving() && !i.isPaused(now) })
+	return t.service(name, now, func(i *Instance) bool { return t.mayGetWork(i) && !i.isPaused(now) })
 }
 
 // service returns the upstreams of a service for which usable is true.
@@ -414,12 +419,12 @@
 }
 
 // Begin counts a request as running on an upstream. It fails if the upstream is
-// gone, or is leaving and must get no new work.
+// gone, or must get no new work because it is leaving or its data centre is evacuated.
 func (t *Table) Begin(id ID, tokens int) (*Use, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	i := t.byID[id]
-	if i == nil || i.isLeaving() {
+	if i == nil || !t.mayGetWork(i) {
 		return nil, false
 	}
 	t.requests[i.Service]++
--- a/instance/pauses.go
+++ b/instance/pauses.go
@@ -58,7 +58,7 @@
 // ServiceOfFleet returns the upstreams of a service that hosts may send new work
 // to, ordered by ID, also those that only this host must not.
 func (t *Table) ServiceOfFleet(name string, now time.Time) []Status {
-	return t.service(name, now, func(i *Instance) bool { return !i.isLeaving() })
+	return t.service(name, now, t.mayGetWork)
 }
 
 // PausedUntil returns when a listed upstream that is paused or at its limit is back,
@@ -94,13 +94,13 @@
 }
 
 // FirstBack returns when the first upstream of a service is back. It returns false
-// unless all those that are not leaving are paused or at their limits, and there is one.
+// unless all those that may get work later are paused or at their limits, and there is one.
 func (t *Table) FirstBack(name string, now time.Time) (first time.Time, paused bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, i := range t.byService[name] {
 		switch {
-		case i.isLeaving():
+		case !t.mayGetWork(i):
 		case !i.isPaused(now):
 			return time.Time{}, false
 		case !paused || i.backAt().Before(first):
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -308,6 +308,9 @@
 		callbacks = append(callbacks, late.end(call.PieceDeadlineExceeded))
 	}
 	s.queue.sort(now, spec.FullBatchTime())
+	if g.isEvacuated(s.name) {
+		return append(callbacks, s.refuseEvacuated()...)
+	}
 	servers := g.config.Servers.Service(s.name, now)
 	if back, paused := g.config.Servers.FirstBack(s.name, now); paused {
 		return append(callbacks, s.refusePaused(back, spec)...)
--- a/staging/paused.go
+++ b/staging/paused.go
@@ -8,8 +8,11 @@
 )
 
 // PausedFor returns how long until the first of a service's servers accepts calls
-// of this host again; 0 unless all have asked for a pause.
+// of this host again; 0 unless all have asked for a pause or are evacuated.
 func (g *Gatherer) PausedFor(service string, now time.Time) time.Duration {
+	if g.isEvacuated(service) {
+		return evacuatedWait
+	}
 	if back, paused := g.config.Servers.FirstBack(service, now); paused {
 		return back.Sub(now)
 	}
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -48,13 +48,20 @@
 	// Wait is the estimated queueing time of the service, or the time until its
 	// servers accept calls again if Reason is PiecePaused; 0 if unknown.
 	Wait time.Duration
+	// Evacuated is true if evacuations leave the service without servers. Reason is
+	// PiecePaused then.
+	Evacuated bool
 	// Gatherer is the host that gathers for the service.
 	Gatherer host.ID
 }
 
 // Error returns the message of the failure.
 func (f *Failure) Error() string {
-	return "stage on service " + f.Service + " failed at gatherer " + string(f.Gatherer) + ": " + f.Reason.String()
+	reason := f.Reason.String()
+	if f.Evacuated {
+		reason = "evacuated"
+	}
+	return "stage on service " + f.Service + " failed at gatherer " + string(f.Gatherer) + ": " + reason
 }
 
 // Runner runs the stages of this host's requests. It is safe for concurrent
@@ -175,6 +182,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if evacuated := r.findEvacuated(g); evacuated != nil {
+		return nil, evacuated
+	}
 	if overload := r.predictOverload(w, g, time.Now()); overload != nil {
 		return nil, overload
 	}
@@ -266,7 +276,8 @@
 // now.
 func (r *Runner) newFailure(stage int, service string, reason call.PieceFailure, wait time.Duration) *Failure {
 	owner, _ := r.config.Owners.Owner(service, time.Now())
-	return &Failure{Stage: stage, Service: service, Reason: reason, Wait: wait, Gatherer: owner.ID}
+	evacuated := reason == call.PiecePaused && r.config.Gatherer.isEvacuated(service)
+	return &Failure{Stage: stage, Service: service, Reason: reason, Wait: wait, Evacuated: evacuated, Gatherer: owner.ID}
 }
 
 // timeAfter estimates how long the stages that depend on a stage take, along
