--- a/directory/evacuation_test.go
+++ b/directory/evacuation_test.go
@@ -41,7 +41,9 @@
 	step("a host of the build before", true, func() { d.applyAnswer(followAnswer{AsOf: 12}) })
 	step("removal", false, change(0, 13, true))
 	step("older beginning", false, change(0, 11, false))
-	step("another host that is behind", false, func() { d.applyAnswer(followAnswer{AsOf: 12, Evacuations: []wireEvacuation{{DataCentre: "x", Revision: 11}}}) })
+	step("another host that is behind", false, func() {
+		d.applyAnswer(followAnswer{AsOf: 12, Evacuations: []wireEvacuation{{DataCentre: "x", Revision: 11}}})
+	})
 	step("the next one", true, change(0, 14, false))
 	step("another host has heard of its end", false, func() { d.applyAnswer(followAnswer{AsOf: 15, Evacuations: []wireEvacuation{}}) })
 	step("a copy that has the key", true, listing(1, 6, evacuationItem(1, 5, false)))
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -49,6 +49,8 @@
 	limits       []namedLimit
 	cuts         []linkCut
 	brittle      []brittleTime
+	evacuated    map[string]bool // data centres that the operator evacuates now
+	evacuations  []evacuationTime
 }
 
 // server is an upstream behind a proxy.
@@ -65,7 +67,7 @@
 
 // newEnvironment starts the store, the upstreams and the hosts.
 func newEnvironment(binary, dir string) (*environment, error) {
-	e := &environment{store: platformtest.NewStore(), keys: []string{"key-0", keptKey}, crashed: make(map[string]bool)}
+	e := &environment{store: platformtest.NewStore(), keys: []string{"key-0", keptKey}, crashed: make(map[string]bool), evacuated: make(map[string]bool)}
 	if err := e.start(binary, dir); err != nil {
 		e.close()
 		return nil, err
--- a/internal/soak/restores.go
+++ b/internal/soak/restores.go
@@ -44,6 +44,7 @@
 		e.rewrite(s)
 	}
 	e.rewriteEngines()
+	e.rewriteEvacuations()
 	e.configure()
 	return fmt.Sprintf("the store came back from a copy %s old", age), nil
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -30,7 +30,7 @@
 // EnabledKinds are the kinds of faults that a run plays by default: all but the loss of all
 // hosts, after which the others have little to disturb. Each kind draws
 // from random sources of its own, so a seed's base faults don't depend on the others.
-var EnabledKinds = []string{"base", "planned", "silence", "release", "notice", "restore", "crash", "limit", "entry", "links", "brittle"}
+var EnabledKinds = []string{"base", "planned", "silence", "release", "notice", "restore", "crash", "limit", "entry", "links", "brittle", "evacuation"}
 
 // faultKind is faults that one or more series draw from.
 type faultKind struct {
@@ -52,6 +52,8 @@
 	"links":   {faults: linkFaults, series: 1, source: 1000},
 	"brittle": {faults: brittleFaults, series: 1, source: 1100},
 	"herd":    {faults: herdFaults, series: 1, source: 900},
+
+	"evacuation": {faults: evacuationFaults, series: 1, source: 1200},
 }
 
 // Run starts the hosts, sends load and injects the faults of the given kinds and
@@ -103,6 +105,7 @@
 	violations = append(violations, env.checkCrashes(load.prompts)...)
 	violations = append(violations, env.checkLimits(load.outcomes)...)
 	violations = append(violations, env.checkLinks(load.outcomes)...)
+	violations = append(violations, env.checkEvacuations(load.outcomes)...)
 	return injected, append(violations, env.checkBrittle()...), nil
 }
 
