--- a/directory/evacuation.go
+++ b/directory/evacuation.go
@@ -131,6 +131,12 @@
 	return len(begun)+len(ended) > 0
 }
 
+// applyRelayedEvacuations applies the evacuations in another host's answer. It returns true if
+// that changes anything. The caller holds applying.
+func (d *Directory) applyRelayedEvacuations(answer followAnswer, now time.Time) (changed bool) {
+	return answer.Evacuations != nil && d.replaceEvacuations(answer.Evacuations, answer.position(), now)
+}
+
 // evacuationsOf returns the evacuations among items of the store.
 func (d *Directory) evacuationsOf(items []Item) (all []wireEvacuation) {
 	for _, item := range items {
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -278,9 +278,7 @@
 	if !current {
 		return false
 	}
-	if answer.Evacuations != nil {
-		answer.evacuationsChanged = d.replaceEvacuations(answer.Evacuations, asOf, now)
-	}
+	answer.evacuationsChanged = d.applyRelayedEvacuations(answer, now)
 	if answer.Complete && asOf.After(before) {
 		d.replaceUpstreams(answer.Entries, asOf, rose, now)
 		d.config.Instances.MarkGap(now)
