Cold upstreams: first slice

Upstreams crashed when they got their usual share of requests right after a start: nothing told hosts that they were cold.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -70,6 +70,9 @@
 		if s.DataCentre != need.PreferredDataCentre {
 			score *= remoteFactor
 		}
+		if s.Cold {
+			score *= coldFactor
+		}
 		return score * (1 + jitter*random.Float64())
 	})
 }
@@ -103,9 +106,9 @@
 
 // ChooseEngine chooses a model server. It prefers the home engines of the
 // prompt's prefix, in order, and skips those that are overloaded or fail often.
-// Otherwise it chooses the least loaded engine.
+// Otherwise it chooses the least loaded engine. It chooses no cold engine unless all are cold.
 func ChooseEngine(all []instance.Status, need Need, random *rand.Rand) (instance.Status, bool) {
-	candidates := usable(all, need)
+	candidates := warmIfAny(usable(all, need))
 	if len(candidates) == 0 {
 		return instance.Status{}, false
 	}
--- a/call/notice.go
+++ b/call/notice.go
@@ -18,6 +18,10 @@
 	// must turn more than MaxRejections requests away within a second.
 	Brittle       bool
 	MaxRejections int
+	// WarmupLeft is for how long the process is still cold; 0 if it does not say so.
+	// OddWarmup means that it stated a time out of bounds, which was ignored or capped.
+	WarmupLeft time.Duration
+	OddWarmup  bool
 	// WrongUpstream means that the notice is of another process than the one that
 	// the call was meant for.
 	WrongUpstream bool
--- /dev/null
+++ b/edge/cold.go
@@ -0,0 +1,131 @@
+package edge
+
+import (
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenaseam/galenaseam/call"
+	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/routing"
+	"github.com/galenaseam/galenaseam/transport"
+)
+
+// setWarmups applies how the upstreams of each service of a configuration warm up.
+func (h *Host) setWarmups(t *routing.Table) {
+	warmups := make(map[string]instance.Warmup)
+	for _, s := range t.Services() {
+		if s.OddWarmup {
+			h.cold.odd("configuration", s.Name, "")
+		}
+		if s.WarmupPerSecond > 0 {
+			warmups[s.Name] = instance.Warmup{Time: s.WarmupTime, PerSecond: s.WarmupPerSecond}
+		}
+	}
+	h.instances.SetWarmups(warmups)
+}
+
+// onWarmup records what the sender of an answer says about being cold.
+func (h *Host) onWarmup(sender instance.Process, notice call.Notice, now time.Time) {
+	if notice.OddWarmup {
+		entry, _ := h.instances.Lookup(sender.ID)
+		h.cold.odd("answer", entry.Service, string(sender.ID))
+	}
+	h.instances.MarkCold(sender, notice.WarmupLeft, now)
+}
+
+// coldGrant is the right to send one call to a cold upstream. slot is nil unless the upstream
+// is brittle too.
+type coldGrant struct {
+	slot      transport.Grant
+	expiresAt time.Time
+}
+
+// HasExpired reports whether the call may no longer be sent.
+func (g *coldGrant) HasExpired() bool { return time.Now().After(g.expiresAt) }
+
+// Answered implements transport.Grant.
+func (g *coldGrant) Answered(r *http.Response) {
+	if g.slot != nil {
+		g.slot.Answered(r)
+	}
+}
+
+// End implements transport.Grant.
+func (g *coldGrant) End() {
+	if g.slot != nil {
+		g.slot.End()
+	}
+}
+
+// maxOddSources bounds the sources of odd warm-ups that are remembered. Those beyond it are
+// counted and not logged.
+const maxOddSources = 1024
+
+// coldMonitor reports which services have cold upstreams, and odd statements about them.
+type coldMonitor struct {
+	logger *slog.Logger
+	counts *prometheus.GaugeVec
+	odds   *prometheus.CounterVec
+
+	// cold are the services with cold upstreams at the last report. Only report uses it, which
+	// one goroutine calls.
+	cold map[string]bool
+
+	mu     sync.Mutex // guards logged
+	logged map[oddSource]bool
+}
+
+// oddSource is what stated an odd warm-up.
+type oddSource struct{ kind, service, upstream string }
+
+func newColdMonitor(logger *slog.Logger, registerer prometheus.Registerer) *coldMonitor {
+	m := &coldMonitor{
+		logger: logger, logged: make(map[oddSource]bool), cold: make(map[string]bool),
+		counts: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "seam_cold_upstreams", Help: "Upstreams that this host takes for cold, by service.",
+		}, []string{"service"}),
+		odds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "seam_odd_warmups_total", Help: "Warm-ups out of bounds that were ignored or capped, by what stated them.",
+		}, []string{"source"}),
+	}
+	registerer.MustRegister(m.counts, m.odds)
+	return m
+}
+
+// odd counts an odd warm-up, and logs it once for each source.
+func (m *coldMonitor) odd(kind, service, upstream string) {
+	m.odds.WithLabelValues(kind).Inc()
+	source := oddSource{kind, service, upstream}
+	m.mu.Lock()
+	first := !m.logged[source] && len(m.logged) < maxOddSources
+	if first {
+		m.logged[source] = true
+	}
+	m.mu.Unlock()
+	if first {
+		m.logger.Warn("warm-up out of bounds ignored or capped", "source", kind, "service", service, "upstream", upstream)
+	}
+}
+
+// report publishes how many upstreams are cold, and logs when a service's first one becomes
+// cold and when its last one is warm.
+func (m *coldMonitor) report(counts map[string]int) {
+	for service := range m.cold {
+		if counts[service] == 0 {
+			delete(m.cold, service)
+			m.logger.Info("upstreams warm", "service", service)
+		}
+	}
+	m.counts.Reset()
+	for service, n := range counts {
+		m.counts.WithLabelValues(service).Set(float64(n))
+		if n > 0 && !m.cold[service] {
+			m.cold[service] = true
+			m.logger.Info("upstreams cold", "service", service, "upstreams", n)
+		}
+	}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -122,6 +122,7 @@
 	logger   *slog.Logger
 	registry *prometheus.Registry
 	notices  *noticeMetrics
+	cold     *coldMonitor
 
 	info       host.Info
 	mux        *link.Mux
@@ -164,6 +165,7 @@
 	h := &Host{settings: settings, latestSettings: settings, platform: platform, logger: logger, registry: registry, mux: link.NewMux()}
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	h.notices = newNoticeMetrics(registry)
+	h.cold = newColdMonitor(logger, registry)
 	h.pendingSettings = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "seam_settings_awaiting_restart", Help: "Settings that have changed and take effect only at the next start.",
 	})
@@ -317,12 +319,18 @@
 	return table.Service(name)
 }
 
-// onConfig tells the other hosts which version of the configuration this host uses.
-func (h *Host) onConfig(t *routing.Table) { h.members.SetGeneration(uint64(t.Version())) }
+// onConfig applies the services' warm-up, and tells the other hosts which version of the configuration this host uses.
+func (h *Host) onConfig(t *routing.Table) {
+	h.setWarmups(t)
+	h.members.SetGeneration(uint64(t.Version()))
+}
 
 // onUpstreamChange logs that an upstream was added, is leaving, is paused, is limited or was
 // removed, and closes idle connections to removed ones.
 func (h *Host) onUpstreamChange(c instance.Change) {
+	if c.OddWarmup {
+		h.cold.odd("entry", c.Service, string(c.ID))
+	}
 	if c.Kind == "changed" {
 		return
 	}
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -50,12 +50,13 @@
 		h.instances.Pause(sender, now.Add(notice.Pause), now)
 	}
 	h.instances.SetLimit(sender, notice.Limit, notice.Limited, now)
+	h.onWarmup(sender, notice, now)
 	if entry, listed := h.instances.Lookup(sender.ID); listed && notice.Brittle {
 		h.brittle.Named(entry.Service, notice.MaxRejections, now)
 	}
 }
 
-// acquireCall takes the right to send a call to an upstream that names a limit or is
+// acquireCall takes the right to send a call to an upstream that names a limit, is cold or is
 // brittle.
 func (h *Host) acquireCall(ctx context.Context, c *transport.Call) (transport.Grant, bool) {
 	process := c.Upstream
@@ -65,13 +66,20 @@
 			return nil, true
 		}
 	}
-	if !h.acquireLimited(ctx, process) {
+	expiresAt, granted := h.acquireLimited(ctx, process)
+	if !granted {
 		return nil, false
 	}
-	if c.TakesNoSlot {
-		return nil, true
+	var slot transport.Grant
+	if !c.TakesNoSlot {
+		if slot, granted = h.acquireSlot(ctx, process); !granted {
+			return nil, false
+		}
+	}
+	if !expiresAt.IsZero() {
+		return &coldGrant{slot: slot, expiresAt: expiresAt}, true
 	}
-	return h.acquireSlot(ctx, process)
+	return slot, true
 }
 
 // acquireSlot takes a slot of an upstream if it is brittle.
@@ -109,18 +117,25 @@
 // End implements transport.Grant.
 func (g slotGrant) End() { g.slot.End() }
 
-// acquireLimited takes the right to send a call to an upstream that names a limit. If it is
-// not granted, the upstream gets no request of this host for a while.
-func (h *Host) acquireLimited(ctx context.Context, process instance.Process) bool {
-	perSecond, namedAt, limited := h.instances.Limit(process)
-	if !limited {
-		return true
-	}
-	wait, granted := h.throttle.Acquire(ctx, throttle.Limit{Process: process, PerSecond: perSecond, NamedAt: namedAt})
+// acquireLimited takes the right to send a call to an upstream that names a limit or is cold.
+// If it is not granted, the upstream gets no request of this host for a while. expiresAt is
+// until when the call may be sent; zero if that is not bounded.
+func (h *Host) acquireLimited(ctx context.Context, process instance.Process) (expiresAt time.Time, granted bool) {
+	now := time.Now()
+	r := h.instances.Restraint(process, now)
+	if !r.Limited && r.WarmupPerSecond == 0 {
+		return time.Time{}, true
+	}
+	wait, granted := h.throttle.Acquire(ctx, throttle.Limit{
+		Process: process, PerSecond: r.PerSecond, NamedAt: r.NamedAt, Unlimited: !r.Limited, WarmupPerSecond: r.WarmupPerSecond,
+	})
 	if !granted {
 		h.instances.Throttle(process, time.Now().Add(wait))
 	}
-	return granted
+	if r.WarmupPerSecond > 0 {
+		expiresAt = now.Add(throttle.GrantLifetime)
+	}
+	return expiresAt, granted
 }
 
 // admitCall reports whether a call may be sent: not to an upstream that has asked
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenaseam/galenaseam/host"
@@ -41,6 +42,12 @@
 	// LeftEarlier is true if the process was leaving in a former era, but a
 	// later one lists it as ready. Leaving is true then.
 	LeftEarlier bool `cbor:"21,keyasint,omitempty"`
+	// WarmupLeft is for how long the upstream is still cold by its entry, counted from when
+	// the entry arrives.
+	WarmupLeft time.Duration `cbor:"22,keyasint,omitempty"`
+	// OddWarmup means that the entry states a warm-up time out of bounds, which was ignored or
+	// capped.
+	OddWarmup bool `cbor:"-"`
 }
 
 // maxTombstones bounds the removals that are remembered. It is several times
@@ -70,6 +77,7 @@
 type Instance struct {
 	Entry
 	notice
+	cold         coldness
 	inFlight     int
 	tokens       int // prompt and output tokens in flight
 	failures     int // calls that broke since the last answered one
@@ -86,7 +94,9 @@
 	InFlight int
 	Tokens   int
 	Ejected  bool
-	Latency  time.Duration
+	// Cold means that the upstream takes few requests a second from all hosts together.
+	Cold    bool
+	Latency time.Duration
 	// SinceAnswer is how many requests this host has sent to the service since Latency was
 	// measured.
 	SinceAnswer uint64
@@ -127,14 +137,21 @@
 	completeSince time.Time
 	kept          map[processKey]keptNotice
 	keptOrder     uint64
-	lastPauseEnd  time.Time // no pause lasts longer
-	changed       func(Change)
+	lastPauseEnd  time.Time         // no pause lasts longer
+	warmups       map[string]Warmup // by service; only of those whose upstreams may be cold
+	firstEntryAt  time.Time         // when the first entry arrived
+	gotListing    bool              // the first listing has been received completely
+	now           func() time.Time
+	// coldCentres is when all upstreams of a data centre last began to be cold. The map is
+	// replaced, never changed.
+	coldCentres atomic.Pointer[map[host.DataCentre]time.Time]
+	changed     func(Change)
 }
 
 // Change describes a change of the table, for logging.
 type Change struct {
 	Entry
-	Kind string // "added", "leaving", "paused", "limited", "unlimited", "removed" or "changed", or one of those in era.go
+	Kind string // "added", "leaving", "paused", "limited", "unlimited", "cold", "removed" or "changed", or one of those in era.go
 	// Source is what told of the change.
 	Source Source
 	// Until is the end of a pause.
@@ -167,6 +184,7 @@
 
 		formerVersions: make(map[string]map[string]time.Time),
 		completeSince:  time.Now(),
+		now:            time.Now,
 		changed:        changed,
 	}
 }
@@ -200,9 +218,13 @@
 	}
 	wasLeaving := old.isLeaving()
 	old.Entry = e
+	becameCold := t.tellCold(old, e.WarmupLeft, t.now())
 	if e.Leaving && !wasLeaving {
 		return "leaving"
 	}
+	if becameCold {
+		return cmp.Or(kept, "cold")
+	}
 	return cmp.Or(kept, "changed")
 }
 
@@ -252,7 +274,7 @@
 func (t *Table) MarkGap(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.completeSince = now
+	t.completeSince, t.gotListing = now, true
 }
 
 // pruneTombstones drops the older half of the removals. Updates arrive within
@@ -294,6 +316,7 @@
 	if predecessor.ID == e.ID {
 		t.inherit(i, predecessor.Process())
 	}
+	t.appeared(i, t.now())
 	t.byID[i.ID] = i
 	list := append(t.byService[i.Service], i)
 	slices.SortFunc(list, func(a, b *Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
@@ -361,7 +384,7 @@
 		}
 		all = append(all, Status{
 			Entry: i.Entry, InFlight: i.inFlight, Tokens: i.tokens,
-			Ejected: now.Before(i.ejectedUntil), Latency: i.latency, SinceAnswer: t.requests[name] - i.measuredAt, ErrorRate: i.errorRate,
+			Ejected: now.Before(i.ejectedUntil), Cold: t.isCold(i, now), Latency: i.latency, SinceAnswer: t.requests[name] - i.measuredAt, ErrorRate: i.errorRate,
 		})
 	}
 	return all
@@ -509,4 +532,6 @@
 	}
 	i.ejectedUntil = now.Add(min(firstEjection<<min(i.ejections, 4), maxEjection))
 	i.ejections++
+	// It may have crashed, and a new process under its ID is cold.
+	i.cold.from = later(i.cold.from, i.ejectedUntil)
 }
--- a/instance/limits.go
+++ b/instance/limits.go
@@ -68,6 +68,11 @@
 func (t *Table) Limit(p Process) (perSecond float64, namedAt time.Time, named bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.limitOf(p)
+}
+
+// limitOf is Limit. The caller holds mu.
+func (t *Table) limitOf(p Process) (perSecond float64, namedAt time.Time, named bool) {
 	l := t.kept[p.key()].limit
 	if i := t.listed(p); i != nil {
 		l = i.limit
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -68,6 +68,9 @@
 type placeReply struct {
 	Engine instance.ID   `cbor:"1,keyasint"`
 	Wait   time.Duration `cbor:"2,keyasint"`
+	// Full means that every engine that may be chosen is cold and has got what it takes now.
+	// Wait is then when the first takes another request.
+	Full bool `cbor:"3,keyasint,omitempty"`
 }
 
 // progressNote tells the owner of a service about the progress of a request.
@@ -91,7 +94,9 @@
 }
 
 // Place chooses an engine for a request. found is false if there is none. The
-// owner's choice is taken only if it is an engine of the required version here too.
+// owner's choice is taken only if it is an engine of the required version here too. If the
+// owner says that only cold engines without room are left, there is none: their owners would
+// refuse the request one after the other.
 func (p *Placer) Place(ctx context.Context, need Need, random *rand.Rand) (t Ticket, found bool) {
 	now := time.Now()
 	if len(instance.OfVersion(p.config.Engines.Service(need.Service, now), need.Version)) == 0 {
@@ -101,12 +106,13 @@
 	t = Ticket{placer: p, note: progressNote{Service: need.Service, RequestID: need.RequestID}}
 	owner, own := p.config.Owners.Owner(need.Service, now)
 	t.Owner = string(owner.ID)
+	full := false
 	if own {
 		reply := p.placeLocally(need)
-		t.Wait = reply.Wait
+		t.Wait, full = reply.Wait, reply.Full
 		t.Engine, found = p.findEngine(need, reply.Engine)
 	} else if reply, err := p.placeRemotely(ctx, owner, need); err == nil {
-		t.Wait = reply.Wait
+		t.Wait, full = reply.Wait, reply.Full
 		t.Engine, found = p.findEngine(need, reply.Engine)
 	} else if ctx.Err() == nil {
 		p.config.Owners.Avoid(owner.ID, now)
@@ -116,6 +122,9 @@
 	if found {
 		return t, true
 	}
+	if full {
+		return Ticket{}, false
+	}
 	t.Owner = ""
 	all := p.config.Engines.Service(need.Service, time.Now())
 	t.Engine, found = balance.ChooseEngine(all, balance.Need{Prefix: sharedPrefix(need), PreferredDataCentre: p.config.DataCentre, Tried: need.Tried, Version: need.Version}, random)
@@ -162,10 +171,10 @@
 	all := p.config.Engines.ServiceOfFleet(need.Service, now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	limits := Limits{Concurrency: service.Engine.Concurrency, CacheTokens: service.Engine.CacheTokens}
+	limits := Limits{Concurrency: service.Engine.Concurrency, CacheTokens: service.Engine.CacheTokens, WarmupPerSecond: service.WarmupPerSecond}
 	id, wait, found := p.tracker(need.Service).place(now, all, limits, need)
 	if !found {
-		return placeReply{}
+		return placeReply{Wait: wait, Full: wait > 0}
 	}
 	return placeReply{Engine: id, Wait: wait}
 }
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -85,6 +85,9 @@
 type Limits struct {
 	Concurrency int
 	CacheTokens int
+	// WarmupPerSecond is how many requests a second the engine takes while it is cold; 0 if it
+	// is never cold.
+	WarmupPerSecond float64
 }
 
 // tracker tracks the load and the caches of one service's engines. It does no
@@ -92,6 +95,8 @@
 type tracker struct {
 	engines map[instance.ID]*engine
 	running map[string]*placedRequest // by request ID
+	// requests is the rate of requests to services with a warm-up.
+	requests meanRate
 }
 
 // engine is the load of one engine and what it has cached.
@@ -101,6 +106,7 @@
 	running      int
 	readRate     float64 // tokens read per second, measured when first events arrive
 	cache        *cache
+	intake       intake
 }
 
 // placedRequest is a request that was placed on an engine and has not ended.
@@ -117,17 +123,19 @@
 }
 
 // place chooses the engine with the lowest score and counts the request as
-// running there. wait estimates the time to its first event.
+// running there. wait estimates the time to its first event. If none is found because all
+// are cold and have got what they take now, wait is when the first takes another request.
 func (t *tracker) place(now time.Time, all []instance.Status, limits Limits, need Need) (chosen instance.ID, wait time.Duration, found bool) {
 	t.expire(now)
 	t.dropMissing(all)
 	all = instance.OfVersion(all, need.Version)
 	chain := prefixChain(need.Parts)
 	home := homeEngine(all, chain)
+	withRoom, wait := t.withRoom(now, all, limits, need.Tried)
 	best := math.Inf(1)
 	bestUnread := 0
-	for _, s := range all {
-		if contains(need.Tried, s.ID) || s.Ejected && hasHealthyUntried(all, need.Tried) {
+	for _, s := range withRoom {
+		if contains(need.Tried, s.ID) || s.Ejected && hasHealthyUntried(withRoom, need.Tried) {
 			continue
 		}
 		e := t.engine(s.ID, limits)
@@ -140,6 +148,7 @@
 		if e.running >= limits.Concurrency || float64(e.memoryTokens+need.Tokens+need.ExpectedOutputTokens) > runningMemoryFraction*float64(limits.CacheTokens) {
 			score += fullEnginePenalty
 		}
+		score += e.intake.penalty(s.Cold, limits.WarmupPerSecond)
 		for centre, bytes := range need.Inputs {
 			if centre != s.DataCentre {
 				score += float64(bytes) / remoteBytesPerToken
@@ -150,9 +159,11 @@
 		}
 	}
 	if !found {
-		return "", 0, false
+		return "", wait, false
 	}
 	e := t.engine(chosen, limits)
+	t.requests.count(now)
+	e.intake.take()
 	t.end(need.RequestID)
 	e.unreadTokens += bestUnread
 	e.running++
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -92,6 +92,14 @@
 	// MaxConnections bounds the connections that all hosts together may open to
 	// one upstream.
 	MaxConnections int
+	// WarmupTime is how long an upstream is cold after its start. WarmupPerSecond is how many
+	// requests a second a cold upstream takes from all hosts together; 0 means that upstreams
+	// are never cold.
+	WarmupTime      time.Duration
+	WarmupPerSecond float64
+	// OddWarmup means that the configuration states a warm-up out of bounds, which was ignored
+	// or capped.
+	OddWarmup bool
 	// Engine is set for model servers.
 	Engine *Engine
 	// Stages is set for services that run stages.
--- a/throttle/bucket.go
+++ b/throttle/bucket.go
@@ -32,14 +32,29 @@
 
 // take grants a request, or returns when to ask again.
 func (b *bucket) take(now time.Time) (wait time.Duration, granted bool) {
-	rate := max(grantedShare*b.limit, minRate)
+	b.fill(now, b.rate())
+	if wait = b.wait(b.rate()); wait > 0 {
+		return wait, false
+	}
+	b.tokens--
+	return 0, true
+}
+
+// rate returns how many requests a second are granted by the limit.
+func (b *bucket) rate() float64 { return max(grantedShare*b.limit, minRate) }
+
+// fill adds what the bucket has gained at a rate since it was last asked.
+func (b *bucket) fill(now time.Time, rate float64) {
 	if elapsed := now.Sub(b.filledAt); !b.filledAt.IsZero() && elapsed > 0 {
 		b.tokens = min(b.tokens+rate*elapsed.Seconds(), burst)
 	}
 	b.filledAt = now
-	if b.tokens < 1 {
-		return time.Duration((1 - b.tokens) / rate * float64(time.Second)), false
+}
+
+// wait returns when the bucket has a request to grant at a rate; 0 if it has one.
+func (b *bucket) wait(rate float64) time.Duration {
+	if b.tokens >= 1 {
+		return 0
 	}
-	b.tokens--
-	return 0, true
+	return max(time.Duration((1-b.tokens)/rate*float64(time.Second)), 1)
 }
--- /dev/null
+++ b/throttle/cold.go
@@ -0,0 +1,55 @@
+package throttle
+
+import "time"
+
+const (
+	// GrantLifetime is how long after a host asked for it a request to a cold upstream may be
+	// sent. Without a bound, requests that were granted over several seconds could be sent in
+	// the same one, after connections that were slow to open. It is longer than a host with a
+	// small share of a processor usually has to wait for its turn.
+	GrantLifetime = 150 * time.Millisecond
+	// coldWindow is the time in which the bound on requests to a cold upstream counts them.
+	coldWindow = time.Second
+	// coldTTL is how long the owner takes an upstream for cold after a host last said so. It
+	// then also counts the requests of hosts that only know of a limit of the upstream.
+	coldTTL = 3 * time.Second
+)
+
+// ColdRate returns how many requests a second the owner of a cold upstream grants, if the
+// upstream takes perSecond. The requests that are sent within coldWindow were granted within
+// coldWindow and GrantLifetime, so that two owners together grant at most
+// 2*grantedShare*perSecond + 2*burst of them.
+func ColdRate(perSecond float64) float64 {
+	return grantedShare * perSecond * float64(coldWindow) / float64(coldWindow+GrantLifetime)
+}
+
+// coldBucket grants requests to one upstream while it is cold. It is kept by the upstream's
+// ID: hosts that have not heard of a new process under the ID send it requests too.
+type coldBucket struct {
+	bucket
+	perSecond float64
+	saidAt    time.Time // when a host last said that the upstream is cold
+}
+
+// coldBucketFor returns the bucket that a request must be granted from because its upstream
+// is cold, nil if it is not. The caller holds mu.
+func (t *Throttle) coldBucketFor(r acquireRequest, now time.Time) *coldBucket {
+	b := t.coldBuckets[r.ID]
+	switch {
+	case r.WarmupPerSecond > 0:
+		if b == nil {
+			b = &coldBucket{}
+			t.coldBuckets[r.ID] = b
+		}
+		b.perSecond, b.saidAt = r.WarmupPerSecond, now
+	case b == nil || now.Sub(b.saidAt) > coldTTL:
+		return nil
+	}
+	return b
+}
+
+// fill adds what the bucket has gained since it was last asked.
+func (b *coldBucket) fill(now time.Time) { b.bucket.fill(now, ColdRate(b.perSecond)) }
+
+// wait returns when the bucket has a request to grant; 0 if it has one.
+func (b *coldBucket) wait() time.Duration { return b.bucket.wait(ColdRate(b.perSecond)) }
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -118,6 +118,15 @@
 	End()
 }
 
+// expiringGrant is a Grant that must be used within a time.
+type expiringGrant interface{ HasExpired() bool }
+
+// hasExpired reports whether a grant may no longer be used.
+func hasExpired(g Grant) bool {
+	expiring, expires := g.(expiringGrant)
+	return expires && expiring.HasExpired()
+}
+
 // noGrant is the grant of a call that needs none.
 type noGrant struct{}
 
@@ -224,7 +233,7 @@
 	if grant == nil {
 		grant = noGrant{}
 	}
-	answer, err := c.doGranted(ctx, call)
+	answer, err := c.doGranted(ctx, call, grant)
 	if err != nil {
 		grant.End()
 		return nil, err
@@ -235,12 +244,12 @@
 }
 
 // doGranted makes a call that may be sent.
-func (c *Client) doGranted(ctx context.Context, call *Call) (*Answer, error) {
+func (c *Client) doGranted(ctx context.Context, call *Call, grant Grant) (*Answer, error) {
 	connection, err := c.connect(ctx, call)
 	if err != nil {
 		return nil, errs.Combine(ErrNotSent, Error.Wrap(err))
 	}
-	if !c.admits(call) {
+	if !c.admits(call) || hasExpired(grant) {
 		_ = connection.Close()
 		return nil, errs.Combine(ErrNotSent, ErrWithheld)
 	}
