--- a/balance/balance.go
+++ b/balance/balance.go
@@ -70,7 +70,7 @@
 		if s.DataCentre != need.PreferredDataCentre {
 			score *= remoteFactor
 		}
-		if s.Cold {
+		if s.Cold && random.IntN(coldTrial) > 0 {
 			score *= coldFactor
 		}
 		return score * (1 + jitter*random.Float64())
--- a/balance/cold.go
+++ b/balance/cold.go
@@ -6,9 +6,14 @@
 	"github.com/galenaseam/galenaseam/instance"
 )
 
-// coldFactor multiplies the score of a cold upstream that is no engine. It gets some requests
-// beside warm ones that have work for most of their slots, and not more than its owner grants.
-const coldFactor = 2
+const (
+	// coldFactor multiplies the score of a cold upstream that is no engine. Its owner would
+	// refuse most of an even share, and each refusal costs a call to it.
+	coldFactor = 2
+	// coldTrial is one in how many choices takes a cold upstream for a warm one, so that it
+	// gets some work while the others have room, and load returns gradually.
+	coldTrial = 4
+)
 
 // warmIfAny returns the warm upstreams, or all if none is warm.
 func warmIfAny(all []instance.Status) []instance.Status {
--- a/edge/cold.go
+++ b/edge/cold.go
@@ -37,6 +37,23 @@
 	h.instances.MarkCold(sender, notice.WarmupLeft, now)
 }
 
+// expectCold prepares for granting requests to a process if it is cold.
+func (h *Host) expectCold(p instance.Process) {
+	if perSecond, cold := h.instances.Cold(p, time.Now()); cold {
+		h.throttle.Expect(map[instance.ID]float64{p.ID: perSecond})
+	}
+}
+
+// checkCold reports the cold upstreams, and prepares for granting requests to them.
+func (h *Host) checkCold(now time.Time) {
+	counts := make(map[string]int)
+	for service, cold := range h.instances.ColdUpstreams(now) {
+		counts[service] = len(cold)
+		h.throttle.Expect(cold)
+	}
+	h.cold.report(counts)
+}
+
 // coldGrant is the right to send one call to a cold upstream. slot is nil unless the upstream
 // is brittle too.
 type coldGrant struct {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -344,6 +344,9 @@
 		attrs = append(attrs, "limit", c.Limit)
 	}
 	h.logger.Info("upstream "+c.Kind, attrs...)
+	if c.Kind == "added" || c.Kind == "cold" {
+		h.expectCold(c.Process())
+	}
 	if c.Kind == "removed" {
 		h.transport.CloseIdle(c.Addr)
 	}
--- a/edge/run.go
+++ b/edge/run.go
@@ -158,7 +158,7 @@
 		h.transport.Sweep(now)
 		h.transport.LimitIdle(h.maxIdleConns())
 		h.brittle.Expire(now)
-		h.cold.report(h.instances.ColdCounts(now))
+		h.checkCold(now)
 	})
 }
 
--- a/instance/cold.go
+++ b/instance/cold.go
@@ -144,21 +144,21 @@
 	}
 }
 
-// ColdCounts returns how many upstreams are cold, by service, for the services whose
-// upstreams may be.
-func (t *Table) ColdCounts(now time.Time) map[string]int {
+// ColdUpstreams returns the cold upstreams of each service whose upstreams may be cold, with
+// how many requests a second each takes from all hosts together.
+func (t *Table) ColdUpstreams(now time.Time) map[string]map[ID]float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	counts := make(map[string]int, len(t.warmups))
-	for name := range t.warmups {
-		counts[name] = 0
+	all := make(map[string]map[ID]float64, len(t.warmups))
+	for name, w := range t.warmups {
+		all[name] = make(map[ID]float64)
 		for _, i := range t.byService[name] {
 			if t.isCold(i, now) {
-				counts[name]++
+				all[name][i.ID] = w.PerSecond
 			}
 		}
 	}
-	return counts
+	return all
 }
 
 // Restraint is what holds back the requests of all hosts to a process: a limit that it has
--- a/instance/export_test.go
+++ b/instance/export_test.go
@@ -1,4 +1,16 @@
 package instance
 
+import (
+	"time"
+
+	"github.com/galenaseam/galenaseam/host"
+)
+
 // KeptNotices returns the number of notices of processes that are not listed.
 func (t *Table) KeptNotices() int { return len(t.kept) }
+
+// SetClock replaces the table's clock.
+func (t *Table) SetClock(now func() time.Time) { t.now = now }
+
+// MarkDataCentreCold is markDataCentreCold.
+func (t *Table) MarkDataCentreCold(dc host.DataCentre, now time.Time) { t.markDataCentreCold(dc, now) }
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -143,5 +143,21 @@
 	return known && m.State != host.Dead
 }
 
+// SeesMost reports whether most of the hosts that have not ended are alive as far as the local
+// host can tell. One that is cut off from the others suspects them, and would otherwise own
+// every task in its own view.
+func (t *Table) SeesMost() bool {
+	alive, suspect := 0, 0
+	for _, m := range t.fleet.Members() {
+		switch m.State {
+		case host.Alive:
+			alive++
+		case host.Suspect:
+			suspect++
+		}
+	}
+	return alive >= suspect
+}
+
 // Avoid excludes a host from ownership for a while.
 func (t *Table) Avoid(id host.ID, now time.Time) { t.avoided.Add(id, now) }
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -46,6 +46,9 @@
 // engine, since another host may have given it requests until now.
 func (i *intake) update(now time.Time, cold bool, perSecond, mean float64) {
 	if cold {
+		if !i.isRamping(now) {
+			i.tokens = 0 // as those of its owner
+		}
 		i.coldAt = now
 	}
 	rate, burst := i.rate(now, perSecond, mean)
@@ -61,12 +64,17 @@
 // rate returns how many requests a second the engine may get, and how many at once. mean is
 // the mean rate of an engine.
 func (i *intake) rate(now time.Time, perSecond, mean float64) (rate, burst float64) {
-	if i.coldAt.IsZero() || now.Sub(i.coldAt) >= rampTime {
+	if !i.isRamping(now) {
 		return max(perSecond, warmShare*mean), warmBurst
 	}
 	return coldShare * throttle.ColdRate(perSecond), coldBurst
 }
 
+// isRamping reports whether the engine is cold, or became warm less than rampTime ago.
+func (i *intake) isRamping(now time.Time) bool {
+	return !i.coldAt.IsZero() && now.Sub(i.coldAt) < rampTime
+}
+
 // penalty returns the addition to the engine's score. A warm engine that has got as many
 // requests lately as a cold one would take at most counts as full.
 func (i *intake) penalty(cold bool, perSecond float64) float64 {
@@ -85,8 +93,8 @@
 func (i *intake) take() { i.tokens = max(i.tokens-1, 0) }
 
 // withRoom returns the engines but the cold ones that have got what they take now. wait is
-// when the first of those that may be chosen takes another request; 0 if there is none.
-func (t *tracker) withRoom(now time.Time, all []instance.Status, limits Limits, tried []instance.ID) (room []instance.Status, wait time.Duration) {
+// when the first of those takes another request; 0 if there is none.
+func (t *tracker) withRoom(now time.Time, all []instance.Status, limits Limits) (room []instance.Status, wait time.Duration) {
 	if limits.WarmupPerSecond <= 0 {
 		return all, 0
 	}
@@ -101,7 +109,7 @@
 		}
 		rate, _ := in.rate(now, limits.WarmupPerSecond, mean)
 		left := time.Duration((1 - in.tokens) / rate * float64(time.Second))
-		if !contains(tried, s.ID) && (wait == 0 || left < wait) {
+		if wait == 0 || left < wait {
 			wait = max(left, 1)
 		}
 	}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -131,7 +131,7 @@
 	all = instance.OfVersion(all, need.Version)
 	chain := prefixChain(need.Parts)
 	home := homeEngine(all, chain)
-	withRoom, wait := t.withRoom(now, all, limits, need.Tried)
+	withRoom, wait := t.withRoom(now, all, limits)
 	best := math.Inf(1)
 	bestUnread := 0
 	for _, s := range withRoom {
@@ -162,8 +162,10 @@
 		return "", wait, false
 	}
 	e := t.engine(chosen, limits)
-	t.requests.count(now)
-	e.intake.take()
+	if limits.WarmupPerSecond > 0 {
+		t.requests.count(now)
+		e.intake.take()
+	}
 	t.end(need.RequestID)
 	e.unreadTokens += bestUnread
 	e.running++
--- a/throttle/cold.go
+++ b/throttle/cold.go
@@ -1,6 +1,10 @@
 package throttle
 
-import "time"
+import (
+	"time"
+
+	"github.com/galenaseam/galenaseam/instance"
+)
 
 const (
 	// GrantLifetime is how long after a host asked for it a request to a cold upstream may be
@@ -48,6 +52,24 @@
 	return b
 }
 
+// Expect prepares for requests to cold upstreams, given with what each takes a second. The
+// buckets of those that this host owns begin to fill now, so that the first request to each is
+// not refused. It is called again and again while upstreams are cold.
+func (t *Throttle) Expect(cold map[instance.ID]float64) {
+	now := t.config.Now()
+	owned := make(map[instance.ID]float64)
+	for id, perSecond := range cold {
+		if _, own := t.config.Owners.AgreedOwner(taskOf(id), now); own {
+			owned[id] = perSecond
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, perSecond := range owned {
+		t.coldBucketFor(acquireRequest{ID: id, WarmupPerSecond: perSecond}, now).fill(now)
+	}
+}
+
 // fill adds what the bucket has gained since it was last asked.
 func (b *coldBucket) fill(now time.Time) { b.bucket.fill(now, ColdRate(b.perSecond)) }
 
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -152,6 +152,10 @@
 	isCold := l.WarmupPerSecond > 0
 	// A call that is repeated may be granted twice, which only costs a grant.
 	owner, own := t.ownerFor(l, now)
+	if own && isCold && !t.config.Owners.SeesMost() {
+		t.askedCold.WithLabelValues("owner_failed").Inc()
+		return ownerFailedWait, false
+	}
 	if own {
 		return t.count(t.grant(request), isCold)
 	}
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -39,7 +39,7 @@
 
 // newOwner returns a throttle that decides for a host by itself.
 func newOwner(now *time.Time) *Throttle {
-	return &Throttle{config: Config{Now: func() time.Time { return *now }}, buckets: make(map[processID]*bucket)}
+	return &Throttle{config: Config{Now: func() time.Time { return *now }}, buckets: make(map[processID]*bucket), coldBuckets: make(map[instance.ID]*coldBucket)}
 }
 
 // silentOwner answers no call.
