throttle: refused hosts ask again for a cold upstream at different times

All hosts that were refused a request to a cold upstream got the same wait, for one request. The wait is now spread over its own length.

--- a/throttle/cold.go
+++ b/throttle/cold.go
@@ -1,6 +1,7 @@
 package throttle
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/galenaseam/galenaseam/instance"
@@ -27,6 +28,10 @@
 	return grantedShare * perSecond * float64(coldWindow) / float64(coldWindow+GrantLifetime)
 }
 
+// spread returns a random time from wait to twice that. All hosts that are refused a request
+// to a cold upstream would otherwise ask again for the same one.
+func spread(wait time.Duration) time.Duration { return wait + rand.N(max(wait, 1)) }
+
 // coldBucket grants requests to one upstream while it is cold. It is kept by the upstream's
 // ID: hosts that have not heard of a new process under the ID send it requests too.
 type coldBucket struct {
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -190,6 +190,9 @@
 		result = "granted"
 	}
 	t.counter(isCold).WithLabelValues(result).Inc()
+	if isCold && !reply.Granted {
+		return spread(reply.Wait), false
+	}
 	return reply.Wait, reply.Granted
 }
 
