--- a/edge/cold.go
+++ b/edge/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -44,13 +45,20 @@
 	}
 }
 
-// checkCold reports the cold upstreams, and prepares for granting requests to them.
+// checkCold reports the cold upstreams, and prepares for granting requests to those that were
+// warm at the last check.
 func (h *Host) checkCold(now time.Time) {
 	counts := make(map[string]int)
+	expected := make(map[instance.ID]bool)
 	for service, cold := range h.instances.ColdUpstreams(now) {
 		counts[service] = len(cold)
+		for id := range cold {
+			expected[id] = true
+		}
+		maps.DeleteFunc(cold, func(id instance.ID, _ float64) bool { return h.cold.expected[id] })
 		h.throttle.Expect(cold)
 	}
+	h.cold.expected = expected
 	h.cold.report(counts)
 }
 
@@ -88,9 +96,11 @@
 	counts *prometheus.GaugeVec
 	odds   *prometheus.CounterVec
 
-	// cold are the services with cold upstreams at the last report. Only report uses it, which
-	// one goroutine calls.
-	cold map[string]bool
+	// cold are the services with cold upstreams at the last report, and expected the cold
+	// upstreams at the last check. Only the goroutine that checks uses them: finding the owners
+	// of all cold upstreams each second would cost a large fleet too much.
+	cold     map[string]bool
+	expected map[instance.ID]bool
 
 	mu     sync.Mutex // guards logged
 	logged map[oddSource]bool
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -338,7 +338,7 @@
 	attrs := []any{"upstream", string(c.ID), "service", c.Service, "addr", c.Addr.String(),
 		"data_centre", string(c.DataCentre), "version", c.Version, "era", c.Era, "revision", c.Revision, "source", string(c.Source)}
 	switch c.Kind {
-	case "paused":
+	case "paused", "cold":
 		attrs = append(attrs, "until", c.Until)
 	case "limited":
 		attrs = append(attrs, "limit", c.Limit)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -154,7 +154,7 @@
 	Kind string // "added", "leaving", "paused", "limited", "unlimited", "cold", "removed" or "changed", or one of those in era.go
 	// Source is what told of the change.
 	Source Source
-	// Until is the end of a pause.
+	// Until is the end of a pause, or when a cold upstream is warm.
 	Until time.Time
 	// Limit is a limit that the upstream names, in requests a second.
 	Limit float64
@@ -194,8 +194,12 @@
 	t.mu.Lock()
 	kind := t.put(e)
 	t.mu.Unlock()
+	change := Change{Entry: e, Kind: kind, Source: SourceEntry}
+	if kind == "cold" {
+		change.Until = t.now().Add(e.WarmupLeft)
+	}
 	if kind != "" {
-		t.changed(Change{Entry: e, Kind: kind, Source: SourceEntry})
+		t.changed(change)
 	}
 }
 
@@ -378,13 +382,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var all []Status
+	_, mayBeCold := t.warmups[name]
 	for _, i := range t.byService[name] {
 		if !usable(i) {
 			continue
 		}
 		all = append(all, Status{
 			Entry: i.Entry, InFlight: i.inFlight, Tokens: i.tokens,
-			Ejected: now.Before(i.ejectedUntil), Cold: t.isCold(i, now), Latency: i.latency, SinceAnswer: t.requests[name] - i.measuredAt, ErrorRate: i.errorRate,
+			Ejected: now.Before(i.ejectedUntil), Cold: mayBeCold && t.isCold(i, now), Latency: i.latency, SinceAnswer: t.requests[name] - i.measuredAt, ErrorRate: i.errorRate,
 		})
 	}
 	return all
--- a/throttle/cold.go
+++ b/throttle/cold.go
@@ -59,7 +59,7 @@
 
 // Expect prepares for requests to cold upstreams, given with what each takes a second. The
 // buckets of those that this host owns begin to fill now, so that the first request to each is
-// not refused. It is called again and again while upstreams are cold.
+// not refused.
 func (t *Throttle) Expect(cold map[instance.ID]float64) {
 	now := t.config.Now()
 	owned := make(map[instance.ID]float64)
