--- a/instance/evacuation.go
+++ b/instance/evacuation.go
@@ -40,10 +40,6 @@
 	t.changed(change)
 }
 
-// markDataCentreCold records that the upstreams of a data centre may be cold from now on,
-// since its evacuation has ended. The caller holds mu.
-func (t *Table) markDataCentreCold(host.DataCentre, time.Time) {}
-
 // IsEvacuated reports whether a data centre is evacuated.
 func (t *Table) IsEvacuated(dc host.DataCentre) bool {
 	t.mu.Lock()
