workload: estimate of upstreams' load and of the cost of requests

Upstreams report their load and pace in a header that was only removed from answers. A plain request went to the upstream with the lowest latency times load as this host had measured them, and a stage batch to the free server that had been fastest over its last calls, although pace changes every 600 ms.

Decodes the reports, keeps a filtered pace and the age of each report by upstream, and learns the cost of plain requests by route, service and size. The choice of a plain upstream is random, in inverse proportion to the cube of the expected time, so that hosts with the same view do not all take the best one. Free stage servers are ordered by reported pace times measured slowdown. The flag -ignore-load turns the estimate off.

go test of staging, balance, edge, platform, gateway and cmd/seamedge passes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -55,13 +55,18 @@
 	Tried []instance.ID
 	// Version is the software version that the upstream must have; "" means any.
 	Version string
+	Work    Work
 }
 
-// ChooseUpstream chooses an upstream by latency, load, errors and data centre.
+// ChooseUpstream chooses an upstream by the expected time of the request there where
+// upstreams report their load, otherwise by latency, load, errors and data centre.
 // The upstreams serve requests in a fixed number of slots. It returns false if
 // there is none to choose.
 func ChooseUpstream(all []instance.Status, need Need, random *rand.Rand) (instance.Status, bool) {
 	candidates := usable(all, need)
+	if score, known := need.scoreByWork(candidates, random); known {
+		return lowestScore(candidates, score)
+	}
 	lowest := lowestLatency(candidates)
 	return lowestScore(candidates, func(s instance.Status) float64 {
 		latency := expectedLatency(s, lowest)
--- /dev/null
+++ b/balance/work.go
@@ -0,0 +1,71 @@
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/workload"
+)
+
+const (
+	// choiceSharpness is the power of the expected time to which an upstream is chosen
+	// less often. Hosts that share a view spread their requests over the upstreams
+	// instead of all taking the best; at 3, one that takes twice as long gets an eighth.
+	choiceSharpness = 3
+	// unknownPenalty is the share by which the expected time of an upstream that has not
+	// reported lately is raised, so that new and returning ones get little at first.
+	unknownPenalty = 0.6
+)
+
+// Work says what is known about the work at upstreams and of the request.
+type Work struct {
+	// Table is nil if it is not to be used.
+	Table *workload.Table
+	Class workload.Class
+	Now   time.Time
+}
+
+// scoreByWork returns the score of each candidate from its expected time, which is that
+// of the work still to do there and of the request. known is false if no candidate has
+// reported its load. The scores are random, so that the lowest one belongs to each
+// candidate in inverse proportion to a power of its expected time.
+func (n Need) scoreByWork(candidates []instance.Status, random *rand.Rand) (score func(instance.Status) float64, known bool) {
+	states := make(map[instance.ID]workload.State, len(candidates))
+	weights, loads := 0.0, 0.0
+	for _, c := range candidates {
+		s := n.Work.Table.State(c.Process(), n.Work.Now)
+		states[c.ID] = s
+		weights += s.Weight
+		loads += s.Weight * float64(s.Outstanding) / float64(slots(c, s))
+	}
+	if weights == 0 {
+		return nil, false
+	}
+	mean := loads / weights
+	cost := lowestLatency(candidates)
+	if known, is := n.Work.Table.Cost(n.Work.Class, n.Work.Now); is {
+		cost = known.Mean
+	}
+	return func(c instance.Status) float64 {
+		s := states[c.ID]
+		perSlot := 1 / float64(slots(c, s))
+		load := mean + s.Weight*(float64(s.Outstanding)*perSlot-mean)
+		load = max(load, float64(c.InFlight)*perSlot)
+		expected := (load + 1) * cost.Seconds() * s.Pace * s.Slowness * (1 + unknownPenalty*(1-s.Weight))
+		expected *= 1 + errorFactor*c.ErrorRate*c.ErrorRate
+		if c.DataCentre != n.PreferredDataCentre {
+			expected *= remoteFactor
+		}
+		return random.ExpFloat64() * math.Pow(expected, choiceSharpness)
+	}, true
+}
+
+// slots returns the number of slots of an upstream, at least 1.
+func slots(c instance.Status, s workload.State) int {
+	if s.Slots > 0 {
+		return s.Slots
+	}
+	return max(c.Slots, 1)
+}
--- a/call/notice.go
+++ b/call/notice.go
@@ -18,7 +18,21 @@
 	// must turn more than MaxRejections requests away within a second.
 	Brittle       bool
 	MaxRejections int
+	// Load is the process's load if HasLoad is set. MalformedLoad means that the answer
+	// names one that is not valid.
+	Load          Load
+	HasLoad       bool
+	MalformedLoad bool
 	// WrongUpstream means that the notice is of another process than the one that
 	// the call was meant for.
 	WrongUpstream bool
 }
+
+// Load is what an upstream reports about its load.
+type Load struct {
+	Running int // requests that run
+	Waiting int // requests that wait for a slot
+	Slots   int // requests that can run at once
+	// Pace is how long work takes relative to the usual; 0 if it is not reported.
+	Pace float64
+}
--- a/cmd/seamedge/main.go
+++ b/cmd/seamedge/main.go
@@ -44,6 +44,7 @@
 	metricsPort uint
 	fleetKey    string
 	logLevel    slog.Level
+	ignoreLoad  bool
 }
 
 // parseFlags parses the command line. SEAMEDGE_ environment variables set the flags
@@ -56,6 +57,7 @@
 	set.UintVar(&f.metricsPort, "metrics-port", 9464, "port that serves metrics")
 	set.StringVar(&f.fleetKey, "fleet-key", "", "secret by which the hosts of a fleet know each other; without it the address of the store takes its place")
 	set.TextVar(&f.logLevel, "log-level", slog.LevelInfo, "lowest level that is logged")
+	set.BoolVar(&f.ignoreLoad, "ignore-load", false, "choose upstreams without the load that they report and the cost of requests, for comparison")
 	if err := ff.Parse(set, args, ff.WithEnvVarPrefix("SEAMEDGE")); err != nil {
 		return f, err
 	}
@@ -126,7 +128,7 @@
 		HeartbeatInterval: s.HeartbeatInterval, EntryTTL: s.EntryTTL,
 		Capacity:  min(s.CPUShare, s.LinkMegabits/megabitsPerCore),
 		Retries:   retry.Bounds{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window},
-		StoreAddr: s.Store.Addr,
+		StoreAddr: s.Store.Addr, IgnoreLoad: f.ignoreLoad,
 	}
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -35,6 +35,7 @@
 	"github.com/galenaseam/galenaseam/throttle"
 	"github.com/galenaseam/galenaseam/transport"
 	"github.com/galenaseam/galenaseam/tunnel"
+	"github.com/galenaseam/galenaseam/workload"
 )
 
 // Error is the class of every error this package returns.
@@ -102,6 +103,9 @@
 	// removed; 0 takes DefaultVersionMemory. It must be longer than streams last.
 	VersionMemory time.Duration
 	Retries       retry.Bounds
+	// IgnoreLoad turns off the choice of upstreams by their reported load and the cost of
+	// requests, for comparison.
+	IgnoreLoad bool
 	// StoreAddr is the address of the platform's store.
 	StoreAddr netip.AddrPort
 }
@@ -130,6 +134,7 @@
 	members    *member.Membership
 	owners     *ownership.Table
 	instances  *instance.Table
+	workload   *workload.Table // nil if Settings.IgnoreLoad is set
 	directory  *directory.Directory
 	transport  *transport.Client
 	tunnels    *tunnel.Server
@@ -191,6 +196,9 @@
 	h.peerClient = link.NewClient(link.ClientConfig{Key: h.settings.FleetKey, DialTimeout: peerDialTimeout})
 	h.transport = transport.New(h.registry)
 	h.instances = instance.NewTable(h.onUpstreamChange)
+	if !h.settings.IgnoreLoad {
+		h.workload = workload.NewTable(h.registry)
+	}
 	h.transport.OnAnswer(h.onUpstreamAnswer)
 	h.transport.Admit(h.admitCall)
 	h.transport.Acquire(h.acquireCall)
@@ -250,7 +258,7 @@
 		Servers: h.instances, Service: h.service, Owns: func(service string) bool {
 			_, own := h.owners.Owner(service, time.Now())
 			return own
-		}, Caller: h.platform.Stages(h.transport), Retries: h.retries,
+		}, Caller: h.platform.Stages(h.transport), Retries: h.retries, Workload: h.workload,
 		Logger: h.logger, Registerer: h.registry,
 	})
 	h.parts = quarantine.NewParts(quarantine.PartsConfig{
@@ -280,7 +288,7 @@
 			Owners: h.owners, Caller: h.peerClient, Gatherer: h.gatherer, Service: h.service, Logger: h.logger,
 		}, h.mux),
 		Retries: h.retries, ResponseTimes: pace.NewTable(), Placer: placer, Streams: h.streams,
-		ConfirmUpstreams: h.directory.Confirm, VersionMemory: h.settings.VersionMemory,
+		Workload: h.workload, ConfirmUpstreams: h.directory.Confirm, VersionMemory: h.settings.VersionMemory,
 		BodyMemory: int64(bodyMemoryShare * float64(h.settings.MemoryBytes)), Quarantine: suspects, Parts: h.parts,
 		DataCentre: h.settings.Place.DataCentre, Logger: h.logger, Metrics: gateway.NewMetrics(h.registry),
 	})
@@ -338,6 +346,7 @@
 	h.logger.Info("upstream "+c.Kind, attrs...)
 	if c.Kind == "removed" {
 		h.transport.CloseIdle(c.Addr)
+		h.workload.Remove(c.ID)
 	}
 }
 
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/gateway"
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/throttle"
@@ -53,6 +54,26 @@
 	if entry, listed := h.instances.Lookup(sender.ID); listed && notice.Brittle {
 		h.brittle.Named(entry.Service, notice.MaxRejections, now)
 	}
+	h.recordLoad(sender, notice, now)
+}
+
+// recordLoad records the load that an upstream reports. A malformed report is logged once a
+// process.
+func (h *Host) recordLoad(sender instance.Process, notice call.Notice, now time.Time) {
+	if !notice.HasLoad && !notice.MalformedLoad {
+		return
+	}
+	entry, listed := h.instances.Lookup(sender.ID)
+	if !listed || !entry.StartTime.Equal(sender.StartTime) {
+		return
+	}
+	if notice.HasLoad {
+		h.workload.Report(entry, notice.Load, now)
+		return
+	}
+	if h.workload.ReportMalformed(entry, now) {
+		h.logger.Warn("upstream reports a malformed load", "upstream", string(entry.ID), "service", entry.Service, "addr", entry.Addr.String())
+	}
 }
 
 // acquireCall takes the right to send a call to an upstream that names a limit or is
--- a/gateway/attempt_record.go
+++ b/gateway/attempt_record.go
@@ -43,6 +43,9 @@
 	s.monitor.stop()
 	s.ticket.ReportEnd()
 	s.use.End(outcome, now.Sub(s.sentAt), now)
+	if outcome == instance.Answered && !s.needsEngine() {
+		s.config.Workload.Observe(s.costClass(), s.chosen.Entry, now.Sub(s.sentAt), now)
+	}
 	s.config.Metrics.countAttempt(s.service, label)
 	record := attemptRecord{
 		Upstream: string(s.chosen.ID), Addr: s.chosen.Addr.String(), Version: s.chosen.Version, InFlight: s.chosen.InFlight, Peer: s.peer,
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -11,6 +11,7 @@
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/placement"
 	"github.com/galenaseam/galenaseam/staging"
+	"github.com/galenaseam/galenaseam/workload"
 )
 
 // chooseUpstream chooses the next upstream. The ticket is empty unless the
@@ -18,7 +19,10 @@
 func (x *exchange) chooseUpstream(ctx context.Context, plan attemptPlan, inputs *staging.Results) (instance.Status, placement.Ticket, bool) {
 	if !x.needsEngine() {
 		all := x.config.Instances.Service(x.service, time.Now())
-		chosen, found := balance.ChooseUpstream(all, balance.Need{PreferredDataCentre: x.config.DataCentre, Tried: plan.tried, Version: plan.version}, plan.random)
+		chosen, found := balance.ChooseUpstream(all, balance.Need{
+			PreferredDataCentre: x.config.DataCentre, Tried: plan.tried, Version: plan.version,
+			Work: balance.Work{Table: x.config.Workload, Class: x.costClass(), Now: time.Now()},
+		}, plan.random)
 		return chosen, placement.Ticket{}, found
 	}
 	need := placement.Need{
@@ -32,6 +36,12 @@
 	return ticket.Engine, ticket, found
 }
 
+// costClass returns the class of requests that cost about the same as this one at a plain
+// service.
+func (x *exchange) costClass() workload.Class {
+	return workload.ClassOf(x.route.Name, x.service, workload.Shape{BodyBytes: len(x.request.Body)})
+}
+
 // placementID returns an ID for one placement of the request: two attempts may run at the
 // same time.
 func (x *exchange) placementID() string {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/galenaseam/galenaseam/routing"
 	"github.com/galenaseam/galenaseam/staging"
 	"github.com/galenaseam/galenaseam/transport"
+	"github.com/galenaseam/galenaseam/workload"
 )
 
 // Error is the class of every error this package returns.
@@ -62,6 +63,8 @@
 	ResponseTimes *pace.Table
 	Placer        *placement.Placer
 	Streams       *resume.Keeper
+	// Workload is nil if upstreams are chosen without it.
+	Workload *workload.Table
 	// ConfirmUpstreams brings Instances up to date with what the store has acknowledged when
 	// it is called.
 	ConfirmUpstreams func(context.Context) error
--- a/staging/batch.go
+++ b/staging/batch.go
@@ -25,6 +25,7 @@
 	bytes    int64         // memory that the results will take
 	started  time.Time
 	expected time.Duration // duration without queueing or slowdown
+	pace     float64       // of the server when the call began
 	// retriesPaid is true if the retries of the pieces were taken from the retry budget
 	// when the call was ended.
 	retriesPaid bool
@@ -44,7 +45,8 @@
 			})
 		}
 	}
-	b.expected = spec.CallTime + time.Duration(len(pieces))*spec.PieceTime
+	b.expected = callTime(spec, len(pieces))
+	s.noteStart(b, now)
 	s.running[server.ID]++
 	s.memory.reserve(server.ID, b.bytes)
 	b.use, _ = g.config.Servers.Begin(server.ID, 0)
@@ -119,8 +121,7 @@
 func (g *Gatherer) completeBatch(b *batchCall, results []call.PieceResult, now time.Time) (callbacks []func()) {
 	s := b.service
 	if len(b.parts) > 0 && s.running[b.server.ID] == 0 {
-		slowdown := float64(now.Sub(b.started)) / float64(b.expected)
-		s.slowdown[b.server.ID] = s.slowdownOf(b.server.ID) + slowdownSmoothing*(slowdown-s.slowdownOf(b.server.ID))
+		s.observeCall(b, now)
 	}
 	next := 0
 	s.pieceRate.add(float64(len(results)))
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -1,7 +1,6 @@
 package staging
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"slices"
@@ -17,6 +16,7 @@
 	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/retry"
 	"github.com/galenaseam/galenaseam/routing"
+	"github.com/galenaseam/galenaseam/workload"
 )
 
 // Limits and intervals of a gatherer.
@@ -75,6 +75,8 @@
 	Service func(name string) (*routing.Service, bool)
 	Caller  Caller
 	Retries *retry.Budget
+	// Workload is nil if the load that servers report is ignored.
+	Workload *workload.Table
 	// Owns reports whether this host gathers for a service; nil means always.
 	Owns   func(service string) bool
 	Logger *slog.Logger
@@ -89,7 +91,9 @@
 	memory    *resultMemory
 	running   map[instance.ID]int       // calls in progress
 	paused    map[instance.ID]time.Time // when the pause of a server ends
-	slowdown  map[instance.ID]float64   // call duration relative to the expected one
+	workload  *workload.Table           // nil if the reported load is ignored
+	slowdown  map[instance.ID]float64   // call duration relative to the expected one at the reported pace
+	busyUntil map[instance.ID]time.Time // when the last call of a server is expected to end
 	pieceRate rateEstimator             // in pieces per second
 	byteRate  rateEstimator             // in bytes of results per second
 	// pieceArrivals and byteArrivals are the work of groups that arrive in time.
@@ -159,7 +163,7 @@
 	for _, server := range g.config.Servers.Service(s.name, now) {
 		states = append(states, serverState{
 			Upstream: string(server.ID), Running: s.running[server.ID], ResultBytes: s.memory.byServer[server.ID],
-			Slowdown: strconv.FormatFloat(s.slowdownOf(server.ID), 'f', 2, 64), Ejected: server.Ejected,
+			Slowdown: strconv.FormatFloat(s.slownessAt(server, now), 'f', 2, 64), Ejected: server.Ejected,
 			Paused: now.Before(s.paused[server.ID]),
 		})
 	}
@@ -249,6 +253,7 @@
 			name: name, memory: newResultMemory(), running: make(map[instance.ID]int),
 			paused: make(map[instance.ID]time.Time), slowdown: make(map[instance.ID]float64),
 			untracked: make(map[instance.ID]untrackedMemory),
+			workload:  g.config.Workload, busyUntil: make(map[instance.ID]time.Time),
 		}
 		g.services[name] = s
 	}
@@ -323,6 +328,9 @@
 			g.queryFreeMemory(s, server, spec)
 			continue
 		}
+		if !s.startsNow(server, servers, spec, at, now) {
+			break // no other free server is faster
+		}
 		freeMemory := int64(usableMemoryFraction*float64(spec.ResultMemory)) - used
 		if batch := s.queue.takeBatch(now, spec, freeMemory, at); len(batch) > 0 {
 			g.start(s, server, spec, batch, now)
@@ -343,9 +351,7 @@
 		}
 		free = append(free, server)
 	}
-	slices.SortStableFunc(free, func(a, b instance.Status) int {
-		return cmp.Compare(s.slowdownOf(a.ID), s.slowdownOf(b.ID))
-	})
+	s.byFinish(free, now)
 	return free
 }
 
--- /dev/null
+++ b/staging/speed.go
@@ -0,0 +1,72 @@
+package staging
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/routing"
+)
+
+// callTime returns the duration of a call with a number of pieces at a pace of 1.
+func callTime(spec *routing.StageServer, pieces int) time.Duration {
+	return spec.CallTime + time.Duration(pieces)*spec.PieceTime
+}
+
+// slownessAt returns how long a call takes at a server now relative to the usual: the
+// pace that the server reports times the slowdown measured beside it.
+func (s *serviceState) slownessAt(server instance.Status, now time.Time) float64 {
+	return s.slowdownOf(server.ID) * s.workload.State(server.Process(), now).Pace
+}
+
+// observeCall records how long a call took. Pace may have changed since the call began, so
+// the mean of that at its start and at its end is taken.
+func (s *serviceState) observeCall(b *batchCall, now time.Time) {
+	end := s.workload.State(b.server.Process(), now).Pace
+	took := float64(now.Sub(b.started)) / float64(b.expected)
+	slowdown := took / ((b.pace + end) / 2)
+	s.workload.ObserveError(s.name, took/(b.pace*s.slowdownOf(b.server.ID)))
+	s.slowdown[b.server.ID] = s.slowdownOf(b.server.ID) + slowdownSmoothing*(slowdown-s.slowdownOf(b.server.ID))
+}
+
+// byFinish orders servers by when they would finish the same call.
+func (s *serviceState) byFinish(servers []instance.Status, now time.Time) {
+	slowness := make(map[instance.ID]float64, len(servers))
+	for _, server := range servers {
+		slowness[server.ID] = s.slownessAt(server, now)
+	}
+	slices.SortStableFunc(servers, func(a, b instance.Status) int { return cmp.Compare(slowness[a.ID], slowness[b.ID]) })
+}
+
+// busyServers returns the servers whose call is expected to end, with when, in order.
+func (s *serviceState) busyServers(servers []instance.Status, now time.Time) []busyServer {
+	var busy []busyServer
+	for _, server := range servers {
+		if until, is := s.busyUntil[server.ID]; is && !server.Ejected && s.running[server.ID] > 0 {
+			busy = append(busy, busyServer{slowness: s.slownessAt(server, now), freeIn: max(until.Sub(now), 0)})
+		}
+	}
+	return busy
+}
+
+// noteStart records a call for the choice of the servers of the next ones.
+func (s *serviceState) noteStart(b *batchCall, now time.Time) {
+	b.pace = s.workload.State(b.server.Process(), now).Pace
+	s.busyUntil[b.server.ID] = now.Add(time.Duration(float64(b.expected) * b.pace * s.slowdownOf(b.server.ID)))
+}
+
+// startsNow reports whether a free server takes the queued pieces now. Where nothing is
+// known about the servers, it always does.
+func (s *serviceState) startsNow(server instance.Status, servers []instance.Status, spec *routing.StageServer, at locality, now time.Time) bool {
+	if !s.workload.State(server.Process(), now).Known {
+		return true
+	}
+	choice := batchChoice{
+		spec: spec, pieces: s.queue.runnablePieces(at, now), slowness: s.slownessAt(server, now), busy: s.busyServers(servers, now),
+	}
+	if capacity := s.capacity(servers, spec); capacity > 0 {
+		choice.load = s.pieceArrivals.rate / capacity
+	}
+	return choice.startsNow()
+}
