--- a/placement/placer.go
+++ b/placement/placer.go
@@ -181,6 +181,9 @@
 	t := p.trackers[service]
 	if t == nil {
 		t = newTracker()
+		if p.config.Workload == nil {
+			t.rereadWeight = 0
+		}
 		t.pace = func(e instance.Entry, now time.Time) float64 { return p.config.Workload.State(e.Process(), now).Pace }
 		p.trackers[service] = t
 	}
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -96,6 +96,8 @@
 type tracker struct {
 	engines map[instance.ID]*engine
 	running map[string]*placedRequest // by request ID
+	// rereadWeight is rereadWeight, or 0 for comparison.
+	rereadWeight float64
 	// pace returns how long work takes at an engine now, 1 as usual.
 	pace func(instance.Entry, time.Time) float64
 }
@@ -121,7 +123,7 @@
 }
 
 func newTracker() *tracker {
-	return &tracker{engines: make(map[instance.ID]*engine), running: make(map[string]*placedRequest), pace: usualPace}
+	return &tracker{engines: make(map[instance.ID]*engine), running: make(map[string]*placedRequest), pace: usualPace, rereadWeight: rereadWeight}
 }
 
 func usualPace(instance.Entry, time.Time) float64 { return 1 }
@@ -146,7 +148,7 @@
 		e.entry = s.Entry
 		unread := need.Tokens - cached[i]
 		score := float64(e.unreadTokens+unread+runningRequestPenalty*e.running) * defaultReadRate / t.rate(e, now)
-		score += rereadWeight * float64(max(mostShared-min(cached[i], shared), 0))
+		score += t.rereadWeight * float64(max(mostShared-min(cached[i], shared), 0))
 		score += errorRatePenalty * s.ErrorRate * s.ErrorRate
 		if s.ID != home {
 			score += nonHomePenalty
