--- a/placement/placer.go
+++ b/placement/placer.go
@@ -184,7 +184,7 @@
 		if p.config.Workload == nil {
 			t.rereadWeight = 0
 		}
-		t.pace = func(e instance.Entry, now time.Time) float64 { return p.config.Workload.State(e.Process(), now).Pace }
+		t.pace = p.config.Workload.Pace
 		p.trackers[service] = t
 	}
 	return t
@@ -195,8 +195,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.tracker(n.Service)
-	if entry, runs := t.engineOf(n.RequestID); runs && n.Pace > 0 {
-		p.config.Workload.ReportPace(entry, n.Pace, time.Now())
+	if process, runs := t.engineOf(n.RequestID); runs && n.Pace > 0 {
+		p.config.Workload.ReportPace(instance.Entry{ID: process.ID, StartTime: process.StartTime, Service: n.Service}, n.Pace, time.Now())
 	}
 	if n.Ended {
 		t.end(n.RequestID)
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -99,7 +99,7 @@
 	// rereadWeight is rereadWeight, or 0 for comparison.
 	rereadWeight float64
 	// pace returns how long work takes at an engine now, 1 as usual.
-	pace func(instance.Entry, time.Time) float64
+	pace func(instance.Process, time.Time) float64
 }
 
 // engine is the load of one engine and what it has cached.
@@ -107,7 +107,7 @@
 	unreadTokens int // prompt tokens yet to be read
 	memoryTokens int // memory of running requests
 	running      int
-	entry        instance.Entry
+	process      instance.Process
 	readRate     float64 // tokens read per second at pace 1, measured when first events arrive
 	cache        *cache
 }
@@ -126,7 +126,7 @@
 	return &tracker{engines: make(map[instance.ID]*engine), running: make(map[string]*placedRequest), pace: usualPace, rereadWeight: rereadWeight}
 }
 
-func usualPace(instance.Entry, time.Time) float64 { return 1 }
+func usualPace(instance.Process, time.Time) float64 { return 1 }
 
 // place chooses the engine with the lowest score and counts the request as
 // running there. wait estimates the time to its first event.
@@ -136,7 +136,7 @@
 	all = instance.OfVersion(all, need.Version)
 	chain := prefixChain(need.Parts)
 	home := homeEngine(all, chain)
-	cached, mostShared := t.cachedAt(all, limits, chain, need.Parts)
+	engines, mostShared := t.candidates(all, limits, chain, need.Parts)
 	shared := sharedTokens(need.Parts)
 	best := math.Inf(1)
 	bestUnread := 0
@@ -144,11 +144,10 @@
 		if contains(need.Tried, s.ID) || s.Ejected && hasHealthyUntried(all, need.Tried) {
 			continue
 		}
-		e := t.engine(s.ID, limits)
-		e.entry = s.Entry
-		unread := need.Tokens - cached[i]
-		score := float64(e.unreadTokens+unread+runningRequestPenalty*e.running) * defaultReadRate / t.rate(e, now)
-		score += t.rereadWeight * float64(max(mostShared-min(cached[i], shared), 0))
+		e := engines[i]
+		unread := need.Tokens - e.cached
+		score := float64(e.unreadTokens+unread+runningRequestPenalty*e.running) * defaultReadRate / t.rate(e.engine, now)
+		score += t.rereadWeight * float64(max(mostShared-min(e.cached, shared), 0))
 		score += errorRatePenalty * s.ErrorRate * s.ErrorRate
 		if s.ID != home {
 			score += nonHomePenalty
@@ -169,7 +168,7 @@
 		return "", 0, false
 	}
 	e := t.engine(chosen, limits)
-	pace := t.pace(e.entry, now)
+	pace := t.pace(e.process, now)
 	t.end(need.RequestID)
 	e.unreadTokens += bestUnread
 	e.running++
@@ -182,20 +181,28 @@
 }
 
 // rate returns how many tokens an engine reads per second now.
-func (t *tracker) rate(e *engine, now time.Time) float64 { return e.readRate / t.pace(e.entry, now) }
+func (t *tracker) rate(e *engine, now time.Time) float64 { return e.readRate / t.pace(e.process, now) }
 
-// cachedAt returns how many tokens of a prompt each engine has cached, and how many tokens of
-// the parts that requests share the engine has that has most of them.
-func (t *tracker) cachedAt(all []instance.Status, limits Limits, chain []uint64, parts []call.PromptPart) (cached []int, mostShared int) {
+// candidate is an engine and how many tokens of a prompt it has cached.
+type candidate struct {
+	*engine
+	cached int
+}
+
+// candidates returns the engines, and how many tokens of the parts that requests share the
+// engine has cached that has most of them.
+func (t *tracker) candidates(all []instance.Status, limits Limits, chain []uint64, parts []call.PromptPart) (engines []candidate, mostShared int) {
 	shared := sharedTokens(parts)
-	cached = make([]int, len(all))
-	for i, s := range all {
-		cached[i] = t.engine(s.ID, limits).cache.cachedTokens(chain, parts)
-		if !s.Ejected {
-			mostShared = max(mostShared, min(cached[i], shared))
+	engines = make([]candidate, len(all))
+	for i := range all {
+		e := t.engine(all[i].ID, limits)
+		e.process = all[i].Process()
+		engines[i] = candidate{e, e.cache.cachedTokens(chain, parts)}
+		if !all[i].Ejected {
+			mostShared = max(mostShared, min(engines[i].cached, shared))
 		}
 	}
-	return cached, mostShared
+	return engines, mostShared
 }
 
 // sharedTokens returns the length of the parts that other requests may have too: all but the
@@ -220,18 +227,18 @@
 	if took <= 0 || r.queuedTokens < minSampleTokens {
 		return
 	}
-	pace := (r.pace + t.pace(r.engine.entry, now)) / 2
+	pace := (r.pace + t.pace(r.engine.process, now)) / 2
 	measured := min(max(float64(r.queuedTokens)*pace/took.Seconds(), defaultReadRate/10), defaultReadRate*10)
 	r.engine.readRate += readRateSmoothing * (measured - r.engine.readRate)
 }
 
 // engineOf returns the engine that runs a request.
-func (t *tracker) engineOf(requestID string) (entry instance.Entry, runs bool) {
+func (t *tracker) engineOf(requestID string) (process instance.Process, runs bool) {
 	r := t.running[requestID]
 	if r == nil {
-		return instance.Entry{}, false
+		return instance.Process{}, false
 	}
-	return r.engine.entry, true
+	return r.engine.process, true
 }
 
 // minSampleTokens is the fewest unread tokens from which a read rate is
--- a/placement/uneven_test.go
+++ b/placement/uneven_test.go
@@ -57,7 +57,7 @@
 			table.Report(all[i].Entry, call.Load{Pace: paces[i]}, now)
 		}
 	}
-	t.pace = func(e instance.Entry, now time.Time) float64 { return table.State(e.Process(), now).Pace }
+	t.pace = table.Pace
 	const seconds = 24
 	placed := 0
 	read := map[uint64]bool{}
--- a/staging/speed.go
+++ b/staging/speed.go
@@ -18,13 +18,13 @@
 // slownessAt returns how long a call takes at a server now relative to the usual: the
 // pace that the server reports times the slowdown measured beside it.
 func (s *serviceState) slownessAt(server instance.Status, now time.Time) float64 {
-	return s.slowdownOf(server.ID) * s.workload.State(server.Process(), now).Pace
+	return s.slowdownOf(server.ID) * s.workload.Pace(server.Process(), now)
 }
 
 // observeCall records how long a call took. Pace may have changed since the call began, so
 // the mean of that at its start and at its end is taken.
 func (s *serviceState) observeCall(b *batchCall, now time.Time) {
-	end := s.workload.State(b.server.Process(), now).Pace
+	end := s.workload.Pace(b.server.Process(), now)
 	took := float64(now.Sub(b.started)) / float64(b.expected)
 	slowdown := took / ((b.pace + end) / 2)
 	s.workload.ObserveError(s.name, took/(b.pace*s.slowdownOf(b.server.ID)))
@@ -40,12 +40,13 @@
 	slices.SortStableFunc(servers, func(a, b instance.Status) int { return cmp.Compare(slowness[a.ID], slowness[b.ID]) })
 }
 
-// busyServers returns the servers whose call is expected to end, with when, in order.
+// busyServers returns the servers that run a call, with when it is expected to end. One whose
+// call is overdue is left out: it may be stuck, and no batch may wait for it.
 func (s *serviceState) busyServers(servers []instance.Status, now time.Time) []busyServer {
 	var busy []busyServer
 	for _, server := range servers {
-		if until, is := s.busyUntil[server.ID]; is && !server.Ejected && s.running[server.ID] > 0 {
-			busy = append(busy, busyServer{slowness: s.slownessAt(server, now), freeIn: max(until.Sub(now), 0)})
+		if until := s.busyUntil[server.ID]; until.After(now) && !server.Ejected && s.running[server.ID] > 0 {
+			busy = append(busy, busyServer{slowness: s.slownessAt(server, now), freeIn: until.Sub(now)})
 		}
 	}
 	return busy
@@ -53,7 +54,7 @@
 
 // noteStart records a call for the choice of the servers of the next ones.
 func (s *serviceState) noteStart(b *batchCall, now time.Time) {
-	b.pace = s.workload.State(b.server.Process(), now).Pace
+	b.pace = s.workload.Pace(b.server.Process(), now)
 	s.busyUntil[b.server.ID] = now.Add(time.Duration(float64(b.expected) * b.pace * s.slowdownOf(b.server.ID)))
 }
 
--- a/staging/speed_test.go
+++ b/staging/speed_test.go
@@ -124,6 +124,17 @@
 	require.Less(t, mean(t, true, 15), mean(t, false, 15)*102/100)
 }
 
+// Guards against a batch that waits for a server whose call never ends, or that runs none.
+func TestNoBatchWaitsForAnOverdueServer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	servers := []instance.Status{{Entry: instance.Entry{ID: "soon"}}, {Entry: instance.Entry{ID: "overdue"}}, {Entry: instance.Entry{ID: "free"}}}
+	s := &serviceState{
+		running:   map[instance.ID]int{"soon": 1, "overdue": 1},
+		busyUntil: map[instance.ID]time.Time{"soon": now.Add(time.Second), "overdue": now.Add(-time.Second), "free": now.Add(time.Second)},
+	}
+	require.Equal(t, []busyServer{{slowness: 1, freeIn: time.Second}}, s.busyServers(servers, now))
+}
+
 // Guards each reason to wait and not to wait: a call takes 150 ms and 5 ms a piece, and 10
 // servers do 100 calls of 24 pieces in 2.7 s.
 func TestBatchWaitsOnlyNearTheLimitOrForAFasterServer(t *testing.T) {
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -158,21 +158,41 @@
 
 func (u *upstream) state(now time.Time) State {
 	s := State{
-		Known: !u.reportedAt.IsZero(), Pace: 1, Outstanding: u.load.Running + u.load.Waiting, Slots: u.load.Slots,
-		Slowness: 1,
+		Known: !u.reportedAt.IsZero(), Outstanding: u.load.Running + u.load.Waiting,
+		Slots: u.load.Slots, Slowness: 1,
 	}
 	if s.Known {
 		s.Weight = halved(now.Sub(u.reportedAt), reportHalfLife)
 	}
-	if u.pace > 0 {
-		s.Pace = 1 + (u.pace-1)*halved(now.Sub(u.pacedAt), reportHalfLife)
-	}
+	s.Pace = u.paceAt(now)
 	if u.slowness > 0 {
 		s.Slowness = 1 + (u.slowness-1)*halved(now.Sub(u.measuredAt), slownessHalfLife)
 	}
 	return s
 }
 
+// paceAt returns the last pace as far as it has not returned to 1.
+func (u *upstream) paceAt(now time.Time) float64 {
+	if u.pace == 0 {
+		return 1
+	}
+	return 1 + (u.pace-1)*halved(now.Sub(u.pacedAt), reportHalfLife)
+}
+
+// Pace estimates how long work takes at an upstream relative to the usual, 1 if unknown.
+func (t *Table) Pace(process instance.Process, now time.Time) float64 {
+	if t == nil {
+		return 1
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.upstreams[process.ID]
+	if u == nil || !u.isOf(process) {
+		return 1
+	}
+	return u.paceAt(now)
+}
+
 // Remove forgets an upstream that was removed.
 func (t *Table) Remove(id instance.ID) {
 	if t == nil {
