--- a/staging/speed_test.go
+++ b/staging/speed_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -15,7 +14,6 @@
 
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/instance"
-	"github.com/galenaseam/galenaseam/retry"
 	"github.com/galenaseam/galenaseam/routing"
 	"github.com/galenaseam/galenaseam/workload"
 )
@@ -23,11 +21,9 @@
 // pacedServers are stage servers whose pace jumps every 600 ms between 1 and 2.5, and which
 // report it with their results.
 type pacedServers struct {
-	spec  *routing.StageServer
+	*fakeServers
 	table *workload.Table // nil: nobody reads the reports
 	begun time.Time
-	mu    sync.Mutex
-	calls int
 }
 
 func (p *pacedServers) pace(id instance.ID) float64 {
@@ -53,32 +49,16 @@
 	return results, instance.Answered, false, nil
 }
 
-func (*pacedServers) Probe(context.Context, instance.Entry) error { return nil }
-
-func (p *pacedServers) FreeMemory(context.Context, instance.Entry) (int64, error) {
-	return p.spec.ResultMemory, nil
-}
-
-func (*pacedServers) FreeResults(context.Context, []string) error { return nil }
-
 // runPaced sends groups of 1 to 15 pieces, at random times, to 15 servers with 24 pieces a
 // call, and returns the durations.
 func runPaced(t *testing.T, table *workload.Table, perSecond int) (took []time.Duration) {
-	p := &pacedServers{table: table, begun: time.Now(), spec: &routing.StageServer{
+	f := &fakeServers{spec: &routing.StageServer{
 		Concurrency: 1, BatchSize: 24, CallTime: 150 * time.Millisecond, PieceTime: 5400 * time.Microsecond, ResultMemory: 1 << 40, ResultTTL: time.Second,
 	}}
-	instances := instance.NewTable(nil)
-	for i := range 15 {
-		instances.Put(instance.Entry{ID: instance.ID(fmt.Sprint("s", i)), Service: "pieces", Revision: 1})
-	}
-	g := NewGatherer(GathererConfig{
-		Servers: instances, Caller: p, Logger: slog.New(slog.DiscardHandler), Workload: table,
-		Service: func(string) (*routing.Service, bool) { return &routing.Service{Name: "pieces", Stages: p.spec}, true },
-		Retries: retry.New(retry.Bounds{Ratio: 0.2, Slack: 104, Window: 10 * time.Second}, func() int { return 1 }, time.Now()),
-	})
-	ctx, stop := context.WithCancel(t.Context())
-	defer stop()
-	go func() { _ = g.Run(ctx) }()
+	g := newTestGatherer(t, 15, f)
+	g.mu.Lock()
+	g.config.Caller, g.config.Workload = &pacedServers{fakeServers: f, table: table, begun: time.Now()}, table
+	g.mu.Unlock()
 	random := rand.New(rand.NewPCG(1, 2))
 	var all sync.WaitGroup
 	var mu sync.Mutex
@@ -88,7 +68,7 @@
 		all.Go(func() {
 			time.Sleep(at)
 			begun := time.Now()
-			results := g.Gather(ctx, Group{Service: "pieces", RequestID: fmt.Sprint(i), Pieces: pieces, RemainingToTarget: 700 * time.Millisecond, Remaining: 10 * time.Second})
+			results := g.Gather(t.Context(), Group{Service: "pieces", RequestID: fmt.Sprint(i), Pieces: pieces, RemainingToTarget: 700 * time.Millisecond, Remaining: 10 * time.Second})
 			mu.Lock()
 			defer mu.Unlock()
 			if failure(results) == call.PieceDone {
