Staging: serve by class under overload and admit over the whole path

In a burst, groups that could still be in time were ordered by target, with 150 ms for each step of priority, so that all classes became late. Requests were refused by a later stage after earlier ones had run.

The gatherer now decides whether a service is overloaded (the queued work that can be in time exceeds what the measured rate completes by the targets). If so it serves by class, and reports the waits by class. The requesting host adds them up over the stages and refuses a request that would miss its deadline, or its objective by far. A share of all requests is exempt and competes with the most urgent class, so that no class, workspace or size starves.

Missing: tests of the decisions, documentation.

--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -85,6 +85,7 @@
 // serviceState is the queue and the servers' state of one service.
 type serviceState struct {
 	name      string
+	metrics   *gathererMetrics
 	queue     queue
 	memory    *resultMemory
 	running   map[instance.ID]int       // calls in progress
@@ -95,6 +96,7 @@
 	// pieceArrivals and byteArrivals are the work of groups that arrive in time.
 	pieceArrivals arrivalRate
 	byteArrivals  arrivalRate
+	contention    contention
 	untracked     map[instance.ID]untrackedMemory
 	lastLogged    time.Time // when the queue was last logged
 	// disownedSince is the time since which another host owns the service; zero
@@ -126,6 +128,7 @@
 			servers := g.config.Servers.Service(s.name, now)
 			s.pieceRate.update(now, len(s.queue.waiting) > 0, s.capacity(servers, spec))
 			s.byteRate.update(now, len(s.queue.waiting) > 0, s.byteCapacity(servers, spec))
+			g.updateContention(s, spec, now)
 			callbacks = append(callbacks, s.refuseLate(now, spec)...)
 		}
 		callbacks = append(callbacks, g.dispatch(s, now)...)
@@ -210,7 +213,7 @@
 	w := newWorkItem(group, now, func(results []call.PieceResult) { answer <- results })
 	g.mu.Lock()
 	s := g.service(group.Service)
-	if spec, known := g.spec(group.Service); known && !s.canMeetDeadline(w, spec, now) {
+	if spec, known := g.spec(group.Service); known && g.refuseArrival(s, w, spec, now) {
 		g.mu.Unlock()
 		return w.failed(call.PieceOverload)
 	}
@@ -225,6 +228,7 @@
 	case <-ctx.Done():
 		g.mu.Lock()
 		w.ended = true
+		s.queue.remove(w)
 		g.freeResults(w)
 		g.mu.Unlock()
 		return w.failed(call.PieceDeadlineExceeded)
@@ -246,7 +250,7 @@
 	s := g.services[name]
 	if s == nil {
 		s = &serviceState{
-			name: name, memory: newResultMemory(), running: make(map[instance.ID]int),
+			name: name, metrics: g.metrics, memory: newResultMemory(), running: make(map[instance.ID]int),
 			paused: make(map[instance.ID]time.Time), slowdown: make(map[instance.ID]float64),
 			untracked: make(map[instance.ID]untrackedMemory),
 		}
@@ -271,6 +275,7 @@
 	if spec, known := g.spec(s.name); known && w.canMeetTarget(now, spec.FullBatchTime()) {
 		s.pieceArrivals.add(float64(w.Pieces))
 		s.byteArrivals.add(float64(int64(w.Pieces) * w.ResultBytes))
+		s.contention.arrivals[w.class()].add(float64(w.Pieces))
 	}
 }
 
@@ -278,6 +283,11 @@
 type QueueWaits struct {
 	InTime time.Duration // a group that can meet its target
 	Late   time.Duration // one that can't
+	// Overloaded means that the service can't do all queued work in time. ByClass is then how
+	// long a group that can meet its target is queued, by class; the last entry is also that
+	// of all less urgent classes.
+	Overloaded bool
+	ByClass    []time.Duration
 }
 
 // Waits estimates how long new groups of a service are queued.
@@ -291,7 +301,11 @@
 	}
 	all := s.queue.backlog(now, spec.FullBatchTime())
 	inTime := backlog{inTime: all.inTime}
-	return QueueWaits{InTime: max(s.pieceWait(inTime), s.byteWait(inTime)), Late: max(s.pieceWait(all), s.byteWait(all))}
+	waits := QueueWaits{InTime: max(s.pieceWait(inTime), s.byteWait(inTime)), Late: max(s.pieceWait(all), s.byteWait(all))}
+	if s.queue.overloaded && !g.hasRoom(s, spec, now) {
+		waits.Overloaded, waits.ByClass = true, s.classWaits(now, spec.FullBatchTime())
+	}
+	return waits
 }
 
 // dispatch sends queued pieces to available servers. The caller holds mu and
--- a/staging/queue.go
+++ b/staging/queue.go
@@ -41,6 +41,12 @@
 	// the servers that hold them. Other requests wait for that memory until
 	// this group is done.
 	ScarceInputs bool `cbor:"14,keyasint"`
+	// Guaranteed says that the request is of the share that is served like the most urgent
+	// class under overload.
+	Guaranteed bool `cbor:"15,keyasint,omitempty"`
+	// LateTolerance is by how much the group may miss its target before it is refused under
+	// overload; 0 if it is not refused for that.
+	LateTolerance time.Duration `cbor:"16,keyasint,omitempty"`
 }
 
 // workItem is a group that is queued or running.
@@ -73,6 +79,13 @@
 // queue holds the groups of one service that wait for a server. It does no I/O.
 type queue struct {
 	waiting []*workItem
+	// overloaded selects the order of compareOverloaded.
+	overloaded bool
+}
+
+// remove removes a group.
+func (q *queue) remove(w *workItem) {
+	q.waiting = slices.DeleteFunc(q.waiting, func(other *workItem) bool { return other == w })
 }
 
 func (q *queue) push(w *workItem) { q.waiting = append(q.waiting, w) }
@@ -180,7 +193,7 @@
 // ahead returns the work that would be served before a new group.
 func (q *queue) ahead(w *workItem, now time.Time, batchTime time.Duration) (all backlog) {
 	for _, other := range q.waiting {
-		if compare(other, w, now, batchTime) <= 0 {
+		if q.compare(other, w, now, batchTime) <= 0 {
 			all.add(other, now, batchTime)
 		}
 	}
@@ -258,7 +271,7 @@
 
 // sort puts the groups into the order in which they are served.
 func (q *queue) sort(now time.Time, batchTime time.Duration) {
-	slices.SortStableFunc(q.waiting, func(a, b *workItem) int { return compare(a, b, now, batchTime) })
+	slices.SortStableFunc(q.waiting, func(a, b *workItem) int { return q.compare(a, b, now, batchTime) })
 }
 
 // canMeetTarget reports whether a group that starts now meets its target even
@@ -272,7 +285,15 @@
 	return w.ScarceInputs || !now.Add(batchTime).After(w.target)
 }
 
-// compare orders groups. Those that can meet their targets come first, ordered
+// compare orders groups.
+func (q *queue) compare(a, b *workItem, now time.Time, batchTime time.Duration) int {
+	if q.overloaded {
+		return compareOverloaded(a, b, now, batchTime)
+	}
+	return compare(a, b, now, batchTime)
+}
+
+// compare orders groups without overload. Those that can meet their targets come first, ordered
 // by target and priority. The others follow, ordered by priority and deadline.
 func compare(a, b *workItem, now time.Time, batchTime time.Duration) int {
 	due := func(w *workItem) time.Time { return w.target.Add(time.Duration(w.Priority) * priorityStep) }
--- a/staging/rate.go
+++ b/staging/rate.go
@@ -120,17 +120,34 @@
 // canMeetDeadline reports whether a new group can finish before its deadline,
 // given the groups that are served before it.
 func (s *serviceState) canMeetDeadline(w *workItem, spec *routing.StageServer, now time.Time) bool {
-	ahead := s.queue.ahead(w, now, spec.FullBatchTime())
-	return !now.Add(s.estimateDuration(w, spec, ahead, now)).After(w.deadline)
+	return s.refusalReason(w, spec, s.queue.ahead(w, now, spec.FullBatchTime()), now) != refusedDeadline
+}
+
+// refusalReason returns why a group is refused when the given work is served before it, "" if
+// it is not: it would miss its deadline, or the service is overloaded and a request for which
+// no work has been done would miss its objective by far.
+func (s *serviceState) refusalReason(w *workItem, spec *routing.StageServer, ahead backlog, now time.Time) string {
+	end := now.Add(s.estimateDuration(w, spec, ahead, now))
+	switch {
+	case end.After(w.deadline):
+		return refusedDeadline
+	case s.queue.overloaded && !w.begun() && missesByFar(end, w.target, w.tolerance()):
+		return refusedObjective
+	}
+	return ""
 }
 
 // estimateDuration estimates how long a group takes when the given work is served before it.
 // A late group also waits for the groups that arrive until then and can be in time.
 func (s *serviceState) estimateDuration(w *workItem, spec *routing.StageServer, ahead backlog, now time.Time) time.Duration {
-	if !w.canMeetTarget(now, spec.FullBatchTime()) {
+	inTime := w.canMeetTarget(now, spec.FullBatchTime())
+	if !inTime {
 		ahead.late.add(w)
 	}
 	wait := s.pieceWait(ahead)
+	if s.queue.overloaded {
+		wait = s.pieceRate.lateTimeFor(ahead.inTime.pieces+ahead.late.pieces, s.contention.moreUrgent(w.rank(inTime)))
+	}
 	if w.ResultBytes > 0 && w.ResultBytes >= s.queue.largestResult()/smallResultDivisor {
 		wait = max(wait, s.byteWait(ahead))
 	}
@@ -152,16 +169,19 @@
 // wait for memory.
 const smallResultDivisor = 8
 
-// refuseLate fails the groups that can no longer meet their deadlines, so that
-// their callers are told at once. Groups with pieces on a server stay.
+// refuseLate fails the groups that can no longer meet their deadlines, or that
+// miss their objectives by far under overload, so that their callers are told at once. Groups with pieces on a server stay.
 func (s *serviceState) refuseLate(now time.Time, spec *routing.StageServer) (callbacks []func()) {
 	s.queue.sort(now, spec.FullBatchTime())
 	var ahead backlog
 	kept := s.queue.waiting[:0]
 	for _, w := range s.queue.waiting {
-		if w.unfinished == len(w.waiting) && now.Add(s.estimateDuration(w, spec, ahead, now)).After(w.deadline) {
-			callbacks = append(callbacks, w.end(call.PieceOverload))
-			continue
+		if w.unfinished == len(w.waiting) {
+			if reason := s.refusalReason(w, spec, ahead, now); reason != "" {
+				s.countRefused(w, reason)
+				callbacks = append(callbacks, w.end(call.PieceOverload))
+				continue
+			}
 		}
 		ahead.add(w, now, spec.FullBatchTime())
 		kept = append(kept, w)
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +23,7 @@
 const (
 	gatherMethod link.Method = "staging.Gather"
 	freeMethod   link.Method = "staging.Free"
+	waitsMethod  link.Method = "staging.Waits"
 )
 
 // Limits and intervals for reaching gatherers.
@@ -62,8 +64,9 @@
 type Runner struct {
 	config RunnerConfig
 
-	mu         sync.Mutex // guards queueWaits
+	mu         sync.Mutex // guards the fields below
 	queueWaits map[string]queueWait
+	shares     shareTracker
 }
 
 // queueWait is the queueing time that a service's gatherer last reported.
@@ -71,6 +74,7 @@
 	QueueWaits
 	pausedFor time.Duration
 	at        time.Time
+	asked     time.Time // when the gatherer was last asked for it
 }
 
 // RunnerConfig configures a Runner.
@@ -86,16 +90,18 @@
 // NewRunner creates a runner and registers the methods by which other hosts use
 // this host's gatherer.
 func NewRunner(config RunnerConfig, registrar link.Registrar) *Runner {
-	r := &Runner{config: config, queueWaits: make(map[string]queueWait)}
+	r := &Runner{config: config, queueWaits: make(map[string]queueWait), shares: shareTracker{offset: rand.Float64()}}
 	link.HandleTyped(registrar, gatherMethod, func(ctx context.Context, g Group) (gatherReply, error) {
 		results := config.Gatherer.Gather(ctx, g)
 		if failure(results) == call.PieceRefused {
 			return gatherReply{}, Error.New("service %q is not in the configuration of this host", g.Service) // another host may have it
 		}
-		waits := config.Gatherer.Waits(g.Service, time.Now())
-		return gatherReply{
-			Results: results, Wait: waits.InTime, LateWait: waits.Late, PausedFor: config.Gatherer.PausedFor(g.Service, time.Now()),
-		}, nil
+		reply := newGatherReply(config.Gatherer, g.Service, time.Now())
+		reply.Results = results
+		return reply, nil
+	})
+	link.HandleTyped(registrar, waitsMethod, func(_ context.Context, q waitsRequest) (gatherReply, error) {
+		return newGatherReply(config.Gatherer, q.Service, time.Now()), nil
 	})
 	link.HandleTyped(registrar, freeMethod, func(_ context.Context, f freeRequest) (struct{}, error) {
 		config.Gatherer.Free(f.Handles)
@@ -114,6 +120,18 @@
 	// PausedFor is how long until the first server accepts calls of the gatherer
 	// again; 0 unless all are paused.
 	PausedFor time.Duration `cbor:"3,keyasint"`
+	// Overloaded and WaitByClass are those of QueueWaits.
+	Overloaded  bool            `cbor:"5,keyasint,omitempty"`
+	WaitByClass []time.Duration `cbor:"6,keyasint,omitempty"`
+}
+
+// newGatherReply returns the answer of a gatherer without results.
+func newGatherReply(g *Gatherer, service string, now time.Time) gatherReply {
+	waits := g.Waits(service, now)
+	return gatherReply{
+		Wait: waits.InTime, LateWait: waits.Late, PausedFor: g.PausedFor(service, now),
+		Overloaded: waits.Overloaded, WaitByClass: waits.ByClass,
+	}
 }
 
 // freeRequest is the input of staging.Free.
@@ -134,6 +152,8 @@
 	// EngineDataCentre is the data centre of the engine that is likely to run the
 	// request.
 	EngineDataCentre host.DataCentre
+	// guaranteed is set by Run.
+	guaranteed bool
 }
 
 // Results are the results of a request's stages. The caller must call Free on
@@ -159,12 +179,14 @@
 			return nil, err
 		}
 	}
+	w.guaranteed = r.drawGuaranteed(w, time.Now())
 	results, err := r.runOnce(ctx, w)
 	if f := AsFailure(err); f != nil && f.Reason == call.PieceInputGone {
 		r.config.Logger.Warn("restarting stages after an input was lost", "request", w.Request.ID, "service", f.Service, "stage", f.Stage,
 			"reason", f.Reason.String())
-		return r.runOnce(ctx, w)
+		results, err = r.runOnce(ctx, w)
 	}
+	r.recordServed(err, time.Now())
 	return results, err
 }
 
@@ -175,7 +197,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if overload := r.predictOverload(w, g, time.Now()); overload != nil {
+	r.refreshWaits(ctx, g)
+	now := time.Now()
+	if overload := r.predictOverload(w, g, now); overload != nil {
+		return nil, overload
+	}
+	if overload := r.refuseOverPath(w, g, now); overload != nil {
 		return nil, overload
 	}
 	results := &Results{runner: r, unfreed: make(map[string][]string), stageDataCentres: make(map[int]host.DataCentre), Bytes: make(map[host.DataCentre]int64)}
@@ -223,7 +250,8 @@
 	group := Group{
 		Service: w.Stages[stage].Service, RequestID: w.Request.ID, Stage: stage, Pieces: g.pieces[stage],
 		Inputs: inputs, Remaining: w.Deadline.Sub(now) - r.timeAfter(g, stage), RemainingToTarget: w.TargetTime.Sub(now) - r.timeAfter(g, stage),
-		ResultBytes: w.Stages[stage].ResultBytes, Priority: w.Priority,
+		ResultBytes: w.Stages[stage].ResultBytes, Priority: w.Priority, Guaranteed: w.guaranteed,
+		LateTolerance: lateToleranceOf(classOf(w.Priority), w.TargetTime.Sub(w.Request.Arrived)),
 	}
 	if len(w.Stages[stage].DependsOn) == 0 {
 		group.Key = w.Request.PiecesKey
@@ -247,7 +275,7 @@
 	}
 	if reason := failure(pieces); reason != call.PieceDone {
 		waits, _ := r.recentQueueWaits(group.Service, time.Now())
-		wait := waits.InTime
+		wait := max(waits.InTime, waits.of(classOf(w.Priority)))
 		if reason == call.PiecePaused {
 			wait = r.pausedFor(group.Service, time.Now())
 		}
@@ -299,7 +327,8 @@
 
 // predictOverload returns the failure of the first stage whose queue is known to be too
 // long: the request would be late there, and groups that are late wait too long to meet the
-// deadline. Such a request is refused before any work is done for it.
+// deadline. Such a request is refused before any work is done for it. refuseOverPath decides
+// about services that are overloaded.
 func (r *Runner) predictOverload(w Work, g *graph, now time.Time) error {
 	for i, s := range g.stages {
 		if g.pieces[i] == 0 {
@@ -307,7 +336,7 @@
 		}
 		waits, known := r.recentQueueWaits(s.Service, now)
 		inTime := !now.Add(waits.InTime + r.timeAfter(g, i)).After(w.TargetTime)
-		if known && !inTime && now.Add(waits.Late+r.timeAfter(g, i)).After(w.Deadline) {
+		if known && !waits.Overloaded && !inTime && now.Add(waits.Late+r.timeAfter(g, i)).After(w.Deadline) {
 			return r.newFailure(i, s.Service, call.PieceOverload, waits.InTime)
 		}
 	}
@@ -467,9 +496,7 @@
 	if len(got.Results) != g.Pieces {
 		return nil, Error.New("gatherer returned %d results for %d pieces", len(got.Results), g.Pieces)
 	}
-	r.mu.Lock()
-	r.queueWaits[g.Service] = queueWait{QueueWaits: QueueWaits{InTime: got.Wait, Late: max(got.Wait, got.LateWait)}, pausedFor: got.PausedFor, at: time.Now()}
-	r.mu.Unlock()
+	r.recordWaits(g.Service, got, time.Now())
 	return got.Results, nil
 }
 
