Staging: order, admission and guaranteed shares under overload

Change: an overload lasts until the queue has drained; groups are served strictly by class then, within a class in time first, begun before the others. The gatherer reports by class the waits now and in 0.5 s and the part of the class that fits; hosts report what they refuse. The guarantee goes to a sample of the requests that would be refused, by class, independent of workspace and size. Retry-After is spread over half of a long wait.

--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -20,8 +20,8 @@
 	// alone.
 	quarantineRetryAfter = 2 * time.Second
 	// overloadRetryAfter is about the time in which a queue of calls to stage
-	// servers drains. A random time is added to it so that refused callers don't
-	// all retry at once.
+	// servers drains. A random time, up to the same or half of a longer wait, is added so that
+	// refused callers don't all retry at once.
 	overloadRetryAfter = 600 * time.Millisecond
 	// maxOverloadRetryAfter bounds the estimated wait, before the random time is
 	// added. It is a third of the deadline that most callers have.
@@ -59,7 +59,7 @@
 		}
 		wait = min(max(f.Wait, overloadRetryAfter), maxOverloadRetryAfter)
 	}
-	return wait + time.Duration(x.random.Int64N(int64(overloadRetryAfter)))
+	return wait + time.Duration(x.random.Int64N(int64(max(overloadRetryAfter, wait/2))))
 }
 
 // spread returns a random time from wait to twice that.
--- a/staging/admission.go
+++ b/staging/admission.go
@@ -12,36 +12,43 @@
 	// refusedObjective: a service is overloaded, and the request would miss its objective by
 	// far.
 	refusedObjective = "objective"
+	// refusedShare: a service is overloaded, and the request is of the part of its class that
+	// its servers can't do besides the more urgent classes.
+	refusedShare = "share"
 )
 
 const (
-	// guaranteedShare is the share of requests that are served like those of the most urgent
-	// class, relative to the share of all requests that are served. It is somewhat above the
-	// quarter that each class and workspace must get.
-	guaranteedShare = 0.3
+	// guaranteedShare is the share of the requests of a class that is served, relative to the
+	// share of all requests that are served, below which further requests of the class are
+	// served like those of the most urgent class. It is above the quarter that each class and
+	// workspace must get.
+	guaranteedShare = 0.4
+	// guaranteedDraw is the part of the requests that would be refused which then get the
+	// guarantee, so that it does not go to the first ones only.
+	guaranteedDraw = 0.5
 	// lateTolerance is the part of its objective by which a request of class 1 may miss its
-	// target; one of class n may miss it by an n-th of that.
-	lateTolerance = 0.5
+	// target. One of class n may miss it by that divided by the square of n.
+	lateTolerance = 1.0
 )
 
 // pathStage is a stage of a request with what is known about its service.
 type pathStage struct {
 	dependsOn []int
 	empty     bool          // the stage has no pieces
-	time      time.Duration // without queueing for more than a call
+	time      time.Duration // that the stage runs
 	known     bool          // waits were reported recently
 	waits     QueueWaits
 }
 
 // admission is a request that arrives, with the stages on its path.
 type admission struct {
-	class      int
-	guaranteed bool
-	arrived    time.Time
-	now        time.Time
-	target     time.Time
-	deadline   time.Time
-	stages     []pathStage
+	class    int
+	arrived  time.Time
+	now      time.Time
+	target   time.Time
+	deadline time.Time
+	stages   []pathStage
+	draw     float64 // position among the requests of the class, from 0 to 1
 }
 
 // refusedAt is the decision to refuse a request.
@@ -51,17 +58,18 @@
 	reason string
 }
 
-// decide refuses a request if one of its services is overloaded and the request would, over
-// all of its stages, meet neither its objective nor its deadline, or would miss its objective
-// by far. A request of the guaranteed share competes with the most urgent class.
-func (a *admission) decide() (refused refusedAt, refuse bool) {
-	class := a.class
-	if a.guaranteed {
-		class = 0
-	}
-	refused.stage = -1
+// forecast is what is expected of a request on its path.
+type forecast struct {
+	end     time.Time     // of the last stage
+	stage   int           // the stage with the longest wait at an overloaded service; -1 for none
+	longest time.Duration // that wait
+	fit     float64       // the least part of the class that an overloaded service can do
+}
+
+// forecast adds up the waits and times of the stages along the longest path.
+func (a *admission) forecast() forecast {
+	f := forecast{end: a.now, stage: -1, longest: -1, fit: 1}
 	ends := make([]time.Time, len(a.stages))
-	last, longest := a.now, time.Duration(-1)
 	for i, s := range a.stages {
 		ends[i] = a.now
 		for _, before := range s.dependsOn {
@@ -72,22 +80,37 @@
 		}
 		wait := time.Duration(0)
 		if s.known {
-			wait = s.waits.of(class)
+			wait = s.waits.after(a.class, ends[i].Sub(a.now))
 		}
-		if s.known && s.waits.Overloaded && wait > longest {
-			refused.stage, longest = i, wait
+		if s.known && s.waits.Overloaded {
+			f.fit = min(f.fit, s.waits.fit(a.class))
+			if wait > f.longest {
+				f.stage, f.longest = i, wait
+			}
 		}
 		ends[i] = ends[i].Add(wait + s.time)
-		last = later(last, ends[i])
+		f.end = later(f.end, ends[i])
 	}
-	if refused.stage < 0 || !last.After(a.target) {
+	return f
+}
+
+// decide refuses a request if one of its services is overloaded and the request would, over
+// all of its stages, meet neither its objective nor its deadline, would miss its objective by
+// far, or is of the part of its class that the servers can't do.
+func (a *admission) decide() (refused refusedAt, refuse bool) {
+	f := a.forecast()
+	if f.stage < 0 {
 		return refusedAt{}, false
 	}
-	refused.wait = longest
+	refused = refusedAt{stage: f.stage, wait: f.longest}
 	switch {
-	case last.After(a.deadline):
+	case a.class > 0 && a.draw >= f.fit:
+		refused.reason = refusedShare
+	case !f.end.After(a.target):
+		return refusedAt{}, false
+	case f.end.After(a.deadline):
 		refused.reason = refusedDeadline
-	case missesByFar(last, a.target, lateToleranceOf(class, a.target.Sub(a.arrived))):
+	case missesByFar(f.end, a.target, lateToleranceOf(a.class, a.target.Sub(a.arrived))):
 		refused.reason = refusedObjective
 	default:
 		return refusedAt{}, false
@@ -101,7 +124,7 @@
 	if class == 0 {
 		return 0
 	}
-	return max(time.Duration(lateTolerance/float64(class)*float64(objective)), time.Millisecond)
+	return max(time.Duration(lateTolerance/float64(class*class*class)*float64(objective)), time.Millisecond)
 }
 
 // missesByFar reports whether a request that ends at a time misses its target by so much that
@@ -117,55 +140,87 @@
 	return a
 }
 
-// of returns the wait of a group of a class that can be in time.
-func (q QueueWaits) of(class int) time.Duration {
-	if len(q.ByClass) == 0 {
-		return q.InTime
+// after returns the wait of a group of a class that can be in time and arrives after a time.
+// Waits that another host reports are kept within 0 and maxWait.
+func (q QueueWaits) after(class int, arrives time.Duration) time.Duration {
+	of := func(waits []time.Duration, otherwise time.Duration) time.Duration {
+		if len(waits) > 0 {
+			otherwise = waits[min(class, len(waits)-1)]
+		}
+		return min(max(otherwise, 0), maxWait)
 	}
-	return min(max(q.ByClass[min(class, len(q.ByClass)-1)], 0), maxWait)
+	wait := of(q.ByClass, q.InTime)
+	part := min(float64(arrives)/float64(waitHorizon), 1)
+	return wait + time.Duration(part*float64(of(q.LaterByClass, wait)-wait))
 }
 
-// shareTracker follows which share of the requests of this host has been served, and selects
-// the requests of the guaranteed share. The selection depends neither on the workspace nor on
-// the size of a request, so all get the same share of it.
-type shareTracker struct {
-	arrived, served float64 // over about shareMemory
-	updated         time.Time
-	offset          float64 // start of the sequence, from 0 to 1; differs from host to host
-	drawn           [maxClasses]uint64
+// fit returns the part of the requests of a class that the servers can do.
+func (q QueueWaits) fit(class int) float64 {
+	if len(q.FitByClass) == 0 {
+		return 1
+	}
+	return q.FitByClass[min(class, len(q.FitByClass)-1)]
 }
 
 const (
-	// shareMemory is the time constant with which requests are forgotten: about two bursts.
-	shareMemory = 10 * time.Second
-	// sharePrior is how many served requests are assumed at first.
-	sharePrior = 2
+	// shareMemory is the time constant with which requests are forgotten: about a burst.
+	shareMemory = 5 * time.Second
+	// sharePrior is how many served requests of each class are assumed at first. With less
+	// than one, a host with few requests of a class grants the guarantee after two refusals.
+	sharePrior = 0.5
 )
 
+// shareTracker follows which share of the requests of this host is served, and selects the
+// requests of the guaranteed share among those that would be refused. The selection depends
+// neither on the workspace nor on the size of a request, so all get the same share of it.
+type shareTracker struct {
+	classes [maxClasses]struct {
+		arrived, served float64 // over about shareMemory
+	}
+	updated time.Time
+	offset  float64 // start of the sequences, from 0 to 1; differs from host to host
+	drawn   [2 * maxClasses]uint64
+}
+
 // record counts a request that was served or refused.
-func (t *shareTracker) record(served bool, now time.Time) {
+func (t *shareTracker) record(class int, served bool, now time.Time) {
 	t.decay(now)
-	t.arrived++
+	t.classes[class].arrived++
 	if served {
-		t.served++
+		t.classes[class].served++
 	}
 }
 
 func (t *shareTracker) decay(now time.Time) {
 	if elapsed := now.Sub(t.updated); !t.updated.IsZero() && elapsed > 0 {
 		factor := math.Exp(-elapsed.Seconds() / shareMemory.Seconds())
-		t.arrived *= factor
-		t.served *= factor
+		for i := range t.classes {
+			t.classes[i].arrived *= factor
+			t.classes[i].served *= factor
+		}
 	}
 	t.updated = now
 }
 
-// draw reports whether a request of a class is of the guaranteed share. The fractional parts
-// of the multiples of the golden ratio are spread evenly, also in each regular part of the
-// sequence.
+// draw reports whether a request of a class that would be refused is of the guaranteed share.
 func (t *shareTracker) draw(class int, now time.Time) bool {
 	t.decay(now)
-	t.drawn[class]++
-	_, x := math.Modf(t.offset + float64(t.drawn[class])*(math.Phi-1))
-	return x < guaranteedShare*(t.served+sharePrior)/(t.arrived+sharePrior)
+	arrived, served := sharePrior, sharePrior
+	for _, c := range t.classes {
+		arrived += c.arrived
+		served += c.served
+	}
+	c := &t.classes[class]
+	if (c.served+sharePrior)/(c.arrived+sharePrior) >= guaranteedShare*served/arrived {
+		return false
+	}
+	return t.next(maxClasses+class) < guaranteedDraw
+}
+
+// next returns the next number, from 0 to 1, of a sequence. The fractional parts of the
+// multiples of the golden ratio are spread evenly, also in each regular part of the sequence.
+func (t *shareTracker) next(sequence int) float64 {
+	t.drawn[sequence]++
+	_, x := math.Modf(t.offset + float64(t.drawn[sequence])*(math.Phi-1))
+	return x
 }
--- a/staging/arrival.go
+++ b/staging/arrival.go
@@ -24,24 +24,19 @@
 // waitsRequest is the input of staging.Waits.
 type waitsRequest struct {
 	Service string `cbor:"1,keyasint"`
-}
-
-// drawGuaranteed decides whether a request is of the guaranteed share.
-func (r *Runner) drawGuaranteed(w Work, now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.shares.draw(classOf(w.Priority), now)
+	// Refused is the pieces that the host has refused since it last asked, by class.
+	Refused []float64 `cbor:"2,keyasint,omitempty"`
 }
 
 // recordServed counts a request whose stages ran, or that was refused for lack of capacity.
-func (r *Runner) recordServed(err error, now time.Time) {
+func (r *Runner) recordServed(w Work, err error, now time.Time) {
 	f := AsFailure(err)
 	if err != nil && (f == nil || f.Reason != call.PieceOverload && f.Reason != call.PieceDeadlineExceeded) {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.shares.record(err == nil, now)
+	r.shares.record(classOf(w.Priority), err == nil, now)
 }
 
 // recordWaits stores what the gatherer of a service reported.
@@ -49,7 +44,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.queueWaits[service] = queueWait{QueueWaits: QueueWaits{
-		InTime: got.Wait, Late: max(got.Wait, got.LateWait), Overloaded: got.Overloaded, ByClass: got.WaitByClass,
+		InTime: got.Wait, Late: max(got.Wait, got.LateWait), Overloaded: got.Overloaded, ByClass: got.ByClass, LaterByClass: got.LaterByClass, FitByClass: got.FitByClass,
 	}, pausedFor: got.PausedFor, at: now, asked: now}
 }
 
@@ -64,11 +59,13 @@
 			continue
 		}
 		owner, own := r.config.Owners.Owner(s.Service, time.Now())
+		refused := r.takeRefused(s.Service)
 		if own {
+			r.config.Gatherer.NoteRefused(s.Service, refused)
 			continue
 		}
 		asking.Go(func() error {
-			got, err := link.CallTyped[waitsRequest, gatherReply](ctx, r.config.Caller, owner.LinkAddr, waitsMethod, waitsRequest{Service: s.Service})
+			got, err := link.CallTyped[waitsRequest, gatherReply](ctx, r.config.Caller, owner.LinkAddr, waitsMethod, waitsRequest{Service: s.Service, Refused: refused})
 			if err == nil {
 				r.recordWaits(s.Service, got, time.Now())
 			}
@@ -84,7 +81,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.queueWaits[service]
-	if !w.Overloaded || now.Sub(w.asked) < waitsRefreshAge || now.Sub(w.at) > overloadMemory {
+	_, refused := r.refused[service]
+	overloaded := w.Overloaded && now.Sub(w.at) <= overloadMemory
+	if !refused && !overloaded || now.Sub(w.asked) < waitsRefreshAge {
 		return false
 	}
 	w.asked = now
@@ -92,21 +91,75 @@
 	return true
 }
 
-// refuseOverPath returns the failure of a request that is refused because of all stages on
-// its path, nil if it is admitted.
-func (r *Runner) refuseOverPath(w Work, g *graph, now time.Time) error {
-	a := admission{class: classOf(w.Priority), guaranteed: w.guaranteed, arrived: w.Request.Arrived, now: now, target: w.TargetTime, deadline: w.Deadline}
+// admitOverPath returns the failure of a request that is refused because of all stages on its
+// path, nil if it is admitted. guaranteed is true if it would be refused but is of the share
+// that its class is guaranteed.
+func (r *Runner) admitOverPath(w Work, g *graph, now time.Time) (guaranteed bool, failure error) {
+	a := admission{class: classOf(w.Priority), arrived: w.Request.Arrived, now: now, target: w.TargetTime, deadline: w.Deadline}
 	for i, s := range g.stages {
 		waits, known := r.recentQueueWaits(s.Service, now)
 		a.stages = append(a.stages, pathStage{
-			dependsOn: s.DependsOn, empty: g.pieces[i] == 0, time: r.stageTime(g, i), known: known, waits: waits,
+			dependsOn: s.DependsOn, empty: g.pieces[i] == 0, time: r.fullBatchTime(s.Service), known: known, waits: waits,
 		})
 	}
+	a.draw = r.drawFit(a.class)
 	refused, refuse := a.decide()
 	if !refuse {
-		return nil
+		return false, nil
 	}
+	if r.drawGuaranteed(a.class, now) {
+		a.class = 0
+		if refused, refuse = a.decide(); !refuse {
+			return true, nil
+		}
+	}
+	r.recordRefused(a.class, g)
 	service := g.stages[refused.stage].Service
 	r.config.Gatherer.metrics.countRefused(service, w.Priority, refused.reason, "arrival")
-	return r.newFailure(refused.stage, service, call.PieceOverload, refused.wait)
+	return false, r.newFailure(refused.stage, service, call.PieceOverload, refused.wait)
+}
+
+// fullBatchTime returns how long a group of a service runs under overload: calls are then full,
+// and the pieces of a group that is larger than a call run in several calls at the same time.
+func (r *Runner) fullBatchTime(service string) time.Duration {
+	described, known := r.config.Service(service)
+	if !known || described.Stages == nil {
+		return 0
+	}
+	return described.Stages.FullBatchTime()
+}
+
+// recordRefused counts the pieces of a request that is refused.
+func (r *Runner) recordRefused(class int, g *graph) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, s := range g.stages {
+		if r.refused[s.Service] == nil {
+			r.refused[s.Service] = make([]float64, maxClasses)
+		}
+		r.refused[s.Service][class] += float64(g.pieces[i])
+	}
+}
+
+// takeRefused returns the pieces refused since the last report, for the next one.
+func (r *Runner) takeRefused(service string) []float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	refused := r.refused[service]
+	delete(r.refused, service)
+	return refused
+}
+
+// drawFit returns the position of a request, from 0 to 1, among those of its class.
+func (r *Runner) drawFit(class int) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.shares.next(class)
+}
+
+// drawGuaranteed decides whether a request that would be refused is of the guaranteed share.
+func (r *Runner) drawGuaranteed(class int, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.shares.draw(class, now)
 }
--- a/staging/contention.go
+++ b/staging/contention.go
@@ -25,8 +25,10 @@
 type contention struct {
 	overloaded bool
 	last       time.Time // when the queue last exceeded what the servers can do in time
-	// arrivals is the work that arrives in time, in pieces, by class.
+	// arrivals is the work that arrives, in pieces, by class.
 	arrivals [maxClasses]arrivalRate
+	// refused is the work that hosts refuse before it arrives, likewise.
+	refused [maxClasses]arrivalRate
 }
 
 // update decides again. rate is in pieces per second. It returns true if the decision
@@ -34,23 +36,45 @@
 func (c *contention) update(q *queue, rate float64, spec *routing.StageServer, now time.Time) (changed bool) {
 	for class := range c.arrivals {
 		c.arrivals[class].update(now)
+		c.refused[class].update(now)
 	}
+	before := c.overloaded
 	if exceedsRate(q.waiting, rate, spec, now) {
-		c.last = now
+		c.overloaded, c.last = true, now
+	}
+	// Groups that have become late no longer count as work that can be in time, but the
+	// overload has not ended while they are queued.
+	estimator := rateEstimator{rate: rate}
+	drained := estimator.timeFor(float64(q.totalPieces())) <= spec.FullBatchTime()/2
+	if drained && now.Sub(c.last) > overloadHold {
+		c.overloaded = false
 	}
-	before := c.overloaded
-	c.overloaded = !c.last.IsZero() && now.Sub(c.last) <= overloadHold
 	return c.overloaded != before
 }
 
-// moreUrgent returns the rate at which work of more urgent classes arrives.
-func (c *contention) moreUrgent(class int) (sum arrivalRate) {
+// arrivalsBefore returns the rate at which work of the classes before a class arrives.
+func (c *contention) arrivalsBefore(class int) (sum arrivalRate) {
 	for i := range min(class, maxClasses) {
 		sum.rate += c.arrivals[i].rate
 	}
 	return sum
 }
 
+// fits returns the part of the requests of each class that the servers can do in addition to
+// the more urgent classes.
+func (c *contention) fits(rate float64) []float64 {
+	parts := make([]float64, maxClasses)
+	for class := range parts {
+		requested := c.arrivals[class].rate + c.refused[class].rate
+		parts[class] = 1
+		if requested > 0 {
+			parts[class] = min(max(rate/requested, 0), 1)
+		}
+		rate -= requested
+	}
+	return parts
+}
+
 // exceedsRate reports whether some groups that can still be in time would be late even if
 // groups were served in the order of their targets. Work that fits into one call never
 // exceeds the rate.
@@ -79,6 +103,15 @@
 	return false
 }
 
+// firstClassBehind returns the first class of which groups that arrive later do not go ahead of
+// the group.
+func (w *workItem) firstClassBehind(inTime bool) int {
+	if inTime {
+		return w.class()
+	}
+	return w.class() + 1
+}
+
 // class returns the class with which a group competes. A group of the guaranteed share
 // competes with the most urgent class, and one whose inputs take up memory with the next
 // more urgent class.
@@ -100,26 +133,16 @@
 	return w.LateTolerance
 }
 
-// rank returns the position of a group under overload, 0 for the first. A group that can no
-// longer meet its target counts as one class less urgent: in the deployments with classes, a
-// late answer is worth less than one in time of the next class, and at least as much as one
-// in time of the class after that.
-func (w *workItem) rank(inTime bool) int {
-	if inTime {
-		return w.class()
-	}
-	return w.class() + 1
-}
-
 // begun reports whether earlier work for the group's request would be thrown away if the
 // group were not served.
 func (w *workItem) begun() bool { return len(w.Inputs) > 0 || len(w.waiting) < w.Pieces }
 
-// compareOverloaded orders groups under overload: by rank, those in time before the late
-// ones, those whose request has begun before the others, and then by target or deadline.
+// compareOverloaded orders groups under overload: by class, within a class those in time before
+// the late ones, those whose request has begun before the others, and then by target or
+// deadline.
 func compareOverloaded(a, b *workItem, now time.Time, batchTime time.Duration) int {
 	aInTime, bInTime := a.canMeetTarget(now, batchTime), b.canMeetTarget(now, batchTime)
-	first := cmp.Or(cmp.Compare(a.rank(aInTime), b.rank(bInTime)), trueFirst(aInTime, bInTime), trueFirst(a.begun(), b.begun()))
+	first := cmp.Or(cmp.Compare(a.class(), b.class()), trueFirst(aInTime, bInTime), trueFirst(a.begun(), b.begun()))
 	if first == 0 && aInTime {
 		return a.target.Compare(b.target)
 	}
@@ -137,21 +160,30 @@
 	return 1
 }
 
-// classWaits estimates how long new groups that can be in time are queued, by class. Groups of
-// more urgent classes that arrive meanwhile go ahead.
-func (s *serviceState) classWaits(now time.Time, batchTime time.Duration) []time.Duration {
-	var byRank [maxClasses + 1]amount
+// waitHorizon is how far ahead classWaits looks: about the time from the arrival of a request
+// until its second or third stage begins.
+const waitHorizon = 500 * time.Millisecond
+
+// classWaits estimates how long new groups that can be in time are queued, by class: those
+// that arrive now, and those that arrive after waitHorizon if groups arrive as they do now.
+// Groups of more urgent classes that arrive meanwhile go ahead.
+func (s *serviceState) classWaits(now time.Time, batchTime time.Duration) (waits, laterWaits []time.Duration) {
+	var queued [maxClasses]backlog
 	for _, w := range s.queue.waiting {
-		byRank[w.rank(w.canMeetTarget(now, batchTime))].add(w)
-	}
-	waits := make([]time.Duration, maxClasses)
-	var ahead amount
-	for class := range waits {
-		ahead.pieces += byRank[class].pieces
-		ahead.bytes += byRank[class].bytes
-		waits[class] = max(s.pieceRate.lateTimeFor(ahead.pieces, s.contention.moreUrgent(class)), s.byteRate.timeFor(ahead.bytes))
-	}
-	return waits
+		queued[w.class()].add(w, now, batchTime)
+	}
+	var ahead amount // of the class that follows
+	for class, own := range queued {
+		pieces := ahead.pieces + own.inTime.pieces
+		bytes := s.byteRate.timeFor(ahead.bytes + own.inTime.bytes)
+		urgent := s.contention.arrivalsBefore(class)
+		growth := (s.contention.arrivalsBefore(class+1).rate - s.pieceRate.rate) * waitHorizon.Seconds()
+		waits = append(waits, max(s.pieceRate.lateTimeFor(pieces, urgent), bytes))
+		laterWaits = append(laterWaits, max(s.pieceRate.lateTimeFor(max(pieces+growth, 0), urgent), bytes))
+		ahead.pieces = pieces + own.late.pieces
+		ahead.bytes += own.inTime.bytes + own.late.bytes
+	}
+	return waits, laterWaits
 }
 
 // updateContention decides whether a service is overloaded. The caller holds mu.
@@ -166,6 +198,24 @@
 		"pieces", s.queue.totalPieces(), "rate", int(s.pieceRate.rate))
 }
 
+// NoteRefused counts the pieces that a host has refused on arrival of their requests, by class.
+func (g *Gatherer) NoteRefused(service string, pieces []float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.services[service]
+	if s == nil {
+		return
+	}
+	for class, n := range pieces {
+		if class < maxClasses && n > 0 && n <= maxReportedPieces {
+			s.contention.refused[class].add(n)
+		}
+	}
+}
+
+// maxReportedPieces bounds what one report of refused pieces counts for.
+const maxReportedPieces = 100_000
+
 // refuseArrival reports whether a group that arrives is refused. A group is not refused for
 // its objective while the service has room. The caller holds mu.
 func (g *Gatherer) refuseArrival(s *serviceState, w *workItem, spec *routing.StageServer, now time.Time) bool {
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -269,13 +269,13 @@
 	return described.Stages, true
 }
 
-// countArrival counts a group that was queued if it can still be in time. The caller holds
+// countArrival counts a group that was queued: for its class, and if it can still be in time. The caller holds
 // mu of g.
 func (s *serviceState) countArrival(w *workItem, now time.Time, g *Gatherer) {
+	s.contention.arrivals[w.class()].add(float64(w.Pieces))
 	if spec, known := g.spec(s.name); known && w.canMeetTarget(now, spec.FullBatchTime()) {
 		s.pieceArrivals.add(float64(w.Pieces))
 		s.byteArrivals.add(float64(int64(w.Pieces) * w.ResultBytes))
-		s.contention.arrivals[w.class()].add(float64(w.Pieces))
 	}
 }
 
@@ -285,9 +285,13 @@
 	Late   time.Duration // one that can't
 	// Overloaded means that the service can't do all queued work in time. ByClass is then how
 	// long a group that can meet its target is queued, by class; the last entry is also that
-	// of all less urgent classes.
-	Overloaded bool
-	ByClass    []time.Duration
+	// of all less urgent classes. LaterByClass is the same for a group that arrives after
+	// waitHorizon.
+	Overloaded   bool
+	ByClass      []time.Duration
+	LaterByClass []time.Duration
+	// FitByClass is the part of the requests of a class that the servers can do.
+	FitByClass []float64
 }
 
 // Waits estimates how long new groups of a service are queued.
@@ -303,7 +307,8 @@
 	inTime := backlog{inTime: all.inTime}
 	waits := QueueWaits{InTime: max(s.pieceWait(inTime), s.byteWait(inTime)), Late: max(s.pieceWait(all), s.byteWait(all))}
 	if s.queue.overloaded && !g.hasRoom(s, spec, now) {
-		waits.Overloaded, waits.ByClass = true, s.classWaits(now, spec.FullBatchTime())
+		waits.Overloaded, waits.FitByClass = true, s.contention.fits(s.pieceRate.rate)
+		waits.ByClass, waits.LaterByClass = s.classWaits(now, spec.FullBatchTime())
 	}
 	return waits
 }
--- a/staging/rate.go
+++ b/staging/rate.go
@@ -146,7 +146,7 @@
 	}
 	wait := s.pieceWait(ahead)
 	if s.queue.overloaded {
-		wait = s.pieceRate.lateTimeFor(ahead.inTime.pieces+ahead.late.pieces, s.contention.moreUrgent(w.rank(inTime)))
+		wait = s.pieceRate.lateTimeFor(ahead.inTime.pieces+ahead.late.pieces, s.contention.arrivalsBefore(w.firstClassBehind(inTime)))
 	}
 	if w.ResultBytes > 0 && w.ResultBytes >= s.queue.largestResult()/smallResultDivisor {
 		wait = max(wait, s.byteWait(ahead))
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -67,6 +67,8 @@
 	mu         sync.Mutex // guards the fields below
 	queueWaits map[string]queueWait
 	shares     shareTracker
+	// refused is the pieces that this host has refused and not yet reported, by service.
+	refused map[string][]float64
 }
 
 // queueWait is the queueing time that a service's gatherer last reported.
@@ -90,7 +92,7 @@
 // NewRunner creates a runner and registers the methods by which other hosts use
 // this host's gatherer.
 func NewRunner(config RunnerConfig, registrar link.Registrar) *Runner {
-	r := &Runner{config: config, queueWaits: make(map[string]queueWait), shares: shareTracker{offset: rand.Float64()}}
+	r := &Runner{config: config, queueWaits: make(map[string]queueWait), refused: make(map[string][]float64), shares: shareTracker{offset: rand.Float64()}}
 	link.HandleTyped(registrar, gatherMethod, func(ctx context.Context, g Group) (gatherReply, error) {
 		results := config.Gatherer.Gather(ctx, g)
 		if failure(results) == call.PieceRefused {
@@ -101,6 +103,7 @@
 		return reply, nil
 	})
 	link.HandleTyped(registrar, waitsMethod, func(_ context.Context, q waitsRequest) (gatherReply, error) {
+		config.Gatherer.NoteRefused(q.Service, q.Refused)
 		return newGatherReply(config.Gatherer, q.Service, time.Now()), nil
 	})
 	link.HandleTyped(registrar, freeMethod, func(_ context.Context, f freeRequest) (struct{}, error) {
@@ -120,9 +123,11 @@
 	// PausedFor is how long until the first server accepts calls of the gatherer
 	// again; 0 unless all are paused.
 	PausedFor time.Duration `cbor:"3,keyasint"`
-	// Overloaded and WaitByClass are those of QueueWaits.
-	Overloaded  bool            `cbor:"5,keyasint,omitempty"`
-	WaitByClass []time.Duration `cbor:"6,keyasint,omitempty"`
+	// The following are those of QueueWaits.
+	Overloaded   bool            `cbor:"5,keyasint,omitempty"`
+	ByClass      []time.Duration `cbor:"6,keyasint,omitempty"`
+	LaterByClass []time.Duration `cbor:"7,keyasint,omitempty"`
+	FitByClass   []float64       `cbor:"8,keyasint,omitempty"`
 }
 
 // newGatherReply returns the answer of a gatherer without results.
@@ -130,7 +135,7 @@
 	waits := g.Waits(service, now)
 	return gatherReply{
 		Wait: waits.InTime, LateWait: waits.Late, PausedFor: g.PausedFor(service, now),
-		Overloaded: waits.Overloaded, WaitByClass: waits.ByClass,
+		Overloaded: waits.Overloaded, ByClass: waits.ByClass, LaterByClass: waits.LaterByClass, FitByClass: waits.FitByClass,
 	}
 }
 
@@ -152,7 +157,7 @@
 	// EngineDataCentre is the data centre of the engine that is likely to run the
 	// request.
 	EngineDataCentre host.DataCentre
-	// guaranteed is set by Run.
+	// guaranteed is set by Run for a request that would otherwise be refused.
 	guaranteed bool
 }
 
@@ -179,14 +184,13 @@
 			return nil, err
 		}
 	}
-	w.guaranteed = r.drawGuaranteed(w, time.Now())
 	results, err := r.runOnce(ctx, w)
 	if f := AsFailure(err); f != nil && f.Reason == call.PieceInputGone {
 		r.config.Logger.Warn("restarting stages after an input was lost", "request", w.Request.ID, "service", f.Service, "stage", f.Stage,
 			"reason", f.Reason.String())
 		results, err = r.runOnce(ctx, w)
 	}
-	r.recordServed(err, time.Now())
+	r.recordServed(w, err, time.Now())
 	return results, err
 }
 
@@ -202,7 +206,8 @@
 	if overload := r.predictOverload(w, g, now); overload != nil {
 		return nil, overload
 	}
-	if overload := r.refuseOverPath(w, g, now); overload != nil {
+	var overload error
+	if w.guaranteed, overload = r.admitOverPath(w, g, now); overload != nil {
 		return nil, overload
 	}
 	results := &Results{runner: r, unfreed: make(map[string][]string), stageDataCentres: make(map[int]host.DataCentre), Bytes: make(map[host.DataCentre]int64)}
@@ -275,7 +280,7 @@
 	}
 	if reason := failure(pieces); reason != call.PieceDone {
 		waits, _ := r.recentQueueWaits(group.Service, time.Now())
-		wait := max(waits.InTime, waits.of(classOf(w.Priority)))
+		wait := waits.after(classOf(w.Priority), 0)
 		if reason == call.PiecePaused {
 			wait = r.pausedFor(group.Service, time.Now())
 		}
@@ -327,7 +332,7 @@
 
 // predictOverload returns the failure of the first stage whose queue is known to be too
 // long: the request would be late there, and groups that are late wait too long to meet the
-// deadline. Such a request is refused before any work is done for it. refuseOverPath decides
+// deadline. Such a request is refused before any work is done for it. admitOverPath decides
 // about services that are overloaded.
 func (r *Runner) predictOverload(w Work, g *graph, now time.Time) error {
 	for i, s := range g.stages {
