Staging: refuse what does not fit of the most urgent class as well

Cause: class 0 was exempt from the rule by share, so all of a class that exceeds the service alone was admitted and became late.

Change: the rule holds for all classes.

--- a/staging/admission.go
+++ b/staging/admission.go
@@ -104,7 +104,7 @@
 	}
 	refused = refusedAt{stage: f.stage, wait: f.longest}
 	switch {
-	case a.class > 0 && a.draw >= f.fit:
+	case a.draw >= f.fit:
 		refused.reason = refusedShare
 	case !f.end.After(a.target):
 		return refusedAt{}, false
--- a/staging/contention_test.go
+++ b/staging/contention_test.go
@@ -137,14 +137,12 @@
 	require.InDelta(t, 1, fits[0], 0.001)
 	require.InDelta(t, 0.5, fits[1], 0.02)
 	require.InDelta(t, 1, fits[2], 0.001, "nothing of the class is requested")
-	a := overloadedAdmission(2, QueueWaits{Overloaded: true, ByClass: []time.Duration{0}, FitByClass: []float64{1, 1, 0.5}})
-	a.draw = 0.49
-	_, refuse := a.decide()
-	require.False(t, refuse)
-	a.draw = 0.51
-	refused, refuse := a.decide()
-	require.True(t, refuse)
-	require.Equal(t, refusedShare, refused.reason)
+	for draw, reason := range map[float64]string{0.49: "", 0.51: refusedShare} {
+		a := overloadedAdmission(0, QueueWaits{Overloaded: true, ByClass: []time.Duration{0}, FitByClass: []float64{0.5}})
+		a.draw = draw
+		refused, _ := a.decide()
+		require.Equal(t, reason, refused.reason)
+	}
 }
 
 // A caller leaves, so that its host cancels the call to the gatherer on another host. Guards
