Staging: busy hosts report the work that they refuse too

A host whose requests reach a gatherer more often than every 250 ms never reported the pieces it had refused, since each answer counted as a recent question. The part of a class that fits was then too large.

Change: answers and questions have times of their own. Found by reading; the new test fails without it.

--- a/staging/arrival.go
+++ b/staging/arrival.go
@@ -45,7 +45,7 @@
 	defer r.mu.Unlock()
 	r.queueWaits[service] = queueWait{QueueWaits: QueueWaits{
 		InTime: got.Wait, Late: max(got.Wait, got.LateWait), Overloaded: got.Overloaded, ByClass: got.ByClass, LaterByClass: got.LaterByClass, FitByClass: got.FitByClass,
-	}, pausedFor: got.PausedFor, at: now, asked: now}
+	}, pausedFor: got.PausedFor, at: now, asked: r.queueWaits[service].asked}
 }
 
 // refreshWaits asks the gatherers of a request's services that were overloaded for their
@@ -75,15 +75,16 @@
 	_ = asking.Wait()
 }
 
-// beginRefresh reports whether the waits of a service have to be asked for, and records that
-// they are.
+// beginRefresh reports whether the waits of a service have to be asked for, because those of an
+// overload are old or because refused work has to be reported, and records that they are.
 func (r *Runner) beginRefresh(service string, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.queueWaits[service]
 	_, refused := r.refused[service]
-	overloaded := w.Overloaded && now.Sub(w.at) <= overloadMemory
-	if !refused && !overloaded || now.Sub(w.asked) < waitsRefreshAge {
+	age := now.Sub(w.at)
+	old := w.Overloaded && age >= waitsRefreshAge && age <= overloadMemory
+	if !refused && !old || now.Sub(w.asked) < waitsRefreshAge {
 		return false
 	}
 	w.asked = now
@@ -134,6 +135,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i, s := range g.stages {
+		if g.pieces[i] == 0 {
+			continue
+		}
 		if r.refused[s.Service] == nil {
 			r.refused[s.Service] = make([]float64, maxClasses)
 		}
--- a/staging/contention_test.go
+++ b/staging/contention_test.go
@@ -145,6 +145,23 @@
 	}
 }
 
+// Guards against a busy host, whose waits are always recent, that never reports what it refuses,
+// and against hosts that ask while nothing is overloaded.
+func TestHostReportsRefusedWorkAndAsksForOldWaits(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewRunner(RunnerConfig{}, link.NewMux())
+	r.recordWaits("s", gatherReply{}, now)
+	require.False(t, r.beginRefresh("s", now.Add(waitsRefreshAge)))
+	r.recordWaits("s", gatherReply{Overloaded: true}, now)
+	require.True(t, r.beginRefresh("s", now.Add(waitsRefreshAge)))
+	now = now.Add(2 * waitsRefreshAge)
+	r.recordRefused(2, &graph{stages: []routing.Stage{{Service: "s"}}, pieces: []int{5}})
+	r.recordWaits("s", gatherReply{Overloaded: true}, now)
+	require.True(t, r.beginRefresh("s", now))
+	require.InDelta(t, 5, r.takeRefused("s")[2], 0)
+	require.False(t, r.beginRefresh("s", now.Add(waitsRefreshAge/2)))
+}
+
 // A caller leaves, so that its host cancels the call to the gatherer on another host. Guards
 // against pieces that stay queued there and run for nobody.
 func TestCanceledCallLeavesTheQueueOfAnotherHost(t *testing.T) {
