--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -87,6 +87,7 @@
 // serviceState is the queue and the servers' state of one service.
 type serviceState struct {
 	name      string
+	metrics   *gathererMetrics
 	queue     queue
 	memory    *resultMemory
 	running   map[instance.ID]int       // calls in progress
@@ -100,6 +101,7 @@
 	// pieceArrivals and byteArrivals are the work of groups that arrive in time.
 	pieceArrivals arrivalRate
 	byteArrivals  arrivalRate
+	contention    contention
 	untracked     map[instance.ID]untrackedMemory
 	lastLogged    time.Time // when the queue was last logged
 	// disownedSince is the time since which another host owns the service; zero
@@ -131,6 +133,7 @@
 			servers := g.config.Servers.Service(s.name, now)
 			s.pieceRate.update(now, len(s.queue.waiting) > 0, s.capacity(servers, spec))
 			s.byteRate.update(now, len(s.queue.waiting) > 0, s.byteCapacity(servers, spec))
+			g.updateContention(s, spec, now)
 			callbacks = append(callbacks, s.refuseLate(now, spec)...)
 		}
 		callbacks = append(callbacks, g.dispatch(s, now)...)
@@ -215,7 +218,7 @@
 	w := newWorkItem(group, now, func(results []call.PieceResult) { answer <- results })
 	g.mu.Lock()
 	s := g.service(group.Service)
-	if spec, known := g.spec(group.Service); known && !s.canMeetDeadline(w, spec, now) {
+	if spec, known := g.spec(group.Service); known && g.refuseArrival(s, w, spec, now) {
 		g.mu.Unlock()
 		return w.failed(call.PieceOverload)
 	}
@@ -230,6 +233,7 @@
 	case <-ctx.Done():
 		g.mu.Lock()
 		w.ended = true
+		s.queue.remove(w)
 		g.freeResults(w)
 		g.mu.Unlock()
 		return w.failed(call.PieceDeadlineExceeded)
@@ -251,7 +255,7 @@
 	s := g.services[name]
 	if s == nil {
 		s = &serviceState{
-			name: name, memory: newResultMemory(), running: make(map[instance.ID]int),
+			name: name, metrics: g.metrics, memory: newResultMemory(), running: make(map[instance.ID]int),
 			paused: make(map[instance.ID]time.Time), slowdown: make(map[instance.ID]float64),
 			untracked: make(map[instance.ID]untrackedMemory),
 			workload:  g.config.Workload, busyUntil: make(map[instance.ID]time.Time),
@@ -271,9 +275,10 @@
 	return described.Stages, true
 }
 
-// countArrival counts a group that was queued if it can still be in time. The caller holds
+// countArrival counts a group that was queued: for its class, and if it can still be in time. The caller holds
 // mu of g.
 func (s *serviceState) countArrival(w *workItem, now time.Time, g *Gatherer) {
+	s.contention.arrivals[w.class()].add(float64(w.Pieces))
 	if spec, known := g.spec(s.name); known && w.canMeetTarget(now, spec.FullBatchTime()) {
 		s.pieceArrivals.add(float64(w.Pieces))
 		s.byteArrivals.add(float64(int64(w.Pieces) * w.ResultBytes))
@@ -284,6 +289,15 @@
 type QueueWaits struct {
 	InTime time.Duration // a group that can meet its target
 	Late   time.Duration // one that can't
+	// Overloaded means that the service can't do all queued work in time. ByClass is then how
+	// long a group that can meet its target is queued, by class; the last entry is also that
+	// of all less urgent classes. LaterByClass is the same for a group that arrives after
+	// waitHorizon.
+	Overloaded   bool
+	ByClass      []time.Duration
+	LaterByClass []time.Duration
+	// FitByClass is the part of the requests of a class that the servers can do.
+	FitByClass []float64
 }
 
 // Waits estimates how long new groups of a service are queued.
@@ -297,7 +311,12 @@
 	}
 	all := s.queue.backlog(now, spec.FullBatchTime())
 	inTime := backlog{inTime: all.inTime}
-	return QueueWaits{InTime: max(s.pieceWait(inTime), s.byteWait(inTime)), Late: max(s.pieceWait(all), s.byteWait(all))}
+	waits := QueueWaits{InTime: max(s.pieceWait(inTime), s.byteWait(inTime)), Late: max(s.pieceWait(all), s.byteWait(all))}
+	if s.queue.overloaded && !g.hasRoom(s, spec, now) {
+		waits.Overloaded, waits.FitByClass = true, s.contention.fits(s.pieceRate.rate)
+		waits.ByClass, waits.LaterByClass = s.classWaits(now, spec.FullBatchTime())
+	}
+	return waits
 }
 
 // dispatch sends queued pieces to available servers. The caller holds mu and
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +23,7 @@
 const (
 	gatherMethod link.Method = "staging.Gather"
 	freeMethod   link.Method = "staging.Free"
+	waitsMethod  link.Method = "staging.Waits"
 )
 
 // Limits and intervals for reaching gatherers.
@@ -69,8 +71,11 @@
 type Runner struct {
 	config RunnerConfig
 
-	mu         sync.Mutex // guards queueWaits
+	mu         sync.Mutex // guards the fields below
 	queueWaits map[string]queueWait
+	shares     shareTracker
+	// refused is the pieces that this host has refused and not yet reported, by service.
+	refused map[string][]float64
 }
 
 // queueWait is the queueing time that a service's gatherer last reported.
@@ -78,6 +83,7 @@
 	QueueWaits
 	pausedFor time.Duration
 	at        time.Time
+	asked     time.Time // when the gatherer was last asked for it
 }
 
 // RunnerConfig configures a Runner.
@@ -93,16 +99,19 @@
 // NewRunner creates a runner and registers the methods by which other hosts use
 // this host's gatherer.
 func NewRunner(config RunnerConfig, registrar link.Registrar) *Runner {
-	r := &Runner{config: config, queueWaits: make(map[string]queueWait)}
+	r := &Runner{config: config, queueWaits: make(map[string]queueWait), refused: make(map[string][]float64), shares: shareTracker{offset: rand.Float64()}}
 	link.HandleTyped(registrar, gatherMethod, func(ctx context.Context, g Group) (gatherReply, error) {
 		results := config.Gatherer.Gather(ctx, g)
 		if failure(results) == call.PieceRefused {
 			return gatherReply{}, Error.New("service %q is not in the configuration of this host", g.Service) // another host may have it
 		}
-		waits := config.Gatherer.Waits(g.Service, time.Now())
-		return gatherReply{
-			Results: results, Wait: waits.InTime, LateWait: waits.Late, PausedFor: config.Gatherer.PausedFor(g.Service, time.Now()),
-		}, nil
+		reply := newGatherReply(config.Gatherer, g.Service, time.Now())
+		reply.Results = results
+		return reply, nil
+	})
+	link.HandleTyped(registrar, waitsMethod, func(_ context.Context, q waitsRequest) (gatherReply, error) {
+		config.Gatherer.NoteRefused(q.Service, q.Refused)
+		return newGatherReply(config.Gatherer, q.Service, time.Now()), nil
 	})
 	link.HandleTyped(registrar, freeMethod, func(_ context.Context, f freeRequest) (struct{}, error) {
 		config.Gatherer.Free(f.Handles)
@@ -121,6 +130,20 @@
 	// PausedFor is how long until the first server accepts calls of the gatherer
 	// again; 0 unless all are paused.
 	PausedFor time.Duration `cbor:"3,keyasint"`
+	// The following are those of QueueWaits.
+	Overloaded   bool            `cbor:"5,keyasint,omitempty"`
+	ByClass      []time.Duration `cbor:"6,keyasint,omitempty"`
+	LaterByClass []time.Duration `cbor:"7,keyasint,omitempty"`
+	FitByClass   []float64       `cbor:"8,keyasint,omitempty"`
+}
+
+// newGatherReply returns the answer of a gatherer without results.
+func newGatherReply(g *Gatherer, service string, now time.Time) gatherReply {
+	waits := g.Waits(service, now)
+	return gatherReply{
+		Wait: waits.InTime, LateWait: waits.Late, PausedFor: g.PausedFor(service, now),
+		Overloaded: waits.Overloaded, ByClass: waits.ByClass, LaterByClass: waits.LaterByClass, FitByClass: waits.FitByClass,
+	}
 }
 
 // freeRequest is the input of staging.Free.
@@ -141,6 +164,8 @@
 	// EngineDataCentre is the data centre of the engine that is likely to run the
 	// request.
 	EngineDataCentre host.DataCentre
+	// guaranteed is set by Run for a request that would otherwise be refused.
+	guaranteed bool
 }
 
 // Results are the results of a request's stages. The caller must call Free on
@@ -170,8 +195,9 @@
 	if f := AsFailure(err); f != nil && f.Reason == call.PieceInputGone {
 		r.config.Logger.Warn("restarting stages after an input was lost", "request", w.Request.ID, "service", f.Service, "stage", f.Stage,
 			"reason", f.Reason.String())
-		return r.runOnce(ctx, w)
+		results, err = r.runOnce(ctx, w)
 	}
+	r.recordServed(w, err, time.Now())
 	return results, err
 }
 
@@ -185,7 +211,13 @@
 	if evacuated := r.findEvacuated(g); evacuated != nil {
 		return nil, evacuated
 	}
-	if overload := r.predictOverload(w, g, time.Now()); overload != nil {
+	r.refreshWaits(ctx, g)
+	now := time.Now()
+	if overload := r.predictOverload(w, g, now); overload != nil {
+		return nil, overload
+	}
+	var overload error
+	if w.guaranteed, overload = r.admitOverPath(w, g, now); overload != nil {
 		return nil, overload
 	}
 	results := &Results{runner: r, unfreed: make(map[string][]string), stageDataCentres: make(map[int]host.DataCentre), Bytes: make(map[host.DataCentre]int64)}
@@ -233,7 +265,8 @@
 	group := Group{
 		Service: w.Stages[stage].Service, RequestID: w.Request.ID, Stage: stage, Pieces: g.pieces[stage],
 		Inputs: inputs, Remaining: w.Deadline.Sub(now) - r.timeAfter(g, stage), RemainingToTarget: w.TargetTime.Sub(now) - r.timeAfter(g, stage),
-		ResultBytes: w.Stages[stage].ResultBytes, Priority: w.Priority,
+		ResultBytes: w.Stages[stage].ResultBytes, Priority: w.Priority, Guaranteed: w.guaranteed,
+		LateTolerance: lateToleranceOf(classOf(w.Priority), w.TargetTime.Sub(w.Request.Arrived)),
 	}
 	if len(w.Stages[stage].DependsOn) == 0 {
 		group.Key = w.Request.PiecesKey
@@ -257,7 +290,7 @@
 	}
 	if reason := failure(pieces); reason != call.PieceDone {
 		waits, _ := r.recentQueueWaits(group.Service, time.Now())
-		wait := waits.InTime
+		wait := waits.after(classOf(w.Priority), 0)
 		if reason == call.PiecePaused {
 			wait = r.pausedFor(group.Service, time.Now())
 		}
@@ -310,7 +343,8 @@
 
 // predictOverload returns the failure of the first stage whose queue is known to be too
 // long: the request would be late there, and groups that are late wait too long to meet the
-// deadline. Such a request is refused before any work is done for it.
+// deadline. Such a request is refused before any work is done for it. admitOverPath decides
+// about services that are overloaded.
 func (r *Runner) predictOverload(w Work, g *graph, now time.Time) error {
 	for i, s := range g.stages {
 		if g.pieces[i] == 0 {
@@ -318,7 +352,7 @@
 		}
 		waits, known := r.recentQueueWaits(s.Service, now)
 		inTime := !now.Add(waits.InTime + r.timeAfter(g, i)).After(w.TargetTime)
-		if known && !inTime && now.Add(waits.Late+r.timeAfter(g, i)).After(w.Deadline) {
+		if known && !waits.Overloaded && !inTime && now.Add(waits.Late+r.timeAfter(g, i)).After(w.Deadline) {
 			return r.newFailure(i, s.Service, call.PieceOverload, waits.InTime)
 		}
 	}
@@ -478,9 +512,7 @@
 	if len(got.Results) != g.Pieces {
 		return nil, Error.New("gatherer returned %d results for %d pieces", len(got.Results), g.Pieces)
 	}
-	r.mu.Lock()
-	r.queueWaits[g.Service] = queueWait{QueueWaits: QueueWaits{InTime: got.Wait, Late: max(got.Wait, got.LateWait)}, pausedFor: got.PausedFor, at: time.Now()}
-	r.mu.Unlock()
+	r.recordWaits(g.Service, got, time.Now())
 	return got.Results, nil
 }
 
