routing: ranks follow each other without gaps

The order under overload counts classes from the most urgent one. Ranks from the product of both priorities began at 4 where all workspaces have priority 1, so that the most urgent class counted as the fifth.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -78,13 +78,18 @@
 // tokenCost is the engine memory that the request needs, in tokens.
 func (x *exchange) tokenCost() int { return x.request.Prompt.Tokens + x.expectedOutputTokens() }
 
-// enginePriority converts the request's rank to an engine's scale, whose last is
+// enginePriority converts the request's rank to an engine's scale of 0 to
 // lowestEnginePriority.
 func (x *exchange) enginePriority() int {
-	return min(max(x.priority, 0), lowestEnginePriority)
+	return min(max(x.priority+firstEnginePriority, 0), lowestEnginePriority)
 }
 
-const lowestEnginePriority = 9
+const (
+	// firstEnginePriority is that of the most urgent requests. Engines give 5 to requests
+	// without one.
+	firstEnginePriority  = 3
+	lowestEnginePriority = 9
+)
 
 // isMine reports whether an answer belongs to this request. An unsigned answer,
 // such as a refusal, may name no request.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -234,7 +234,7 @@
 	} else {
 		workspace = nil
 	}
-	x.priority = routing.RankOf(route, workspace)
+	x.priority = x.table.Rank(route, workspace)
 	if x.resumesStream() {
 		x.priority--
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -170,6 +170,8 @@
 	byHost   map[string][]*Route // longest prefix first
 	services map[string]*Service
 	byKey    map[string]*Workspace
+	// urgencies are those of all requests, in order, see Rank.
+	urgencies []int
 }
 
 // NewTable indexes a configuration. It fails if two routes have the same host
@@ -180,6 +182,8 @@
 		byHost:   make(map[string][]*Route),
 		services: make(map[string]*Service, len(c.Services)),
 		byKey:    make(map[string]*Workspace),
+
+		urgencies: urgencies(c),
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
