--- a/internal/soak/evacuations.go
+++ b/internal/soak/evacuations.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/galenaseam/galenaseam/platform"
 	"github.com/galenaseam/galenaseam/platform/platformtest"
 )
 
@@ -13,8 +14,6 @@
 	evacuationBound = 2 * time.Second
 	// evacuationLength is how long a data centre is evacuated.
 	evacuationLength = evacuationBound + 2*time.Second
-	stageRunPath     = "/v1/stage-run"
-	evacuateKey      = "op/evacuate/"
 )
 
 // evacuationFaults are evacuations of a data centre with upstreams of its own.
@@ -51,9 +50,9 @@
 	before := e.setEvacuated(dc, true)
 	stages := servers[len(servers)-1]
 	time.Sleep(evacuationBound)
-	stageCalls := stages.Arrived(stageRunPath)
+	stageCalls := len(stages.Calls())
 	time.Sleep(evacuationLength - evacuationBound)
-	ended := evacuationTime{servers: servers, from: before, until: time.Now(), lateStages: stages.Arrived(stageRunPath) - stageCalls}
+	ended := evacuationTime{servers: servers, from: before, until: time.Now(), lateStages: len(stages.Calls()) - stageCalls}
 	e.setEvacuated(dc, false)
 	e.mu.Lock()
 	e.evacuations = append(e.evacuations, ended)
@@ -84,9 +83,9 @@
 // mu.
 func (e *environment) writeEvacuation(dc string) {
 	if e.evacuated[dc] {
-		e.store.Put(evacuateKey+dc, []byte("{}"))
+		e.store.Put(platform.EvacuationPrefix+dc, []byte("{}"))
 	} else {
-		e.store.Delete(evacuateKey + dc)
+		e.store.Delete(platform.EvacuationPrefix + dc)
 	}
 }
 
@@ -98,8 +97,8 @@
 	for dc := range e.evacuated {
 		e.writeEvacuation(dc)
 	}
-	for _, key := range e.store.Keys(evacuateKey) {
-		e.writeEvacuation(key[len(evacuateKey):])
+	for _, key := range e.store.Keys(platform.EvacuationPrefix) {
+		e.writeEvacuation(key[len(platform.EvacuationPrefix):])
 	}
 }
 
