Untrusted clients: bound what callers make a host hold

A client could take a host out of its memory and descriptors: heads were bounded at 256 KiB a connection whatever the configuration said, small bodies and answers were not counted, a chunked body took the largest body's memory, a body that stopped short of its end kept its room for 10 s, connections were not limited, and a caller that read nothing kept its answer. A refused request whose body stopped held its connection for ever, because net/http reads 256 KiB of it before it answers.

memory.Account counts heads, bodies, answers and long events. It follows from the process's memory. When it is full, what moved less than 8 KiB in the last second while it waits for its client is ended, longest first; others wait as before. An eighth is for small requests. A head over the configuration's limit gets 431 before it is complete. Callers' connections are limited by limits.max_fds and memory; those that wait are closed in favour of new ones. A caller that reads nothing for 8 s is cut. The rest of a refused body is read for 1 s. seam_request_body_bytes is replaced by seam_held_bytes.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -12,7 +12,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/galenaseam/galenaseam/internal/sleep"
+	"github.com/galenaseam/galenaseam/memory"
 	"github.com/galenaseam/galenaseam/routing"
 )
 
@@ -45,12 +48,20 @@
 
 	inProgress atomic.Int64 // requests
 
-	mu   sync.Mutex // guards open
-	open map[*callerConn]struct{}
+	// limitTo sets these before the first connection.
+	memory   *memory.Account
+	maxConns int // 0 for no limit
+	closed   *prometheus.CounterVec
+
+	mu       sync.Mutex // guards the fields below; taken before that of a callerConn
+	open     map[*callerConn]struct{}
+	loggedAt map[string]time.Time // of each reason
+	fullAt   time.Time            // when no connection could be closed for another
 }
 
 func newCallerServer(handler http.Handler, routes func() *routing.Table, logger *slog.Logger) *callerServer {
-	c := &callerServer{handler: handler, routes: routes, logger: logger, open: make(map[*callerConn]struct{})}
+	c := &callerServer{handler: handler, routes: routes, logger: logger, open: make(map[*callerConn]struct{}), loggedAt: make(map[string]time.Time)}
+	c.limitTo(memory.New(0, 0, logger, nil), 0, nil)
 	c.server = &http.Server{
 		Handler:           c,
 		ReadHeaderTimeout: maxHeaderTimeout,
@@ -62,6 +73,94 @@
 	return c
 }
 
+// limitTo bounds the memory of heads and the number of connections, 0 for no limit. It must be
+// called before the first connection is accepted. registerer may be nil.
+func (c *callerServer) limitTo(held *memory.Account, maxConns int, registerer prometheus.Registerer) {
+	c.memory, c.maxConns = held, maxConns
+	c.closed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "seam_caller_connections_closed_total", Help: "Callers' connections that a limit closed, by reason.",
+	}, []string{"reason"})
+	if registerer == nil {
+		return
+	}
+	registerer.MustRegister(c.closed, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "seam_caller_connections", Help: "Open connections of callers.",
+	}, func() float64 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return float64(len(c.open))
+	}))
+}
+
+// isTooLong reports whether the start of a head, with what was read beyond it, is over the
+// limit.
+func (c *callerServer) isTooLong(received int64) bool {
+	limit := c.limits().MaxHeaderBytes
+	return limit > 0 && received > int64(limit)+headReadAhead
+}
+
+// closedLogInterval bounds the log to one line of each reason in this time.
+const closedLogInterval = 10 * time.Second
+
+// closedBy counts a connection that a limit closed.
+func (c *callerServer) closedBy(reason string) {
+	c.closed.WithLabelValues(reason).Inc()
+	now := time.Now()
+	c.mu.Lock()
+	quiet := now.Sub(c.loggedAt[reason]) < closedLogInterval
+	if !quiet {
+		c.loggedAt[reason] = now
+	}
+	open := len(c.open)
+	c.mu.Unlock()
+	if !quiet {
+		c.logger.Warn("caller's connection closed by a limit", "reason", reason, "connections", open, "max_connections", c.maxConns)
+	}
+}
+
+// fullInterval is how long connections are refused without looking for others to close, after
+// there were none.
+const fullInterval = 50 * time.Millisecond
+
+// makeRoom closes waiting connections if there are as many as allowed. It returns false if no
+// further one may be accepted now.
+func (c *callerServer) makeRoom(now time.Time) bool {
+	c.mu.Lock()
+	full := c.maxConns > 0 && len(c.open) >= c.maxConns
+	inVain := now.Sub(c.fullAt) < fullInterval
+	var all []waitingConn
+	if full && !inVain {
+		for conn := range c.open {
+			state, since := conn.state()
+			all = append(all, waitingConn{conn: conn, state: state, since: since})
+		}
+	}
+	c.mu.Unlock()
+	if !full {
+		return true
+	}
+	n, closed := max(c.maxConns/closeDivisor, 1), 0
+	for _, w := range chooseToClose(all, n, now) {
+		if w.conn.closeWaiting() {
+			closed++
+			c.mu.Lock()
+			delete(c.open, w.conn)
+			c.mu.Unlock()
+			c.closedBy("too_many")
+		}
+	}
+	if closed == 0 {
+		c.closedBy("refused")
+	}
+	if closed == 0 && !inVain {
+		c.memory.EndStalled(n, now) // their connections are closed soon
+		c.mu.Lock()
+		c.fullAt = now
+		c.mu.Unlock()
+	}
+	return closed > 0
+}
+
 // ServeHTTP serves a request. If a timeout or a shutdown closed the connection at
 // the same moment, the request is dropped without being run.
 func (c *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -71,6 +170,9 @@
 	}
 	if limit := c.limits().MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
 		w.Header().Set("Connection", "close")
+		// net/http reads a part of the body before it answers. This fails only if the
+		// connection is closed.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(resetDelay))
 		w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
 		return
 	}
@@ -132,6 +234,7 @@
 		c.mu.Lock()
 		delete(c.open, conn)
 		c.mu.Unlock()
+		conn.head.Free()
 	}
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -24,6 +24,7 @@
 	"github.com/galenaseam/galenaseam/internal/defaults"
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/member"
+	"github.com/galenaseam/galenaseam/memory"
 	"github.com/galenaseam/galenaseam/ownership"
 	"github.com/galenaseam/galenaseam/pace"
 	"github.com/galenaseam/galenaseam/placement"
@@ -82,6 +83,8 @@
 	FleetKey []byte
 	// MemoryBytes is the memory that the process may use; 0 sets no limit.
 	MemoryBytes int64
+	// MaxDescriptors is how many descriptors the process may have open; 0 sets no limit.
+	MaxDescriptors int
 	// Capacity is the host's capacity for work on behalf of other hosts, in
 	// cores.
 	Capacity float64
@@ -146,14 +149,6 @@
 	unregister context.CancelFunc // removes the host's entry from the store; set by Run
 }
 
-// memoryLimitShare is the fraction of the process's memory that is set as the Go
-// runtime's soft memory limit. The rest is for stacks and kernel buffers.
-const memoryLimitShare = 0.7
-
-// bodyMemoryShare is the fraction of the process's memory that the bodies of requests may
-// take. What is left below the soft limit is for the process itself.
-const bodyMemoryShare = 0.45
-
 // New builds a host. It serves nothing until Run.
 func New(settings Settings, platform Platform, logger *slog.Logger, registry *prometheus.Registry) (*Host, error) {
 	defaults.Set(&settings.DrainDelay, DefaultDrainDelay)
@@ -274,6 +269,8 @@
 			IsMixed:   h.isMixed, Write: h.platform.KeepBriefly,
 		},
 	}, h.mux)
+	divided := divide(h.settings.MemoryBytes, h.settings.MaxDescriptors)
+	held := memory.New(divided.large, divided.small, h.logger, h.registry)
 	h.gateway = gateway.New(gateway.Config{
 		Codec: h.platform.Codec, Routes: h.directory.Routes, AwaitRoutes: h.directory.AwaitRoutes, Instances: h.instances, Transport: h.transport,
 		Stages: staging.NewRunner(staging.RunnerConfig{
@@ -281,10 +278,11 @@
 		}, h.mux),
 		Retries: h.retries, ResponseTimes: pace.NewTable(), Placer: placer, Streams: h.streams,
 		ConfirmUpstreams: h.directory.Confirm, VersionMemory: h.settings.VersionMemory,
-		BodyMemory: int64(bodyMemoryShare * float64(h.settings.MemoryBytes)), Quarantine: suspects, Parts: h.parts,
+		Memory: held, Quarantine: suspects, Parts: h.parts,
 		DataCentre: h.settings.Place.DataCentre, Logger: h.logger, Metrics: gateway.NewMetrics(h.registry),
 	})
 	h.callers = newCallerServer(h.gateway, h.directory.Routes, h.logger)
+	h.callers.limitTo(held, divided.conns, h.registry)
 	return nil
 }
 
--- a/edge/run.go
+++ b/edge/run.go
@@ -106,7 +106,9 @@
 		ReadHeaderTimeout: defaultHeaderTimeout,
 	}
 	for _, run := range []func() error{
-		func() error { return serve(ctx, h.callers.server, callerListener{s.callers}) },
+		func() error {
+			return serve(ctx, h.callers.server, callerListener{Listener: s.callers, server: h.callers})
+		},
 		func() error { return serve(ctx, readiness, s.readiness) },
 		func() error { return serve(ctx, metrics, s.metrics) },
 		func() error { return h.peerServer.Serve(ctx, s.peers) },
--- /dev/null
+++ b/gateway/answers.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/galenaseam/galenaseam/call"
+	"github.com/galenaseam/galenaseam/memory"
+)
+
+// readAnswer reads the complete body of an answer. It waits until other requests have freed
+// the memory for it; the upstream has run the request, so that it is not refused.
+func (s *upstreamAttempt) readAnswer(a *call.Answer, length int64) ([]byte, error) {
+	switch {
+	case s.request.Method == http.MethodHead:
+		length = -1 // what it states is the length of another answer
+	case length > maxAnswerBytes:
+		return nil, Error.New("answer body is over %d bytes", maxAnswerBytes)
+	}
+	wait := max(time.Until(s.deadline), maxGrowthWait)
+	body, err := readHeld(s.ctx, &s.answerRoom, a.Body, length, maxAnswerBytes, wait, maxGrowthWait)
+	if err == errNoRoom { //nolint:errorlint // readHeld returns the value itself
+		err = Error.New("answer body is over %d bytes", maxAnswerBytes)
+	}
+	return body, err
+}
+
+// endWrite ends a write to the caller that makes no progress.
+func (x *exchange) endWrite() { _ = http.NewResponseController(x.w).SetWriteDeadline(longAgo) }
+
+// writeHeld writes what takes memory to the caller. While it waits for the caller to read, the
+// request may be ended in favour of others.
+func (x *exchange) writeHeld(bytes []byte) error {
+	if len(bytes) <= memory.SmallBytes {
+		_, err := x.w.Write(bytes)
+		return err
+	}
+	if m := memory.WriteMeterOf(x.r.Context()); m != nil {
+		x.answerRoom.UseMeter(m)
+		x.answerRoom.MayEvict(true, time.Now())
+	}
+	_, err := x.w.Write(bytes)
+	x.answerRoom.MayEvict(false, time.Now())
+	if err == nil && x.answerRoom.Evicted() {
+		// The last bytes were read as the request was told to end. The connection can't be
+		// written to any more.
+		err = memory.ErrFull
+	}
+	return err
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
@@ -13,6 +12,7 @@
 
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/memory"
 	"github.com/galenaseam/galenaseam/placement"
 	"github.com/galenaseam/galenaseam/routing"
 	"github.com/galenaseam/galenaseam/staging"
@@ -125,7 +125,11 @@
 		s.readEvents(decoded, answer)
 		return
 	}
-	body, err := readAnswerBody(decoded)
+	body, err := s.readAnswer(decoded, answer.ContentLength)
+	if errors.Is(err, memory.ErrFull) {
+		s.report(report{kind: attemptEnded, result: outcomeUnknown, outcome: instance.Abandoned, status: decoded.Status, label: "no_memory_for_answer", err: err})
+		return
+	}
 	if err != nil {
 		s.report(s.lostAnswer("broke_in_body", err))
 		return
@@ -311,12 +315,3 @@
 	}
 	return lost
 }
-
-// readAnswerBody reads the complete body of an answer.
-func readAnswerBody(a *call.Answer) ([]byte, error) {
-	raw, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
-	if err == nil && len(raw) > maxAnswerBytes {
-		err = Error.New("answer body is over %d bytes", maxAnswerBytes)
-	}
-	return raw, err
-}
--- a/gateway/bodies.go
+++ b/gateway/bodies.go
@@ -5,131 +5,128 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
-	"golang.org/x/sync/semaphore"
+
+	"github.com/galenaseam/galenaseam/memory"
 )
 
 const (
-	// smallBodyBytes is the largest body that is read without a reservation. All that a
-	// host's connections can hold of them is a part of its memory.
-	smallBodyBytes = 16 << 10
-	// maxUnknownShare divides the limit to get the largest body whose length the caller does
-	// not state.
-	maxUnknownShare = 8
+	// maxUnknownShare divides the memory for bodies to get the largest body whose length the
+	// caller does not state.
+	maxUnknownShare = 4
+	// firstBufferBytes is what a body or an answer without a stated length takes at first. The
+	// buffer is doubled each time it is full.
+	firstBufferBytes = 1 << 10
 	// maxRoomWait is how long a large body waits, unread, until others have ended. It is below
 	// the second after which callers abandon a request that is not read.
 	maxRoomWait = 400 * time.Millisecond
+	// maxGrowthWait is how long an answer that has been read in part waits for more memory.
+	maxGrowthWait = 2 * time.Second
+	// maxDiscardTime bounds the reading of a body that was refused. The largest body takes 3.4 s
+	// at 10 Mbit/s.
+	maxDiscardTime = 4 * time.Second
 	// noRoomRetryAfter is about the time in which streams end and free their bodies. A
 	// random time of the same length is added to it.
 	noRoomRetryAfter = time.Second
 )
 
-// errNoRoom means that the bodies of other requests take all the memory for bodies.
+// errNoRoom means that other requests take all the memory for the request's body, or that its
+// body stopped while others waited.
 var errNoRoom = errs.New("no memory for the request's body")
 
-// bodyMemory bounds the memory of the bodies that requests in progress hold. It is safe for
-// concurrent use.
-type bodyMemory struct {
-	limit  int64 // in bytes; 0 means no limit
-	room   *semaphore.Weighted
-	held   atomic.Int64 // in bytes, small bodies included
-	heldBy prometheus.Gauge
-}
-
-func newBodyMemory(limit int64, gauge prometheus.Gauge) *bodyMemory {
-	return &bodyMemory{limit: limit, room: semaphore.NewWeighted(limit), heldBy: gauge}
-}
-
-// bodyRoom is the memory that one request holds for its body.
-type bodyRoom struct {
-	memory   *bodyMemory
-	reserved int64 // of the limit
-	counted  int64 // of memory.held
-}
-
-// reserve reserves memory for a large body. It waits for other requests to end, in the order
-// of the calls, and returns errNoRoom if that takes too long.
-func (b *bodyRoom) reserve(ctx context.Context, bytes int64) error {
-	if b.memory.limit > 0 {
-		ctx, cancel := context.WithTimeout(ctx, maxRoomWait)
-		defer cancel()
-		if bytes > b.memory.limit || b.memory.room.Acquire(ctx, bytes) != nil {
-			return errNoRoom
-		}
-		b.reserved += bytes
+// readHeld reads to the end of r, at most limit bytes, into memory that it takes from room.
+// length is negative if it is not known. wait bounds the wait for the first memory, growthWait
+// that for more.
+func readHeld(ctx context.Context, room *memory.Holder, r io.Reader, length, limit int64, wait, growthWait time.Duration) (whole []byte, err error) {
+	exact := length >= 0
+	size := length
+	if !exact {
+		size = min(firstBufferBytes, limit)
 	}
-	b.count(bytes)
-	return nil
-}
-
-// shrinkTo returns what was reserved beyond a number of bytes.
-func (b *bodyRoom) shrinkTo(bytes int64) {
-	if excess := b.reserved - bytes; excess > 0 {
-		b.memory.room.Release(excess)
-		b.reserved -= excess
+	if size == 0 {
+		return nil, nil
+	}
+	if err := room.Grow(ctx, size, wait); err != nil {
+		return nil, err
+	}
+	buffer, n := make([]byte, size), 0
+	defer func() {
+		if err != nil {
+			room.Release(int64(len(buffer)))
+		}
+	}()
+	for {
+		more, err := r.Read(buffer[n:])
+		n += more
+		room.Progress(more, time.Now())
+		switch {
+		case errors.Is(err, io.EOF) && exact && int64(n) < length:
+			return nil, io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF) || err == nil && exact && int64(n) == length:
+			return trim(room, buffer, n), nil
+		case err != nil:
+			return nil, err
+		case n < len(buffer):
+			continue
+		}
+		if int64(n) == limit {
+			return endsHere(r, room, buffer, n)
+		}
+		larger := min(2*int64(n), limit)
+		if err := room.Grow(ctx, larger, growthWait); err != nil {
+			return nil, err
+		}
+		grown := make([]byte, larger)
+		copy(grown, buffer)
+		buffer = grown
+		room.Release(int64(n))
 	}
-	b.count(bytes - b.counted)
-}
-
-// count counts bytes that are held beyond those counted before.
-func (b *bodyRoom) count(bytes int64) {
-	b.counted += bytes
-	b.memory.heldBy.Set(float64(b.memory.held.Add(bytes)))
 }
 
-// free returns all of the memory. Calling it again has no effect.
-func (b *bodyRoom) free() { b.shrinkTo(0) }
-
-// read reads a body of at most limit bytes whose length is given, or negative if the caller
-// did not state it. It returns errNoRoom before it has read a large body.
-func (b *bodyRoom) read(ctx context.Context, body io.Reader, length, limit int64) ([]byte, error) {
-	if length > smallBodyBytes {
-		if err := b.reserve(ctx, length); err != nil {
+// endsHere returns a body that fills its buffer, or errNoRoom if it goes on.
+func endsHere(r io.Reader, room *memory.Holder, buffer []byte, n int) ([]byte, error) {
+	var next [1]byte
+	for {
+		more, err := r.Read(next[:])
+		switch {
+		case more > 0:
+			return nil, errNoRoom
+		case errors.Is(err, io.EOF):
+			return trim(room, buffer, n), nil
+		case err != nil:
 			return nil, err
 		}
-		whole := make([]byte, length)
-		_, err := io.ReadFull(body, whole)
-		return whole, err
-	}
-	first, err := io.ReadAll(io.LimitReader(body, smallBodyBytes+1))
-	if err != nil || len(first) <= smallBodyBytes {
-		b.count(int64(len(first)))
-		return first, err
-	}
-	if b.memory.limit > 0 {
-		limit = min(limit, b.memory.limit/maxUnknownShare)
 	}
-	if err := b.reserve(ctx, limit); err != nil {
-		return nil, err
-	}
-	whole := make([]byte, limit)
-	n, err := readToEnd(body, whole[copy(whole, first):])
-	whole = append([]byte(nil), whole[:len(first)+n]...)
-	b.shrinkTo(int64(len(whole)))
-	return whole, err
 }
 
-// readToEnd reads a body to its end. It returns errNoRoom if the buffer is too small.
-func readToEnd(body io.Reader, buffer []byte) (n int, err error) {
-	for n < len(buffer) && err == nil {
-		var more int
-		more, err = body.Read(buffer[n:])
-		n += more
+// trim returns the first n bytes of a buffer, and gives back the rest.
+func trim(room *memory.Holder, buffer []byte, n int) []byte {
+	if n == len(buffer) {
+		return buffer
 	}
-	if err == nil {
-		var more int
-		if more, err = body.Read(make([]byte, 1)); more > 0 {
-			err = errNoRoom
-		}
+	whole := append(make([]byte, 0, n), buffer[:n]...)
+	room.Release(int64(len(buffer) - n))
+	return whole
+}
+
+// readBodyHeld reads a request's body of at most limit bytes whose length is given, or
+// negative if the caller did not state it. It returns errNoRoom before it has read a large
+// body of stated length.
+func readBodyHeld(ctx context.Context, room *memory.Holder, memoryBytes int64, body io.Reader, length, limit int64) ([]byte, error) {
+	if length < 0 && memoryBytes > 0 {
+		limit = min(limit, memoryBytes/maxUnknownShare)
 	}
-	if errors.Is(err, io.EOF) {
-		err = nil
+	room.MayEvict(true, time.Now())
+	whole, err := readHeld(ctx, room, body, length, limit, maxRoomWait, maxRoomWait)
+	room.MayEvict(false, time.Now())
+	// A request that was told to end as its last bytes arrived can't go on: its connection
+	// may no longer be read.
+	if errors.Is(err, memory.ErrFull) || room.Evicted() {
+		return nil, errNoRoom
 	}
-	return n, err
+	return whole, err
 }
 
 // discardBody reads what is left of a body that was refused, so that the caller gets the
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/galenaseam/galenaseam/call"
+	"github.com/galenaseam/galenaseam/memory"
 )
 
 // maxEventBytes is the maximum size of one event.
@@ -17,6 +18,8 @@
 type event struct {
 	raw []byte
 	id  int64 // call.NoEvent if the event has none
+	// held is the memory that was taken for the event; 0 for a short one.
+	held int64
 }
 
 // isComment reports whether an event has nothing but comments.
@@ -32,6 +35,8 @@
 // eventReader splits a stream into events.
 type eventReader struct {
 	reader *bufio.Reader
+	// room takes memory for a long event; nil takes none.
+	room func(bytes int64) error
 }
 
 func newEventReader(r io.Reader) *eventReader { return &eventReader{reader: bufio.NewReader(r)} }
@@ -70,6 +75,9 @@
 func (e *eventReader) readLine(to *event) error {
 	for {
 		part, err := e.reader.ReadSlice('\n')
+		if roomErr := e.takeRoom(to, len(to.raw)+len(part)); roomErr != nil {
+			return roomErr
+		}
 		to.raw = append(to.raw, part...)
 		if len(to.raw) > maxEventBytes {
 			return Error.New("event is over %d bytes", maxEventBytes)
@@ -79,3 +87,20 @@
 		}
 	}
 }
+
+// takeRoom takes memory before an event grows to a size. Short events take none: a stream has
+// at most two at a time.
+func (e *eventReader) takeRoom(to *event, size int) error {
+	if e.room == nil || size <= memory.SmallBytes || int64(size) <= to.held {
+		return nil
+	}
+	more := min(2*int64(size), maxEventBytes) - to.held // append doubles its buffer
+	if more <= 0 {
+		return nil
+	}
+	if err := e.room(more); err != nil {
+		return err
+	}
+	to.held += more
+	return nil
+}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"errors"
 	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/galenaseam/galenaseam/call"
+	"github.com/galenaseam/galenaseam/memory"
 	"github.com/galenaseam/galenaseam/staging"
 )
 
@@ -32,6 +34,9 @@
 	// stopRetryAfter is the longest time after which callers of a stopping host come back
 	// to others. A random part of it spreads them.
 	stopRetryAfter = 300 * time.Millisecond
+	// maxRefusedBodyTime bounds the reading of the rest of a refused request's body. 256 KiB
+	// take 0.2 s at 10 Mbit/s.
+	maxRefusedBodyTime = time.Second
 )
 
 // refusal is a final answer from the gateway itself.
@@ -75,6 +80,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.log(f.reason, f.status, f.detail)
+	if !x.bodyRead && x.r.ContentLength != 0 {
+		// Before it answers, net/http reads up to 256 KiB of a body that was not read. This
+		// fails only if the connection is closed.
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(maxRefusedBodyTime))
+	}
 	x.config.Codec.EncodeRefusal(x.w.Header(), x.request.ID, f.retryAfter)
 	x.w.Header().Set("Content-Length", "0")
 	x.w.WriteHeader(f.status)
@@ -142,8 +152,10 @@
 	x.copyHeader(a)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(a.Status)
-	// A write fails only when the caller has left, and the answer is logged.
-	_, _ = x.w.Write(body)
+	// A write fails only when the caller has left or does not read, and the answer is logged.
+	if errors.Is(x.writeHeld(body), memory.ErrFull) {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (x *exchange) copyHeader(a *call.Answer) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/memory"
 	"github.com/galenaseam/galenaseam/pace"
 	"github.com/galenaseam/galenaseam/placement"
 	"github.com/galenaseam/galenaseam/quarantine"
@@ -70,9 +71,8 @@
 	VersionMemory time.Duration
 	Quarantine    *quarantine.Quarantine
 	Parts         *quarantine.Parts
-	// BodyMemory bounds the bodies that requests in progress hold, in bytes; 0 means no
-	// limit.
-	BodyMemory int64
+	// Memory bounds what requests in progress hold.
+	Memory     *memory.Account
 	DataCentre host.DataCentre
 	Logger     *slog.Logger
 	Metrics    *Metrics
@@ -82,7 +82,6 @@
 type Gateway struct {
 	config   Config
 	draining atomic.Bool
-	bodies   *bodyMemory
 	// stopped is done when Stop was called.
 	stopped context.Context
 	stop    context.CancelFunc
@@ -90,7 +89,7 @@
 
 // New creates a gateway.
 func New(config Config) *Gateway {
-	g := &Gateway{config: config, bodies: newBodyMemory(config.BodyMemory, config.Metrics.bodyBytes)}
+	g := &Gateway{config: config}
 	g.stopped, g.stop = context.WithCancel(context.Background())
 	return g
 }
@@ -131,11 +130,12 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	request *call.Request
-	// bodyRoom is the memory of the request's body.
-	bodyRoom bodyRoom
-	table    *routing.Table
-	route    *routing.Route
-	service  string
+	// bodyRoom is the memory of the request's body, answerRoom that of its answers and long
+	// events.
+	bodyRoom, answerRoom memory.Holder
+	table                *routing.Table
+	route                *routing.Route
+	service              string
 	// version is the software version of the upstreams that may serve the request;
 	// "" means any. A stream has the one that began it.
 	version string
@@ -176,6 +176,7 @@
 	placements atomic.Uint32 // how often an engine was chosen
 	mayHaveRun bool          // an upstream may have run the request
 	started    bool          // the status and headers of the answer were sent
+	bodyRead   bool          // the request has no body, or it has been read to its end
 	aborted    bool          // the connection is closed without a complete answer
 	// fallbackAnswer is an upstream's error answer, which the caller gets if no
 	// other upstream succeeds.
@@ -194,7 +195,7 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{Gateway: g, w: w, r: r, bodyRoom: bodyRoom{memory: g.bodies}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	x := &exchange{Gateway: g, w: w, r: r, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	request, err := g.config.Codec.DecodeRequest(r, arrived)
 	if err != nil {
 		x.request = &call.Request{Arrived: arrived, Target: r.RequestURI}
@@ -202,7 +203,9 @@
 		return
 	}
 	x.request = request
-	defer x.bodyRoom.free()
+	x.answerRoom.Init(g.config.Memory, memory.Answer, x.endWrite)
+	defer x.bodyRoom.Free()
+	defer x.answerRoom.Free()
 	if refused, ok := x.prepare(); !ok {
 		x.refuse(refused)
 		return
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -12,8 +12,6 @@
 	latency  *prometheus.HistogramVec
 	attempts *prometheus.CounterVec
 	aborted  *prometheus.CounterVec
-
-	bodyBytes prometheus.Gauge
 }
 
 // NewMetrics registers the gateway's metrics; registerer may be nil.
@@ -32,12 +30,9 @@
 		aborted: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "seam_requests_aborted_total", Help: "Requests whose connection was closed without a complete answer, by route and outcome.",
 		}, []string{"route", "outcome"}),
-		bodyBytes: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "seam_request_body_bytes", Help: "Memory that the bodies of requests in progress take.",
-		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.requests, m.latency, m.attempts, m.aborted, m.bodyBytes)
+		registerer.MustRegister(m.requests, m.latency, m.attempts, m.aborted)
 	}
 	return m
 }
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/blake3"
 	"github.com/zeebo/xxh3"
 
+	"github.com/galenaseam/galenaseam/memory"
 	"github.com/galenaseam/galenaseam/quarantine"
 	"github.com/galenaseam/galenaseam/routing"
 	"github.com/galenaseam/galenaseam/staging"
@@ -40,9 +41,13 @@
 	return x.config.AwaitRoutes(ctx)
 }
 
+// longAgo is a deadline that ends what a connection is waiting for.
+var longAgo = time.Unix(1, 0)
+
 // readBody reads the request's body within the size and time limits.
 func (x *exchange) readBody() (refusal, bool) {
 	if x.r.Body == nil || x.r.ContentLength == 0 {
+		x.bodyRead = true
 		return refusal{}, true
 	}
 	limit := x.table.Limits().MaxBodyBytes
@@ -57,11 +62,19 @@
 	// without one.
 	_ = control.SetReadDeadline(x.request.Arrived.Add(bodyTimeout))
 	limited := http.MaxBytesReader(x.w, x.r.Body, limit)
-	body, err := x.bodyRoom.read(x.r.Context(), limited, x.r.ContentLength, limit)
+	x.bodyRoom.Init(x.config.Memory, memory.Body, func() { _ = control.SetReadDeadline(longAgo) })
+	body, err := readBodyHeld(x.r.Context(), &x.bodyRoom, x.config.Memory.Large(), limited, x.r.ContentLength, limit)
 	if errors.Is(err, errNoRoom) {
-		discardBody(limited)
+		x.w.Header().Set("Connection", "close")
+		if !x.bodyRoom.Evicted() {
+			_ = control.SetReadDeadline(time.Now().Add(maxDiscardTime))
+			discardBody(limited)
+		}
+	}
+	if err == nil {
+		x.bodyRead = true
+		_ = control.SetReadDeadline(time.Time{})
 	}
-	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, errNoRoom):
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/memory"
 	"github.com/galenaseam/galenaseam/transport"
 )
 
@@ -22,6 +23,7 @@
 // stream without an event has not ended: its upstream may have crashed after the head.
 func (s *upstreamAttempt) readEvents(a *call.Answer, received *transport.Answer) {
 	events := newEventReader(a.Body)
+	events.room = func(bytes int64) error { return s.answerRoom.Grow(s.ctx, bytes, maxGrowthWait) }
 	empty := true
 	for {
 		event, err := events.next()
@@ -33,6 +35,9 @@
 			received.Close()
 			s.report(report{kind: streamEnded, answer: a})
 			return
+		case errors.Is(err, memory.ErrFull):
+			s.report(report{kind: attemptEnded, result: outcomeUnknown, outcome: instance.Abandoned, status: a.Status, label: "no_memory_for_answer", err: err})
+			return
 		case err != nil:
 			s.report(s.lostAnswer("broke_in_stream", err))
 			return
@@ -49,6 +54,7 @@
 // onEvent forwards an event to the caller, unless the caller already has it from
 // another upstream.
 func (r *race) onEvent(s *upstreamAttempt, a *call.Answer, e event) (finished bool) {
+	defer r.answerRoom.Release(e.held)
 	if !r.continues(a, e) {
 		return r.onAttemptEnded(s, report{result: outcomeUnknown, outcome: instance.Broke, status: a.Status, label: "foreign", err: errForeign})
 	}
@@ -128,7 +134,7 @@
 }
 
 func (r *race) writeEvent(raw []byte) error {
-	if _, err := r.w.Write(raw); err != nil {
+	if err := r.writeHeld(raw); err != nil {
 		return err
 	}
 	return http.NewResponseController(r.w).Flush()
