Untrusted clients: a wait for memory is no silence of the upstream

An answer that waits for memory is not read. The monitor of silences took that for a silence of the upstream and could ask another one as well, which adds work when memory is short. It is paused now while an answer waits.

--- a/gateway/answers.go
+++ b/gateway/answers.go
@@ -17,14 +17,29 @@
 	case length > maxAnswerBytes:
 		return nil, Error.New("answer body is over %d bytes", maxAnswerBytes)
 	}
-	wait := max(time.Until(s.deadline), maxGrowthWait)
-	body, err := readHeld(s.ctx, &s.answerRoom, a.Body, length, maxAnswerBytes, wait, maxGrowthWait)
+	wait := maxGrowthWait
+	if length >= 0 {
+		wait = max(time.Until(s.deadline), 0) // nothing of it is held yet
+	}
+	grow := func(bytes int64) error { return s.takeRoom(bytes, wait) }
+	body, err := readHeld(&s.answerRoom, grow, a.Body, length, maxAnswerBytes)
 	if err == errNoRoom { //nolint:errorlint // readHeld returns the value itself
 		err = Error.New("answer body is over %d bytes", maxAnswerBytes)
 	}
 	return body, err
 }
 
+// takeRoom takes memory for the answer. The time in which it waits for other requests does not
+// count as a silence of the upstream.
+func (s *upstreamAttempt) takeRoom(bytes int64, wait time.Duration) error {
+	if s.answerRoom.TryGrow(bytes, time.Now()) {
+		return nil
+	}
+	s.monitor.pause()
+	defer s.monitor.resume()
+	return s.answerRoom.Grow(s.ctx, bytes, wait)
+}
+
 // endWrite ends a write to the caller that makes no progress.
 func (x *exchange) endWrite() { _ = http.NewResponseController(x.w).SetWriteDeadline(longAgo) }
 
--- a/gateway/bodies.go
+++ b/gateway/bodies.go
@@ -48,18 +48,17 @@
 	return n, err
 }
 
-// readHeld reads to the end of r, at most limit bytes, into memory that it takes from room.
-// length is negative if it is not known. wait bounds the wait for the first memory, growthWait
-// that for more.
-func readHeld(ctx context.Context, room *memory.Holder, r io.Reader, length, limit int64, wait, growthWait time.Duration) ([]byte, error) {
+// readHeld reads to the end of r, at most limit bytes, into memory of room that grow takes.
+// length is negative if it is not known.
+func readHeld(room *memory.Holder, grow func(bytes int64) error, r io.Reader, length, limit int64) ([]byte, error) {
 	r = meteredReader{r, room}
 	if length < 0 {
-		return readGrowing(ctx, room, r, limit, wait, growthWait)
+		return readGrowing(room, grow, r, limit)
 	}
 	if length == 0 {
 		return nil, nil
 	}
-	if err := room.Grow(ctx, length, wait); err != nil {
+	if err := grow(length); err != nil {
 		return nil, err
 	}
 	whole := make([]byte, length)
@@ -74,9 +73,9 @@
 }
 
 // readGrowing does the work of readHeld if the length is not known.
-func readGrowing(ctx context.Context, room *memory.Holder, r io.Reader, limit int64, wait, growthWait time.Duration) (whole []byte, err error) {
+func readGrowing(room *memory.Holder, grow func(bytes int64) error, r io.Reader, limit int64) (whole []byte, err error) {
 	size := min(firstBufferBytes, limit)
-	if err := room.Grow(ctx, size, wait); err != nil {
+	if err := grow(size); err != nil {
 		return nil, err
 	}
 	buffer := make([]byte, size)
@@ -99,7 +98,7 @@
 			return endsHere(r, room, buffer, n)
 		}
 		larger := min(2*int64(n), limit)
-		if err := room.Grow(ctx, larger, growthWait); err != nil {
+		if err := grow(larger); err != nil {
 			return nil, err
 		}
 		grown := make([]byte, larger)
@@ -143,7 +142,8 @@
 		limit = min(limit, memoryBytes/maxUnknownShare)
 	}
 	room.MayEvict(true, time.Now())
-	whole, err := readHeld(ctx, room, body, length, limit, maxRoomWait, maxRoomWait)
+	grow := func(bytes int64) error { return room.Grow(ctx, bytes, maxRoomWait) }
+	whole, err := readHeld(room, grow, body, length, limit)
 	room.MayEvict(false, time.Now())
 	// A request that was told to end as its last bytes arrived can't go on: its connection
 	// may no longer be read.
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -58,6 +58,7 @@
 	timer     *time.Timer
 	countdown sleep.Countdown // to the next report
 	activity  uint64
+	paused    bool // this host is not ready to receive
 	stopped   bool
 }
 
@@ -103,6 +104,19 @@
 	m.restart(time.Now())
 }
 
+// pause makes the time until resume not count as a silence.
+func (m *silenceMonitor) pause() { m.setPaused(true) }
+
+// resume starts the timeout for a further silence.
+func (m *silenceMonitor) resume() { m.setPaused(false) }
+
+func (m *silenceMonitor) setPaused(paused bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.paused = paused
+	m.restart(time.Now())
+}
+
 // activityCount returns how often the upstream has sent something.
 func (m *silenceMonitor) activityCount() uint64 {
 	m.mu.Lock()
@@ -135,6 +149,10 @@
 func (m *silenceMonitor) isSilent(now time.Time) (activity uint64, silent bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.paused {
+		m.restart(now)
+		return m.activity, false
+	}
 	if !m.countdown.Next(now) {
 		m.setTimer(now)
 		return m.activity, false
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -65,3 +65,23 @@
 	require.False(t, silent)
 	require.False(t, m.timer.Stop(), "the timer runs")
 }
+
+// Guards against an upstream that counts as silent, and is replaced, while its answer waits for
+// this host's memory.
+func TestWaitForMemoryIsNoSilenceOfTheUpstream(t *testing.T) {
+	m, _ := newTestMonitor(t, time.Hour)
+	becomesSilent := func() (silent bool) {
+		now := time.Now()
+		for range 100 {
+			now = now.Add(m.countdown.Wait(now))
+			if _, silent = m.isSilent(now); silent {
+				break
+			}
+		}
+		return silent
+	}
+	m.pause()
+	require.False(t, becomesSilent())
+	m.resume()
+	require.True(t, becomesSilent())
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -23,7 +23,7 @@
 // stream without an event has not ended: its upstream may have crashed after the head.
 func (s *upstreamAttempt) readEvents(a *call.Answer, received *transport.Answer) {
 	events := newEventReader(a.Body)
-	events.room = func(bytes int64) error { return s.answerRoom.Grow(s.ctx, bytes, maxGrowthWait) }
+	events.room = func(bytes int64) error { return s.takeRoom(bytes, maxGrowthWait) }
 	empty := true
 	for {
 		event, err := events.next()
