--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -71,8 +71,12 @@
 	r.writeHead(a)
 	s.recordFirstEvent()
 	if err := r.writeEvent(e.raw); err != nil {
-		s.end(instance.Abandoned, 0, "caller_left", err)
-		r.refuse(refusal{reason: "caller_left", abort: true})
+		reason := "caller_left"
+		if r.answerRoom.Evicted() {
+			reason = "answer_not_read"
+		}
+		s.end(instance.Abandoned, 0, reason, err)
+		r.refuse(refusal{reason: reason, abort: true})
 		return true
 	}
 	r.lastEventAt = time.Now()
