--- a/edge/run.go
+++ b/edge/run.go
@@ -14,6 +14,7 @@
 
 	"github.com/galenaseam/galenaseam/directory"
 	"github.com/galenaseam/galenaseam/internal/sleep"
+	"github.com/galenaseam/galenaseam/internal/sockopt"
 )
 
 const (
@@ -93,6 +94,10 @@
 		}
 		opened = append(opened, *l.into)
 	}
+	// The options pass to the connections that are accepted, so that they cost no call each.
+	if err := sockopt.SetBuffers(s.callers, callerSocketBytes); err != nil {
+		h.logger.Warn("failed to bound the buffers of callers' connections", "error", err.Error())
+	}
 	return s, nil
 }
 
@@ -106,7 +111,9 @@
 		ReadHeaderTimeout: defaultHeaderTimeout,
 	}
 	for _, run := range []func() error{
-		func() error { return serve(ctx, h.callers.server, callerListener{s.callers}) },
+		func() error {
+			return serve(ctx, h.callers.server, callerListener{Listener: s.callers, server: h.callers})
+		},
 		func() error { return serve(ctx, readiness, s.readiness) },
 		func() error { return serve(ctx, metrics, s.metrics) },
 		func() error { return h.peerServer.Serve(ctx, s.peers) },
--- a/gateway/bodies.go
+++ b/gateway/bodies.go
@@ -5,131 +5,152 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
-	"golang.org/x/sync/semaphore"
+
+	"github.com/galenaseam/galenaseam/memory"
 )
 
 const (
-	// smallBodyBytes is the largest body that is read without a reservation. All that a
-	// host's connections can hold of them is a part of its memory.
-	smallBodyBytes = 16 << 10
-	// maxUnknownShare divides the limit to get the largest body whose length the caller does
-	// not state.
-	maxUnknownShare = 8
+	// maxUnknownShare divides the memory for bodies to get the largest body whose length the
+	// caller does not state.
+	maxUnknownShare = 4
+	// firstBufferBytes is what a body or an answer without a stated length takes at first. The
+	// buffer is doubled each time it is full.
+	firstBufferBytes = 1 << 10
 	// maxRoomWait is how long a large body waits, unread, until others have ended. It is below
 	// the second after which callers abandon a request that is not read.
 	maxRoomWait = 400 * time.Millisecond
+	// maxGrowthWait is how long an answer that has been read in part waits for more memory.
+	maxGrowthWait = 2 * time.Second
+	// maxDiscardTime bounds the reading of a body that was refused. The largest body takes 3.4 s
+	// at 10 Mbit/s.
+	maxDiscardTime = 4 * time.Second
 	// noRoomRetryAfter is about the time in which streams end and free their bodies. A
 	// random time of the same length is added to it.
 	noRoomRetryAfter = time.Second
 )
 
-// errNoRoom means that the bodies of other requests take all the memory for bodies.
+// errNoRoom means that other requests take all the memory for the request's body, or that its
+// body stopped while others waited.
 var errNoRoom = errs.New("no memory for the request's body")
 
-// bodyMemory bounds the memory of the bodies that requests in progress hold. It is safe for
-// concurrent use.
-type bodyMemory struct {
-	limit  int64 // in bytes; 0 means no limit
-	room   *semaphore.Weighted
-	held   atomic.Int64 // in bytes, small bodies included
-	heldBy prometheus.Gauge
-}
-
-func newBodyMemory(limit int64, gauge prometheus.Gauge) *bodyMemory {
-	return &bodyMemory{limit: limit, room: semaphore.NewWeighted(limit), heldBy: gauge}
+// meteredReader records the progress of what it reads.
+type meteredReader struct {
+	io.Reader
+	room *memory.Holder
 }
 
-// bodyRoom is the memory that one request holds for its body.
-type bodyRoom struct {
-	memory   *bodyMemory
-	reserved int64 // of the limit
-	counted  int64 // of memory.held
+func (m meteredReader) Read(p []byte) (int, error) {
+	n, err := m.Reader.Read(p)
+	m.room.Progress(n, time.Now())
+	return n, err
 }
 
-// reserve reserves memory for a large body. It waits for other requests to end, in the order
-// of the calls, and returns errNoRoom if that takes too long.
-func (b *bodyRoom) reserve(ctx context.Context, bytes int64) error {
-	if b.memory.limit > 0 {
-		ctx, cancel := context.WithTimeout(ctx, maxRoomWait)
-		defer cancel()
-		if bytes > b.memory.limit || b.memory.room.Acquire(ctx, bytes) != nil {
-			return errNoRoom
+// readHeld reads to the end of r, at most limit bytes, into memory of room that grow takes.
+// length is negative if it is not known.
+func readHeld(room *memory.Holder, grow func(bytes int64) error, r io.Reader, length, limit int64) ([]byte, error) {
+	r = meteredReader{r, room}
+	if length < 0 {
+		return readGrowing(room, grow, r, limit)
+	}
+	if length == 0 {
+		return nil, nil
+	}
+	if err := grow(length); err != nil {
+		return nil, err
+	}
+	whole := make([]byte, length)
+	if _, err := io.ReadFull(r, whole); err != nil {
+		room.Release(length)
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
 		}
-		b.reserved += bytes
+		return nil, err
 	}
-	b.count(bytes)
-	return nil
+	return whole, nil
 }
 
-// shrinkTo returns what was reserved beyond a number of bytes.
-func (b *bodyRoom) shrinkTo(bytes int64) {
-	if excess := b.reserved - bytes; excess > 0 {
-		b.memory.room.Release(excess)
-		b.reserved -= excess
+// readGrowing does the work of readHeld if the length is not known.
+func readGrowing(room *memory.Holder, grow func(bytes int64) error, r io.Reader, limit int64) (whole []byte, err error) {
+	size := min(firstBufferBytes, limit)
+	if err := grow(size); err != nil {
+		return nil, err
+	}
+	buffer := make([]byte, size)
+	defer func() {
+		if err != nil {
+			room.Release(int64(len(buffer)))
+		}
+	}()
+	for n := 0; ; {
+		more, err := r.Read(buffer[n:])
+		n += more
+		switch {
+		case errors.Is(err, io.EOF):
+			return trim(room, buffer, n), nil
+		case err != nil:
+			return nil, err
+		case n < len(buffer):
+			continue
+		case int64(n) == limit:
+			return endsHere(r, room, buffer, n)
+		}
+		larger := min(2*int64(n), limit)
+		if err := grow(larger); err != nil {
+			return nil, err
+		}
+		grown := make([]byte, larger)
+		copy(grown, buffer)
+		buffer = grown
+		room.Release(int64(n))
 	}
-	b.count(bytes - b.counted)
-}
-
-// count counts bytes that are held beyond those counted before.
-func (b *bodyRoom) count(bytes int64) {
-	b.counted += bytes
-	b.memory.heldBy.Set(float64(b.memory.held.Add(bytes)))
 }
 
-// free returns all of the memory. Calling it again has no effect.
-func (b *bodyRoom) free() { b.shrinkTo(0) }
-
-// read reads a body of at most limit bytes whose length is given, or negative if the caller
-// did not state it. It returns errNoRoom before it has read a large body.
-func (b *bodyRoom) read(ctx context.Context, body io.Reader, length, limit int64) ([]byte, error) {
-	if length > smallBodyBytes {
-		if err := b.reserve(ctx, length); err != nil {
+// endsHere returns a body that fills its buffer, or errNoRoom if it goes on.
+func endsHere(r io.Reader, room *memory.Holder, buffer []byte, n int) ([]byte, error) {
+	var next [1]byte
+	for {
+		more, err := r.Read(next[:])
+		switch {
+		case more > 0:
+			return nil, errNoRoom
+		case errors.Is(err, io.EOF):
+			return trim(room, buffer, n), nil
+		case err != nil:
 			return nil, err
 		}
-		whole := make([]byte, length)
-		_, err := io.ReadFull(body, whole)
-		return whole, err
-	}
-	first, err := io.ReadAll(io.LimitReader(body, smallBodyBytes+1))
-	if err != nil || len(first) <= smallBodyBytes {
-		b.count(int64(len(first)))
-		return first, err
-	}
-	if b.memory.limit > 0 {
-		limit = min(limit, b.memory.limit/maxUnknownShare)
-	}
-	if err := b.reserve(ctx, limit); err != nil {
-		return nil, err
 	}
-	whole := make([]byte, limit)
-	n, err := readToEnd(body, whole[copy(whole, first):])
-	whole = append([]byte(nil), whole[:len(first)+n]...)
-	b.shrinkTo(int64(len(whole)))
-	return whole, err
 }
 
-// readToEnd reads a body to its end. It returns errNoRoom if the buffer is too small.
-func readToEnd(body io.Reader, buffer []byte) (n int, err error) {
-	for n < len(buffer) && err == nil {
-		var more int
-		more, err = body.Read(buffer[n:])
-		n += more
+// trim returns the first n bytes of a buffer, and gives back the rest.
+func trim(room *memory.Holder, buffer []byte, n int) []byte {
+	if n == len(buffer) {
+		return buffer
 	}
-	if err == nil {
-		var more int
-		if more, err = body.Read(make([]byte, 1)); more > 0 {
-			err = errNoRoom
-		}
+	whole := append(make([]byte, 0, n), buffer[:n]...)
+	room.Release(int64(len(buffer) - n))
+	return whole
+}
+
+// readBodyHeld reads a request's body of at most limit bytes whose length is given, or
+// negative if the caller did not state it. It returns errNoRoom before it has read a large
+// body of stated length.
+func readBodyHeld(ctx context.Context, room *memory.Holder, memoryBytes int64, body io.Reader, length, limit int64) ([]byte, error) {
+	if length < 0 && memoryBytes > 0 {
+		limit = min(limit, memoryBytes/maxUnknownShare)
 	}
-	if errors.Is(err, io.EOF) {
-		err = nil
+	room.MayEvict(true, time.Now())
+	grow := func(bytes int64) error { return room.Grow(ctx, bytes, maxRoomWait) }
+	whole, err := readHeld(room, grow, body, length, limit)
+	room.MayEvict(false, time.Now())
+	// A request that was told to end as its last bytes arrived can't go on: its connection
+	// may no longer be read.
+	if errors.Is(err, memory.ErrFull) || room.Evicted() {
+		return nil, errNoRoom
 	}
-	return n, err
+	return whole, err
 }
 
 // discardBody reads what is left of a body that was refused, so that the caller gets the
