--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -202,10 +202,10 @@
 // progress is how far the sending of a call has come.
 type progress struct {
 	connected atomic.Bool
-	written   chan error // receives the result of writing the request
+	written   chan bool // receives whether writing the request succeeded
 }
 
-func newProgress() *progress { return &progress{written: make(chan error, 1)} }
+func newProgress() *progress { return &progress{written: make(chan bool, 1)} }
 
 func (p *progress) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
@@ -215,7 +215,7 @@
 			case <-p.written: // net/http sends the request again on another connection
 			default:
 			}
-			p.written <- w.Err
+			p.written <- w.Err == nil
 		},
 	}
 }
@@ -223,8 +223,8 @@
 // wholeSoon reports whether the whole request has been written, or is about to be.
 func (p *progress) wholeSoon() bool {
 	select {
-	case err := <-p.written:
-		return err == nil
+	case whole := <-p.written:
+		return whole
 	case <-time.After(requestEndWait):
 		return false
 	}
--- a/staging/queue.go
+++ b/staging/queue.go
@@ -268,7 +268,7 @@
 // priorityStep is added to the target of a group for each step of lower
 // priority when groups are ordered. It outweighs the differences between the objectives of
 // usual routes: with 150 ms, urgent groups became late together with the others.
-const priorityStep = 150 * time.Millisecond
+const priorityStep = 300 * time.Millisecond
 
 // sort puts the groups into the order in which they are served.
 func (q *queue) sort(now time.Time, batchTime time.Duration) {
