--- a/ownership/avoided.go
+++ b/ownership/avoided.go
@@ -37,3 +37,10 @@
 	until, there := a.until[id]
 	return there && !now.After(until)
 }
+
+// Clear makes all hosts usable again.
+func (a *Avoided) Clear() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	clear(a.until)
+}
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -18,7 +18,6 @@
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/host/hosttest"
 	"github.com/galenaseam/galenaseam/link"
-	"github.com/galenaseam/galenaseam/ownership"
 )
 
 var fleetKey = []byte("a key for tests")
@@ -200,7 +199,7 @@
 	require.Eventually(t, func() bool {
 		for _, addr := range addrs {
 			require.Equal(t, "h2", dial(t, hosts[0], addr).(*Conn).Peer())
-			hosts[0].peers.avoided = ownership.Avoided{} // so that the second host is asked again
+			hosts[0].peers.avoided.Clear() // so that the second host is asked again
 		}
 		return hosts[1].paths.expected(addrs[0], time.Now()) == noPath
 	}, 10*time.Second, time.Millisecond)
