edge: a test waits for both log lines of a reload

TestHostFollowsTheStoreToAnotherAddress failed once beside other runs: it waited for the first line and expected the second, which is written after it, at once. It now waits for both, and checks the same.

--- a/edge/reload_test.go
+++ b/edge/reload_test.go
@@ -39,7 +39,8 @@
 				signalled <- syscall.SIGHUP
 			}
 			require.Eventually(t, func() bool {
-				return n.log.count("settings reloaded", moved.Addr().String()) > 0
+				return n.log.count("settings reloaded", moved.Addr().String()) > 0 &&
+					n.log.count("changed settings are not in force until a restart") > 0
 			}, waitTimeout, 5*time.Millisecond)
 			require.Equal(t, 1, n.log.count("changed settings are not in force until a restart", `["Capacity"]`))
 			old.Close()
