directory: an older answer of another host begins no evacuation again

Seen in review: a host that starts after an evacuation has ended has no record of it. An answer of a host that had not yet heard of the end, as of an earlier position, began the evacuation again until the next answer, and its end then made the whole data centre count as cold.

Relayed evacuations older than what this host has applied are ignored. Reads of the store are applied as before.

TestHostThatStartedLaterIgnoresOlderAnswers fails on the code before and passes now.

--- a/directory/evacuation.go
+++ b/directory/evacuation.go
@@ -132,9 +132,11 @@
 }
 
 // applyRelayedEvacuations applies the evacuations in another host's answer. It returns true if
-// that changes anything. The caller holds applying.
+// that changes anything. An answer older than what this host has applied is ignored: this host
+// has no record of an evacuation that began and ended before it started, and would begin it
+// again. The caller holds applying.
 func (d *Directory) applyRelayedEvacuations(answer followAnswer, now time.Time) (changed bool) {
-	return answer.Evacuations != nil && d.replaceEvacuations(answer.Evacuations, answer.position(), now)
+	return answer.Evacuations != nil && !d.position().After(answer.position()) && d.replaceEvacuations(answer.Evacuations, answer.position(), now)
 }
 
 // evacuationsOf returns the evacuations among items of the store.
--- a/directory/evacuation_test.go
+++ b/directory/evacuation_test.go
@@ -50,6 +50,15 @@
 	step("a copy that lacks the key", false, listing(2, 3))
 }
 
+// Guards against a host that starts after an evacuation has ended and begins it again because
+// of a watcher that has not yet heard of the end.
+func TestHostThatStartedLaterIgnoresOlderAnswers(t *testing.T) {
+	d := newLoneDirectory(&testStore{}, nil)
+	d.applySnapshot(nil, infra.Position{Revision: 14}, time.Now())
+	d.applyAnswer(followAnswer{AsOf: 12, Evacuations: []wireEvacuation{{DataCentre: "x", Revision: 11}}})
+	require.False(t, d.config.Instances.IsEvacuated("x"))
+}
+
 // countEvacuated returns the number of hosts at which data centre "x" is evacuated.
 func (f *testFleet) countEvacuated() (count int) {
 	for _, h := range f.hosts {
