memory: requests that wait share the search for stalled holders

Each request that waited for memory looked through all holders every 50 ms, and each body that arrived did so once more. At most one search runs in 10 ms now, for the most that any request waits for.

Requests whose caller left, or that had ended already, were counted and logged as refused for want of memory. They no longer are.

--- a/memory/account.go
+++ b/memory/account.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -36,6 +37,10 @@
 	SmallBytes = 16 << 10
 	// evictInterval is how often a waiting request looks for holders that have stalled.
 	evictInterval = 50 * time.Millisecond
+	// minSearchInterval is the least time between two searches through all holders. Without it,
+	// 500 requests that wait and 500 bodies that arrive would take more than a small host's
+	// processor share.
+	minSearchInterval = 10 * time.Millisecond
 	// logInterval bounds the log to one line of each kind and reason in this time.
 	logInterval = 10 * time.Second
 )
@@ -53,6 +58,8 @@
 	holders  map[*Holder]struct{} // those that may be evicted
 	queue    []*waiter            // large requests, in the order of their calls
 	loggedAt map[string]time.Time
+	// searchedAt is when evictFor last looked through the holders.
+	searchedAt time.Time
 }
 
 // waiter is a request for memory that does not fit yet.
@@ -198,9 +205,11 @@
 		a.mu.Unlock()
 		return nil
 	}
-	if h.freed || a.large > 0 && h.bytes+bytes > a.large {
+	if freed := h.freed; freed || a.large > 0 && h.bytes+bytes > a.large {
 		a.mu.Unlock()
-		a.note(h.kind, "refused")
+		if !freed {
+			a.note(h.kind, "refused")
+		}
 		return ErrFull
 	}
 	w := &waiter{holder: h, bytes: bytes, granted: make(chan struct{})}
@@ -222,7 +231,9 @@
 		if !a.leaveQueue(w) {
 			return nil
 		}
-		a.note(h.kind, "refused")
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			a.note(h.kind, "refused")
+		}
 		return ErrFull
 	}
 }
@@ -297,14 +308,23 @@
 	a.grant()
 }
 
-// evictFor ends holders that have stalled until bytes are free or about to be.
+// evictFor ends holders that have stalled until bytes, or the most that a request waits for, are
+// free or about to be. It does nothing if it has just looked for such holders.
 func (a *Account) evictFor(bytes int64, now time.Time) {
 	a.mu.Lock()
+	if since := now.Sub(a.searchedAt); a.large == 0 || since >= 0 && since < minSearchInterval {
+		a.mu.Unlock()
+		return
+	}
+	for _, w := range a.queue {
+		bytes = max(bytes, w.bytes)
+	}
 	need := a.held - a.evicting + bytes - a.large
-	if a.large == 0 || need <= 0 {
+	if need <= 0 {
 		a.mu.Unlock()
 		return
 	}
+	a.searchedAt = now
 	chosen := a.mark(chooseStalled(a.candidates(now), need))
 	a.mu.Unlock()
 	a.endAll(chosen)
--- a/memory/account_test.go
+++ b/memory/account_test.go
@@ -1,12 +1,14 @@
 package memory
 
 import (
+	"context"
 	"log/slog"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 )
 
@@ -78,3 +80,33 @@
 		require.Zero(t, a.Held(Body))
 	})
 }
+
+// Guards against requests that each look through all holders while they wait. Load: 500 requests
+// that wait at once, and 500 bodies that arrive.
+func TestRequestsThatWaitShareTheSearchForStalledHolders(t *testing.T) {
+	a := New(100, 0, slog.New(slog.DiscardHandler), nil)
+	now := time.Now()
+	holders := make([]Holder, 500)
+	for i := range holders {
+		holders[i].Init(a, Body, nil)
+		holders[i].MayEvict(true, now)
+	}
+	searches := testing.AllocsPerRun(len(holders), func() { a.evictFor(1000, now) })
+	require.Zero(t, searches)
+}
+
+// Guards against requests that ended by themselves and are reported as ended for want of memory.
+func TestRequestsThatEndedAreNotCountedAsRefused(t *testing.T) {
+	a := New(100, 0, slog.New(slog.DiscardHandler), nil)
+	var holding, left, ended Holder
+	holding.Init(a, Body, nil)
+	require.True(t, holding.TryGrow(90, time.Now()))
+	left.Init(a, Body, nil)
+	ended.Init(a, Answer, nil)
+	ended.Free()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.ErrorIs(t, left.Grow(ctx, 50, time.Second), ErrFull)
+	require.ErrorIs(t, ended.Grow(t.Context(), 10, time.Second), ErrFull)
+	require.Zero(t, testutil.CollectAndCount(a.ended))
+}
