Cold upstreams: usual names, one lock for data centres that are cold

Names: warm-ups that are out of bounds are invalid and not odd, also in the metric (seam_invalid_warmups_total), and the table records what an upstream reports instead of being told.

instance.Table.coldCentres was a map that is replaced atomically, so that it could be set without the table's lock. Its only writer holds that lock, and so do its readers. It is a plain map now.

--- a/call/notice.go
+++ b/call/notice.go
@@ -19,9 +19,9 @@
 	Brittle       bool
 	MaxRejections int
 	// WarmupLeft is for how long the process is still cold; 0 if it does not say so.
-	// OddWarmup means that it stated a time out of bounds, which was ignored or capped.
-	WarmupLeft time.Duration
-	OddWarmup  bool
+	// InvalidWarmup means that it stated a time out of bounds, which was ignored or capped.
+	WarmupLeft    time.Duration
+	InvalidWarmup bool
 	// Load is the process's load if HasLoad is set. MalformedLoad means that the answer
 	// names one that is not valid.
 	Load          Load
--- a/edge/cold.go
+++ b/edge/cold.go
@@ -19,8 +19,8 @@
 func (h *Host) setWarmups(t *routing.Table) {
 	warmups := make(map[string]instance.Warmup)
 	for _, s := range t.Services() {
-		if s.OddWarmup {
-			h.cold.odd("configuration", s.Name, "")
+		if s.InvalidWarmup {
+			h.cold.reportInvalid("configuration", s.Name, "")
 		}
 		if s.WarmupPerSecond > 0 {
 			warmups[s.Name] = instance.Warmup{Time: s.WarmupTime, PerSecond: s.WarmupPerSecond}
@@ -31,9 +31,9 @@
 
 // onWarmup records what the sender of an answer says about being cold.
 func (h *Host) onWarmup(sender instance.Process, notice call.Notice, now time.Time) {
-	if notice.OddWarmup {
+	if notice.InvalidWarmup {
 		entry, _ := h.instances.Lookup(sender.ID)
-		h.cold.odd("answer", entry.Service, string(sender.ID))
+		h.cold.reportInvalid("answer", entry.Service, string(sender.ID))
 	}
 	h.instances.MarkCold(sender, notice.WarmupLeft, now)
 }
@@ -86,15 +86,15 @@
 	}
 }
 
-// maxOddSources bounds the sources of odd warm-ups that are remembered. Those beyond it are
+// maxInvalidSources bounds the sources of invalid warm-ups that are remembered. Those beyond it are
 // counted and not logged.
-const maxOddSources = 1024
+const maxInvalidSources = 1024
 
-// coldMonitor reports which services have cold upstreams, and odd statements about them.
+// coldMonitor reports which services have cold upstreams, and invalid statements about them.
 type coldMonitor struct {
-	logger *slog.Logger
-	counts *prometheus.GaugeVec
-	odds   *prometheus.CounterVec
+	logger  *slog.Logger
+	counts  *prometheus.GaugeVec
+	invalid *prometheus.CounterVec
 
 	// cold are the services with cold upstreams at the last report, and expected the cold
 	// upstreams at the last check. Only the goroutine that checks uses them: finding the owners
@@ -103,32 +103,32 @@
 	expected map[instance.ID]bool
 
 	mu     sync.Mutex // guards logged
-	logged map[oddSource]bool
+	logged map[warmupSource]bool
 }
 
-// oddSource is what stated an odd warm-up.
-type oddSource struct{ kind, service, upstream string }
+// warmupSource is what stated an invalid warm-up.
+type warmupSource struct{ kind, service, upstream string }
 
 func newColdMonitor(logger *slog.Logger, registerer prometheus.Registerer) *coldMonitor {
 	m := &coldMonitor{
-		logger: logger, logged: make(map[oddSource]bool), cold: make(map[string]bool),
+		logger: logger, logged: make(map[warmupSource]bool), cold: make(map[string]bool),
 		counts: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "seam_cold_upstreams", Help: "Upstreams that this host takes for cold, by service.",
 		}, []string{"service"}),
-		odds: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "seam_odd_warmups_total", Help: "Warm-ups out of bounds that were ignored or capped, by what stated them.",
+		invalid: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "seam_invalid_warmups_total", Help: "Warm-ups out of bounds that were ignored or capped, by what stated them.",
 		}, []string{"source"}),
 	}
-	registerer.MustRegister(m.counts, m.odds)
+	registerer.MustRegister(m.counts, m.invalid)
 	return m
 }
 
-// odd counts an odd warm-up, and logs it once for each source.
-func (m *coldMonitor) odd(kind, service, upstream string) {
-	m.odds.WithLabelValues(kind).Inc()
-	source := oddSource{kind, service, upstream}
+// reportInvalid counts an invalid warm-up, and logs it once for each source.
+func (m *coldMonitor) reportInvalid(kind, service, upstream string) {
+	m.invalid.WithLabelValues(kind).Inc()
+	source := warmupSource{kind, service, upstream}
 	m.mu.Lock()
-	first := !m.logged[source] && len(m.logged) < maxOddSources
+	first := !m.logged[source] && len(m.logged) < maxInvalidSources
 	if first {
 		m.logged[source] = true
 	}
--- a/edge/cold_test.go
+++ b/edge/cold_test.go
@@ -14,7 +14,7 @@
 // Load: 4 hosts send 50 requests a second to two upstreams; a cold one takes 4. Guards against
 // a bound that does not reach the calls: an upstream that has just registered, and one that
 // says in its answers that it is cold again, get no more than they take, the other one serves
-// the rest, and both are used again when they are warm. Some odd statements change nothing.
+// the rest, and both are used again when they are warm. Some invalid statements change nothing.
 func TestColdUpstreamGetsNoMoreThanItTakes(t *testing.T) {
 	t.Parallel()
 	const (
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -326,7 +326,8 @@
 	return table.Service(name)
 }
 
-// onConfig applies the services' warm-up, and tells the other hosts which version of the configuration this host uses.
+// onConfig applies the services' warm-up, and reports to the other hosts which version of the
+// configuration this host uses.
 func (h *Host) onConfig(t *routing.Table) {
 	h.setWarmups(t)
 	h.members.SetGeneration(uint64(t.Version()))
@@ -335,8 +336,8 @@
 // onUpstreamChange logs that an upstream was added, is leaving, is paused, is limited or was
 // removed, and closes idle connections to removed ones.
 func (h *Host) onUpstreamChange(c instance.Change) {
-	if c.OddWarmup {
-		h.cold.odd("entry", c.Service, string(c.ID))
+	if c.InvalidWarmup {
+		h.cold.reportInvalid("entry", c.Service, string(c.ID))
 	}
 	switch c.Kind {
 	case "changed":
--- a/instance/cold.go
+++ b/instance/cold.go
@@ -7,10 +7,10 @@
 	"github.com/galenaseam/galenaseam/host"
 )
 
-// An upstream is cold after its start, and may become cold again at any moment. It says so
-// in its entry, about a heartbeat later, and in its answers. A host also takes an upstream
-// for cold that says nothing: one that has just started or appeared, one that it could not
-// reach a moment ago, and those of a data centre that has just taken up work again.
+// An upstream is cold after its start, and may become cold again at any moment. It reports that
+// in its entry, about a heartbeat later, and in its answers. A host also treats upstreams as
+// cold that report nothing: those that have just started or appeared, those that it could not
+// reach a moment ago, and those of a data centre whose evacuation has just ended.
 
 // firstListingTime is how long after its first entry a table may still receive the first
 // listing, if nothing marks the listing's end. Upstreams that appear later have started since.
@@ -29,7 +29,7 @@
 type coldness struct {
 	// from is when the process last began to be cold, as far as this host has to assume.
 	from time.Time
-	// until is when the process is warm by its own word.
+	// until is when the process is warm by its own reports.
 	until time.Time
 }
 
@@ -50,10 +50,7 @@
 	if !cold {
 		return time.Time{}, 0, false
 	}
-	from := i.cold.from
-	if centres := t.coldCentres.Load(); centres != nil {
-		from = later(from, (*centres)[i.DataCentre])
-	}
+	from := later(i.cold.from, t.coldCentres[i.DataCentre])
 	return later(i.cold.until, from.Add(w.Time)), w.PerSecond, true
 }
 
@@ -85,14 +82,14 @@
 	return perSecond, true
 }
 
-// MarkCold records that a process has said in an answer that it is cold for a time.
+// MarkCold records that an answer of a process reports it as cold for a time.
 func (t *Table) MarkCold(p Process, left time.Duration, now time.Time) {
 	if left <= 0 {
 		return
 	}
 	t.mu.Lock()
 	var change *Change
-	if i := t.sender(p, now); i != nil && t.tellCold(i, left, now) {
+	if i := t.sender(p, now); i != nil && t.recordWarmup(i, left, now) {
 		change = &Change{Entry: i.Entry, Kind: "cold", Source: SourceAnswer, Until: i.cold.until}
 	}
 	t.mu.Unlock()
@@ -101,9 +98,9 @@
 	}
 }
 
-// tellCold records that an upstream has said for how long it is cold. It returns true if it
-// was taken for warm. The caller holds mu.
-func (t *Table) tellCold(i *Instance, left time.Duration, now time.Time) (changed bool) {
+// recordWarmup records for how long an upstream reports to be cold. It returns true if it
+// counted as warm. The caller holds mu.
+func (t *Table) recordWarmup(i *Instance, left time.Duration, now time.Time) (changed bool) {
 	if left <= 0 {
 		return false
 	}
@@ -125,23 +122,13 @@
 	if !t.gotListing && now.Sub(t.firstEntryAt) < firstListingTime && i.StartTime.Before(now) {
 		i.cold.from = i.StartTime
 	}
-	t.tellCold(i, i.WarmupLeft, now)
+	t.recordWarmup(i, i.WarmupLeft, now)
 }
 
 // markDataCentreCold makes all upstreams of a data centre count as cold for their services'
-// warm-up times, also those that register there within it. It needs no lock.
+// warm-up times, also those that register there within it. The caller holds mu.
 func (t *Table) markDataCentreCold(dc host.DataCentre, now time.Time) {
-	for {
-		old := t.coldCentres.Load()
-		marked := make(map[host.DataCentre]time.Time)
-		if old != nil {
-			marked = maps.Clone(*old)
-		}
-		marked[dc] = later(marked[dc], now)
-		if t.coldCentres.CompareAndSwap(old, &marked) {
-			return
-		}
-	}
+	t.coldCentres[dc] = later(t.coldCentres[dc], now)
 }
 
 // ColdUpstreams returns the cold upstreams of each service whose upstreams may be cold, with
--- a/instance/export_test.go
+++ b/instance/export_test.go
@@ -13,4 +13,8 @@
 func (t *Table) SetClock(now func() time.Time) { t.now = now }
 
 // MarkDataCentreCold is markDataCentreCold.
-func (t *Table) MarkDataCentreCold(dc host.DataCentre, now time.Time) { t.markDataCentreCold(dc, now) }
+func (t *Table) MarkDataCentreCold(dc host.DataCentre, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.markDataCentreCold(dc, now)
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/galenaseam/galenaseam/host"
@@ -45,9 +44,9 @@
 	// WarmupLeft is for how long the upstream is still cold by its entry, counted from when
 	// the entry arrives.
 	WarmupLeft time.Duration `cbor:"22,keyasint,omitempty"`
-	// OddWarmup means that the entry states a warm-up time out of bounds, which was ignored or
+	// InvalidWarmup means that the entry states a warm-up time out of bounds, which was ignored or
 	// capped.
-	OddWarmup bool `cbor:"-"`
+	InvalidWarmup bool `cbor:"-"`
 }
 
 // maxTombstones bounds the removals that are remembered. It is several times
@@ -142,9 +141,8 @@
 	firstEntryAt  time.Time         // when the first entry arrived
 	gotListing    bool              // the first listing has been received completely
 	now           func() time.Time
-	// coldCentres is when all upstreams of a data centre last began to be cold. The map is
-	// replaced, never changed.
-	coldCentres atomic.Pointer[map[host.DataCentre]time.Time]
+	// coldCentres is when all upstreams of a data centre last began to be cold.
+	coldCentres map[host.DataCentre]time.Time
 	evacuated   map[host.DataCentre]bool
 	changed     func(Change)
 }
@@ -187,6 +185,7 @@
 		kept:       make(map[processKey]keptNotice),
 		evacuated:  make(map[host.DataCentre]bool),
 
+		coldCentres:    make(map[host.DataCentre]time.Time),
 		formerVersions: make(map[string]map[string]time.Time),
 		completeSince:  time.Now(),
 		now:            time.Now,
@@ -227,7 +226,7 @@
 	}
 	wasLeaving := old.isLeaving()
 	old.Entry = e
-	becameCold := t.tellCold(old, e.WarmupLeft, t.now())
+	becameCold := t.recordWarmup(old, e.WarmupLeft, t.now())
 	if e.Leaving && !wasLeaving {
 		return "leaving"
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -97,9 +97,9 @@
 	// are never cold.
 	WarmupTime      time.Duration
 	WarmupPerSecond float64
-	// OddWarmup means that the configuration states a warm-up out of bounds, which was ignored
+	// InvalidWarmup means that the configuration states a warm-up out of bounds, which was ignored
 	// or capped.
-	OddWarmup bool
+	InvalidWarmup bool
 	// Engine is set for model servers.
 	Engine *Engine
 	// Stages is set for services that run stages.
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -1,8 +1,7 @@
 // Package throttle keeps the requests that all hosts together send to an upstream within
 // the limit that the upstream names, within what a cold upstream takes, and within the room
-// that a brittle upstream has. One
-// host grants the requests to an upstream: its owner among the hosts. The others ask it
-// before they send one.
+// that a brittle upstream has. One host grants the requests to an upstream: its owner among
+// the hosts. The others ask it before they send one.
 package throttle
 
 import (
