throttle: buckets of cold upstreams that get no requests are dropped

Expect makes a bucket for each cold upstream that a host owns, but only grants dropped old ones: an owner that nobody asks kept one for every upstream ID it had ever owned while cold. Expect drops old ones as well.

TestBucketsOfColdUpstreamsThatGetNoRequestsAreDropped fails on the code before (100 buckets) and passes now.

--- a/throttle/cold.go
+++ b/throttle/cold.go
@@ -15,8 +15,8 @@
 	GrantLifetime = 150 * time.Millisecond
 	// coldWindow is the time in which the bound on requests to a cold upstream counts them.
 	coldWindow = time.Second
-	// coldTTL is how long the owner takes an upstream for cold after a host last said so. It
-	// then also counts the requests of hosts that only know of a limit of the upstream.
+	// coldTTL is how long an upstream counts as cold at its owner after a host last reported it. The
+	// owner then also counts the requests of hosts that only know of a limit of the upstream.
 	coldTTL = 3 * time.Second
 )
 
@@ -36,8 +36,8 @@
 // ID: hosts that have not heard of a new process under the ID send it requests too.
 type coldBucket struct {
 	bucket
-	perSecond float64
-	saidAt    time.Time // when a host last said that the upstream is cold
+	perSecond  float64
+	reportedAt time.Time // when a host last reported that the upstream is cold
 }
 
 // coldBucketFor returns the bucket that a request must be granted from because its upstream
@@ -50,8 +50,8 @@
 			b = &coldBucket{}
 			t.coldBuckets[r.ID] = b
 		}
-		b.perSecond, b.saidAt = r.WarmupPerSecond, now
-	case b == nil || now.Sub(b.saidAt) > coldTTL:
+		b.perSecond, b.reportedAt = r.WarmupPerSecond, now
+	case b == nil || now.Sub(b.reportedAt) > coldTTL:
 		return nil
 	}
 	return b
@@ -70,6 +70,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.prune(now)
 	for id, perSecond := range owned {
 		t.coldBucketFor(acquireRequest{ID: id, WarmupPerSecond: perSecond}, now).fill(now)
 	}
--- a/throttle/cold_test.go
+++ b/throttle/cold_test.go
@@ -116,3 +116,16 @@
 		}
 	}
 }
+
+// Guards against buckets that are kept for ever by an owner that nobody asks. Load: 100 upstreams
+// that become cold, one a minute.
+func TestBucketsOfColdUpstreamsThatGetNoRequestsAreDropped(t *testing.T) {
+	now := time.Now()
+	owners := ownership.New(hosttest.Fleet{{Info: host.Info{ID: "h0", Capacity: 1}}}, now)
+	owner := New(Config{Self: "h0", Owners: owners, Logger: slog.New(slog.DiscardHandler), Now: func() time.Time { return now }}, link.NewMux())
+	for i := range 100 {
+		owner.Expect(map[instance.ID]float64{instance.ID(fmt.Sprint("u", i)): 8})
+		now = now.Add(idleBucketTTL)
+	}
+	require.LessOrEqual(t, len(owner.coldBuckets), 3)
+}
