balance, placement, staging: choices give the figures behind them

Missing: operators could see where a request went, but not where the next one would go and why (docs/design/uneven-load.md, part 7).

The scores of plain upstreams and engines are computed in parts by functions that the choice and its explanation share, and so is the reason for which a stage server or any upstream gets no work.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -64,17 +64,14 @@
 // there is none to choose.
 func ChooseUpstream(all []instance.Status, need Need, random *rand.Rand) (instance.Status, bool) {
 	candidates := usable(all, need)
-	if score, known := need.scoreByWork(candidates, random); known {
-		return lowestScore(candidates, score)
+	if estimate, known := need.estimateByWork(candidates); known {
+		return lowestScore(candidates, func(s instance.Status) float64 {
+			return random.ExpFloat64() * math.Pow(estimate(s).expected(), choiceSharpness)
+		})
 	}
 	lowest := lowestLatency(candidates)
 	return lowestScore(candidates, func(s instance.Status) float64 {
-		latency := expectedLatency(s, lowest)
-		load := float64(s.InFlight+1) / float64(max(s.Slots, 1))
-		score := latency.Seconds() * (1 + load) * (1 + errorFactor*s.ErrorRate*s.ErrorRate)
-		if s.DataCentre != need.PreferredDataCentre {
-			score *= remoteFactor
-		}
+		score := need.estimateByLatency(s, lowest).score()
 		if s.Cold && random.IntN(coldTrial) > 0 {
 			score *= coldFactor
 		}
@@ -117,28 +114,45 @@
 	if len(candidates) == 0 {
 		return instance.Status{}, false
 	}
-	load := func(s instance.Status) float64 {
-		return float64(s.Tokens) * (1 + errorFactor*s.ErrorRate*s.ErrorRate)
+	if homes := need.homes(candidates); len(homes) > 0 {
+		return homes[0], true
+	}
+	return lowestScore(candidates, func(s instance.Status) float64 {
+		return need.engineScore(s) * (1 + jitter*random.Float64())
+	})
+}
+
+// homes returns the home engines of the prompt that are neither overloaded nor fail often, in
+// order.
+func (n Need) homes(candidates []instance.Status) (homes []instance.Status) {
+	if n.Prefix == 0 {
+		return nil
 	}
 	total := 0.0
 	for _, s := range candidates {
-		total += load(s)
+		total += engineLoad(s)
 	}
 	limit := homeTokenAllowance + homeLoadFactor*total/float64(len(candidates))
-	if need.Prefix != 0 {
-		for _, home := range prefixHomes(candidates, need.Prefix) {
-			if load(home) <= limit && home.ErrorRate < 0.3 {
-				return home, true
-			}
+	for _, home := range prefixHomes(candidates, n.Prefix) {
+		if engineLoad(home) <= limit && home.ErrorRate < 0.3 {
+			homes = append(homes, home)
 		}
 	}
-	return lowestScore(candidates, func(s instance.Status) float64 {
-		score := load(s) + homeTokenAllowance/4
-		if s.DataCentre != need.PreferredDataCentre {
-			score *= remoteFactor
-		}
-		return score * (1 + jitter*random.Float64())
-	})
+	return homes
+}
+
+// engineLoad returns the tokens in flight at an engine, raised by its errors.
+func engineLoad(s instance.Status) float64 {
+	return float64(s.Tokens) * (1 + errorFactor*s.ErrorRate*s.ErrorRate)
+}
+
+// engineScore returns the score of an engine that is chosen by its load.
+func (n Need) engineScore(s instance.Status) float64 {
+	score := engineLoad(s) + homeTokenAllowance/4
+	if s.DataCentre != n.PreferredDataCentre {
+		score *= remoteFactor
+	}
+	return score
 }
 
 // usable returns the healthy upstreams of the required version that were not tried, or
--- a/balance/work.go
+++ b/balance/work.go
@@ -1,8 +1,6 @@
 package balance
 
 import (
-	"math"
-	"math/rand/v2"
 	"time"
 
 	"github.com/galenaseam/galenaseam/instance"
@@ -31,11 +29,31 @@
 	Now   time.Time
 }
 
-// scoreByWork returns the score of each candidate from its expected time, which is that
-// of the work still to do there and of the request. known is false if no candidate has
-// reported its load. The scores are random, so that the lowest one belongs to each
-// candidate in inverse proportion to a power of its expected time.
-func (n Need) scoreByWork(candidates []instance.Status, random *rand.Rand) (score func(instance.Status) float64, known bool) {
+// workEstimate is the expected time of a request at an upstream, in its parts.
+type workEstimate struct {
+	load     float64 // requests running and waiting for each slot
+	cost     time.Duration
+	pace     float64
+	slowness float64
+	weight   float64 // of what the upstream last reported
+	errors   float64 // error rate
+	remote   bool
+}
+
+// expected returns the expected time in seconds.
+func (e workEstimate) expected() float64 {
+	expected := (e.load + 1) * e.cost.Seconds() * e.pace * e.slowness * (1 + unknownPenalty*(1-e.weight))
+	expected *= 1 + errorFactor*e.errors*e.errors
+	if e.remote {
+		expected *= remoteTimeFactor
+	}
+	return expected
+}
+
+// estimateByWork returns the estimate for each candidate: the expected time is that of the
+// work still to do there and of the request. known is false if no candidate has reported its
+// load. Each candidate is chosen in inverse proportion to a power of its expected time.
+func (n Need) estimateByWork(candidates []instance.Status) (estimate func(instance.Status) workEstimate, known bool) {
 	states := make(map[instance.ID]workload.State, len(candidates))
 	weights, loads := 0.0, 0.0
 	for _, c := range candidates {
@@ -52,17 +70,14 @@
 	if known, is := n.Work.Table.Cost(n.Work.Class, n.Work.Now); is {
 		cost = known.Mean
 	}
-	return func(c instance.Status) float64 {
+	return func(c instance.Status) workEstimate {
 		s := states[c.ID]
 		perSlot := 1 / float64(slots(c, s))
 		load := mean + s.Weight*(float64(s.Outstanding)*perSlot-mean)
-		load = max(load, float64(c.InFlight)*perSlot)
-		expected := (load + 1) * cost.Seconds() * s.Pace * s.Slowness * (1 + unknownPenalty*(1-s.Weight))
-		expected *= 1 + errorFactor*c.ErrorRate*c.ErrorRate
-		if c.DataCentre != n.PreferredDataCentre {
-			expected *= remoteTimeFactor
+		return workEstimate{
+			load: max(load, float64(c.InFlight)*perSlot), cost: cost, pace: s.Pace, slowness: s.Slowness,
+			weight: s.Weight, errors: c.ErrorRate, remote: c.DataCentre != n.PreferredDataCentre,
 		}
-		return random.ExpFloat64() * math.Pow(expected, choiceSharpness)
 	}, true
 }
 
--- a/instance/evacuation.go
+++ b/instance/evacuation.go
@@ -64,7 +64,7 @@
 
 // mayGetWork reports whether hosts may send an upstream new work, unless it has asked them
 // for a pause or is at its limit. The caller holds mu.
-func (t *Table) mayGetWork(i *Instance) bool { return !i.isLeaving() && !t.evacuated[i.DataCentre] }
+func (t *Table) mayGetWork(i *Instance) bool { return t.exclusionByAll(i) == "" }
 
 // IsCallEvacuated reports whether a call to a process goes to an evacuated data centre, also
 // if the process is no longer listed. The upstream with the address is meant if p has no ID.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -83,6 +83,7 @@
 	failures     int // calls that broke since the last answered one
 	ejections    int // since the last answered call
 	ejectedUntil time.Time
+	unreachable  bool          // when it was last ejected
 	latency      time.Duration // moving average over successful answers
 	measuredAt   uint64        // the table's count of requests to the service at the last answer
 	errorRate    float64       // moving average of the share of calls that failed or broke
@@ -94,6 +95,8 @@
 	InFlight int
 	Tokens   int
 	Ejected  bool
+	// Unreachable means that the upstream did not listen when this host last ejected it.
+	Unreachable bool
 	// Cold means that the upstream takes few requests a second from all hosts together.
 	Cold    bool
 	Latency time.Duration
@@ -379,7 +382,7 @@
 // Service returns the upstreams of a service that this host may send new work to,
 // ordered by ID.
 func (t *Table) Service(name string, now time.Time) []Status {
-	return t.service(name, now, func(i *Instance) bool { return t.mayGetWork(i) && !i.isPaused(now) })
+	return t.service(name, now, func(i *Instance) bool { return t.exclusion(i, now) == "" })
 }
 
 // service returns the upstreams of a service for which usable is true.
@@ -394,7 +397,7 @@
 		}
 		all = append(all, Status{
 			Entry: i.Entry, InFlight: i.inFlight, Tokens: i.tokens,
-			Ejected: now.Before(i.ejectedUntil), Cold: mayBeCold && t.isCold(i, now), Latency: i.latency, SinceAnswer: t.requests[name] - i.measuredAt, ErrorRate: i.errorRate,
+			Ejected: now.Before(i.ejectedUntil), Unreachable: i.unreachable, Cold: mayBeCold && t.isCold(i, now), Latency: i.latency, SinceAnswer: t.requests[name] - i.measuredAt, ErrorRate: i.errorRate,
 		})
 	}
 	return all
@@ -526,10 +529,12 @@
 	case Failed:
 		i.errorRate += errorRateSmoothing * (1 - i.errorRate)
 	case Unreachable:
+		i.unreachable = true
 		i.eject(now)
 	case Broke:
 		i.errorRate += errorRateSmoothing * (1 - i.errorRate)
 		if i.failures++; i.failures >= failuresToEject {
+			i.unreachable = false
 			i.eject(now)
 		}
 	}
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -82,9 +82,9 @@
 // take counts a request that the engine is given.
 func (i *intake) take() { i.tokens = max(i.tokens-1, 0) }
 
-// withRoom returns the engines but the cold ones that have got what they take now. wait is
-// when the first of those takes another request; 0 if there is none.
-func (t *tracker) withRoom(now time.Time, all []instance.Status, limits Limits) (room []instance.Status, wait time.Duration) {
+// withRoom returns the engines but the cold ones that have got what they take now, with which it
+// calls exclude. wait is when the first of those takes another request; 0 if there is none.
+func (t *tracker) withRoom(now time.Time, all []instance.Status, limits Limits, exclude func(s instance.Status, reason string)) (room []instance.Status, wait time.Duration) {
 	if limits.WarmupPerSecond <= 0 {
 		return all, 0
 	}
@@ -97,6 +97,7 @@
 			room = append(room, s)
 			continue
 		}
+		exclude(s, excludedCold)
 		rate, _ := intakeRate(true, limits.WarmupPerSecond, mean)
 		left := time.Duration((1 - in.tokens) / rate * float64(time.Second))
 		if wait == 0 || left < wait {
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -132,10 +132,15 @@
 	}
 	t.Owner = ""
 	all := p.config.Engines.Service(need.Service, time.Now())
-	t.Engine, found = balance.ChooseEngine(all, balance.Need{Prefix: sharedPrefix(need), PreferredDataCentre: p.config.DataCentre, Tried: need.Tried, Version: need.Version}, random)
+	t.Engine, found = balance.ChooseEngine(all, p.aloneNeed(need), random)
 	return t, found
 }
 
+// aloneNeed returns what a request needs if this host chooses its engine without the owner.
+func (p *Placer) aloneNeed(need Need) balance.Need {
+	return balance.Need{Prefix: sharedPrefix(need), PreferredDataCentre: p.config.DataCentre, Tried: need.Tried, Version: need.Version}
+}
+
 // sharedPrefix returns the hash of all parts of a prompt but the last. Other
 // requests may share these parts. It returns 0 if there are none.
 func sharedPrefix(need Need) uint64 {
@@ -176,29 +181,39 @@
 	all := p.config.Engines.ServiceOfFleet(need.Service, now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	limits := Limits{Concurrency: service.Engine.Concurrency, CacheTokens: service.Engine.CacheTokens, WarmupPerSecond: service.WarmupPerSecond}
-	id, wait, found := p.tracker(need.Service).place(now, all, limits, need)
+	id, wait, found := p.tracker(need.Service).place(now, all, limitsOf(service), need)
 	if !found {
 		return placeReply{Wait: wait, Full: wait > 0}
 	}
 	return placeReply{Engine: id, Wait: wait}
 }
 
+// limitsOf returns the capacity of an engine of a service.
+func limitsOf(service *routing.Service) Limits {
+	return Limits{Concurrency: service.Engine.Concurrency, CacheTokens: service.Engine.CacheTokens, WarmupPerSecond: service.WarmupPerSecond}
+}
+
 // tracker returns the tracker of a service and creates it if needed. The caller
 // holds mu.
 func (p *Placer) tracker(service string) *tracker {
 	t := p.trackers[service]
 	if t == nil {
-		t = newTracker()
-		if p.config.Workload == nil {
-			t.rereadWeight = 0
-		}
-		t.pace = p.config.Workload.Pace
+		t = p.newTracker()
 		p.trackers[service] = t
 	}
 	return t
 }
 
+// newTracker returns an empty tracker that uses the load that engines report.
+func (p *Placer) newTracker() *tracker {
+	t := newTracker()
+	if p.config.Workload == nil {
+		t.rereadWeight = 0
+	}
+	t.pace = p.config.Workload.Pace
+	return t
+}
+
 // applyNote updates the tracked load of an engine.
 func (p *Placer) applyNote(n progressNote) {
 	p.mu.Lock()
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -153,46 +153,17 @@
 // running there. wait estimates the time to its first event. If none is found because all
 // are cold and have got what they take now, wait is when the first takes another request.
 func (t *tracker) place(now time.Time, all []instance.Status, limits Limits, need Need) (chosen instance.ID, wait time.Duration, found bool) {
-	t.expire(now)
-	t.dropMissing(all)
-	all = instance.OfVersion(all, need.Version)
-	chain := prefixChain(need.Parts)
-	home := homeEngine(all, chain)
-	withRoom, wait := t.withRoom(now, all, limits)
-	engines, mostShared := t.candidates(withRoom, limits, chain, need.Parts)
-	shared := sharedTokens(need.Parts)
 	best := math.Inf(1)
 	bestUnread := 0
-	for i, s := range withRoom {
-		if contains(need.Tried, s.ID) || s.Ejected && hasHealthyUntried(withRoom, need.Tried) {
-			continue
+	wait = t.scoreAll(now, all, limits, need, func(s instance.Status, score engineScore) {
+		if total := score.total(); total < best {
+			best, chosen, bestUnread, found = total, s.ID, score.unread, true
 		}
-		e := engines[i]
-		unread := need.Tokens - e.cached
-		wait := float64(e.unreadTokens+unread+runningRequestPenalty*e.running) / t.rate(e.engine, now)
-		score := defaultReadRate * (wait + need.latePenalty(wait))
-		score += t.rereadWeight * float64(max(mostShared-min(e.cached, shared), 0))
-		score += errorRatePenalty * s.ErrorRate * s.ErrorRate
-		if s.ID != home {
-			score += nonHomePenalty
-		}
-		if e.running >= limits.Concurrency || float64(e.memoryTokens+need.Tokens+need.ExpectedOutputTokens) > runningMemoryFraction*float64(limits.CacheTokens) {
-			score += fullEnginePenalty
-		}
-		score += e.intake.penalty(s.Cold, limits.WarmupPerSecond)
-		for centre, bytes := range need.Inputs {
-			if centre != s.DataCentre {
-				score += float64(bytes) / remoteBytesPerToken
-			}
-		}
-		if score < best {
-			best, chosen, bestUnread, found = score, s.ID, unread, true
-		}
-	}
+	}, nil)
 	if !found {
 		return "", wait, false
 	}
-	e := t.engine(chosen, limits)
+	e, chain := t.engine(chosen, limits), prefixChain(need.Parts)
 	if limits.WarmupPerSecond > 0 {
 		t.requests.count(now)
 		e.intake.take()
@@ -209,9 +180,6 @@
 	return chosen, firstEventOverhead + seconds(float64(e.unreadTokens)*pace/e.readRate), true
 }
 
-// rate returns how many tokens an engine reads per second now.
-func (t *tracker) rate(e *engine, now time.Time) float64 { return e.readRate / t.pace(e.process, now) }
-
 // candidate is an engine and how many tokens of a prompt it has cached.
 type candidate struct {
 	*engine
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -254,17 +254,21 @@
 func (g *Gatherer) service(name string) *serviceState {
 	s := g.services[name]
 	if s == nil {
-		s = &serviceState{
-			name: name, metrics: g.metrics, memory: newResultMemory(), running: make(map[instance.ID]int),
-			paused: make(map[instance.ID]time.Time), slowdown: make(map[instance.ID]float64),
-			untracked: make(map[instance.ID]untrackedMemory),
-			workload:  g.config.Workload, busyUntil: make(map[instance.ID]time.Time),
-		}
+		s = g.newService(name)
 		g.services[name] = s
 	}
 	return s
 }
 
+func (g *Gatherer) newService(name string) *serviceState {
+	return &serviceState{
+		name: name, metrics: g.metrics, memory: newResultMemory(), running: make(map[instance.ID]int),
+		paused: make(map[instance.ID]time.Time), slowdown: make(map[instance.ID]float64),
+		untracked: make(map[instance.ID]untrackedMemory),
+		workload:  g.config.Workload, busyUntil: make(map[instance.ID]time.Time),
+	}
+}
+
 // spec returns the description of a service's stage servers. The second result
 // is false if the service is unknown or runs no stages.
 func (g *Gatherer) spec(service string) (*routing.StageServer, bool) {
@@ -356,7 +360,7 @@
 			held[server.DataCentre] = true // the other free servers there are slower
 			continue
 		}
-		freeMemory := int64(usableMemoryFraction*float64(spec.ResultMemory)) - used
+		freeMemory := freeResultMemory(spec, used)
 		if batch := s.queue.takeBatch(now, spec, freeMemory, at); len(batch) > 0 {
 			g.start(s, server, spec, batch, now)
 		}
@@ -370,11 +374,9 @@
 func (s *serviceState) availableServers(servers []instance.Status, spec *routing.StageServer, now time.Time) []instance.Status {
 	var free []instance.Status
 	for _, server := range servers {
-		running := s.running[server.ID]
-		if server.Ejected || now.Before(s.paused[server.ID]) || running >= spec.Concurrency {
-			continue
+		if s.unavailable(server, spec, now) == "" {
+			free = append(free, server)
 		}
-		free = append(free, server)
 	}
 	s.byFinish(free, now)
 	return free
