edge, seamctl: a command shows where a request would go now

Missing: a way to ask a host where a request or a stage piece would go, without sending it.

The port of the metrics serves GET /explain. Hosts choose plain upstreams by themselves; for engines and stages the owner is asked by the new method edge.Explain, which only reads. The answer names the host whose view it is. If the owner can't be asked, also because its build lacks the method, the host gives its own view and says so. Wrong parameters are refused with 400 or 404 and are named. seamctl where prints the answer as tables or JSON.

Evidence: TestHostsExplainDecisionsByTheOwnersView (two hosts, over HTTP by seamctl; the metrics of requests and stages do not change) and TestWrongExplainQueriesAreRefused pass, 5 runs each with -race.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -143,6 +143,7 @@
 	transport  *transport.Client
 	tunnels    *tunnel.Server
 	gatherer   *staging.Gatherer
+	placer     *placement.Placer
 	streams    *resume.Keeper
 	parts      *quarantine.Parts
 	throttle   *throttle.Throttle
@@ -269,10 +270,11 @@
 	if err != nil {
 		return err
 	}
-	placer := placement.New(placement.Config{
+	h.placer = placement.New(placement.Config{
 		Engines: h.instances, Service: h.service, Owners: h.owners, Caller: h.peerClient, Workload: h.workload,
 		DataCentre: h.settings.Place.DataCentre, Logger: h.logger,
 	}, h.mux)
+	link.HandleTyped(h.mux, explainMethod, func(_ context.Context, q explainQuestion) (explainAnswer, error) { return h.explainByOwner(q), nil })
 	h.streams = resume.New(resume.Config{
 		Fleet: h.members, Caller: h.peerClient, Logger: h.logger, Registerer: h.registry, Archive: &resume.ArchiveConfig{
 			Self:      h.info.ID,
@@ -287,7 +289,7 @@
 		Stages: staging.NewRunner(staging.RunnerConfig{
 			Owners: h.owners, Caller: h.peerClient, Gatherer: h.gatherer, Service: h.service, Logger: h.logger,
 		}, h.mux),
-		Retries: h.retries, ResponseTimes: pace.NewTable(), Placer: placer, Streams: h.streams,
+		Retries: h.retries, ResponseTimes: pace.NewTable(), Placer: h.placer, Streams: h.streams,
 		Workload: h.workload, ConfirmUpstreams: h.directory.Confirm, VersionMemory: h.settings.VersionMemory,
 		Memory: held, Quarantine: suspects, Parts: h.parts,
 		DataCentre: h.settings.Place.DataCentre, Logger: h.logger, Metrics: gateway.NewMetrics(h.registry),
--- a/edge/run.go
+++ b/edge/run.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenaseam/galenaseam/directory"
@@ -107,7 +106,7 @@
 	h.unregister = unregister
 	readiness := &http.Server{Handler: http.HandlerFunc(h.ServeReadiness), ReadHeaderTimeout: defaultHeaderTimeout}
 	metrics := &http.Server{
-		Handler:           promhttp.HandlerFor(h.registry, promhttp.HandlerOpts{}),
+		Handler:           h.metricsHandler(),
 		ReadHeaderTimeout: defaultHeaderTimeout,
 	}
 	for _, run := range []func() error{
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -125,7 +125,7 @@
 		Options:    []ff.Option{ff.WithEnvVarPrefix("SEAMCTL")},
 		Subcommands: []*ffcli.Command{
 			t.configCommand(), t.hostsCommand(), t.upstreamsCommand(), t.pipelinesCommand(), t.workspacesCommand(),
-			t.explainCommand(), t.costsCommand(), t.drainCommand(), t.versionCommand(),
+			t.explainCommand(), t.whereCommand(), t.costsCommand(), t.drainCommand(), t.versionCommand(),
 		},
 		Exec: requireSubcommand,
 	}
