staging: two ticks at one instant no longer make the rate NaN

Groups waited in a stage queue until just before their deadline: 3.86 s of 4 s in a load on a synthetic clock. No overload was noticed and no group was refused, although the queue grew.

Freeing results runs a tick of its own (sendFrees). If it has the same time as the last one and nothing was completed in between, the measured rate is 0/0. NaN stays in the average for as long as ticks go on, and each comparison with it is false. A tick that takes its time before another one and the lock after it also moved the estimate back, and lost the arrivals of that interval.

An update now needs time to have passed; what was counted stays for the next one.

--- a/staging/rate.go
+++ b/staging/rate.go
@@ -37,6 +37,9 @@
 // means that work is queued.
 func (e *rateEstimator) update(now time.Time, busy bool, capacity float64) {
 	elapsed := now.Sub(e.updated)
+	if elapsed <= 0 && !e.updated.IsZero() {
+		return // no time has passed, so no rate can be measured: 0/0 would remain in the estimate
+	}
 	finished, wasBusy := e.finished, e.wasBusy
 	e.finished, e.updated, e.wasBusy = 0, now, busy
 	switch {
@@ -82,7 +85,10 @@
 // update adjusts the rate by the work that has arrived since the last update.
 func (a *arrivalRate) update(now time.Time) {
 	elapsed := now.Sub(a.updated).Seconds()
-	if !a.updated.IsZero() && elapsed > 0 {
+	if !a.updated.IsZero() && elapsed <= 0 {
+		return // the arrivals count in the next update
+	}
+	if !a.updated.IsZero() {
 		a.rate += (1 - math.Exp(-elapsed/busyTimeConstant.Seconds())) * (a.arrived/elapsed - a.rate)
 	}
 	a.arrived, a.updated = 0, now
