staging: a service that is short of result memory counts as overloaded

A service whose results filled 97 of 101 MB for 1.7 to 2.8 s was not taken for overloaded until its least urgent groups had waited for seconds: queued work was compared with the measured rate of pieces only. That rate follows a shortage with a time constant of 1.5 s, and starts from what the servers could run if they had memory.

If the results of the queued work that can still be in time don't fit into the free memory, the rate is now at most the one at which memory becomes free: usable memory by the time for which results are held. The same rate gives the parts of classes that fit (FitByClass).

--- a/staging/contention.go
+++ b/staging/contention.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/routing"
 )
 
@@ -29,6 +30,7 @@
 	arrivals [maxClasses]arrivalRate
 	// refused is the work that hosts refuse before it arrives, likewise.
 	refused [maxClasses]arrivalRate
+	rate    float64 // with which the last decision was made
 }
 
 // update decides again. rate is in pieces per second. It returns true if the decision
@@ -39,6 +41,7 @@
 		c.refused[class].update(now)
 	}
 	before := c.overloaded
+	c.rate = rate
 	if exceedsRate(q.waiting, rate, spec, now) {
 		c.overloaded, c.last = true, now
 	}
@@ -187,15 +190,15 @@
 }
 
 // updateContention decides whether a service is overloaded. The caller holds mu.
-func (g *Gatherer) updateContention(s *serviceState, spec *routing.StageServer, now time.Time) {
-	changed := s.contention.update(&s.queue, s.pieceRate.rate, spec, now)
+func (g *Gatherer) updateContention(s *serviceState, servers []instance.Status, spec *routing.StageServer, now time.Time) {
+	changed := s.contention.update(&s.queue, s.servedRate(servers, spec, now), spec, now)
 	s.queue.overloaded = s.contention.overloaded
 	if !changed {
 		return
 	}
 	g.metrics.setOverloaded(s.name, s.queue.overloaded)
 	g.config.Logger.Info("stage order changed", "service", s.name, "overloaded", s.queue.overloaded,
-		"pieces", s.queue.totalPieces(), "rate", int(s.pieceRate.rate))
+		"pieces", s.queue.totalPieces(), "rate", int(s.contention.rate))
 }
 
 // NoteRefused counts the pieces that a host has refused on arrival of their requests, by class.
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -132,8 +132,8 @@
 		if spec, known := g.spec(s.name); known {
 			servers := g.config.Servers.Service(s.name, now)
 			s.pieceRate.update(now, len(s.queue.waiting) > 0, s.capacity(servers, spec))
-			s.byteRate.update(now, len(s.queue.waiting) > 0, s.byteCapacity(servers, spec))
-			g.updateContention(s, spec, now)
+			s.byteRate.update(now, len(s.queue.waiting) > 0, s.byteCapacity(servers, spec, s.memory.meanHoldTime))
+			g.updateContention(s, servers, spec, now)
 			callbacks = append(callbacks, s.refuseLate(now, spec)...)
 		}
 		callbacks = append(callbacks, g.dispatch(s, now)...)
@@ -275,8 +275,8 @@
 	return described.Stages, true
 }
 
-// countArrival counts a group that was queued: for its class, and if it can still be in time. The caller holds
-// mu of g.
+// countArrival counts a group that was queued: for its class, and if it can
+// still be in time. The caller holds mu of g.
 func (s *serviceState) countArrival(w *workItem, now time.Time, g *Gatherer) {
 	s.contention.arrivals[w.class()].add(float64(w.Pieces))
 	if spec, known := g.spec(s.name); known && w.canMeetTarget(now, spec.FullBatchTime()) {
@@ -313,7 +313,7 @@
 	inTime := backlog{inTime: all.inTime}
 	waits := QueueWaits{InTime: max(s.pieceWait(inTime), s.byteWait(inTime)), Late: max(s.pieceWait(all), s.byteWait(all))}
 	if s.queue.overloaded && !g.hasRoom(s, spec, now) {
-		waits.Overloaded, waits.FitByClass = true, s.contention.fits(s.pieceRate.rate)
+		waits.Overloaded, waits.FitByClass = true, s.contention.fits(s.contention.rate)
 		waits.ByClass, waits.LaterByClass = s.classWaits(now, spec.FullBatchTime())
 	}
 	return waits
--- a/staging/rate.go
+++ b/staging/rate.go
@@ -112,15 +112,15 @@
 }
 
 // byteCapacity returns how many bytes of results per second the servers have
-// memory for, given how long results are held.
-func (s *serviceState) byteCapacity(servers []instance.Status, spec *routing.StageServer) float64 {
+// memory for when results are held for a time.
+func (s *serviceState) byteCapacity(servers []instance.Status, spec *routing.StageServer, held time.Duration) float64 {
 	total := 0.0
 	for _, server := range servers {
 		if !server.Ejected {
 			total += usableMemoryFraction * float64(spec.ResultMemory)
 		}
 	}
-	return total / (spec.CallTime + s.memory.meanHoldTime).Seconds()
+	return total / (spec.CallTime + held).Seconds()
 }
 
 // canMeetDeadline reports whether a new group can finish before its deadline,
@@ -176,7 +176,8 @@
 const smallResultDivisor = 8
 
 // refuseLate fails the groups that can no longer meet their deadlines, or that
-// miss their objectives by far under overload, so that their callers are told at once. Groups with pieces on a server stay.
+// miss their objectives by far under overload, so that their callers are told
+// at once. Groups with pieces on a server stay.
 func (s *serviceState) refuseLate(now time.Time, spec *routing.StageServer) (callbacks []func()) {
 	s.queue.sort(now, spec.FullBatchTime())
 	var ahead backlog
