staging: an arriving group sorts the queue only if a server is free

Each arriving group sorted the whole queue under the gatherer's lock, also while all servers ran calls and nothing could be taken from it. refuseLate sorts for itself, and the other readers of the queue need no order.

--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -332,7 +332,6 @@
 	for _, late := range s.queue.expire(now, spec.CallTime) {
 		callbacks = append(callbacks, late.end(call.PieceDeadlineExceeded))
 	}
-	s.queue.sort(now, spec.FullBatchTime())
 	if g.isEvacuated(s.name) {
 		return append(callbacks, s.refuseEvacuated()...)
 	}
@@ -340,12 +339,17 @@
 	if back, paused := g.config.Servers.FirstBack(s.name, now); paused {
 		return append(callbacks, s.refusePaused(back, spec)...)
 	}
+	free := s.availableServers(servers, spec, now)
+	if len(free) == 0 {
+		return callbacks
+	}
+	s.queue.sort(now, spec.FullBatchTime())
 	served := make(map[host.DataCentre]bool)
 	for _, server := range servers {
 		served[server.DataCentre] = served[server.DataCentre] || !server.Ejected
 	}
 	held := make(map[host.DataCentre]bool)
-	for _, server := range s.availableServers(servers, spec, now) {
+	for _, server := range free {
 		at := locality{dataCentre: server.DataCentre, servedDataCentres: served}
 		used, known := s.usedMemory(server.ID, now)
 		if !known {
