staging: priorities of other hosts are bounded in the order of groups

A malformed priority of another host put its groups before all others: negative ones went first, and a huge one overflowed when it was multiplied by the step. Ranks now count as -1, a resumed stream of the most urgent rank, to 1,000.

TestAbsurdPriorityGoesLastOrCountsAsMostUrgent fails before the change: the negative priority goes ahead of the resumed stream. The comment on lateTolerance said the square of the class; the code and the design note have the cube.

--- a/staging/admission.go
+++ b/staging/admission.go
@@ -27,7 +27,7 @@
 	// guarantee, so that it does not go to the first ones only.
 	guaranteedDraw = 0.5
 	// lateTolerance is the part of its objective by which a request of class 1 may miss its
-	// target. One of class n may miss it by that divided by the square of n.
+	// target. One of class n may miss it by that divided by the cube of n.
 	lateTolerance = 1.0
 )
 
--- a/staging/queue.go
+++ b/staging/queue.go
@@ -28,7 +28,8 @@
 	RemainingToTarget time.Duration `cbor:"8,keyasint"`
 	// ResultBytes is the size of one piece's result.
 	ResultBytes int64 `cbor:"9,keyasint"`
-	// Priority is the rank of the request; 0 is the most urgent.
+	// Priority is the rank of the request; 0 is the most urgent. A stream that is resumed has
+	// one less than its rank, at least -1.
 	Priority int `cbor:"10,keyasint"`
 	// PreferredDataCentre is the data centre in which running the group saves
 	// TransferBytes of traffic between data centres; "" for none.
@@ -294,10 +295,17 @@
 	return compare(a, b, now, batchTime)
 }
 
+// maxRank is the least urgent rank that is told apart, above those of a configuration. With
+// ranks beyond it, which only a malformed group has, the target would overflow.
+const maxRank = 1000
+
+// rank returns the group's priority within its bounds.
+func (w *workItem) rank() int { return min(max(w.Priority, -1), maxRank) }
+
 // compare orders groups without overload. Those that can meet their targets come first, ordered
 // by target and priority. The others follow, ordered by priority and deadline.
 func compare(a, b *workItem, now time.Time, batchTime time.Duration) int {
-	due := func(w *workItem) time.Time { return w.target.Add(time.Duration(w.Priority) * priorityStep) }
+	due := func(w *workItem) time.Time { return w.target.Add(time.Duration(w.rank()) * priorityStep) }
 	aInTime, bInTime := a.canMeetTarget(now, batchTime), b.canMeetTarget(now, batchTime)
 	switch {
 	case aInTime && !bInTime:
@@ -307,6 +315,6 @@
 	case aInTime:
 		return due(a).Compare(due(b))
 	default:
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.deadline.Compare(b.deadline))
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), a.deadline.Compare(b.deadline))
 	}
 }
--- a/staging/queue_test.go
+++ b/staging/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -57,6 +58,20 @@
 	require.Equal(t, []string{"near:4", "low:4"}, batchSummary(q.takeBatch(now, testSpec, fullMemory, locality{})))
 }
 
+// Guards against a malformed priority of another host that puts its groups first.
+func TestAbsurdPriorityGoesLastOrCountsAsMostUrgent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, target := range []time.Duration{0, time.Second} { // late and in time
+		q, _ := newTestQueue(now, classGroup("negative", math.MinInt64/2, 1, target+10*time.Millisecond), classGroup("huge", math.MaxInt64/3, 1, target),
+			classGroup("resumed", -1, 1, target), classGroup("usual", 0, 1, target))
+		for _, w := range q.waiting {
+			w.deadline = w.target // the order of late groups
+		}
+		q.sort(now, testSpec.FullBatchTime())
+		require.Equal(t, []string{"resumed:1", "negative:1", "usual:1", "huge:1"}, batchSummary(q.takeBatch(now, testSpec, fullMemory, locality{})))
+	}
+}
+
 func TestGroupsStayWholeUnlessQueueExceedsBatch(t *testing.T) {
 	now := time.Unix(1000, 0)
 	q, _ := newTestQueue(now, testGroup("a", 5, time.Second), testGroup("b", 3, 2*time.Second))
