staging: a few large results can make a service overloaded

Queued work of less than one batch never counted as more than the servers can do, also if its results need the memory of several servers: with results of 9 MB, 8 pieces wait for 2 s at a rate of 4 per second. The exception now holds only for work whose results fit into the memory of one server.

The new lines of TestOverloadIsWorkThatTheRateCannotDoInTime fail before the change (expected true, actual false).

--- a/staging/contention.go
+++ b/staging/contention.go
@@ -79,19 +79,19 @@
 }
 
 // exceedsRate reports whether some groups that can still be in time would be late even if
-// groups were served in the order of their targets. Work that fits into one call never
-// exceeds the rate.
+// groups were served in the order of their targets. Work that fits into one call, and into the
+// memory of one server, never exceeds the rate.
 func exceedsRate(waiting []*workItem, rate float64, spec *routing.StageServer, now time.Time) bool {
 	batchTime := spec.FullBatchTime()
 	var inTime []*workItem
-	pieces := 0
+	var queued amount
 	for _, w := range waiting {
 		if !w.ended && !now.Add(batchTime).After(w.target) {
 			inTime = append(inTime, w)
-			pieces += len(w.waiting)
+			queued.add(w)
 		}
 	}
-	if rate <= 0 || pieces <= spec.BatchSize {
+	if rate <= 0 || queued.pieces <= float64(spec.BatchSize) && queued.bytes <= usableMemoryFraction*float64(spec.ResultMemory) {
 		return false
 	}
 	slices.SortStableFunc(inTime, func(a, b *workItem) int { return a.target.Compare(b.target) })
--- a/staging/contention_test.go
+++ b/staging/contention_test.go
@@ -38,6 +38,12 @@
 	require.False(t, c.overloaded)
 	require.False(t, c.update(&queue{waiting: []*workItem{newWorkItem(classGroup("d", 0, 8, 300*time.Millisecond), now, nil)}}, 1, testSpec, now),
 		"work that fits into one call never exceeds the rate")
+	for bytes, exceeds := range map[int64]bool{1e6: false, 9e6: true} {
+		large := classGroup("e", 0, 4, time.Second)
+		large.ResultBytes = bytes
+		q, _ := newTestQueue(now, large, large)
+		require.Equal(t, exceeds, exceedsRate(q.waiting, 4, testSpec, now), "one call takes 8 pieces and 36 MB")
+	}
 }
 
 // Guards against less urgent groups that go ahead under overload, against work that was begun
