staging: the check of queued groups no longer takes quadratic time

Each tick, and each time that results are freed (up to 200 times a second), looked for the largest queued result once for every queued group, under the gatherer's lock. It is now looked for once.

--- a/staging/contention.go
+++ b/staging/contention.go
@@ -222,7 +222,7 @@
 // refuseArrival reports whether a group that arrives is refused. A group is not refused for
 // its objective while the service has room. The caller holds mu.
 func (g *Gatherer) refuseArrival(s *serviceState, w *workItem, spec *routing.StageServer, now time.Time) bool {
-	reason := s.refusalReason(w, spec, s.queue.ahead(w, now, spec.FullBatchTime()), now)
+	reason := s.refusalReason(w, spec, s.queue.ahead(w, now, spec.FullBatchTime()), s.queue.largestResult(), now)
 	if reason == "" || now.Add(spec.CallTime).Before(w.deadline) && g.hasRoom(s, spec, now) {
 		return false
 	}
--- a/staging/rate.go
+++ b/staging/rate.go
@@ -126,14 +126,15 @@
 // canMeetDeadline reports whether a new group can finish before its deadline,
 // given the groups that are served before it.
 func (s *serviceState) canMeetDeadline(w *workItem, spec *routing.StageServer, now time.Time) bool {
-	return s.refusalReason(w, spec, s.queue.ahead(w, now, spec.FullBatchTime()), now) != refusedDeadline
+	return s.refusalReason(w, spec, s.queue.ahead(w, now, spec.FullBatchTime()), s.queue.largestResult(), now) != refusedDeadline
 }
 
 // refusalReason returns why a group is refused when the given work is served before it, "" if
 // it is not: it would miss its deadline, or the service is overloaded and a request for which
-// no work has been done would miss its objective by far.
-func (s *serviceState) refusalReason(w *workItem, spec *routing.StageServer, ahead backlog, now time.Time) string {
-	end := now.Add(s.estimateDuration(w, spec, ahead, now))
+// no work has been done would miss its objective by far. largest is the size of the largest
+// queued result.
+func (s *serviceState) refusalReason(w *workItem, spec *routing.StageServer, ahead backlog, largest int64, now time.Time) string {
+	end := now.Add(s.estimateDuration(w, spec, ahead, largest, now))
 	switch {
 	case end.After(w.deadline):
 		return refusedDeadline
@@ -145,7 +146,7 @@
 
 // estimateDuration estimates how long a group takes when the given work is served before it.
 // A late group also waits for the groups that arrive until then and can be in time.
-func (s *serviceState) estimateDuration(w *workItem, spec *routing.StageServer, ahead backlog, now time.Time) time.Duration {
+func (s *serviceState) estimateDuration(w *workItem, spec *routing.StageServer, ahead backlog, largest int64, now time.Time) time.Duration {
 	inTime := w.canMeetTarget(now, spec.FullBatchTime())
 	if !inTime {
 		ahead.late.add(w)
@@ -154,7 +155,7 @@
 	if s.queue.overloaded {
 		wait = s.pieceRate.lateTimeFor(ahead.inTime.pieces+ahead.late.pieces, s.contention.arrivalsBefore(w.firstClassBehind(inTime)))
 	}
-	if w.ResultBytes > 0 && w.ResultBytes >= s.queue.largestResult()/smallResultDivisor {
+	if w.ResultBytes > 0 && w.ResultBytes >= largest/smallResultDivisor {
 		wait = max(wait, s.byteWait(ahead))
 	}
 	return wait + spec.CallTime + time.Duration(w.Pieces)*spec.PieceTime
@@ -181,10 +182,11 @@
 func (s *serviceState) refuseLate(now time.Time, spec *routing.StageServer) (callbacks []func()) {
 	s.queue.sort(now, spec.FullBatchTime())
 	var ahead backlog
+	largest := s.queue.largestResult()
 	kept := s.queue.waiting[:0]
 	for _, w := range s.queue.waiting {
 		if w.unfinished == len(w.waiting) {
-			if reason := s.refusalReason(w, spec, ahead, now); reason != "" {
+			if reason := s.refusalReason(w, spec, ahead, largest, now); reason != "" {
 				s.countRefused(w, reason)
 				callbacks = append(callbacks, w.end(call.PieceOverload))
 				continue
