--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -39,6 +39,9 @@
 	// lateWeight is how much more the time counts by which the first event would be late than
 	// the time until it is due.
 	lateWeight = 4
+	// dueShare is the part of the time until the first event is due that an engine's queue may
+	// take. The queue is known when the request is placed; running requests slow it down later.
+	dueShare = 0.5
 	// remoteBytesPerToken is how many bytes of inputs from another data centre
 	// weigh as much as reading one token.
 	remoteBytesPerToken = 2048
@@ -97,7 +100,7 @@
 	if n.UntilDue <= 0 {
 		return 0
 	}
-	return lateWeight * max(wait-n.UntilDue.Seconds(), 0)
+	return lateWeight * max(wait-dueShare*n.UntilDue.Seconds(), 0)
 }
 
 // Limits describe the capacity of one engine of a service.
--- a/staging/contention.go
+++ b/staging/contention.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/routing"
 )
 
@@ -29,6 +30,7 @@
 	arrivals [maxClasses]arrivalRate
 	// refused is the work that hosts refuse before it arrives, likewise.
 	refused [maxClasses]arrivalRate
+	rate    float64 // with which the last decision was made
 }
 
 // update decides again. rate is in pieces per second. It returns true if the decision
@@ -39,6 +41,7 @@
 		c.refused[class].update(now)
 	}
 	before := c.overloaded
+	c.rate = rate
 	if exceedsRate(q.waiting, rate, spec, now) {
 		c.overloaded, c.last = true, now
 	}
@@ -76,19 +79,19 @@
 }
 
 // exceedsRate reports whether some groups that can still be in time would be late even if
-// groups were served in the order of their targets. Work that fits into one call never
-// exceeds the rate.
+// groups were served in the order of their targets. Work that fits into one call, and into the
+// memory of one server, never exceeds the rate.
 func exceedsRate(waiting []*workItem, rate float64, spec *routing.StageServer, now time.Time) bool {
 	batchTime := spec.FullBatchTime()
 	var inTime []*workItem
-	pieces := 0
+	var queued amount
 	for _, w := range waiting {
 		if !w.ended && !now.Add(batchTime).After(w.target) {
 			inTime = append(inTime, w)
-			pieces += len(w.waiting)
+			queued.add(w)
 		}
 	}
-	if rate <= 0 || pieces <= spec.BatchSize {
+	if rate <= 0 || queued.pieces <= float64(spec.BatchSize) && queued.bytes <= usableMemoryFraction*float64(spec.ResultMemory) {
 		return false
 	}
 	slices.SortStableFunc(inTime, func(a, b *workItem) int { return a.target.Compare(b.target) })
@@ -187,15 +190,15 @@
 }
 
 // updateContention decides whether a service is overloaded. The caller holds mu.
-func (g *Gatherer) updateContention(s *serviceState, spec *routing.StageServer, now time.Time) {
-	changed := s.contention.update(&s.queue, s.pieceRate.rate, spec, now)
+func (g *Gatherer) updateContention(s *serviceState, servers []instance.Status, spec *routing.StageServer, now time.Time) {
+	changed := s.contention.update(&s.queue, s.servedRate(servers, spec, now), spec, now)
 	s.queue.overloaded = s.contention.overloaded
 	if !changed {
 		return
 	}
 	g.metrics.setOverloaded(s.name, s.queue.overloaded)
 	g.config.Logger.Info("stage order changed", "service", s.name, "overloaded", s.queue.overloaded,
-		"pieces", s.queue.totalPieces(), "rate", int(s.pieceRate.rate))
+		"pieces", s.queue.totalPieces(), "rate", int(s.contention.rate))
 }
 
 // NoteRefused counts the pieces that a host has refused on arrival of their requests, by class.
@@ -219,7 +222,7 @@
 // refuseArrival reports whether a group that arrives is refused. A group is not refused for
 // its objective while the service has room. The caller holds mu.
 func (g *Gatherer) refuseArrival(s *serviceState, w *workItem, spec *routing.StageServer, now time.Time) bool {
-	reason := s.refusalReason(w, spec, s.queue.ahead(w, now, spec.FullBatchTime()), now)
+	reason := s.refusalReason(w, spec, s.queue.ahead(w, now, spec.FullBatchTime()), s.queue.largestResult(), now)
 	if reason == "" || now.Add(spec.CallTime).Before(w.deadline) && g.hasRoom(s, spec, now) {
 		return false
 	}
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -132,8 +132,8 @@
 		if spec, known := g.spec(s.name); known {
 			servers := g.config.Servers.Service(s.name, now)
 			s.pieceRate.update(now, len(s.queue.waiting) > 0, s.capacity(servers, spec))
-			s.byteRate.update(now, len(s.queue.waiting) > 0, s.byteCapacity(servers, spec))
-			g.updateContention(s, spec, now)
+			s.byteRate.update(now, len(s.queue.waiting) > 0, s.byteCapacity(servers, spec, s.memory.meanHoldTime))
+			g.updateContention(s, servers, spec, now)
 			callbacks = append(callbacks, s.refuseLate(now, spec)...)
 		}
 		callbacks = append(callbacks, g.dispatch(s, now)...)
@@ -279,8 +279,8 @@
 	return described.Stages, true
 }
 
-// countArrival counts a group that was queued: for its class, and if it can still be in time. The caller holds
-// mu of g.
+// countArrival counts a group that was queued: for its class, and if it can
+// still be in time. The caller holds mu of g.
 func (s *serviceState) countArrival(w *workItem, now time.Time, g *Gatherer) {
 	s.contention.arrivals[w.class()].add(float64(w.Pieces))
 	if spec, known := g.spec(s.name); known && w.canMeetTarget(now, spec.FullBatchTime()) {
@@ -317,7 +317,7 @@
 	inTime := backlog{inTime: all.inTime}
 	waits := QueueWaits{InTime: max(s.pieceWait(inTime), s.byteWait(inTime)), Late: max(s.pieceWait(all), s.byteWait(all))}
 	if s.queue.overloaded && !g.hasRoom(s, spec, now) {
-		waits.Overloaded, waits.FitByClass = true, s.contention.fits(s.pieceRate.rate)
+		waits.Overloaded, waits.FitByClass = true, s.contention.fits(s.contention.rate)
 		waits.ByClass, waits.LaterByClass = s.classWaits(now, spec.FullBatchTime())
 	}
 	return waits
@@ -336,7 +336,6 @@
 	for _, late := range s.queue.expire(now, spec.CallTime) {
 		callbacks = append(callbacks, late.end(call.PieceDeadlineExceeded))
 	}
-	s.queue.sort(now, spec.FullBatchTime())
 	if g.isEvacuated(s.name) {
 		return append(callbacks, s.refuseEvacuated()...)
 	}
@@ -344,12 +343,17 @@
 	if back, paused := g.config.Servers.FirstBack(s.name, now); paused {
 		return append(callbacks, s.refusePaused(back, spec)...)
 	}
+	free := s.availableServers(servers, spec, now)
+	if len(free) == 0 {
+		return callbacks
+	}
+	s.queue.sort(now, spec.FullBatchTime())
 	served := make(map[host.DataCentre]bool)
 	for _, server := range servers {
 		served[server.DataCentre] = served[server.DataCentre] || !server.Ejected
 	}
 	held := make(map[host.DataCentre]bool)
-	for _, server := range s.availableServers(servers, spec, now) {
+	for _, server := range free {
 		at := locality{dataCentre: server.DataCentre, servedDataCentres: served}
 		used, known := s.usedMemory(server.ID, now)
 		if !known {
--- a/staging/rate.go
+++ b/staging/rate.go
@@ -37,6 +37,9 @@
 // means that work is queued.
 func (e *rateEstimator) update(now time.Time, busy bool, capacity float64) {
 	elapsed := now.Sub(e.updated)
+	if elapsed <= 0 && !e.updated.IsZero() {
+		return // no time has passed, so no rate can be measured: 0/0 would remain in the estimate
+	}
 	finished, wasBusy := e.finished, e.wasBusy
 	e.finished, e.updated, e.wasBusy = 0, now, busy
 	switch {
@@ -82,7 +85,10 @@
 // update adjusts the rate by the work that has arrived since the last update.
 func (a *arrivalRate) update(now time.Time) {
 	elapsed := now.Sub(a.updated).Seconds()
-	if !a.updated.IsZero() && elapsed > 0 {
+	if !a.updated.IsZero() && elapsed <= 0 {
+		return // the arrivals count in the next update
+	}
+	if !a.updated.IsZero() {
 		a.rate += (1 - math.Exp(-elapsed/busyTimeConstant.Seconds())) * (a.arrived/elapsed - a.rate)
 	}
 	a.arrived, a.updated = 0, now
@@ -106,28 +112,29 @@
 }
 
 // byteCapacity returns how many bytes of results per second the servers have
-// memory for, given how long results are held.
-func (s *serviceState) byteCapacity(servers []instance.Status, spec *routing.StageServer) float64 {
+// memory for when results are held for a time.
+func (s *serviceState) byteCapacity(servers []instance.Status, spec *routing.StageServer, held time.Duration) float64 {
 	total := 0.0
 	for _, server := range servers {
 		if !server.Ejected {
 			total += usableMemoryFraction * float64(spec.ResultMemory)
 		}
 	}
-	return total / (spec.CallTime + s.memory.meanHoldTime).Seconds()
+	return total / (spec.CallTime + held).Seconds()
 }
 
 // canMeetDeadline reports whether a new group can finish before its deadline,
 // given the groups that are served before it.
 func (s *serviceState) canMeetDeadline(w *workItem, spec *routing.StageServer, now time.Time) bool {
-	return s.refusalReason(w, spec, s.queue.ahead(w, now, spec.FullBatchTime()), now) != refusedDeadline
+	return s.refusalReason(w, spec, s.queue.ahead(w, now, spec.FullBatchTime()), s.queue.largestResult(), now) != refusedDeadline
 }
 
 // refusalReason returns why a group is refused when the given work is served before it, "" if
 // it is not: it would miss its deadline, or the service is overloaded and a request for which
-// no work has been done would miss its objective by far.
-func (s *serviceState) refusalReason(w *workItem, spec *routing.StageServer, ahead backlog, now time.Time) string {
-	end := now.Add(s.estimateDuration(w, spec, ahead, now))
+// no work has been done would miss its objective by far. largest is the size of the largest
+// queued result.
+func (s *serviceState) refusalReason(w *workItem, spec *routing.StageServer, ahead backlog, largest int64, now time.Time) string {
+	end := now.Add(s.estimateDuration(w, spec, ahead, largest, now))
 	switch {
 	case end.After(w.deadline):
 		return refusedDeadline
@@ -139,7 +146,7 @@
 
 // estimateDuration estimates how long a group takes when the given work is served before it.
 // A late group also waits for the groups that arrive until then and can be in time.
-func (s *serviceState) estimateDuration(w *workItem, spec *routing.StageServer, ahead backlog, now time.Time) time.Duration {
+func (s *serviceState) estimateDuration(w *workItem, spec *routing.StageServer, ahead backlog, largest int64, now time.Time) time.Duration {
 	inTime := w.canMeetTarget(now, spec.FullBatchTime())
 	if !inTime {
 		ahead.late.add(w)
@@ -148,7 +155,7 @@
 	if s.queue.overloaded {
 		wait = s.pieceRate.lateTimeFor(ahead.inTime.pieces+ahead.late.pieces, s.contention.arrivalsBefore(w.firstClassBehind(inTime)))
 	}
-	if w.ResultBytes > 0 && w.ResultBytes >= s.queue.largestResult()/smallResultDivisor {
+	if w.ResultBytes > 0 && w.ResultBytes >= largest/smallResultDivisor {
 		wait = max(wait, s.byteWait(ahead))
 	}
 	return wait + spec.CallTime + time.Duration(w.Pieces)*spec.PieceTime
@@ -170,14 +177,16 @@
 const smallResultDivisor = 8
 
 // refuseLate fails the groups that can no longer meet their deadlines, or that
-// miss their objectives by far under overload, so that their callers are told at once. Groups with pieces on a server stay.
+// miss their objectives by far under overload, so that their callers are told
+// at once. Groups with pieces on a server stay.
 func (s *serviceState) refuseLate(now time.Time, spec *routing.StageServer) (callbacks []func()) {
 	s.queue.sort(now, spec.FullBatchTime())
 	var ahead backlog
+	largest := s.queue.largestResult()
 	kept := s.queue.waiting[:0]
 	for _, w := range s.queue.waiting {
 		if w.unfinished == len(w.waiting) {
-			if reason := s.refusalReason(w, spec, ahead, now); reason != "" {
+			if reason := s.refusalReason(w, spec, ahead, largest, now); reason != "" {
 				s.countRefused(w, reason)
 				callbacks = append(callbacks, w.end(call.PieceOverload))
 				continue
