--- a/balance/work_test.go
+++ b/balance/work_test.go
@@ -71,7 +71,7 @@
 
 // The load is 144 hosts that send a request every 100 ms each to 6 upstreams of pace 0.6 to 2.4,
 // 0.7 of their capacity, and know only what their own answers reported. Guards against hosts that all take
-// the upstream that was best a moment ago: the queue of the most loaded one stays short.
+// the upstream that was best at the last report: the queue of the most loaded one stays short.
 func TestManyHostsDoNotHerd(t *testing.T) {
 	const hosts, slots, ticks = 144, 40, 3000 // of 1 ms
 	random := rand.New(rand.NewPCG(3, 4))
--- a/directory/evacuation_test.go
+++ b/directory/evacuation_test.go
@@ -17,8 +17,8 @@
 	return Item{Key: "evacuate/x", Era: era, Revision: revision, Removed: removed}
 }
 
-// Guards against an evacuation that older news ends or begins again: delayed changes and
-// listings, and news of a former era of the store.
+// Guards against an evacuation that older data ends or begins again: delayed changes and
+// listings, and data of a former era of the store.
 func TestOlderNewsChangesNoEvacuation(t *testing.T) {
 	d := newLoneDirectory(&testStore{}, nil)
 	now := time.Now()
@@ -44,14 +44,14 @@
 		d.applyAnswer(followAnswer{AsOf: 12, Evacuations: []wireEvacuation{{DataCentre: "x", Revision: 11}}})
 	})
 	step("the next one", true, change(0, 14, false))
-	step("another host has heard of its end", false, func() { d.applyAnswer(followAnswer{AsOf: 15, Evacuations: []wireEvacuation{}}) })
+	step("another host knows its end", false, func() { d.applyAnswer(followAnswer{AsOf: 15, Evacuations: []wireEvacuation{}}) })
 	step("a copy that has the key", true, listing(1, 6, evacuationItem(1, 5, false)))
 	step("former era", true, change(0, 20, true))
 	step("a copy that lacks the key", false, listing(2, 3))
 }
 
 // Guards against a host that starts after an evacuation has ended and begins it again because
-// of a watcher that has not yet heard of the end.
+// of a watcher that does not know the end yet.
 func TestHostThatStartedLaterIgnoresOlderAnswers(t *testing.T) {
 	d := newLoneDirectory(&testStore{}, nil)
 	d.applySnapshot(nil, infra.Position{Revision: 14}, time.Now())
--- a/edge/slowcallers_test.go
+++ b/edge/slowcallers_test.go
@@ -48,7 +48,7 @@
 	})
 }
 
-// Guards against a write that goes on after it was told to end.
+// Guards against a write that continues after its request was evicted.
 func TestWriteEndsAtItsDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		conn, _ := pipeConn(t, 0)
--- a/gateway/answers.go
+++ b/gateway/answers.go
@@ -57,7 +57,7 @@
 	_, err := x.w.Write(bytes)
 	x.answerRoom.MayEvict(false, time.Now())
 	if err == nil && x.answerRoom.Evicted() {
-		// The last bytes were read as the request was told to end. The connection can't be
+		// The caller read the last bytes as the request was evicted. The connection can't be
 		// written to any more.
 		err = memory.ErrFull
 	}
--- a/gateway/bodies.go
+++ b/gateway/bodies.go
@@ -108,7 +108,7 @@
 	}
 }
 
-// endsHere returns a body that fills its buffer, or errNoRoom if it goes on.
+// endsHere returns a body that fills its buffer, or errNoRoom if it is longer.
 func endsHere(r io.Reader, room *memory.Holder, buffer []byte, n int) ([]byte, error) {
 	var next [1]byte
 	for {
@@ -145,7 +145,7 @@
 	grow := func(bytes int64) error { return room.Grow(ctx, bytes, maxRoomWait) }
 	whole, err := readHeld(room, grow, body, length, limit)
 	room.MayEvict(false, time.Now())
-	// A request that was told to end as its last bytes arrived can't go on: its connection
+	// A request that was evicted as its last bytes arrived can't be served: its connection
 	// may no longer be read.
 	if errors.Is(err, memory.ErrFull) || room.Evicted() {
 		return nil, errNoRoom
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -43,7 +43,7 @@
 
 // update brings the intake up to date. An engine that becomes cold gets nothing at first, since
 // its owner begins to count then, and another placement owner may have given it requests. One
-// that becomes warm goes on from where it is. mean is the mean rate of an engine.
+// that becomes warm keeps its count. mean is the mean rate of an engine.
 func (i *intake) update(now time.Time, cold bool, perSecond, mean float64) {
 	rate, burst := intakeRate(cold, perSecond, mean)
 	switch elapsed := now.Sub(i.filledAt); {
--- a/staging/arrival.go
+++ b/staging/arrival.go
@@ -12,8 +12,8 @@
 
 const (
 	// waitsRefreshAge is the age from which the waits of a service that was overloaded are
-	// asked for again, about a call. A host whose requests rarely use a service hears of its
-	// waits too rarely.
+	// asked for again, about the duration of a call. The replies to a host whose requests
+	// rarely use a service are too old.
 	waitsRefreshAge = 250 * time.Millisecond
 	// waitsRefreshTimeout bounds how long a request waits for them.
 	waitsRefreshTimeout = 50 * time.Millisecond
