gateway: a stream goes on when its upstream breaks off after a silence

The caller had to take it up at another host.

Cause: after 1.2 s without an event a second attempt runs beside the silent one, and the first event of either ended the other. If the one that stayed broke off a few events later, max_attempts (2) was used up. The results of stages were freed with the first event too, so that the other upstream might not have found them.

Change: the attempt that another is preferred to stays as a standby until the serving one has sent events for as long as the silence that raised the doubt. It takes over if the serving one breaks off or falls silent. At most four of its events are held, those that the caller has are dropped, and it is read no further. Results of stages are freed when each running attempt has had its first event. An attempt that was not sent yet, was silent twice or failed a probe is ended as before. max_attempts counts as before: every upstream that may have run the request, also one that was ended.

--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -337,3 +337,39 @@
 	require.NoError(t, got.err)
 	require.Equal(t, http.StatusOK, got.status)
 }
+
+// A stream must go on if the attempt that serves it breaks off soon after a silence: the other
+// one, which the silence had started or passed over, can continue it. Soak seeds 104 and 42004
+// had such streams cut. With stages, their results must outlive the first attempt's first event.
+func TestStreamGoesOnWhenItsAttemptBreaksOffAfterASilence(t *testing.T) {
+	t.Parallel()
+	for _, route := range []string{"/talk/1", "/staged/1"} {
+		for name, c := range map[string]struct {
+			first, second platformtest.UpstreamFault
+			silences      [2]time.Duration // of the two upstreams, between the head and the first event
+			signer        string           // whose headers the caller gets
+		}{
+			"the silent one resumes and breaks off": {first: platformtest.TruncateAnswer, silences: [2]time.Duration{1400 * time.Millisecond, 400 * time.Millisecond}, signer: "u1"},
+			"its replacement breaks off":            {second: platformtest.TruncateAnswer, silences: [2]time.Duration{1600 * time.Millisecond, 100 * time.Millisecond}, signer: "u2"},
+		} {
+			t.Run(route[1:5]+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(t)
+				f.configure(1, eachRoute("timeout_ms", 8000))
+				a, b := f.upstream(silentUpstream("u1")), f.secondChoice(silentUpstream("u2"))
+				f.upstream(&platformtest.Upstream{ID: "u3", Service: "pieces"})
+				for i, u := range []*platformtest.Upstream{a, b} {
+					u.QueueFaults([]platformtest.UpstreamFault{c.first, c.second}[i])
+					u.QueueSilences(platformtest.Silence{Place: platformtest.BeforeBody, Length: c.silences[i]})
+				}
+				n := f.start()
+				got := f.send(n, http.MethodPost, route, "r1", "Chunks", "1,1", "Chunk-Key", "k", "Deadline-Ms", "8000")
+				require.NoError(t, got.err)
+				require.Equal(t, eventsOf(8), got.body)
+				require.Equal(t, "stamp-of-"+c.signer, got.header.Get("Server-Stamp"))
+				require.Len(t, a.Runs(), 1)
+				require.Len(t, b.Runs(), 1)
+			})
+		}
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -62,7 +62,16 @@
 	// failedProbes is how many probes in a row failed. Only the race's goroutine uses it.
 	failedProbes int
 	// events is how many events the race has received. Only the race's goroutine uses it.
-	events     int
+	events int
+	// The next four are of a standby; only the race's goroutine uses them. passedOver means
+	// that another attempt was preferred, lastID is the ID of the last event, buffered what the
+	// caller has not got, and completed the answer if all of it has arrived.
+	passedOver bool
+	lastID     int64
+	buffered   []bufferedEvent
+	completed  *call.Answer
+	// unconsumed holds one item for each event that is being read or was not consumed.
+	unconsumed chan struct{}
 	inputsSent *staging.Results // results of the stages that the upstream is sent
 	// partsRefusedUntil is when a condemned part of the prompt may be tried again; zero
 	// unless one kept the attempt from beginning.
@@ -84,7 +93,7 @@
 
 // newAttempt returns an attempt that has not begun.
 func (r *race) newAttempt(plan attemptPlan) *upstreamAttempt {
-	s := &upstreamAttempt{race: r, plan: plan}
+	s := &upstreamAttempt{race: r, plan: plan, lastID: call.NoEvent, unconsumed: make(chan struct{}, maxBufferedEvents)}
 	ctx := r.ctx
 	// A call that may run only once is not cancelled when its caller leaves, since it
 	// may already be running.
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// takeRoom takes memory before an event grows to a size. Short events take none: a stream has
-// at most two at a time.
+// takeRoom takes memory before an event grows to a size. Short events take none: an attempt has
+// at most maxBufferedEvents at a time.
 func (e *eventReader) takeRoom(to *event, size int) error {
 	if e.room == nil || size <= memory.SmallBytes || int64(size) <= to.held {
 		return nil
--- a/gateway/race.go
+++ b/gateway/race.go
@@ -81,7 +81,8 @@
 // race runs a request's attempts until the caller is answered or no further attempt
 // is allowed. Usually there is one attempt at a time. When its upstream falls silent, a
 // second attempt may begin, and the silent one goes on until the second has something
-// for the caller: silence is no proof that the first one's answer is lost.
+// for the caller: silence is no proof that the first one's answer is lost. Of a resumable
+// stream, both go on until the one that serves the caller has shown lasting progress.
 //
 // The goroutine that calls run decides everything and writes to the caller.
 type race struct {
@@ -90,7 +91,12 @@
 	done    chan struct{} // closed when run returns
 	running []*upstreamAttempt
 	// serving is the attempt whose events the caller gets; nil if there is none now.
-	serving      *upstreamAttempt
+	serving *upstreamAttempt
+	// servingSince is when serving began to send events, or did so again after a silence.
+	servingSince time.Time
+	// unnumbered means that the caller got an event without an ID. Another attempt can't go
+	// on at the right event then.
+	unnumbered   bool
 	tried        []instance.ID // upstreams of attempts that ended
 	withheld     int           // upstreams in tried that were sent nothing
 	possibleRuns int           // ended attempts whose upstream may have run the request
@@ -119,6 +125,9 @@
 func (r *race) stop() {
 	close(r.done)
 	for _, s := range r.running {
+		if s.passedOver && s.silences > 0 {
+			s.end(instance.Abandoned, 0, "stalled", errStalled)
+		}
 		s.end(instance.Abandoned, 0, "superseded", nil)
 	}
 }
@@ -136,6 +145,7 @@
 func (r *race) handle(what report) (finished bool) {
 	s := what.from
 	if !slices.Contains(r.running, s) {
+		r.answerRoom.Release(what.event.held)
 		return false
 	}
 	switch what.kind {
@@ -150,7 +160,7 @@
 	case streamEnded:
 		return r.onStreamEnd(s, what.answer)
 	case upstreamSilent, probeFailed:
-		r.onSuspicion(s, what)
+		return r.onSuspicion(s, what)
 	}
 	return false
 }
@@ -231,6 +241,10 @@
 	if r.serving == s {
 		r.serving = nil
 	}
+	for _, b := range s.buffered {
+		r.answerRoom.Release(b.event.held)
+	}
+	s.buffered, s.completed = nil, nil
 	if s.begun {
 		r.tried = append(r.tried, s.chosen.ID)
 	}
@@ -255,7 +269,7 @@
 	if what.result == inputGone && len(r.running) == 0 {
 		return r.rerunStages()
 	}
-	return r.next()
+	return r.takeOver() || r.next()
 }
 
 // checkCrash finds out in the background whether the upstream of a lost attempt has
@@ -287,28 +301,39 @@
 }
 
 // onSuspicion processes a silence or a failed probe, unless the upstream has sent
-// something meanwhile.
-func (r *race) onSuspicion(s *upstreamAttempt, what report) {
+// something meanwhile or the caller does not depend on it now.
+func (r *race) onSuspicion(s *upstreamAttempt, what report) (finished bool) {
 	switch {
-	case what.activity != s.monitor.activityCount():
+	case what.activity != s.monitor.activityCount(), r.standsBy(s):
 	case what.kind == upstreamSilent:
-		r.onSilence(s)
+		return r.onSilence(s)
 	default:
 		r.onProbeFailed(s)
 	}
+	return false
 }
 
 // onSilence decides what to do about a silent upstream. Another upstream may be asked
 // at once before the answer has begun. Afterwards it costs a second run of the stages and
 // of the prompt, so that it is asked when the caller's patience leaves no time to wait
-// for the next report of a silence.
-func (r *race) onSilence(s *upstreamAttempt) {
+// for the next report of a silence. A standby that has events takes over at once.
+func (r *race) onSilence(s *upstreamAttempt) (finished bool) {
 	s.silences++
-	if r.mayReplace() && (!r.started || s.silences > 1 || r.replacementIsDue(s)) {
-		r.start()
-		return
+	if r.takeOver() {
+		return true
+	}
+	if r.standsBy(s) {
+		return false
+	}
+	if !r.started || s.silences > 1 || r.replacementIsDue(s) {
+		r.makeRoom(s)
+		if r.mayReplace() {
+			r.start()
+			return false
+		}
 	}
 	go s.monitor.probe()
+	return false
 }
 
 // replacementMargin multiplies the expected time to a replacement's first event.
@@ -325,6 +350,7 @@
 // It is given up only if no other may take over.
 func (r *race) onProbeFailed(s *upstreamAttempt) {
 	s.failedProbes++
+	r.makeRoom(s)
 	switch {
 	case r.mayReplace():
 		r.start()
@@ -339,24 +365,10 @@
 	return r.route.Repeatable() && !r.runAlone && len(r.running) < maxParallelAttempts && r.attemptsLeft() && r.ctx.Err() == nil
 }
 
-// win ends the other attempts in favour of one that has something for the caller.
+// win ends the other attempts in favour of one with the whole answer.
 func (r *race) win(winner *upstreamAttempt) {
-	for _, s := range slices.Clone(r.running) {
-		if s == winner {
-			continue
-		}
-		switch {
-		case s.silences > 1 || s.failedProbes > 0:
-			s.end(instance.Broke, 0, "stalled", errStalled)
-		case s.silences > 0:
-			s.end(instance.Abandoned, 0, "stalled", errStalled)
-		}
-		r.remove(s)
-		if s.begun {
-			r.mayHaveRun = true
-			r.possibleRuns++
-		}
-		r.freeInputs()
+	for _, s := range r.others(winner) {
+		r.endOther(s)
 	}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -26,6 +26,10 @@
 	events.room = func(bytes int64) error { return s.takeRoom(bytes, maxGrowthWait) }
 	empty := true
 	for {
+		if err := s.awaitConsumption(); err != nil {
+			s.report(s.lostAnswer("broke_in_stream", err))
+			return
+		}
 		event, err := events.next()
 		if errors.Is(err, io.EOF) && empty && received.Unframed() {
 			err = io.ErrUnexpectedEOF
@@ -52,24 +56,43 @@
 }
 
 // onEvent forwards an event to the caller, unless the caller already has it from
-// another upstream.
+// another upstream, or gets it from another one that is preferred.
 func (r *race) onEvent(s *upstreamAttempt, a *call.Answer, e event) (finished bool) {
-	defer r.answerRoom.Release(e.held)
 	if !r.continues(a, e) {
+		r.answerRoom.Release(e.held)
 		return r.onAttemptEnded(s, report{result: outcomeUnknown, outcome: instance.Broke, status: a.Status, label: "foreign", err: errForeign})
 	}
 	s.events++
-	if e.id != call.NoEvent && r.lastEventID != call.NoEvent && e.id <= r.lastEventID {
-		return false
-	}
 	if !r.bindVersion(s) {
+		r.answerRoom.Release(e.held)
 		return r.onAttemptEnded(s, report{result: outcomeUnknown, outcome: instance.Abandoned, status: a.Status, label: "wrong_version", err: errWrongVersion})
 	}
-	s.silences, s.failedProbes = 0, 0
-	r.win(s)
-	r.serving = s
-	r.writeHead(a)
 	s.recordFirstEvent()
+	if s.events == 1 {
+		r.freeUnusedInputs()
+	}
+	if e.id != call.NoEvent {
+		s.lastID = e.id
+	}
+	switch isDuplicate := e.id != call.NoEvent && e.id <= r.lastEventID; {
+	case isDuplicate:
+		s.consume(e)
+	case r.standsBy(s):
+		r.holdBack(s, a, e)
+	default:
+		return r.forward(s, a, e)
+	}
+	return false
+}
+
+// forward sends the caller an event that continues what it has.
+func (r *race) forward(s *upstreamAttempt, a *call.Answer, e event) (finished bool) {
+	defer s.consume(e)
+	if e.id == call.NoEvent && !e.isComment() {
+		r.unnumbered = true
+	}
+	r.prefer(s, time.Now())
+	r.writeHead(a)
 	if err := r.writeEvent(e.raw); err != nil {
 		reason := "caller_left"
 		if r.answerRoom.Evicted() {
@@ -86,6 +109,7 @@
 	}
 	r.events++
 	s.recordSoundEvents(r.lastEventAt)
+	r.updateStandbys(s, r.lastEventAt)
 	return false
 }
 
@@ -122,8 +146,6 @@
 	s.firstEventTime = time.Since(s.sentAt)
 	s.ticket.ReportFirstEvent()
 	s.config.ResponseTimes.Observe(s.service, s.firstEventTime)
-	// The upstream has read them by now.
-	s.freeInputs()
 }
 
 // writeHead sends the status and headers of the answer, once.
@@ -144,15 +166,28 @@
 	return http.NewResponseController(r.w).Flush()
 }
 
-// onStreamEnd ends a stream that was forwarded completely. A replacement that ends
-// without an event does not prove that the upstream it should replace has no more.
+// onStreamEnd ends a stream that was forwarded completely. An attempt that ends beside the
+// serving one does not prove that that one has no more: its end is kept until the other breaks
+// off, falls silent or ends. Without an event, or at an earlier one than the caller has, it
+// proves nothing.
 func (r *race) onStreamEnd(s *upstreamAttempt, a *call.Answer) (finished bool) {
 	if len(r.running) > 1 && s != r.serving {
-		return r.onAttemptEnded(s, report{result: outcomeUnknown, outcome: instance.Broke, label: "broke_in_stream", err: errNoEvent})
+		if s.lastID == call.NoEvent || s.lastID < r.lastEventID {
+			return r.onAttemptEnded(s, report{result: outcomeUnknown, outcome: instance.Broke, label: "broke_in_stream", err: errNoEvent})
+		}
+		s.completed = a
+		s.end(instance.Answered, a.Status, "answered", nil)
+		return r.takeOver()
 	}
 	if !r.isOfStream(a) {
 		return r.onAttemptEnded(s, report{result: outcomeUnknown, outcome: instance.Broke, status: a.Status, label: "foreign", err: errForeign})
 	}
+	r.finish(s, a)
+	return true
+}
+
+// finish ends the caller's stream, of which an attempt has sent the end.
+func (r *race) finish(s *upstreamAttempt, a *call.Answer) {
 	r.win(s)
 	r.writeHead(a)
 	r.completed = true
@@ -161,5 +196,4 @@
 	}
 	s.end(instance.Answered, a.Status, "answered", nil)
 	r.log("answered", a.Status, "")
-	return true
 }
