staging: a group whose time is up no longer replaces its gatherer

Callers saw: in a burst, requests of the least urgent class waited for up to 8 s in a stage queue and were lost with the hosts' power; servers of the stage answered 503.

Cause: a group that gets no answer within its own time was taken for a failed gatherer. Its host then avoided the gatherer, and within the same millisecond the next two owners, since no time was left to ask them. After that it used other gatherers for all services. The service had up to four gatherers at once, which sent calls of 8 pieces beside the 64 of the one with the queue, so that the queue grew further.

Change: a group whose time is up fails as such. Its gatherer is avoided only if it does not respond to a probe. The test failed before.

--- a/link/link.go
+++ b/link/link.go
@@ -81,15 +81,15 @@
 func CallIdempotent[Req, Resp any](ctx context.Context, c Caller, peer netip.AddrPort, method Method, req Req) (Resp, error) {
 	for repeats := 0; ; repeats++ {
 		resp, err := CallTyped[Req, Resp](ctx, c, peer, method, req)
-		if err == nil || repeats == maxRepeats || !errors.Is(err, ErrBroken) || !isResponsive(ctx, c, peer) {
+		if err == nil || repeats == maxRepeats || !errors.Is(err, ErrBroken) || !IsResponsive(ctx, c, peer) {
 			return resp, err
 		}
 	}
 }
 
-// isResponsive reports whether a peer responds within livenessTimeout. A connection
+// IsResponsive reports whether a peer responds within livenessTimeout. A connection
 // that breaks, as pooled ones of a live peer may, counts as a response.
-func isResponsive(ctx context.Context, c Caller, peer netip.AddrPort) bool {
+func IsResponsive(ctx context.Context, c Caller, peer netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
 	defer cancel()
 	err := c.Call(ctx, peer, livenessMethod, struct{}{}, nil)
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -241,8 +241,11 @@
 }
 
 // failed returns the same failure for every piece.
-func (w *workItem) failed(f call.PieceFailure) []call.PieceResult {
-	results := make([]call.PieceResult, w.Pieces)
+func (w *workItem) failed(f call.PieceFailure) []call.PieceResult { return failedPieces(w.Pieces, f) }
+
+// failedPieces returns the same failure for a number of pieces.
+func failedPieces(pieces int, f call.PieceFailure) []call.PieceResult {
+	results := make([]call.PieceResult, pieces)
 	for i := range results {
 		results[i].Failure = f
 	}
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -455,7 +455,7 @@
 
 // gather has a group run by the host that owns its service. If that host cannot
 // be reached, the next owner is asked, and after maxGatherers attempts the
-// local gatherer.
+// local gatherer. A group whose time is up fails.
 func (r *Runner) gather(ctx context.Context, g Group) ([]call.PieceResult, error) {
 	begun := time.Now()
 	var previousOwner host.ID
@@ -478,6 +478,10 @@
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
+		if time.Since(begun) >= g.Remaining {
+			go r.avoidIfUnresponsive(context.WithoutCancel(ctx), owner)
+			return failedPieces(g.Pieces, call.PieceDeadlineExceeded), nil
+		}
 		r.config.Owners.Avoid(owner.ID, time.Now())
 		r.config.Logger.Warn("gatherer failed", "request", g.RequestID, "service", g.Service,
 			"gatherer", string(owner.ID), "stage", g.Stage, "try", try+1, "error", err.Error())
@@ -487,6 +491,17 @@
 	}
 }
 
+// avoidIfUnresponsive avoids a gatherer that did not answer in a group's time only if it does
+// not respond to a probe either. Under overload groups wait until their time is up, and hosts
+// that then avoided a sound gatherer would give the service several, each with small calls.
+func (r *Runner) avoidIfUnresponsive(ctx context.Context, owner host.Info) {
+	if link.IsResponsive(ctx, r.config.Caller, owner.LinkAddr) {
+		return
+	}
+	r.config.Owners.Avoid(owner.ID, time.Now())
+	r.config.Logger.Warn("gatherer does not respond", "gatherer", string(owner.ID))
+}
+
 // ownershipRetryInterval is the pause before the owner of a service is looked
 // up again while the membership converges.
 const ownershipRetryInterval = 30 * time.Millisecond
--- a/staging/runner_test.go
+++ b/staging/runner_test.go
@@ -24,6 +24,7 @@
 type fakePeers struct {
 	fail        []error
 	partitioned bool // calls that check whether the peer is alive hang
+	overloaded  bool // groups wait until their time is up
 	asked       []netip.AddrPort
 }
 
@@ -36,6 +37,10 @@
 		return link.ErrUnknownMethod
 	}
 	p.asked = append(p.asked, peer)
+	if p.overloaded {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if len(p.asked) <= len(p.fail) {
 		return p.fail[len(p.asked)-1]
 	}
@@ -47,26 +52,31 @@
 // gatherWithFailures runs a group through a Runner whose first calls to the
 // gatherers fail with the given errors.
 func gatherWithFailures(t *testing.T, partitioned bool, fail ...error) (p *fakePeers, owners *ownership.Table, err error) {
+	p = &fakePeers{fail: fail, partitioned: partitioned}
+	r, service := newTestRunner(p)
+	_, err = r.gather(t.Context(), Group{Service: service, RequestID: "r", Pieces: 2, Remaining: time.Second, RemainingToTarget: time.Second})
+	return p, r.config.Owners, err
+}
+
+// newTestRunner returns a Runner among 12 hosts, and a service that another host gathers for.
+func newTestRunner(p *fakePeers) (r *Runner, service string) {
 	var fleet hosttest.Fleet
 	for i := range 12 {
 		info := host.Info{ID: host.ID(fmt.Sprint("h", i)), LinkAddr: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:1", i+1))}
 		fleet = append(fleet, host.Member{Info: info})
 	}
-	p = &fakePeers{fail: fail, partitioned: partitioned}
-	owners = ownership.New(fleet, time.Now())
-	service := "pieces"
+	owners := ownership.New(fleet, time.Now())
+	service = "pieces"
 	for i := 0; ; i++ {
 		if _, own := owners.Owner(service, time.Now()); !own {
 			break
 		}
 		service = fmt.Sprint("pieces", i)
 	}
-	r := &Runner{
+	return &Runner{
 		config:     RunnerConfig{Owners: owners, Caller: p, Logger: slog.New(slog.DiscardHandler)},
 		queueWaits: make(map[string]queueWait),
-	}
-	_, err = r.gather(t.Context(), Group{Service: service, RequestID: "r", Pieces: 2, Remaining: time.Second, RemainingToTarget: time.Second})
-	return p, owners, err
+	}, service
 }
 
 // A connection breaks while the gatherer is alive. The runner must ask the same
@@ -103,3 +113,31 @@
 	require.NotEqual(t, p.asked[0], p.asked[1])
 	require.Less(t, time.Since(begun), time.Second)
 }
+
+// Groups wait at an overloaded gatherer until their time is up. Guards against hosts that then
+// consider it, and the next owners, as failed: the service got several gatherers, which sent
+// its servers small calls beside each other's. A gatherer that does not respond at all is
+// avoided.
+func TestGathererIsNotReplacedForGroupsWhoseTimeIsUp(t *testing.T) {
+	for name, responsive := range map[string]bool{"overloaded": true, "silent": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := &fakePeers{overloaded: true, partitioned: !responsive}
+			r, service := newTestRunner(p)
+			before, _ := r.config.Owners.Owner(service, time.Now())
+			results, err := r.gather(t.Context(), Group{Service: service, RequestID: "r", Pieces: 2, Remaining: 20 * time.Millisecond})
+			require.NoError(t, err)
+			require.Equal(t, call.PieceDeadlineExceeded, failure(results))
+			require.Len(t, p.asked, 1, "gatherers that were asked")
+			replaced := func() bool {
+				owner, _ := r.config.Owners.Owner(service, time.Now())
+				return owner.ID != before.ID
+			}
+			if responsive {
+				require.Never(t, replaced, 300*time.Millisecond, 20*time.Millisecond)
+			} else {
+				require.Eventually(t, replaced, 5*time.Second, 10*time.Millisecond)
+			}
+		})
+	}
+}
