Hosts that start learn from others which upstreams have left

An upstream that has exited by then costs a failed attempt, or a 502 for a call that may run once.

Cause: the store came back from a copy that lists the upstream as ready. Hosts that have seen it leave overrule the copy. A host that started later has no record, and nobody told it. The same holds for a host that reads the copy as its first listing, one that read everything again after an outage, one that knows a removal without the entry before it, and one that enters the new era by another host's answer and reads the store's listing later.

Change: hosts ask each other for the last states of upstreams (new method directory.LastStates): once after a start, and before a listing about those upstreams that they have not seen and whose entries may be from a copy. The listing waits for 200 ms at most, and only if the store has come back from a copy; a host that starts has made the other hosts members by then, so it is ready no later. A late answer takes back what the copy listed. An entry that was written after the first position of its era is never overruled, so that an upstream that registers again is used at once. No store call is added. Answers hold at most 1,024 states (109 kB).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -130,6 +130,9 @@
 	// confirmedAt is when the store last confirmed, here or to the host that
 	// this one follows, that there were no further changes.
 	confirmedAt time.Time
+	// askedAtStart is true once the inquiry for last states of a start has begun, and informed
+	// once it has ended.
+	askedAtStart, informed bool
 	// changed is closed and replaced after changes were applied.
 	changed chan struct{}
 
@@ -143,6 +146,9 @@
 	wake chan struct{}
 
 	confirmer confirmer
+
+	inquiries      sync.WaitGroup // runs the inquiries for last states and their calls
+	lastStateCalls *prometheus.CounterVec
 }
 
 // hostEntry is a host's entry in the store, or its removal. It is also sent
@@ -174,9 +180,11 @@
 		cutWatches:  newCutWatchCounter(config.Registerer),
 
 		unknownEvacuations: newUnknownEvacuationCounter(config.Registerer),
+		lastStateCalls:     newLastStateCalls(config.Registerer),
 	}
 	config.Gossip.Subscribe(revisionTopic, d.handleRevision)
 	link.HandleTyped(registrar, followMethod, d.serveFollow)
+	link.HandleTyped(registrar, lastStatesMethod, d.serveLastStates)
 	return d
 }
 
--- a/directory/era.go
+++ b/directory/era.go
@@ -56,6 +56,9 @@
 			"old_era", before.Era, "old_as_of", before.Revision, "era", asOf.Era, "as_of", asOf.Revision,
 			"upstreams_known", len(d.config.Instances.Entries()))
 	}
+	if rose || isFirst {
+		d.config.Instances.BeginEra(asOf)
+	}
 	d.eraMetrics.era.Set(float64(asOf.Era))
 	return rose, true
 }
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -37,6 +37,7 @@
 
 // Run follows the store and the other hosts until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
+	defer d.inquiries.Wait()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return d.followStore(ctx) })
 	group.Go(func() error { return d.followPeers(ctx) })
@@ -135,6 +136,7 @@
 		}
 		now := time.Now()
 		d.recordAnswer(now)
+		d.awaitLastStatesForStore(ctx, items, asOf)
 		d.applySnapshot(items, asOf, now)
 		*next = nextCall{}
 		d.publishPosition()
--- a/directory/peers.go
+++ b/directory/peers.go
@@ -162,6 +162,7 @@
 		d.config.Logger.Warn("directory not fetched from another host", "peer", peer.String(), "error", err.Error())
 		return
 	}
+	d.awaitLastStatesForAnswer(ctx, answer)
 	if d.applyAnswer(answer) && answer.position().After(before) {
 		d.config.Logger.Info("directory fetched from another host", "peer", peer.String(),
 			"era", answer.Era, "as_of", answer.AsOf, "was_era", before.Era, "was", before.Revision)
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -227,6 +227,7 @@
 func (d *Directory) followWatcher(ctx context.Context, watcher host.Info) (ok bool) {
 	wait := d.fractionOfMaxDelay(followFraction)
 	answer, err := d.askPeer(ctx, watcher.LinkAddr, wait, wait+d.fractionOfMaxDelay(answerFraction))
+	d.awaitLastStatesForAnswer(ctx, answer)
 	reason := ""
 	switch {
 	case ctx.Err() != nil:
--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -194,3 +194,48 @@
 	require.Empty(t, f.store.Keys("hosts/"))
 	require.Eventually(t, registered, 2*time.Second, 5*time.Millisecond)
 }
+
+// Guards against new work for upstreams that were leaving or removed before a host started,
+// and that the copy from which the store comes back lists as ready. The host starts before or
+// after the store comes back.
+func TestUpstreamThatLeftBeforeAHostStartedGetsNoNewWorkAfterRestore(t *testing.T) {
+	t.Parallel()
+	leavings := map[string]func(f *fleet, u *platformtest.Upstream){
+		"removed": func(f *fleet, u *platformtest.Upstream) { f.store.Delete("servers/" + u.ID) },
+		"leaving, then removed": func(f *fleet, u *platformtest.Upstream) {
+			u.Register(f.store, "draining")
+			time.Sleep(500 * time.Millisecond)
+			f.store.Delete("servers/" + u.ID)
+		},
+		"leaving": func(f *fleet, u *platformtest.Upstream) { u.Register(f.store, "draining") },
+	}
+	for name, leave := range leavings {
+		for _, startsAfter := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, host starts after the restore: %t", name, startsAfter), func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(t)
+				f.configure(1, nil)
+				a := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
+				f.start()
+				copied := f.store.Snapshot()
+				f.loseRevisions(60)
+				leave(f, a)
+				time.Sleep(time.Second)
+				var started *node
+				if startsAfter {
+					f.store.Restore(copied)
+					time.Sleep(500 * time.Millisecond)
+					started = f.startUnready(f.store.Addr())
+				} else {
+					started = f.start()
+					f.store.Restore(copied)
+				}
+				f.requireNoRuns(started, a, 3*time.Second)
+				a.NextProcess()
+				a.Register(f.store, "ready")
+				require.Eventually(t, func() bool { return f.send(started, http.MethodGet, "/read/1", "r2").status == http.StatusOK },
+					time.Second, 5*time.Millisecond, "the next process is used at once")
+			})
+		}
+	}
+}
--- a/instance/era.go
+++ b/instance/era.go
@@ -60,19 +60,32 @@
 	if last.ID != e.ID {
 		return e, "", true
 	}
-	mayPrecede := e.Era > lastEra && e.Revision <= last.Revision
+	toStore, kept = t.overrule(e, last, lastEra, old == nil)
+	if kept == keptRemoved {
+		t.bury(e.ID, nil, e.Position())
+		return e, kept, false
+	}
+	return toStore, kept, true
+}
+
+// overrule compares an entry with the last one known of its upstream, which was valid or was
+// removed in an era. It returns the entry to store and the kind of change if the entry is
+// overruled. The caller holds mu.
+func (t *Table) overrule(e, last Entry, lastEra int64, removed bool) (toStore Entry, kept string) {
+	mayPrecede := e.Era > lastEra && e.Revision <= last.Revision && !t.writtenSinceCopy(e.Position())
 	succeeded := last.StartTime.After(e.StartTime)
 	switch {
-	case mayPrecede && old != nil && succeeded:
-		return last.movedTo(e.Position()), keptSuccessor, true
-	case mayPrecede && old == nil && (succeeded || e.sameProcess(last)):
-		t.bury(e.ID, nil, e.Position())
-		return e, keptRemoved, false
+	case mayPrecede && !removed && succeeded:
+		toStore = last.movedTo(e.Position())
+		toStore.Successor = true
+		return toStore, keptSuccessor
+	case mayPrecede && removed && (succeeded || e.sameProcess(last)):
+		return e, keptRemoved
 	case e.leftEarlier(last):
 		e.Leaving, e.LeftEarlier = true, true
-		return e, keptLeaving, true
+		return e, keptLeaving
 	}
-	return e, "", true
+	return e, ""
 }
 
 // leftEarlier reports whether an entry shows a process as ready that the last
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -44,6 +44,9 @@
 	// WarmupLeft is for how long the upstream is still cold by its entry, counted from when
 	// the entry arrives.
 	WarmupLeft time.Duration `cbor:"22,keyasint,omitempty"`
+	// Successor is true if the process is kept although the store, which came back from a
+	// copy, lists one that preceded it.
+	Successor bool `cbor:"23,keyasint,omitempty"`
 	// InvalidWarmup means that the entry states a warm-up time out of bounds, which was ignored or
 	// capped.
 	InvalidWarmup bool `cbor:"-"`
@@ -132,6 +135,7 @@
 	requests       map[string]uint64      // requests that this host has begun, by service
 	tombstones     map[ID]tombstone       // removals; entries up to their positions are ignored
 	tombstoneFloor infra.Position         // removals before this position may be missing
+	eraBegan       infra.Position         // the first position that was read in the newest era
 	// formerVersions is when the last upstream of a software version was removed, by
 	// service and version.
 	formerVersions map[string]map[string]time.Time
@@ -172,6 +176,7 @@
 const (
 	SourceEntry  Source = "entry"  // the upstream's entry in the store
 	SourceAnswer Source = "answer" // an answer of the upstream to this host
+	SourceHost   Source = "host"   // what another host has seen of the upstream
 )
 
 // NewTable creates an empty table. changed, if not nil, is called after each
