Soak: a refusal that never reached the host does not bind it

What callers saw: nothing.

Cause: the check counts a refusal from when the upstream sends it. Two kinds of refusals never reach the host: - The caller leaves first. The host closes the connection at once, so that the upstream stops work that nobody wants, and never reads the refusal. - The links of the host fall silent while the refusal is on its way.

Change: the check leaves out a refusal whose caller left within 50 ms of it (the delay of a proxy is 40 ms at most), and one whose host lost its links within 50 ms of it. A host that was cut off before reads refusals through other hosts and stays bound. Any refusal that was read binds as before. The report names the refused request and the times of those that followed.

Measured: the test of the check has both cases and their bounds. With the check as before it fails at the links lost 50 ms before the refusal; now it passes.

--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -92,6 +92,17 @@
 	return false
 }
 
+// wasCutOff reports whether the host lost its links to upstreams in the given time. Links that
+// were lost before don't count: its requests reach upstreams through other hosts then, and so
+// do the answers.
+func (h *hostProcess) wasCutOff(from, until time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.disruptions, func(d *disruption) bool {
+		return d.kind == linksCut && !d.from.Before(from) && d.from.Before(until)
+	})
+}
+
 const (
 	// lastGrace is the last sixth of the grace period, in which a host may abort requests.
 	lastGrace = graceSeconds * time.Second / 6
--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/galenaseam/galenaseam/platform/platformtest"
@@ -22,6 +23,9 @@
 	// refusalKnownTime is the time after a refusal within which requests that are on
 	// their way may arrive.
 	refusalKnownTime = 500 * time.Millisecond
+	// refusalReadTime is how long a refusal may take to the host that it is sent to: a
+	// proxy delays it by up to 40 ms.
+	refusalReadTime = 50 * time.Millisecond
 	// maxEarlyRequests is how many requests of a host may reach an upstream between
 	// refusalKnownTime and the end of the time that its refusal named.
 	maxEarlyRequests = 2
@@ -72,6 +76,8 @@
 	platformtest.Arrival
 	host   *hostProcess
 	sentAt time.Time // by the caller
+	// leftAt is when the caller left before its request had ended; zero if it did not.
+	leftAt time.Time
 }
 
 // checkNotices checks that hosts heed what upstreams say in their answers.
@@ -91,7 +97,11 @@
 		for _, a := range s.Arrivals() {
 			if o, known := byID[a.RequestID]; known {
 				h := e.host(o.host)
-				arrivals[h] = append(arrivals[h], hostArrival{a, h, o.sentAt})
+				arrived := hostArrival{Arrival: a, host: h, sentAt: o.sentAt}
+				if o.abandoned {
+					arrived.leftAt = o.endedAt
+				}
+				arrivals[h] = append(arrivals[h], arrived)
 			}
 		}
 		for _, h := range e.hosts {
@@ -143,12 +153,22 @@
 	return longest
 }
 
+// mayBeUnread reports whether a refusal may not have reached the host: the caller left before
+// it must have arrived, so that the host closed the connection, or the host lost its links to
+// upstreams while it was on its way.
+func (a *hostArrival) mayBeUnread() bool {
+	if !a.leftAt.IsZero() && a.leftAt.Before(a.At.Add(refusalReadTime)) {
+		return true
+	}
+	return a.host.wasCutOff(a.At.Add(-refusalReadTime), a.At.Add(refusalReadTime))
+}
+
 // checkRefusals checks that a host stays away from an upstream as long as its refusal
 // asks for. A refusal of an upstream that was stopped then may not have reached the host
-// before it gave up waiting, and one of a process binds no host to the next process with
-// its ID.
+// before it gave up waiting, nor one that may be unread for another reason, and one of a process
+// binds no host to the next process with its ID.
 func (s *server) checkRefusals(arrivals []hostArrival) []string {
-	worst := 0
+	var worst []string // IDs of the requests in the time of one refusal, the refused one first
 	for _, refused := range arrivals {
 		from, until := refused.At.Add(refusalKnownTime), refused.At.Add(refused.RetryAfter)
 		for _, replaced := range s.replacedAt {
@@ -156,20 +176,22 @@
 				until = replaced
 			}
 		}
-		if refused.RetryAfter == 0 || refused.host.wasDisrupted(refused.At, until, killed, stopped, paused) || s.proxy.wasStopped(refused.At, from) {
+		if refused.RetryAfter == 0 || refused.mayBeUnread() || refused.host.wasDisrupted(refused.At, until, killed, stopped, paused) || s.proxy.wasStopped(refused.At, from) {
 			continue
 		}
-		early := 0
+		early := []string{refused.RequestID}
 		for _, a := range arrivals {
 			if a.At.After(from) && a.At.Before(until) {
-				early++
+				early = append(early, fmt.Sprintf("%s after %s", a.RequestID, a.At.Sub(refused.At).Round(time.Millisecond)))
 			}
 		}
-		worst = max(worst, early)
+		if len(early) > len(worst) {
+			worst = early
+		}
 	}
-	if worst <= maxEarlyRequests {
+	if len(worst) <= 1+maxEarlyRequests {
 		return nil
 	}
-	return []string{fmt.Sprintf("%s sent %d requests to %s in the time for which a refusal asked it to stay away",
-		arrivals[0].host.settings.Name, worst, s.ID)}
+	return []string{fmt.Sprintf("%s sent %d requests to %s in the time for which the refusal of %s asked it to stay away: %s",
+		arrivals[0].host.settings.Name, len(worst)-1, s.ID, worst[0], strings.Join(worst[1:], ", "))}
 }
--- a/internal/soak/notices_test.go
+++ b/internal/soak/notices_test.go
@@ -13,7 +13,7 @@
 func arrivalsAfter(h *hostProcess, start time.Time, after ...time.Duration) (all []hostArrival) {
 	for _, d := range after {
 		at := start.Add(d)
-		all = append(all, hostArrival{platformtest.Arrival{At: at}, h, at})
+		all = append(all, hostArrival{Arrival: platformtest.Arrival{At: at}, host: h, sentAt: at})
 	}
 	return all
 }
@@ -54,4 +54,18 @@
 	require.Len(t, s.checkRefusals(refused(second, second, second)), 1, "the upstream was stopped before")
 	s.proxy.stops = []stopTime{{from: start.Add(-second), until: start.Add(second / 10)}}
 	require.Empty(t, s.checkRefusals(refused(second, second, second)), "the upstream was stopped")
+	s.proxy.stops = nil
+	for cutAt, violations := range map[time.Duration]int{-second: 1, -refusalReadTime: 0, refusalReadTime - 1: 0, refusalReadTime: 1} {
+		h.disruptions = []*disruption{{kind: linksCut, from: start.Add(cutAt), until: start.Add(cutAt + 4*second)}}
+		require.Len(t, s.checkRefusals(refused(second, second, second)), violations, "the links were lost after %s", cutAt)
+	}
+	h.disruptions = nil
+	left := refused(second, second, second)
+	left[0].leftAt = start.Add(refusalReadTime - 1)
+	require.Empty(t, s.checkRefusals(left), "the caller left before the refusal arrived")
+	left[0].leftAt = start.Add(refusalReadTime)
+	require.Len(t, s.checkRefusals(left), 1, "the caller left after the refusal had arrived")
+	left[0].leftAt, left[1].RetryAfter = start.Add(time.Millisecond), 2*second
+	left = append(left, arrivalsAfter(h, start, 2*second, 2*second, 2*second)...)
+	require.Len(t, s.checkRefusals(left), 1, "another refusal was read")
 }
