Hosts tell each other of limits and pauses that upstreams name

Cause: each host knew limits, their withdrawal and pauses only from answers to its own calls, and needed two answers for a withdrawal.

Change: - A host whose answer changes what is known publishes an urgent fact. The newest answer holds; of two at one time, the lower limit. A host has 16 facts at most. - One answer withdraws a limit if its call was sent 1 s after the last answer that named it. The host may then ask at once. Informational answers withdraw nothing. - A pause that only other hosts report takes an upstream out of choices for 30 s at most, as long as at least half of the working upstreams of its service and software version are left. Refusals of full upstreams would otherwise spread to the rest. - A host that starts asks another one for all that it knows (throttle.Notices) before it is ready, for 200 ms at most after it has found the others. - Hosts of the build before ignore the facts and don't serve the call.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -148,12 +148,15 @@
 	parts      *quarantine.Parts
 	throttle   *throttle.Throttle
 	brittle    *throttle.Brittle
+	shared     *throttle.Notices
 	gateway    *gateway.Gateway
 	retries    *retry.Budget
 	callers    *callerServer
 
-	draining   atomic.Bool
-	unregister context.CancelFunc // removes the host's entry from the store; set by Run
+	draining atomic.Bool
+	// noticesLearned is true once another host was asked for limits and pauses, or none could be.
+	noticesLearned atomic.Bool
+	unregister     context.CancelFunc // removes the host's entry from the store; set by Run
 }
 
 // New builds a host. It serves nothing until Run.
@@ -205,13 +208,16 @@
 	var err error
 	h.members, err = member.New(member.Config{
 		Self: h.info, ListenAddr: h.info.LinkAddr.String(), Key: h.settings.FleetKey, Seeds: h.settings.Seeds,
-		HostList: hostList, Urgent: []member.Topic{quarantine.Topic, quarantine.PartTopic, throttle.BrittleTopic}, ListInterval: hostListInterval,
+		HostList: hostList, Urgent: []member.Topic{quarantine.Topic, quarantine.PartTopic, throttle.BrittleTopic, throttle.NoticeTopic}, ListInterval: hostListInterval,
 		Logger: h.logger, Registerer: h.registry,
 	})
 	if err != nil {
 		return err
 	}
 	h.brittle = throttle.NewBrittle(h.members, h.logger)
+	h.shared = throttle.NewNotices(throttle.NoticesConfig{
+		Gossip: h.members, Instances: h.instances, Caller: h.peerClient, Logger: h.logger, Registerer: h.registry,
+	}, h.mux)
 	h.directory = directory.New(directory.Config{
 		Source: h.platform.Source, Format: h.platform.Format, Instances: h.instances, Fleet: h.members,
 		Gossip: h.members, Caller: h.peerClient, MaxPropagationDelay: h.settings.MaxPropagationDelay,
@@ -368,10 +374,10 @@
 }
 
 // Ready reports whether the host should receive new connections: it is not
-// draining, has read a configuration and the store, and has had time to discover
-// the other hosts.
+// draining, has read a configuration and the store, has had time to discover
+// the other hosts, and has asked one of them for the limits of upstreams.
 func (h *Host) Ready() bool {
-	return !h.draining.Load() && h.directory.Routes() != nil && h.directory.Revision() > 0 && h.owners.Formed(time.Now())
+	return !h.draining.Load() && h.directory.Routes() != nil && h.directory.Revision() > 0 && h.owners.Formed(time.Now()) && h.noticesLearned.Load()
 }
 
 // ServeReadiness answers the platform's readiness check.
--- a/edge/explain.go
+++ b/edge/explain.go
@@ -167,7 +167,7 @@
 		answer.Choice = h.placer.Explain(q.Need, now)
 		// An engine that has asked only this host for a pause may be chosen for others.
 		excluded = slices.DeleteFunc(excluded, func(e explain.Exclusion) bool {
-			return e.Reason == instance.ExcludedPaused || e.Reason == instance.ExcludedLimited
+			return e.Reason == instance.ExcludedPaused || e.Reason == instance.ExcludedReported || e.Reason == instance.ExcludedLimited
 		})
 	}
 	answer.Choice.Excluded = append(answer.Choice.Excluded, excluded...)
--- a/edge/limit_test.go
+++ b/edge/limit_test.go
@@ -103,3 +103,38 @@
 		})
 	}
 }
+
+// An upstream that had named a limit of 0 got five staged requests at once from a host that had
+// had no answer of it. Guards against hosts that know limits and pauses only from their own
+// answers, also a host that has just started.
+func TestHostsKnowWhatUpstreamsToldOthers(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, nil)
+	limited := f.upstream(&platformtest.Upstream{ID: "u0", Service: "plain", Work: 5 * time.Millisecond})
+	refuses := f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain", Work: 5 * time.Millisecond, RetryAfter: "20"})
+	for i := range 3 {
+		f.upstream(&platformtest.Upstream{ID: fmt.Sprint("v", i), Service: "plain", Work: 5 * time.Millisecond})
+	}
+	asked, other := f.start(), f.start()
+	limited.NameLimit("0")
+	refuses.QueueFaults(platformtest.Shed)
+	const path = "/read/1"
+	sendAtOnce := func(n *node, name string) {
+		var senders sync.WaitGroup
+		for i := range 24 {
+			senders.Go(func() { f.send(n, http.MethodPost, path, name+strconv.Itoa(i)) })
+		}
+		senders.Wait()
+	}
+	sendAtOnce(asked, "first")
+	require.Positive(t, limited.Arrived(path))
+	require.Positive(t, refuses.Arrived(path))
+	time.Sleep(time.Second)
+	for name, n := range map[string]*node{"other": other, "new": f.start()} {
+		atLimited, atRefusing := limited.Arrived(path), refuses.Arrived(path)
+		sendAtOnce(n, name)
+		require.LessOrEqual(t, limited.Arrived(path), atLimited+2, "%s host", name)
+		require.Equal(t, atRefusing, refuses.Arrived(path), "%s host", name)
+	}
+}
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -9,7 +10,9 @@
 
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/gateway"
+	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/throttle"
 	"github.com/galenaseam/galenaseam/transport"
 )
@@ -47,10 +50,14 @@
 	if notice.Leaving {
 		h.instances.MarkLeaving(sender, now)
 	}
-	if notice.Pause > 0 {
-		h.instances.Pause(sender, now.Add(notice.Pause), now)
+	if until := now.Add(notice.Pause); notice.Pause > 0 && h.instances.Pause(sender, until, now) {
+		h.shared.Pause(sender, until, now)
+	}
+	// An informational answer without a limit withdraws none: the final one may name it.
+	isFinal := r.StatusCode >= http.StatusOK
+	if (notice.Limited || isFinal) && h.instances.SetLimit(sender, notice.Limit, notice.Limited, c.SentAt, now) {
+		h.shared.Limit(sender, notice.Limit, notice.Limited, now)
 	}
-	h.instances.SetLimit(sender, notice.Limit, notice.Limited, now)
 	h.onWarmup(sender, notice, now)
 	if entry, listed := h.instances.Lookup(sender.ID); listed && notice.Brittle {
 		h.brittle.Named(entry.Service, notice.MaxRejections, now)
@@ -77,6 +84,55 @@
 	}
 }
 
+const (
+	// learnInterval is how often a host that has started looks for another one to learn from.
+	learnInterval = 20 * time.Millisecond
+	// learnTimeout bounds how long a host that has found the others waits for their notices
+	// before it is ready.
+	learnTimeout = 200 * time.Millisecond
+)
+
+// learnNotices asks another host for the limits and pauses of upstreams as soon as one is known.
+// It gives up once the host has found the others and nobody is left to ask, or after
+// learnTimeout from then on.
+func (h *Host) learnNotices(ctx context.Context) error {
+	defer h.noticesLearned.Store(true)
+	ctx, giveUp := context.WithCancel(ctx)
+	defer giveUp()
+	go func() {
+		for !h.owners.Formed(time.Now()) && sleep.For(ctx, learnInterval) == nil {
+		}
+		_ = sleep.For(ctx, learnTimeout) // ends early only if learnNotices has ended
+		giveUp()
+	}()
+	asked := make(map[host.ID]bool)
+	for ctx.Err() == nil {
+		if peer, found := h.peerToLearnFrom(asked); found {
+			asked[peer.ID] = true
+			if h.shared.Learn(ctx, peer) {
+				return nil
+			}
+			continue
+		}
+		if h.owners.Formed(time.Now()) || sleep.For(ctx, learnInterval) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// peerToLearnFrom returns a random host that is alive and was not asked. Hosts that start
+// together would otherwise all ask the same one.
+func (h *Host) peerToLearnFrom(asked map[host.ID]bool) (host.Info, bool) {
+	members := h.members.Members()
+	for _, i := range rand.Perm(len(members)) {
+		if m := members[i]; m.ID != h.info.ID && m.State == host.Alive && !asked[m.ID] {
+			return m.Info, true
+		}
+	}
+	return host.Info{}, false
+}
+
 // acquireCall takes the right to send a call to an upstream that names a limit, is cold or is
 // brittle.
 func (h *Host) acquireCall(ctx context.Context, c *transport.Call) (transport.Grant, bool) {
--- a/edge/paused_test.go
+++ b/edge/paused_test.go
@@ -80,7 +80,7 @@
 }
 
 // The other upstreams must take over, whichever the placement owner on another host
-// chooses: the pause is that of the host that was turned away only.
+// chooses: it need not know of the pause yet.
 func TestPausedUpstreamIsReplacedByAnother(t *testing.T) {
 	t.Parallel()
 	for path, service := range map[string]string{"/read/1": "plain", "/talk/1": "events"} {
--- a/edge/run.go
+++ b/edge/run.go
@@ -123,6 +123,7 @@
 		func() error { return h.parts.Run(ctx) },
 		func() error { return h.callers.closeExpiredPeriodically(ctx) },
 		func() error { return h.sweepTransport(ctx) },
+		func() error { return h.learnNotices(ctx) },
 		func() error { return h.register(registerCtx) },
 	} {
 		group.Go(run)
@@ -164,6 +165,7 @@
 		h.transport.Sweep(now)
 		h.transport.LimitIdle(h.maxIdleConns())
 		h.brittle.Expire(now)
+		h.shared.Expire(now)
 		h.checkCold(now)
 	})
 }
--- a/instance/exclusion.go
+++ b/instance/exclusion.go
@@ -6,9 +6,10 @@
 const (
 	ExcludedLeaving   = "leaving"
 	ExcludedEvacuated = KindEvacuated
-	ExcludedPaused    = "paused"  // it has asked this host for a pause
-	ExcludedLimited   = "limited" // it is at its limit for this host
-	ExcludedVersion   = "version" // its software version is not the required one
+	ExcludedPaused    = "paused"   // it has asked this host for a pause
+	ExcludedReported  = "reported" // it has asked another host for a pause
+	ExcludedLimited   = "limited"  // it is at its limit for this host
+	ExcludedVersion   = "version"  // its software version is not the required one
 )
 
 // Exclusion is an upstream that gets no new work of this host, and the reason.
@@ -32,16 +33,20 @@
 }
 
 // exclusion returns why this host must not send an upstream new work; "" if it may. The caller
-// holds mu.
-func (t *Table) exclusion(i *Instance, now time.Time) string {
+// holds mu and passes the result of heededReports.
+func (t *Table) exclusion(i *Instance, heeded map[string]bool, now time.Time) string {
 	reason := t.exclusionByAll(i)
 	switch {
-	case reason != "" || !i.isPaused(now):
+	case reason != "":
 		return reason
 	case now.Before(i.pausedUntil):
 		return ExcludedPaused
+	case i.isPaused(now):
+		return ExcludedLimited
+	case heeded[i.Version] && i.isReported(now):
+		return ExcludedReported
 	}
-	return ExcludedLimited
+	return ""
 }
 
 // Exclusions returns the upstreams of a service that are not in Service, or lack a software
@@ -49,8 +54,9 @@
 func (t *Table) Exclusions(name, version string, now time.Time) (all []Exclusion) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	heeded := t.heededReports(name, now)
 	for _, i := range t.byService[name] {
-		reason, until := t.exclusion(i, now), time.Time{}
+		reason, until := t.exclusion(i, heeded, now), time.Time{}
 		switch {
 		case reason == "" && i.HasVersion(version):
 			continue
@@ -58,6 +64,8 @@
 			reason = ExcludedVersion
 		case reason == ExcludedPaused || reason == ExcludedLimited:
 			until = i.backAt()
+		case reason == ExcludedReported:
+			until = i.reportedUntil
 		}
 		all = append(all, Exclusion{Status: Status{Entry: i.Entry}, Reason: reason, Until: until})
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -140,6 +140,7 @@
 	kept          map[processKey]keptNotice
 	keptOrder     uint64
 	lastPauseEnd  time.Time         // no pause lasts longer
+	lastReportEnd time.Time         // no pause that other hosts report lasts longer
 	warmups       map[string]Warmup // by service; only of those whose upstreams may be cold
 	firstEntryAt  time.Time         // when the first entry arrived
 	gotListing    bool              // the first listing has been received completely
@@ -172,6 +173,7 @@
 const (
 	SourceEntry  Source = "entry"  // the upstream's entry in the store
 	SourceAnswer Source = "answer" // an answer of the upstream to this host
+	SourceHost   Source = "host"   // another host, which got such an answer
 )
 
 // NewTable creates an empty table. changed, if not nil, is called after each
@@ -381,13 +383,14 @@
 // Service returns the upstreams of a service that this host may send new work to,
 // ordered by ID.
 func (t *Table) Service(name string, now time.Time) []Status {
-	return t.service(name, now, func(i *Instance) bool { return t.exclusion(i, now) == "" })
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	heeded := t.heededReports(name, now)
+	return t.service(name, now, func(i *Instance) bool { return t.exclusion(i, heeded, now) == "" })
 }
 
-// service returns the upstreams of a service for which usable is true.
+// service returns the upstreams of a service for which usable is true. The caller holds mu.
 func (t *Table) service(name string, now time.Time, usable func(*Instance) bool) []Status {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	var all []Status
 	_, mayBeCold := t.warmups[name]
 	for _, i := range t.byService[name] {
--- a/instance/notices.go
+++ b/instance/notices.go
@@ -26,13 +26,15 @@
 	startMS int64 // Unix time
 }
 
-// notice is what a process has said about itself in its answers to this host. It
-// is not part of the entry, so it is not sent to other hosts and no entry
-// overrides it.
+// notice is what a process has said about itself in its answers to this host, and what
+// other hosts report that it has said of limits and pauses to them. It is not part of the
+// entry, so no entry overrides it.
 type notice struct {
 	leaving bool
 	// pausedUntil is when the process accepts requests of this host again.
 	pausedUntil time.Time
+	// reportedUntil is the end of a pause that the process has asked another host for.
+	reportedUntil time.Time
 	// throttledUntil is when this host may ask again to send the process a request
 	// within its limit.
 	throttledUntil time.Time
@@ -80,6 +82,31 @@
 	}
 }
 
+// Notice is what is known of the limit and the pauses of a listed upstream, from answers to this
+// host and from other hosts.
+type Notice struct {
+	Process   Process
+	PerSecond float64
+	NamedAt   time.Time
+	Limited   bool
+	// PausedUntil is the end of the longest pause, in the past if there is none.
+	PausedUntil time.Time
+}
+
+// Notices returns the notices of the listed upstreams that name a limit or have asked a host for
+// a pause that lasts.
+func (t *Table) Notices(now time.Time) (all []Notice) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, i := range t.byID {
+		until := later(i.pausedUntil, i.reportedUntil)
+		if i.limit.named || now.Before(until) {
+			all = append(all, Notice{i.Process(), i.limit.perSecond, i.limit.namedAt, i.limit.named, until})
+		}
+	}
+	return all
+}
+
 // ProcessAt returns the listed upstream with an address. It ignores the one with
 // the ID except.
 func (t *Table) ProcessAt(addr netip.AddrPort, except ID) (Process, bool) {
@@ -98,8 +125,9 @@
 func (t *Table) Withheld(name string, now time.Time) (all []ID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	heeded := t.heededReports(name, now)
 	for _, i := range t.byService[name] {
-		if i.leaving || i.isPaused(now) {
+		if i.leaving || i.isPaused(now) || heeded[i.Version] && i.isReported(now) {
 			all = append(all, i.ID)
 		}
 	}
--- a/instance/pauses.go
+++ b/instance/pauses.go
@@ -11,10 +11,14 @@
 
 // Pause records that a process has asked this host for no requests until a time.
 // Unlike an ejected upstream, a paused one is not used even if there is no other.
-// An earlier pause that lasts longer stays in force.
-func (t *Table) Pause(p Process, until, now time.Time) {
+// An earlier pause that lasts longer stays in force. It returns true if other hosts may not
+// know of it: neither this host nor they have reported one that lasts about as long.
+func (t *Table) Pause(p Process, until, now time.Time) (isNews bool) {
 	t.mu.Lock()
 	var change *Change
+	_, known := t.noticeOf(p, now)
+	isNews = until.Sub(later(later(known.pausedUntil, known.reportedUntil), now)) >= pauseReportStep ||
+		until.After(now) && !now.Before(known.pausedUntil) && !now.Before(known.reportedUntil)
 	if i := t.sender(p, now); i != nil {
 		if until.Sub(later(i.pausedUntil, now)) >= pauseReportStep || !now.Before(i.pausedUntil) && until.After(now) {
 			change = &Change{Entry: i.Entry, Kind: "paused", Source: SourceAnswer, Until: until}
@@ -30,6 +34,66 @@
 	if change != nil {
 		t.changed(*change)
 	}
+	return isNews
+}
+
+// MaxReportedPause bounds a pause that is known only from another host, so that one answer
+// of an upstream can't take it out of use everywhere for hours.
+const MaxReportedPause = 30 * time.Second
+
+// ReportPause records that a process has asked another host for no requests until a time.
+// This host leaves the upstream out of its choices until then, but not if less than half of
+// the service's upstreams of its software version that work would be left: refusals may come
+// from too much load, which the rest could not carry.
+func (t *Table) ReportPause(p Process, until, now time.Time) {
+	if limit := now.Add(MaxReportedPause); until.After(limit) {
+		until = limit
+	}
+	if !until.After(now) {
+		return
+	}
+	t.mu.Lock()
+	i, n := t.noticeOfExactly(p)
+	isNews := !now.Before(n.reportedUntil) && !now.Before(n.pausedUntil)
+	n.reportedUntil = later(n.reportedUntil, until)
+	t.lastReportEnd = later(t.lastReportEnd, until)
+	if i == nil {
+		t.keep(p, *n)
+	}
+	t.mu.Unlock()
+	if i != nil && isNews {
+		t.changed(Change{Entry: i.Entry, Kind: "paused", Source: SourceHost, Until: until})
+	}
+}
+
+// isReported reports whether another host has been asked for a pause that lasts.
+func (n notice) isReported(now time.Time) bool { return now.Before(n.reportedUntil) }
+
+// heededReports returns the software versions of a service of which this host leaves out the
+// upstreams that have asked only other hosts for a pause, nil if there are none: requests may
+// need a version. The caller holds mu.
+func (t *Table) heededReports(name string, now time.Time) map[string]bool {
+	if !now.Before(t.lastReportEnd) {
+		return nil
+	}
+	type count struct{ usable, reported int }
+	counts := make(map[string]count)
+	for _, i := range t.byService[name] {
+		if t.exclusionByAll(i) != "" || i.isPaused(now) || now.Before(i.ejectedUntil) {
+			continue
+		}
+		c := counts[i.Version]
+		c.usable++
+		if i.isReported(now) {
+			c.reported++
+		}
+		counts[i.Version] = c
+	}
+	heeded := make(map[string]bool, len(counts))
+	for version, c := range counts {
+		heeded[version] = 2*c.reported <= c.usable
+	}
+	return heeded
 }
 
 func later(a, b time.Time) time.Time {
@@ -58,6 +122,8 @@
 // ServiceOfFleet returns the upstreams of a service that hosts may send new work
 // to, ordered by ID, also those that only this host must not.
 func (t *Table) ServiceOfFleet(name string, now time.Time) []Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	return t.service(name, now, t.mayGetWork)
 }
 
--- a/instance/successor_test.go
+++ b/instance/successor_test.go
@@ -52,7 +52,7 @@
 func TestLeavingAndLimitHoldWhenTheProcessIsListedLater(t *testing.T) {
 	s := newSuccessor()
 	s.table.MarkLeaving(s.former.Process(), s.answeredAt)
-	s.table.SetLimit(s.former.Process(), 2, true, s.answeredAt)
+	s.table.SetLimit(s.former.Process(), 2, true, time.Time{}, s.answeredAt)
 	s.table.Put(s.now)
 	require.Empty(t, s.table.Service("s", s.answeredAt))
 	perSecond, _, limited := s.table.Limit(s.now.Process())
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -91,6 +91,8 @@
 	// Connected, if not nil, is called before the call is sent. peer is the host that the
 	// connection goes through, "" if it is direct.
 	Connected func(peer string)
+	// SentAt is set by the client to when it began to send the call.
+	SentAt time.Time
 }
 
 // Client makes calls and pools connections. It is safe for concurrent use.
@@ -257,6 +259,7 @@
 		call.Connected(connection.peer)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	call.SentAt = time.Now()
 	sent, err := connection.send(call)
 	if err == nil {
 		var response *http.Response
