placement: a new process of an engine has nothing cached

What callers saw: requests whose shared segment the scheduler took for cached waited for an engine that had just started and read all of it.

Cause: the tracker kept the cache of an engine by its ID. A new process under the same ID kept the cached parts of the former one.

Evidence: TestNewProcessOfAnEngineHasNothingCached fails without the change (3,700 tokens to read instead of 17,000).

Change: another start time of the engine empties its cache.

Before: the scheduler counts 3,700 tokens to read at the new process. After: 17,000, the whole prompt.

--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -196,7 +196,7 @@
 	engines = make([]candidate, len(all))
 	for i := range all {
 		e := t.engine(all[i].ID, limits)
-		e.process = all[i].Process()
+		e.setProcess(all[i].Process(), limits)
 		engines[i] = candidate{e, e.cache.cachedTokens(chain, parts)}
 		if !all[i].Ejected {
 			mostShared = max(mostShared, min(engines[i].cached, shared))
@@ -205,6 +205,18 @@
 	return engines, mostShared
 }
 
+// setProcess sets the process of an engine. A new one starts with an empty cache.
+func (e *engine) setProcess(process instance.Process, limits Limits) {
+	if e.process.ID != "" && !e.process.StartTime.Equal(process.StartTime) {
+		e.cache = newEngineCache(limits)
+	}
+	e.process = process
+}
+
+func newEngineCache(limits Limits) *cache {
+	return newCache(int(cacheFraction * float64(limits.CacheTokens)))
+}
+
 // sharedTokens returns the length of the parts that other requests may have too: all but the
 // last.
 func sharedTokens(parts []call.PromptPart) (tokens int) {
@@ -290,7 +302,7 @@
 func (t *tracker) engine(id instance.ID, limits Limits) *engine {
 	e := t.engines[id]
 	if e == nil {
-		e = &engine{readRate: defaultReadRate, cache: newCache(int(cacheFraction * float64(limits.CacheTokens)))}
+		e = &engine{readRate: defaultReadRate, cache: newEngineCache(limits)}
 		t.engines[id] = e
 	}
 	return e
--- a/placement/tracker_test.go
+++ b/placement/tracker_test.go
@@ -162,3 +162,12 @@
 	require.Equal(t, 0, c.cachedTokens(prefixChain(parts("b")), parts("b")))
 	require.Equal(t, 800, c.tokens)
 }
+
+// Guards against requests that are sent for a cached segment to an engine that was started anew.
+func TestNewProcessOfAnEngineHasNothingCached(t *testing.T) {
+	tr, now, all := newTracker(), time.Unix(1000, 0), testEngines(1)
+	tr.place(now, all, testLimits, summaryNeed("a", "contract"))
+	all[0].StartTime = now
+	tr.place(now, all, testLimits, summaryNeed("b", "contract"))
+	require.Equal(t, 17000, tr.running["b"].unreadTokens)
+}
