placement: holders of a segment and requests of an engine follow demand

What callers saw: on 60 engines of three speeds, the busiest engine got 2.0 to 2.6 times the mean number of requests, and requests waited there while others had little to do.

Cause: the scheduler compared queues only. A segment stayed at one engine until its requests queued for longer than reading it again takes, and an engine with many cached segments was preferred however much it got.

Change: the scheduler measures the arrival rate of each segment and engine. A segment is held by one engine for each half of an engine's mean rate, with the time for reading it counted in, and by fewer when its demand falls to 0.6 of that. An engine that gets more than its share has a penalty.

--- a/placement/cold.go
+++ b/placement/cold.go
@@ -91,12 +91,14 @@
 	mean := t.requests.rate(now) / float64(max(len(all), 1))
 	room = make([]instance.Status, 0, len(all))
 	for _, s := range all {
-		in := &t.engine(s.ID, limits).intake
+		e := t.engine(s.ID, limits)
+		in := &e.intake
 		in.update(now, s.Cold, limits.WarmupPerSecond, mean)
 		if !s.Cold || in.tokens >= 1 {
 			room = append(room, s)
 			continue
 		}
+		e.joined = false
 		exclude(s, excludedCold)
 		rate, _ := intakeRate(true, limits.WarmupPerSecond, mean)
 		left := time.Duration((1 - in.tokens) / rate * float64(time.Second))
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -77,7 +77,7 @@
 		{Name: "cached_tokens", Value: float64(s.cached)}, {Name: "pace", Value: s.pace}, {Name: "error_rate", Value: status.ErrorRate},
 		explain.Flag("cold", status.Cold), {Name: "score_reading", Value: s.reading}, {Name: "score_reread", Value: s.reread},
 		{Name: "score_errors", Value: s.errors}, {Name: "score_not_home", Value: s.nonHome}, {Name: "score_full", Value: s.full},
-		{Name: "score_warmup", Value: s.warmup},
+		{Name: "score_warmup", Value: s.warmup}, {Name: "score_share", Value: s.share},
 	}
 }
 
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/galenaseam/galenaseam/balance"
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/instance"
@@ -44,12 +46,15 @@
 	// host chooses by itself.
 	DataCentre host.DataCentre
 	Logger     *slog.Logger
+	// Registerer may be nil.
+	Registerer prometheus.Registerer
 }
 
 // Placer chooses engines by asking the owner of each service. It is safe for
 // concurrent use.
 type Placer struct {
-	config Config
+	config  Config
+	metrics *metrics
 
 	mu       sync.Mutex // guards trackers
 	trackers map[string]*tracker
@@ -57,7 +62,7 @@
 
 // New creates a placer and registers the methods that other hosts call.
 func New(config Config, registrar link.Registrar) *Placer {
-	p := &Placer{config: config, trackers: make(map[string]*tracker)}
+	p := &Placer{config: config, trackers: make(map[string]*tracker), metrics: newMetrics(config.Registerer)}
 	link.HandleTyped(registrar, placeMethod, func(_ context.Context, n Need) (placeReply, error) { return p.placeLocally(n), nil })
 	link.HandleTyped(registrar, noteMethod, func(_ context.Context, n progressNote) (struct{}, error) {
 		p.applyNote(n)
@@ -144,11 +149,7 @@
 // sharedPrefix returns the hash of all parts of a prompt but the last. Other
 // requests may share these parts. It returns 0 if there are none.
 func sharedPrefix(need Need) uint64 {
-	chain := prefixChain(need.Parts)
-	if len(chain) < 2 {
-		return 0
-	}
-	return chain[len(chain)-2]
+	return sharedHash(prefixChain(need.Parts))
 }
 
 // placeRemotely asks the owner of a service to choose an engine.
@@ -199,6 +200,7 @@
 	t := p.trackers[service]
 	if t == nil {
 		t = p.newTracker()
+		t.observe = p.metrics.observer(service)
 		p.trackers[service] = t
 	}
 	return t
@@ -208,7 +210,7 @@
 func (p *Placer) newTracker() *tracker {
 	t := newTracker()
 	if p.config.Workload == nil {
-		t.rereadWeight = 0
+		t.rereadWeight, t.byDemand = 0, false
 	}
 	t.pace = p.config.Workload.Pace
 	return t
--- a/placement/score.go
+++ b/placement/score.go
@@ -19,15 +19,19 @@
 
 	reading float64 // wait in tokens, and the penalty for a late first event
 	reread  float64
-	errors  float64
-	nonHome float64
-	full    float64
-	warmup  float64
-	remote  float64 // inputs from other data centres
+	// rereadTokens is how many tokens of shared parts the engine would read although another one
+	// has them.
+	rereadTokens int
+	share        float64 // penalty for more requests than the engine's share
+	errors       float64
+	nonHome      float64
+	full         float64
+	warmup       float64
+	remote       float64 // inputs from other data centres
 }
 
 func (s engineScore) total() float64 {
-	return s.reading + s.reread + s.errors + s.nonHome + s.full + s.warmup + s.remote
+	return s.reading + s.reread + s.errors + s.nonHome + s.full + s.warmup + s.remote + s.share
 }
 
 // scoreAll calls visit with the score of each engine that may be chosen, and exclude, which may
@@ -40,10 +44,13 @@
 	t.dropMissing(all)
 	all = instance.OfVersion(all, need.Version)
 	chain := prefixChain(need.Parts)
-	home := homeEngine(all, chain)
 	withRoom, wait := t.withRoom(now, all, limits, exclude)
 	engines, mostShared := t.candidates(withRoom, limits, chain, need.Parts)
 	shared := sharedTokens(need.Parts)
+	joinEngines(now, engines, withRoom)
+	t.current = t.shares(now, engines, withRoom)
+	held := t.holdingOf(sharedHash(chain), engines, withRoom, shared)
+	homes := homeEngines(all, chain, held.wanted)
 	healthy := hasHealthyUntried(withRoom, need.Tried)
 	for i, s := range withRoom {
 		switch {
@@ -56,8 +63,14 @@
 		}
 		e := engines[i]
 		score := t.score(now, s, e, limits, need)
-		score.reread = t.rereadWeight * float64(max(mostShared-min(e.cached, shared), 0))
-		if s.ID != home {
+		score.rereadTokens = max(mostShared-min(e.cached, shared), 0)
+		if !held.more {
+			score.reread = t.rereadWeight * float64(score.rereadTokens)
+		}
+		if t.byDemand {
+			score.share = t.current.penalty(e)
+		}
+		if !contains(homes, s.ID) && !contains(held.holders, s.ID) {
 			score.nonHome = nonHomePenalty
 		}
 		visit(s, score)
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -9,6 +9,7 @@
 	"math"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/zeebo/errs"
 	"github.com/zeebo/xxh3"
 
@@ -121,8 +122,18 @@
 	requests meanRate
 	// rereadWeight is rereadWeight, or 0 for comparison.
 	rereadWeight float64
+	// byDemand is false if the number of engines that hold a segment and the requests of an
+	// engine are not decided by demand, for comparison.
+	byDemand bool
+	demand   decayingRate // requests
+	reading  decayingRate // tokens that engines have to read
+	segments *lru.LRU[uint64, *segment]
+	current  engineShares // when engines were last scored
 	// pace returns how long work takes at an engine now, 1 as usual.
 	pace func(instance.Process, time.Time) float64
+	// observe is called with each placed request: how many engines hold its shared parts (0 if it has none), and
+	// how many of their tokens are read although another engine has them.
+	observe func(holders, reread int)
 }
 
 // engine is the load of one engine and what it has cached.
@@ -134,6 +145,9 @@
 	readRate     float64 // tokens read per second at pace 1, measured when first events arrive
 	cache        *cache
 	intake       intake
+	demand       decayingRate // requests
+	joined       bool         // see joinEngines
+	shareWeight  float64      // see shareWeight
 }
 
 // placedRequest is a request that was placed on an engine and has not ended.
@@ -147,7 +161,10 @@
 }
 
 func newTracker() *tracker {
-	return &tracker{engines: make(map[instance.ID]*engine), running: make(map[string]*placedRequest), pace: usualPace, rereadWeight: rereadWeight}
+	return &tracker{
+		engines: make(map[instance.ID]*engine), running: make(map[string]*placedRequest), pace: usualPace,
+		observe: func(int, int) {}, rereadWeight: rereadWeight, byDemand: true, segments: newSegments(),
+	}
 }
 
 func usualPace(instance.Process, time.Time) float64 { return 1 }
@@ -157,10 +174,10 @@
 // are cold and have got what they take now, wait is when the first takes another request.
 func (t *tracker) place(now time.Time, all []instance.Status, limits Limits, need Need) (chosen instance.ID, wait time.Duration, found bool) {
 	best := math.Inf(1)
-	bestUnread := 0
+	bestUnread, reread := 0, 0
 	wait = t.scoreAll(now, all, limits, need, func(s instance.Status, score engineScore) {
 		if total := score.total(); total < best {
-			best, chosen, bestUnread, found = total, s.ID, score.unread, true
+			best, chosen, bestUnread, reread, found = total, s.ID, score.unread, score.rereadTokens, true
 		}
 	}, nil)
 	if !found {
@@ -177,6 +194,7 @@
 	e.running++
 	e.memoryTokens += need.Tokens + need.ExpectedOutputTokens
 	e.cache.touch(chain, need.Parts)
+	t.observe(t.countDemand(now, chosen, chain, need.Parts, bestUnread), reread)
 	t.running[need.RequestID] = &placedRequest{
 		engine: e, unreadTokens: bestUnread, queuedTokens: e.unreadTokens, memoryTokens: need.Tokens + need.ExpectedOutputTokens, placedAt: now, pace: pace,
 	}
@@ -187,6 +205,7 @@
 type candidate struct {
 	*engine
 	cached int
+	got    float64 // requests per second lately
 }
 
 // candidates returns the engines, and how many tokens of the parts that requests share the
@@ -197,7 +216,7 @@
 	for i := range all {
 		e := t.engine(all[i].ID, limits)
 		e.setProcess(all[i].Process(), limits)
-		engines[i] = candidate{e, e.cache.cachedTokens(chain, parts)}
+		engines[i] = candidate{engine: e, cached: e.cache.cachedTokens(chain, parts)}
 		if !all[i].Ejected {
 			mostShared = max(mostShared, min(engines[i].cached, shared))
 		}
@@ -208,7 +227,7 @@
 // setProcess sets the process of an engine. A new one starts with an empty cache.
 func (e *engine) setProcess(process instance.Process, limits Limits) {
 	if e.process.ID != "" && !e.process.StartTime.Equal(process.StartTime) {
-		e.cache = newEngineCache(limits)
+		e.cache, e.joined = newEngineCache(limits), false
 	}
 	e.process = process
 }
@@ -242,6 +261,7 @@
 	pace := (r.pace + t.pace(r.engine.process, now)) / 2
 	measured := min(max(float64(r.queuedTokens)*pace/took.Seconds(), defaultReadRate/10), defaultReadRate*10)
 	r.engine.readRate += readRateSmoothing * (measured - r.engine.readRate)
+	r.engine.shareWeight = shareWeight(r.engine.readRate)
 }
 
 // engineOf returns the engine that runs a request.
@@ -302,7 +322,7 @@
 func (t *tracker) engine(id instance.ID, limits Limits) *engine {
 	e := t.engines[id]
 	if e == nil {
-		e = &engine{readRate: defaultReadRate, cache: newEngineCache(limits)}
+		e = &engine{readRate: defaultReadRate, shareWeight: shareWeight(defaultReadRate), cache: newEngineCache(limits)}
 		t.engines[id] = e
 	}
 	return e
