gateway: a standby that ends early does not complete the caller's stream

What callers could see: a complete stream that lacks its last events. A standby that was left alone after the serving upstream broke off, and that ended before the last event the caller had, completed the stream there; the caller could not know that events were missing.

Cause: onStreamEnd compared the end of an attempt with what the caller has only while another attempt ran.

Evidence: found in review. Script "aabA0" of TestStandbyTakesOver: the caller has events 0 to 4, b is asked for those after 2, sends 3 and ends after a broke off; the stream of 12 was complete with 5 events.

Change: an end before the last event that the caller has counts as a broken answer, also when no other attempt runs. An attempt without an event ends where it was asked to begin. lastID is the highest ID, so that repeated IDs do not make an end look early.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -64,7 +64,7 @@
 	// events is how many events the race has received. Only the race's goroutine uses it.
 	events int
 	// The next four are of a standby; only the race's goroutine uses them. passedOver means
-	// that another attempt was preferred, lastID is the ID of the last event, buffered what the
+	// that another attempt was preferred, lastID is the highest ID of an event, buffered what the
 	// caller has not got, and completed the answer if all of it has arrived.
 	passedOver bool
 	lastID     int64
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -114,7 +114,7 @@
 		}
 		switch {
 		case s.completed == nil:
-		case s.lastID < r.lastEventID:
+		case r.endsEarly(s):
 			r.endOther(s) // its stream is shorter than what the caller has
 		default:
 			r.finish(s, s.completed)
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -178,6 +178,8 @@
 		"replacement ends without an event":                               {script: "a0a", delivered: 5, outcomes: "b broke_in_stream"},
 		"replacement ends before what the caller has":                     {script: "aab0aA", delivered: 6, state: "cut", outcomes: "b broke_in_stream, a broke_in_stream"},
 		"replacement has ended before the other's break":                  {script: "abb0aaA", delivered: 6, state: "cut", outcomes: "b answered, a broke_in_stream"},
+		"replacement is alone and ends before what the caller has":        {script: "aabA0", delivered: 5, state: "cut", outcomes: "a broke_in_stream, b broke_in_stream"},
+		"replacement is alone and ends without an event":                  {script: "aaA0", delivered: 5, state: "cut", outcomes: "a broke_in_stream, b broke_in_stream"},
 		"a standby beside the whole stream":                               {script: "ab" + rest + "1", delivered: testStreamEvents, state: "complete", outcomes: "b superseded, a answered"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -14,7 +14,7 @@
 
 // Why a replacement can't go on with a stream.
 var (
-	errNoEvent      = errors.New("stream ended without an event")
+	errEarlyEnd     = errors.New("stream ended without an event or before the last event that the caller has")
 	errWrongVersion = errors.New("another software version began the stream")
 	errForeign      = errors.New("answer is not a part of the stream that has begun")
 )
@@ -72,7 +72,7 @@
 		r.freeUnusedInputs()
 	}
 	if e.id != call.NoEvent {
-		s.lastID = e.id
+		s.lastID = max(s.lastID, e.id)
 	}
 	switch isDuplicate := e.id != call.NoEvent && e.id <= r.lastEventID; {
 	case isDuplicate:
@@ -168,13 +168,14 @@
 
 // onStreamEnd ends a stream that was forwarded completely. An attempt that ends beside the
 // serving one does not prove that that one has no more: its end is kept until the other breaks
-// off, falls silent or ends. Without an event, or at an earlier one than the caller has, it
-// proves nothing.
+// off, falls silent or ends. Without an event beside another attempt, or at an earlier one than
+// the caller has, it is not the end of the caller's stream.
 func (r *race) onStreamEnd(s *upstreamAttempt, a *call.Answer) (finished bool) {
-	if len(r.running) > 1 && s != r.serving {
-		if s.lastID == call.NoEvent || s.lastID < r.lastEventID {
-			return r.onAttemptEnded(s, report{result: outcomeUnknown, outcome: instance.Broke, label: "broke_in_stream", err: errNoEvent})
-		}
+	isAlone := len(r.running) == 1
+	if r.endsEarly(s) || !isAlone && s.lastID == call.NoEvent {
+		return r.onAttemptEnded(s, report{result: outcomeUnknown, outcome: instance.Broke, label: "broke_in_stream", err: errEarlyEnd})
+	}
+	if !isAlone && s != r.serving {
 		s.completed = a
 		s.end(instance.Answered, a.Status, "answered", nil)
 		return r.takeOver()
@@ -186,6 +187,12 @@
 	return true
 }
 
+// endsEarly reports whether an attempt whose stream ends now ends it before the last event that
+// the caller has. An attempt without an event ends it where it was asked to begin.
+func (r *race) endsEarly(s *upstreamAttempt) bool {
+	return max(s.lastID, s.plan.lastEvent) < r.lastEventID
+}
+
 // finish ends the caller's stream, of which an attempt has sent the end.
 func (r *race) finish(s *upstreamAttempt, a *call.Answer) {
 	r.win(s)
