gateway: a repeated event of a standby is dropped

What callers could see: an event twice, or an earlier one after a later one.

Cause: events of a standby were compared with those of the caller when they were buffered, not when the standby took over. An upstream that sends an ID twice had both events delivered, while those of a serving upstream are dropped.

Evidence: found in review. The test delivers events 0 to 5 and then 4 and 5 again.

Change: takeOver drops events that the caller has.

--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -108,6 +108,10 @@
 		for len(s.buffered) > 0 {
 			next := s.buffered[0]
 			s.buffered = s.buffered[1:]
+			if r.isDuplicate(next.event) { // the upstream has sent it twice
+				s.consume(next.event)
+				continue
+			}
 			if r.forward(s, next.answer, next.event) {
 				return true
 			}
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -246,6 +246,18 @@
 	require.Nil(t, s.stageResults(), "b was ended")
 }
 
+// Guards against a repeated event that a caller gets because it was buffered twice.
+func TestRepeatedEventOfStandbyIsDropped(t *testing.T) {
+	s := newStreamRace(t, 3)
+	s.play("a") // event 3
+	for _, id := range []int{4, 5, 4, 5} {
+		s.next['b'] = id
+		s.play("b")
+	}
+	s.play("A")
+	require.Equal(t, testEvents(6), s.w.Body.String())
+}
+
 // endlessEvents is the body of a stream that never ends.
 type endlessEvents struct{ sent int }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -74,8 +74,8 @@
 	if e.id != call.NoEvent {
 		s.lastID = max(s.lastID, e.id)
 	}
-	switch isDuplicate := e.id != call.NoEvent && e.id <= r.lastEventID; {
-	case isDuplicate:
+	switch {
+	case r.isDuplicate(e):
 		s.consume(e)
 	case r.standsBy(s):
 		r.holdBack(s, a, e)
@@ -85,6 +85,9 @@
 	return false
 }
 
+// isDuplicate reports whether the caller already has an event.
+func (r *race) isDuplicate(e event) bool { return e.id != call.NoEvent && e.id <= r.lastEventID }
+
 // forward sends the caller an event that continues what it has.
 func (r *race) forward(s *upstreamAttempt, a *call.Answer, e event) (finished bool) {
 	defer s.consume(e)
