gateway: stage results are freed when a replacement fails before its first event

What operators could see: results of stages that took memory of their servers until the end of a stream, possibly minutes.

Cause: since results outlive the first event of one attempt for the sake of another, nothing freed them if that other one broke off, answered with an error, or was not started. The last case is older: a replacement that ran the stages again and had no retry budget left them there.

Evidence: found in review.

Change: results are freed when such an attempt ends while another one serves the caller, and when a silent one resumes. They are kept while the serving attempt is silent, for a further replacement.

--- a/gateway/race.go
+++ b/gateway/race.go
@@ -266,6 +266,9 @@
 	case inputGone, notRun:
 	}
 	r.remove(s)
+	if r.isServed() {
+		r.freeUnusedInputs()
+	}
 	if what.result == inputGone && len(r.running) == 0 {
 		return r.rerunStages()
 	}
@@ -394,6 +397,9 @@
 	r.mayHaveRun = true
 	r.possibleRuns++
 	r.remove(s)
+	if r.isServed() {
+		r.freeUnusedInputs()
+	}
 	return r.next()
 }
 
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -26,9 +26,7 @@
 // prefer makes an attempt with an event for the caller the serving one. The other attempts
 // become standbys, or end if they can't go on with the stream.
 func (r *race) prefer(s *upstreamAttempt, now time.Time) {
-	if r.serving != s || s.silences > 0 {
-		r.servingSince = now
-	}
+	hasBegun := r.serving != s || s.silences > 0
 	r.serving = s
 	s.silences, s.failedProbes, s.passedOver = 0, 0, false
 	for _, other := range r.others(s) {
@@ -38,6 +36,10 @@
 			r.endOther(other)
 		}
 	}
+	if hasBegun {
+		r.servingSince = now
+		r.freeUnusedInputs() // those that were kept for a further replacement
+	}
 }
 
 // mayStandBy reports whether an attempt that another was preferred to may go on with the stream
@@ -55,9 +57,12 @@
 
 // standsBy reports whether what an attempt sends has to wait, because the serving one goes on.
 func (r *race) standsBy(s *upstreamAttempt) bool {
-	return r.serving != nil && r.serving != s && r.serving.silences == 0
+	return r.serving != s && r.isServed()
 }
 
+// isServed reports whether an attempt that is not silent serves the caller.
+func (r *race) isServed() bool { return r.serving != nil && r.serving.silences == 0 }
+
 // others returns the running attempts other than one.
 func (r *race) others(s *upstreamAttempt) []*upstreamAttempt {
 	if len(r.running) == 1 && r.running[0] == s {
@@ -101,7 +106,7 @@
 // takeOver goes on with the stream from a standby if no attempt serves the caller or the
 // serving one is silent. It returns true if the request is finished.
 func (r *race) takeOver() (finished bool) {
-	if r.serving != nil && r.serving.silences == 0 {
+	if r.isServed() {
 		return false
 	}
 	for _, s := range slices.Clone(r.running) {
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -258,6 +258,28 @@
 	require.Equal(t, testEvents(6), s.w.Body.String())
 }
 
+// Guards against results of stages that are held to the end of a long stream because the standby
+// that they were kept for failed before its first event, or was not started.
+func TestStageResultsAreFreedWhenNoAttemptNeedsThem(t *testing.T) {
+	for name, b := range map[string]report{
+		"breaks off":  {kind: attemptEnded, result: outcomeUnknown, outcome: instance.Broke, label: "broke"},
+		"error":       {kind: answerArrived, answer: &call.Answer{Status: http.StatusInternalServerError}},
+		"not started": {kind: notStarted, problem: "retry_budget"},
+	} {
+		s := newStreamRace(t, 3)
+		if b.kind != notStarted {
+			s.play("a")
+		}
+		b.from = s.attempts['b']
+		require.False(t, s.handle(b), name)
+		if b.kind == notStarted {
+			require.NotNil(t, s.stageResults(), "another replacement may use them")
+			s.play("a")
+		}
+		require.Nil(t, s.stageResults(), name)
+	}
+}
+
 // endlessEvents is the body of a stream that never ends.
 type endlessEvents struct{ sent int }
 
