gateway: a standby that sends events the caller has does not count as silent

What callers could see, with max_attempts of 3 or more: a longer silence. When the serving upstream fell silent twice, a standby that was catching up was ended for a third upstream, which has to read the prompt first. One further silence counted the standby as broken.

Cause: silences counts until the caller gets an event of the attempt. Events that were dropped or buffered did not show that the upstream had resumed.

Evidence: found in review, with the test.

Change: such events are recorded. Outcomes of attempts in metrics and logs are otherwise as before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -56,9 +56,12 @@
 	ctx     context.Context // of this attempt only
 	cancel  context.CancelCauseFunc
 	monitor *silenceMonitor
-	// silences counts the silences that the monitor reported since the upstream last
-	// sent something. Only the race's goroutine uses it.
+	// silences counts the silences that the monitor reported since the caller last got an event
+	// of the attempt. Only the race's goroutine uses it.
 	silences int
+	// resumed means that since its latest silence the upstream has sent events that the caller did
+	// not get from it. Only the race's goroutine uses it.
+	resumed bool
 	// failedProbes is how many probes in a row failed. Only the race's goroutine uses it.
 	failedProbes int
 	// events is how many events the race has received. Only the race's goroutine uses it.
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -140,7 +140,7 @@
 		return
 	}
 	for _, other := range r.others(serving) {
-		if other.passedOver && other.silences > 0 {
+		if other.passedOver && other.silences > 0 && !other.resumed {
 			r.endOther(other)
 		}
 	}
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -280,6 +280,19 @@
 	}
 }
 
+// Guards against a standby that sends events again, which the caller has, and is ended as silent.
+func TestStandbyThatCatchesUpIsNotEndedAsSilent(t *testing.T) {
+	s := newStreamRace(t, 3)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	s.route.MaxUpstreams, s.ctx = 3, ended // so that the third one is not started
+	s.play("bbba>>")
+	require.Empty(t, s.outcomes())
+	s.play("<aaa")
+	require.Equal(t, "b stalled", s.outcomes())
+	require.Equal(t, testEvents(7), s.w.Body.String())
+}
+
 // endlessEvents is the body of a stream that never ends.
 type endlessEvents struct{ sent int }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -76,8 +76,10 @@
 	}
 	switch {
 	case r.isDuplicate(e):
+		s.resumed = true
 		s.consume(e)
 	case r.standsBy(s):
+		s.resumed = true
 		r.holdBack(s, a, e)
 	default:
 		return r.forward(s, a, e)
