gateway: memory of an incomplete event is given back when its attempt breaks off

What operators could see: up to 1 MB more of seam_held_bytes per broken attempt until the end of the stream that goes on elsewhere.

Cause: the memory that was taken for an event is released with the event. An event that the connection broke in was never reported.

Evidence: found in review. The fault is older than standbys, which make streams go on after a break.

Change: the reader releases it.

--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -10,6 +11,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -293,6 +295,16 @@
 	require.Equal(t, testEvents(7), s.w.Body.String())
 }
 
+// Guards against memory of an incomplete event that is held while another attempt goes on with
+// the stream.
+func TestMemoryOfAnIncompleteEventIsFreed(t *testing.T) {
+	s := newStreamRace(t, 3)
+	body := io.MultiReader(strings.NewReader("id: 3\ndata: "+strings.Repeat("x", 4*memory.SmallBytes)), iotest.ErrReader(io.ErrUnexpectedEOF))
+	go s.attempts['b'].readEvents(&call.Answer{Status: http.StatusOK, Body: body}, &transport.Answer{})
+	require.Equal(t, "broke_in_stream", (<-s.reports).label)
+	require.Zero(t, s.answerRoom.Bytes())
+}
+
 // endlessEvents is the body of a stream that never ends.
 type endlessEvents struct{ sent int }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -31,6 +31,9 @@
 			return
 		}
 		event, err := events.next()
+		if err != nil {
+			s.answerRoom.Release(event.held) // of an incomplete event
+		}
 		if errors.Is(err, io.EOF) && empty && received.Unframed() {
 			err = io.ErrUnexpectedEOF
 		}
