gateway: comments of one attempt hold back no events of another

What callers could see: a stream that stays silent although an upstream sends its events. Of two attempts, one that only sent comments after a silence became the serving one. The events of the other were held back, its connection was no longer read, and after 1.2 s it was ended.

Cause: a comment was treated as an event for the caller, which makes its attempt the serving one. Before standbys existed it ended the other attempt at once.

Evidence: found in review. In the test a replacement sends two comments and the silent upstream then sends 6 events: the caller got none of them.

Change: while two attempts of a resumable stream run, comments reach the caller, but do not change which attempt serves it, and do not count as progress.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -59,8 +59,8 @@
 	// silences counts the silences that the monitor reported since the caller last got an event
 	// of the attempt. Only the race's goroutine uses it.
 	silences int
-	// resumed means that since its latest silence the upstream has sent events that the caller did
-	// not get from it. Only the race's goroutine uses it.
+	// resumed means that since its latest silence the upstream has sent comments, or events that
+	// the caller did not get from it. Only the race's goroutine uses it.
 	resumed bool
 	// failedProbes is how many probes in a row failed. Only the race's goroutine uses it.
 	failedProbes int
--- a/gateway/race.go
+++ b/gateway/race.go
@@ -321,7 +321,7 @@
 // of the prompt, so that it is asked when the caller's patience leaves no time to wait
 // for the next report of a silence. A standby that has events takes over at once.
 func (r *race) onSilence(s *upstreamAttempt) (finished bool) {
-	if s.resumed && s != r.serving {
+	if s.resumed {
 		s.silences = 0
 	}
 	s.silences, s.resumed = s.silences+1, false
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -305,6 +305,29 @@
 	require.Zero(t, s.answerRoom.Bytes())
 }
 
+// Guards against events that are held back, and an attempt that is ended, in favour of another
+// one that has only sent comments after a silence.
+func TestCommentsHoldBackNoEventsOfAnotherAttempt(t *testing.T) {
+	for _, names := range []string{"ab", "ba"} {
+		for _, delivered := range []int{0, 3} {
+			s := newStreamRace(t, delivered)
+			sender := s.attempts[names[1]]
+			for range 2 {
+				sender.unconsumed <- struct{}{}
+				sender.monitor.recordActivity()
+				answer := &call.Answer{Status: http.StatusOK, Header: http.Header{}}
+				require.False(t, s.handle(report{from: sender, kind: eventArrived, answer: answer, event: event{id: call.NoEvent, raw: []byte(": wait\n\n")}}))
+				s.servingSince = time.Now().Add(-time.Hour)
+			}
+			s.play(strings.Repeat(names[:1], 6))
+			before, after := testEvents(delivered), testEvents(delivered+6)
+			require.Equal(t, before+": wait\n\n: wait\n\n"+after[len(before):], s.w.Body.String(), names)
+			require.Empty(t, s.outcomes(), names)
+			require.Same(t, s.attempts[names[0]], s.serving, names)
+		}
+	}
+}
+
 // endlessEvents is the body of a stream that never ends.
 type endlessEvents struct{ sent int }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -96,10 +96,16 @@
 // forward sends the caller an event that continues what it has.
 func (r *race) forward(s *upstreamAttempt, a *call.Answer, e event) (finished bool) {
 	defer s.consume(e)
-	if e.id == call.NoEvent && !e.isComment() {
+	isComment := e.id == call.NoEvent && e.isComment()
+	if e.id == call.NoEvent && !isComment {
 		r.unnumbered = true
 	}
-	r.prefer(s, time.Now())
+	// A comment does not show which of two attempts goes on with the stream first.
+	if isComment && len(r.running) > 1 && r.route.Resumable {
+		s.resumed = true
+	} else {
+		r.prefer(s, time.Now())
+	}
 	r.writeHead(a)
 	if err := r.writeEvent(e.raw); err != nil {
 		reason := "caller_left"
@@ -117,7 +123,9 @@
 	}
 	r.events++
 	s.recordSoundEvents(r.lastEventAt)
-	r.updateStandbys(s, r.lastEventAt)
+	if !isComment {
+		r.updateStandbys(s, r.lastEventAt)
+	}
 	return false
 }
 
