staging: groups whose time is up share a probe of their gatherer

What callers could see: the fault that the probe is to prevent, several gatherers of one overloaded service. With many groups at once the probes need connections of their own and load the gatherer, and one late response of many makes the host avoid it.

Cause: gather started a probe for each group.

Change: one probe of a gatherer runs at a time; groups whose time is up meanwhile share it. This bounds the log lines too.

--- a/staging/runner.go
+++ b/staging/runner.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/host"
@@ -70,6 +71,7 @@
 // use.
 type Runner struct {
 	config RunnerConfig
+	probes singleflight.Group // of gatherers, by ID of the host
 
 	mu         sync.Mutex // guards the fields below
 	queueWaits map[string]queueWait
@@ -494,12 +496,15 @@
 // avoidIfUnresponsive avoids a gatherer that did not answer in a group's time only if it does
 // not respond to a probe either. Under overload groups wait until their time is up, and hosts
 // that then avoided a sound gatherer would give the service several, each with small calls.
+// Groups whose time is up while a probe runs share it.
 func (r *Runner) avoidIfUnresponsive(ctx context.Context, owner host.Info) {
-	if link.IsResponsive(ctx, r.config.Caller, owner.LinkAddr) {
-		return
-	}
-	r.config.Owners.Avoid(owner.ID, time.Now())
-	r.config.Logger.Warn("gatherer does not respond", "gatherer", string(owner.ID))
+	_, _, _ = r.probes.Do(string(owner.ID), func() (any, error) {
+		if !link.IsResponsive(ctx, r.config.Caller, owner.LinkAddr) {
+			r.config.Owners.Avoid(owner.ID, time.Now())
+			r.config.Logger.Warn("gatherer does not respond", "gatherer", string(owner.ID))
+		}
+		return nil, nil
+	})
 }
 
 // ownershipRetryInterval is the pause before the owner of a service is looked
--- a/staging/runner_test.go
+++ b/staging/runner_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,10 +28,12 @@
 	partitioned bool // calls that check whether the peer is alive hang
 	overloaded  bool // groups wait until their time is up
 	asked       []netip.AddrPort
+	probes      atomic.Int32 // calls that check whether the peer is alive
 }
 
 func (p *fakePeers) Call(ctx context.Context, peer netip.AddrPort, _ link.Method, in, out any) error {
 	if _, isGroup := in.(Group); !isGroup {
+		p.probes.Add(1)
 		if p.partitioned {
 			<-ctx.Done()
 			return ctx.Err()
@@ -141,3 +145,20 @@
 		})
 	}
 }
+
+// Many groups' time is up at the same moment. Guards against a probe for each of them: they load
+// a gatherer that is overloaded already, and a single late response makes a host avoid it.
+func TestGroupsWhoseTimeIsUpShareAProbe(t *testing.T) {
+	t.Parallel()
+	p := &fakePeers{partitioned: true}
+	r, service := newTestRunner(p)
+	owner, _ := r.config.Owners.Owner(service, time.Now())
+	var groups sync.WaitGroup
+	for range 50 {
+		groups.Go(func() { r.avoidIfUnresponsive(t.Context(), owner) })
+	}
+	groups.Wait()
+	require.LessOrEqual(t, p.probes.Load(), int32(2), "one, and one more for groups that were late")
+	next, _ := r.config.Owners.Owner(service, time.Now())
+	require.NotEqual(t, owner.ID, next.ID)
+}
