--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -339,7 +339,7 @@
 }
 
 // A stream must go on if the attempt that serves it breaks off soon after a silence: the other
-// one, which the silence had started or passed over, can continue it. Soak seeds 104 and 42004
+// one, which was started after the silence or was silent itself, can continue it. Soak seeds 104 and 42004
 // had such streams cut. With stages, their results must outlive the first attempt's first event.
 func TestStreamGoesOnWhenItsAttemptBreaksOffAfterASilence(t *testing.T) {
 	t.Parallel()
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -165,7 +165,7 @@
 		"and breaks off later":                                            {script: "aa+aA", delivered: 6, state: "cut", outcomes: "b superseded, a broke_in_stream"},
 		"replacement goes on for long":                                    {script: "bb+b", delivered: 6, outcomes: "a stalled"},
 		"progress counts from the latest silence":                         {script: "a+<abA", delivered: 5, outcomes: "a broke_in_stream"},
-		"silence of a standby is of no consequence":                       {script: "aa>>>>a+a", delivered: 7, outcomes: "b superseded"},
+		"silence of a standby is ignored":                                 {script: "aa>>>>a+a", delivered: 7, outcomes: "b superseded"},
 		"both fall silent, the standby has events":                        {script: "abbb<", delivered: 6},
 		"both fall silent, the first goes on":                             {script: "a<><a", delivered: 5},
 		"both fall silent, the replacement goes on":                       {script: "a<><bbb", delivered: 6, outcomes: "a stalled"},
