--- a/gateway/race.go
+++ b/gateway/race.go
@@ -266,6 +266,9 @@
 	case inputGone, notRun:
 	}
 	r.remove(s)
+	if r.isServed() {
+		r.freeUnusedInputs()
+	}
 	if what.result == inputGone && len(r.running) == 0 {
 		return r.rerunStages()
 	}
@@ -318,7 +321,10 @@
 // of the prompt, so that it is asked when the caller's patience leaves no time to wait
 // for the next report of a silence. A standby that has events takes over at once.
 func (r *race) onSilence(s *upstreamAttempt) (finished bool) {
-	s.silences++
+	if s.resumed {
+		s.silences = 0
+	}
+	s.silences, s.resumed = s.silences+1, false
 	if r.takeOver() {
 		return true
 	}
@@ -394,6 +400,9 @@
 	r.mayHaveRun = true
 	r.possibleRuns++
 	r.remove(s)
+	if r.isServed() {
+		r.freeUnusedInputs()
+	}
 	return r.next()
 }
 
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -26,9 +26,7 @@
 // prefer makes an attempt with an event for the caller the serving one. The other attempts
 // become standbys, or end if they can't go on with the stream.
 func (r *race) prefer(s *upstreamAttempt, now time.Time) {
-	if r.serving != s || s.silences > 0 {
-		r.servingSince = now
-	}
+	hasBegun := r.serving != s || s.silences > 0
 	r.serving = s
 	s.silences, s.failedProbes, s.passedOver = 0, 0, false
 	for _, other := range r.others(s) {
@@ -38,6 +36,10 @@
 			r.endOther(other)
 		}
 	}
+	if hasBegun {
+		r.servingSince = now
+		r.freeUnusedInputs() // those that were kept for a further replacement
+	}
 }
 
 // mayStandBy reports whether an attempt that another was preferred to may go on with the stream
@@ -55,9 +57,12 @@
 
 // standsBy reports whether what an attempt sends has to wait, because the serving one goes on.
 func (r *race) standsBy(s *upstreamAttempt) bool {
-	return r.serving != nil && r.serving != s && r.serving.silences == 0
+	return r.serving != s && r.isServed()
 }
 
+// isServed reports whether an attempt that is not silent serves the caller.
+func (r *race) isServed() bool { return r.serving != nil && r.serving.silences == 0 }
+
 // others returns the running attempts other than one.
 func (r *race) others(s *upstreamAttempt) []*upstreamAttempt {
 	if len(r.running) == 1 && r.running[0] == s {
@@ -82,9 +87,9 @@
 
 // updateStandbys drops the events of standbys that the caller has got, and ends the standbys
 // once the serving attempt has shown lasting progress: it has sent events for as long as the
-// silence that raised the doubt about it. Upstreams that broke off after a silence did so
-// within 0.25 s in the soak. A standby has read its prompt by then, and each further event of
-// it is work for nothing.
+// silence after which a replacement is started between events. Upstreams that broke off after
+// a silence did so within 0.25 s in the soak. A standby has read its prompt by then; what it
+// generates after that is wasted unless it takes over.
 func (r *race) updateStandbys(s *upstreamAttempt, now time.Time) {
 	for _, other := range r.others(s) {
 		if now.Sub(r.servingSince) >= s.monitor.idleTimeout {
@@ -101,20 +106,24 @@
 // takeOver goes on with the stream from a standby if no attempt serves the caller or the
 // serving one is silent. It returns true if the request is finished.
 func (r *race) takeOver() (finished bool) {
-	if r.serving != nil && r.serving.silences == 0 {
+	if r.isServed() {
 		return false
 	}
 	for _, s := range slices.Clone(r.running) {
 		for len(s.buffered) > 0 {
 			next := s.buffered[0]
 			s.buffered = s.buffered[1:]
+			if r.isDuplicate(next.event) { // the upstream has sent it twice
+				s.consume(next.event)
+				continue
+			}
 			if r.forward(s, next.answer, next.event) {
 				return true
 			}
 		}
 		switch {
 		case s.completed == nil:
-		case s.lastID < r.lastEventID:
+		case r.endsEarly(s):
 			r.endOther(s) // its stream is shorter than what the caller has
 		default:
 			r.finish(s, s.completed)
@@ -131,7 +140,7 @@
 		return
 	}
 	for _, other := range r.others(serving) {
-		if other.passedOver && other.silences > 0 {
+		if other.passedOver && other.silences > 0 && !other.resumed {
 			r.endOther(other)
 		}
 	}
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -10,6 +11,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -163,7 +165,7 @@
 		"and breaks off later":                                            {script: "aa+aA", delivered: 6, state: "cut", outcomes: "b superseded, a broke_in_stream"},
 		"replacement goes on for long":                                    {script: "bb+b", delivered: 6, outcomes: "a stalled"},
 		"progress counts from the latest silence":                         {script: "a+<abA", delivered: 5, outcomes: "a broke_in_stream"},
-		"silence of a standby is of no consequence":                       {script: "aa>>>>a+a", delivered: 7, outcomes: "b superseded"},
+		"silence of a standby is ignored":                                 {script: "aa>>>>a+a", delivered: 7, outcomes: "b superseded"},
 		"both fall silent, the standby has events":                        {script: "abbb<", delivered: 6},
 		"both fall silent, the first goes on":                             {script: "a<><a", delivered: 5},
 		"both fall silent, the replacement goes on":                       {script: "a<><bbb", delivered: 6, outcomes: "a stalled"},
@@ -178,6 +180,8 @@
 		"replacement ends without an event":                               {script: "a0a", delivered: 5, outcomes: "b broke_in_stream"},
 		"replacement ends before what the caller has":                     {script: "aab0aA", delivered: 6, state: "cut", outcomes: "b broke_in_stream, a broke_in_stream"},
 		"replacement has ended before the other's break":                  {script: "abb0aaA", delivered: 6, state: "cut", outcomes: "b answered, a broke_in_stream"},
+		"replacement is alone and ends before what the caller has":        {script: "aabA0", delivered: 5, state: "cut", outcomes: "a broke_in_stream, b broke_in_stream"},
+		"replacement is alone and ends without an event":                  {script: "aaA0", delivered: 5, state: "cut", outcomes: "a broke_in_stream, b broke_in_stream"},
 		"a standby beside the whole stream":                               {script: "ab" + rest + "1", delivered: testStreamEvents, state: "complete", outcomes: "b superseded, a answered"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -244,6 +248,86 @@
 	require.Nil(t, s.stageResults(), "b was ended")
 }
 
+// Guards against a repeated event that a caller gets because it was buffered twice.
+func TestRepeatedEventOfStandbyIsDropped(t *testing.T) {
+	s := newStreamRace(t, 3)
+	s.play("a") // event 3
+	for _, id := range []int{4, 5, 4, 5} {
+		s.next['b'] = id
+		s.play("b")
+	}
+	s.play("A")
+	require.Equal(t, testEvents(6), s.w.Body.String())
+}
+
+// Guards against results of stages that are held to the end of a long stream because the standby
+// that they were kept for failed before its first event, or was not started.
+func TestStageResultsAreFreedWhenNoAttemptNeedsThem(t *testing.T) {
+	for name, b := range map[string]report{
+		"breaks off":  {kind: attemptEnded, result: outcomeUnknown, outcome: instance.Broke, label: "broke"},
+		"error":       {kind: answerArrived, answer: &call.Answer{Status: http.StatusInternalServerError}},
+		"not started": {kind: notStarted, problem: "retry_budget"},
+	} {
+		s := newStreamRace(t, 3)
+		if b.kind != notStarted {
+			s.play("a")
+		}
+		b.from = s.attempts['b']
+		require.False(t, s.handle(b), name)
+		if b.kind == notStarted {
+			require.NotNil(t, s.stageResults(), "another replacement may use them")
+			s.play("a")
+		}
+		require.Nil(t, s.stageResults(), name)
+	}
+}
+
+// Guards against a standby that sends events again, which the caller has, and is ended as silent.
+func TestStandbyThatCatchesUpIsNotEndedAsSilent(t *testing.T) {
+	s := newStreamRace(t, 3)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	s.route.MaxUpstreams, s.ctx = 3, ended // so that the third one is not started
+	s.play("bbba>>")
+	require.Empty(t, s.outcomes())
+	s.play("<aaa")
+	require.Equal(t, "b stalled", s.outcomes())
+	require.Equal(t, testEvents(7), s.w.Body.String())
+}
+
+// Guards against memory of an incomplete event that is held while another attempt goes on with
+// the stream.
+func TestMemoryOfAnIncompleteEventIsFreed(t *testing.T) {
+	s := newStreamRace(t, 3)
+	body := io.MultiReader(strings.NewReader("id: 3\ndata: "+strings.Repeat("x", 4*memory.SmallBytes)), iotest.ErrReader(io.ErrUnexpectedEOF))
+	go s.attempts['b'].readEvents(&call.Answer{Status: http.StatusOK, Body: body}, &transport.Answer{})
+	require.Equal(t, "broke_in_stream", (<-s.reports).label)
+	require.Zero(t, s.answerRoom.Bytes())
+}
+
+// Guards against events that are held back, and an attempt that is ended, in favour of another
+// one that has only sent comments after a silence.
+func TestCommentsHoldBackNoEventsOfAnotherAttempt(t *testing.T) {
+	for _, names := range []string{"ab", "ba"} {
+		for _, delivered := range []int{0, 3} {
+			s := newStreamRace(t, delivered)
+			sender := s.attempts[names[1]]
+			for range 2 {
+				sender.unconsumed <- struct{}{}
+				sender.monitor.recordActivity()
+				answer := &call.Answer{Status: http.StatusOK, Header: http.Header{}}
+				require.False(t, s.handle(report{from: sender, kind: eventArrived, answer: answer, event: event{id: call.NoEvent, raw: []byte(": wait\n\n")}}))
+				s.servingSince = time.Now().Add(-time.Hour)
+			}
+			s.play(strings.Repeat(names[:1], 6))
+			before, after := testEvents(delivered), testEvents(delivered+6)
+			require.Equal(t, before+": wait\n\n: wait\n\n"+after[len(before):], s.w.Body.String(), names)
+			require.Empty(t, s.outcomes(), names)
+			require.Same(t, s.attempts[names[0]], s.serving, names)
+		}
+	}
+}
+
 // endlessEvents is the body of a stream that never ends.
 type endlessEvents struct{ sent int }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -14,7 +14,7 @@
 
 // Why a replacement can't go on with a stream.
 var (
-	errNoEvent      = errors.New("stream ended without an event")
+	errEarlyEnd     = errors.New("stream ended without an event or before the last event that the caller has")
 	errWrongVersion = errors.New("another software version began the stream")
 	errForeign      = errors.New("answer is not a part of the stream that has begun")
 )
@@ -31,6 +31,9 @@
 			return
 		}
 		event, err := events.next()
+		if err != nil {
+			s.answerRoom.Release(event.held) // of an incomplete event
+		}
 		if errors.Is(err, io.EOF) && empty && received.Unframed() {
 			err = io.ErrUnexpectedEOF
 		}
@@ -72,12 +75,14 @@
 		r.freeUnusedInputs()
 	}
 	if e.id != call.NoEvent {
-		s.lastID = e.id
+		s.lastID = max(s.lastID, e.id)
 	}
-	switch isDuplicate := e.id != call.NoEvent && e.id <= r.lastEventID; {
-	case isDuplicate:
+	switch {
+	case r.isDuplicate(e):
+		s.resumed = true
 		s.consume(e)
 	case r.standsBy(s):
+		s.resumed = true
 		r.holdBack(s, a, e)
 	default:
 		return r.forward(s, a, e)
@@ -85,13 +90,22 @@
 	return false
 }
 
+// isDuplicate reports whether the caller already has an event.
+func (r *race) isDuplicate(e event) bool { return e.id != call.NoEvent && e.id <= r.lastEventID }
+
 // forward sends the caller an event that continues what it has.
 func (r *race) forward(s *upstreamAttempt, a *call.Answer, e event) (finished bool) {
 	defer s.consume(e)
-	if e.id == call.NoEvent && !e.isComment() {
+	isComment := e.id == call.NoEvent && e.isComment()
+	if e.id == call.NoEvent && !isComment {
 		r.unnumbered = true
 	}
-	r.prefer(s, time.Now())
+	// A comment does not show which of two attempts goes on with the stream first.
+	if isComment && len(r.running) > 1 && r.route.Resumable {
+		s.resumed = true
+	} else {
+		r.prefer(s, time.Now())
+	}
 	r.writeHead(a)
 	if err := r.writeEvent(e.raw); err != nil {
 		reason := "caller_left"
@@ -109,7 +123,9 @@
 	}
 	r.events++
 	s.recordSoundEvents(r.lastEventAt)
-	r.updateStandbys(s, r.lastEventAt)
+	if !isComment {
+		r.updateStandbys(s, r.lastEventAt)
+	}
 	return false
 }
 
@@ -168,13 +184,14 @@
 
 // onStreamEnd ends a stream that was forwarded completely. An attempt that ends beside the
 // serving one does not prove that that one has no more: its end is kept until the other breaks
-// off, falls silent or ends. Without an event, or at an earlier one than the caller has, it
-// proves nothing.
+// off, falls silent or ends. Without an event beside another attempt, or at an earlier one than
+// the caller has, it is not the end of the caller's stream.
 func (r *race) onStreamEnd(s *upstreamAttempt, a *call.Answer) (finished bool) {
-	if len(r.running) > 1 && s != r.serving {
-		if s.lastID == call.NoEvent || s.lastID < r.lastEventID {
-			return r.onAttemptEnded(s, report{result: outcomeUnknown, outcome: instance.Broke, label: "broke_in_stream", err: errNoEvent})
-		}
+	isAlone := len(r.running) == 1
+	if r.endsEarly(s) || !isAlone && s.lastID == call.NoEvent {
+		return r.onAttemptEnded(s, report{result: outcomeUnknown, outcome: instance.Broke, label: "broke_in_stream", err: errEarlyEnd})
+	}
+	if !isAlone && s != r.serving {
 		s.completed = a
 		s.end(instance.Answered, a.Status, "answered", nil)
 		return r.takeOver()
@@ -186,6 +203,12 @@
 	return true
 }
 
+// endsEarly reports whether an attempt whose stream ends now ends it before the last event that
+// the caller has. An attempt without an event ends it where it was asked to begin.
+func (r *race) endsEarly(s *upstreamAttempt) bool {
+	return max(s.lastID, s.plan.lastEvent) < r.lastEventID
+}
+
 // finish ends the caller's stream, of which an attempt has sent the end.
 func (r *race) finish(s *upstreamAttempt, a *call.Answer) {
 	r.win(s)
