transport: a test waits until its server has accepted the connection

The test failed once with -race at load 35: 0 connections accepted, 1 expected, 20 ms after the call. The kernel completes a connection before the server accepts it. The check is the same, after a wait of at most 5 s for the connection.

--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -261,6 +261,8 @@
 		_, err := do(t, c, get(addr, "a"))
 		require.ErrorIs(t, err, transport.ErrWithheld)
 		require.ErrorIs(t, err, transport.ErrNotSent)
+		// The server may accept the connection only after the call has returned.
+		require.Eventually(t, func() bool { return accepted.Load() >= int32(admitted) }, 5*time.Second, time.Millisecond)
 		time.Sleep(20 * time.Millisecond)
 		require.Zero(t, requests.Load())
 		require.EqualValues(t, admitted, accepted.Load())
