--- a/placement/placer.go
+++ b/placement/placer.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/galenaseam/galenaseam/balance"
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/instance"
@@ -38,18 +40,24 @@
 	Service func(name string) (*routing.Service, bool)
 	Owners  *ownership.Table
 	Caller  link.Caller
+	// Fleet is nil if no host is asked for its recent choices.
+	Fleet host.View
 	// Workload is nil if the load that engines report is ignored.
 	Workload *workload.Table
 	// DataCentre is the local data centre. Engines in it are preferred when this
 	// host chooses by itself.
 	DataCentre host.DataCentre
 	Logger     *slog.Logger
+	// Registerer may be nil.
+	Registerer prometheus.Registerer
 }
 
 // Placer chooses engines by asking the owner of each service. It is safe for
 // concurrent use.
 type Placer struct {
-	config Config
+	config  Config
+	metrics *metrics
+	recent  *recentChoices
 
 	mu       sync.Mutex // guards trackers
 	trackers map[string]*tracker
@@ -57,8 +65,11 @@
 
 // New creates a placer and registers the methods that other hosts call.
 func New(config Config, registrar link.Registrar) *Placer {
-	p := &Placer{config: config, trackers: make(map[string]*tracker)}
+	p := &Placer{config: config, trackers: make(map[string]*tracker), recent: newRecentChoices(), metrics: newMetrics(config.Registerer)}
 	link.HandleTyped(registrar, placeMethod, func(_ context.Context, n Need) (placeReply, error) { return p.placeLocally(n), nil })
+	link.HandleTyped(registrar, recentMethod, func(_ context.Context, r recentRequest) (recentAnswer, error) {
+		return recentAnswer{p.recent.newest(time.Now(), r.Service)}, nil
+	})
 	link.HandleTyped(registrar, noteMethod, func(_ context.Context, n progressNote) (struct{}, error) {
 		p.applyNote(n)
 		return struct{}{}, nil
@@ -103,6 +114,14 @@
 // owner says that only cold engines without room are left, there is none: their owners would
 // refuse the request one after the other.
 func (p *Placer) Place(ctx context.Context, need Need, random *rand.Rand) (t Ticket, found bool) {
+	if t, found = p.choose(ctx, need, random); found {
+		p.recent.add(time.Now(), need, t.Engine.Process())
+	}
+	return t, found
+}
+
+// choose is Place without the record of the choice.
+func (p *Placer) choose(ctx context.Context, need Need, random *rand.Rand) (t Ticket, found bool) {
 	now := time.Now()
 	if len(instance.OfVersion(p.config.Engines.Service(need.Service, now), need.Version)) == 0 {
 		return Ticket{}, false
@@ -112,6 +131,9 @@
 	owner, own := p.config.Owners.Owner(need.Service, now)
 	t.Owner = string(owner.ID)
 	full := false
+	if !own {
+		p.cede(need.Service)
+	}
 	if own {
 		reply := p.placeLocally(need)
 		t.Wait, full = reply.Wait, reply.Full
@@ -144,11 +166,7 @@
 // sharedPrefix returns the hash of all parts of a prompt but the last. Other
 // requests may share these parts. It returns 0 if there are none.
 func sharedPrefix(need Need) uint64 {
-	chain := prefixChain(need.Parts)
-	if len(chain) < 2 {
-		return 0
-	}
-	return chain[len(chain)-2]
+	return sharedHash(prefixChain(need.Parts))
 }
 
 // placeRemotely asks the owner of a service to choose an engine.
@@ -181,7 +199,11 @@
 	all := p.config.Engines.ServiceOfFleet(need.Service, now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	id, wait, found := p.tracker(need.Service).place(now, all, limitsOf(service), need)
+	t := p.tracker(need.Service)
+	if p.recallDue(t, now) {
+		go p.recall(need.Service)
+	}
+	id, wait, found := t.place(now, all, limitsOf(service), need)
 	if !found {
 		return placeReply{Wait: wait, Full: wait > 0}
 	}
@@ -199,6 +221,7 @@
 	t := p.trackers[service]
 	if t == nil {
 		t = p.newTracker()
+		t.observe = p.metrics.observer(service)
 		p.trackers[service] = t
 	}
 	return t
@@ -208,7 +231,7 @@
 func (p *Placer) newTracker() *tracker {
 	t := newTracker()
 	if p.config.Workload == nil {
-		t.rereadWeight = 0
+		t.rereadWeight, t.byDemand = 0, false
 	}
 	t.pace = p.config.Workload.Pace
 	return t
