placement: the share of an engine spares failing and full engines

What callers saw: nothing yet, found in review. Requests would be sent to engines that fail every call, or to engines without free concurrency, while another engine worked and had room.

Cause: the penalty for more than a share grows with the square of the excess and had no bound, so that it exceeded the penalties for errors and for full engines. Ejected and failing engines, which get little, lowered the mean, so that the engines that work seemed to get too much.

Evidence: four engines, 20 requests a second for one segment. With three engines that fail every call, 134 of 400 requests went to them; 183 of 400 at an error rate of 0.7; 182 of 400 to three engines that were full.

Change: the penalty is at most three quarters of that for a full engine. Ejected engines don't count for the mean, and failing ones in part. If next to no engine works, there are no shares, and the number of holders stays.

Before: 134, 183 and 182 requests of 400. After: 0, 0 and 0 (TestSharesSpareFailingAndFullEngines fails without the change).

--- a/placement/demand.go
+++ b/placement/demand.go
@@ -41,6 +41,9 @@
 	// engine's share, as a multiple of it. A small excess is worth less than reading a segment again.
 	loadWeight       = 20_000
 	loadSquareWeight = 150_000
+	// maxSharePenalty bounds that penalty. It is less than fullEnginePenalty, or else requests go
+	// to engines without free concurrency while others have some.
+	maxSharePenalty = 0.75 * fullEnginePenalty
 	// joinShare is what an engine that joins counts as having got, by the mean of the others. With
 	// 1, empty engines got four fifths of the mean within their first second.
 	joinShare = 1.5
@@ -50,6 +53,9 @@
 	// speedExponent makes the share of an engine grow less than its read rate. With 1, the
 	// fastest engines got twice the mean number of requests.
 	speedExponent = 0.1
+	// leastWorking is how many working engines there must be for any share. With fewer, requests go
+	// to failing engines anyway.
+	leastWorking = 0.1
 	// maxSegments bounds the segments of a service whose demand is tracked.
 	maxSegments = 4096
 	// maxHomes bounds the homes of a prompt.
@@ -128,19 +134,26 @@
 }
 
 // shares returns the shares of the engines that may be chosen. Cold ones, which get what they take, count
-// only if there are no others.
+// only if there are no others. Ejected engines don't count, and engines that fail calls count in
+// part: otherwise the engines that work seem to get more than their share, and requests go to
+// those that fail.
 func (t *tracker) shares(now time.Time, engines []candidate, all []instance.Status) (s engineShares) {
 	n, readRate := 0.0, 0.0
 	allCold := !slices.ContainsFunc(all, func(s instance.Status) bool { return !s.Cold })
 	for i, e := range engines {
-		if !all[i].Cold || allCold {
-			n++
-			readRate += e.readRate
-			s.weight += e.shareWeight
-			s.mean += e.got
+		if all[i].Cold && !allCold {
+			continue
 		}
+		works := 1 - all[i].ErrorRate
+		if works *= works; all[i].Ejected {
+			works = 0
+		}
+		n += works
+		readRate += works * e.readRate
+		s.weight += works * e.shareWeight
+		s.mean += e.got
 	}
-	if n == 0 {
+	if n < leastWorking {
 		return engineShares{}
 	}
 	s.weight /= n
@@ -159,12 +172,15 @@
 	}
 	share := s.mean * e.shareWeight / s.weight
 	excess := max((e.got-shareBurst/demandTime.Seconds())/share-1, 0)
-	return excess * (loadWeight + loadSquareWeight*excess)
+	return min(excess*(loadWeight+loadSquareWeight*excess), maxSharePenalty)
 }
 
 // wantedHolders returns how many engines the demand for a segment justifies. Reading the segment at
 // one more engine takes the engine as long as a number of requests, which counts over copyTime.
 func (s engineShares) wantedHolders(now time.Time, seg *segment, tokens, engines int) int {
+	if s.mean == 0 { // few engines work
+		return min(max(seg.wanted, 1), engines)
+	}
 	perHolder := holderShare*s.mean + float64(tokens)/max(s.reading, 1)/copyTime.Seconds()
 	justified := seg.demand.rate(now) / perHolder
 	wanted := min(max(seg.wanted, int(math.Ceil(justified)), 1), engines)
--- a/placement/demand_test.go
+++ b/placement/demand_test.go
@@ -121,6 +121,37 @@
 	require.Equal(t, 1, holders)
 }
 
+// Guards against an engine that works and has room but is passed over since it gets more than its
+// share: without the bounds, 134 of 400 requests went to engines that fail every call, and 182 to
+// engines without free concurrency. Load: 20 requests a second for one segment; three of four
+// engines fail, are ejected or are full.
+func TestSharesSpareFailingAndFullEngines(t *testing.T) {
+	limits := testLimits
+	limits.Concurrency = 2
+	for name, spoil := range map[string]func(*instance.Status, *engine){
+		"failing":       func(s *instance.Status, _ *engine) { s.ErrorRate = 1 },
+		"often failing": func(s *instance.Status, _ *engine) { s.ErrorRate = 0.7 },
+		"ejected":       func(s *instance.Status, _ *engine) { s.Ejected = true },
+		"full":          func(_ *instance.Status, e *engine) { e.running = limits.Concurrency },
+	} {
+		tr, now, all := newTracker(), time.Unix(1000, 0), testEngines(4)
+		for i := range 3 {
+			spoil(&all[i], tr.engine(all[i].ID, limits))
+		}
+		for i := range 400 {
+			now = now.Add(50 * time.Millisecond)
+			id := fmt.Sprint("r", i)
+			got, _, _ := tr.place(now, all, limits, summaryNeed(id, "c"))
+			require.Equal(t, all[3].ID, got, name)
+			tr.firstEvent(now, id)
+			tr.end(id)
+		}
+		seg, _ := tr.segments.Peek(sharedHash(prefixChain(summaryNeed("", "c").Parts)))
+		require.Equal(t, []instance.ID{all[3].ID}, seg.holders, name)
+		require.Less(t, tr.current.penalty(candidate{engine: tr.engines[all[3].ID], got: 1e300}), float64(fullEnginePenalty))
+	}
+}
+
 // recentCaller answers as hosts that remember choices.
 type recentCaller struct{ choices []recentChoice }
 
