placement: choices that do not fit into an engine's cache are malformed

What callers saw: nothing yet, found in review. After a host had answered with a wrong length of a part, the new scheduler would take an engine for empty and have its segments read elsewhere.

Cause: each part of another host's choice could have up to 16.8 million tokens. The model of a cache evicts the oldest parts until the rest fits, so that one choice evicted all parts of the engine and then itself.

Evidence: TestNewOwnerAsksForRecentChoices with a choice of 8.4 million tokens fails without the change: the segment that the engine holds is sent to its home.

Change: the parts of a choice together must fit into the cache.

Before: one malformed choice removes what is known of an engine. After: it is ignored.

--- a/placement/demand_test.go
+++ b/placement/demand_test.go
@@ -181,7 +181,8 @@
 		}
 		remembered.add(time.Now(), need, process)
 		choices := append(remembered.newest(time.Now(), need.Service), recentChoice{Engine: others[1], StartMs: started.UnixMilli(), Hashes: []uint64{1}},
-			recentChoice{Engine: others[1], StartMs: started.UnixMilli(), Hashes: []uint64{1}, Tokens: []int{-1}})
+			recentChoice{Engine: others[1], StartMs: started.UnixMilli(), Hashes: []uint64{1}, Tokens: []int{-1}},
+			recentChoice{Engine: others[0], StartMs: started.UnixMilli(), Hashes: []uint64{2, 3}, Tokens: []int{1, 1 << 23}})
 		config := owner.config
 		config.Fleet = hosttest.Fleet{{Info: host.Info{ID: "self"}},
 			{Info: host.Info{ID: "previous build", LinkAddr: netip.MustParseAddrPort("10.0.0.1:1")}},
--- a/placement/recall.go
+++ b/placement/recall.go
@@ -121,15 +121,22 @@
 	return choices
 }
 
-// valid reports whether a choice of another host has plausible figures.
-func (c recentChoice) valid() bool {
-	return len(c.Hashes) > 0 && len(c.Hashes) <= maxRecalledParts && len(c.Hashes) == len(c.Tokens) &&
-		!slices.ContainsFunc(c.Tokens, func(tokens int) bool { return tokens < 0 || tokens > maxPartTokens })
+// valid reports whether a choice of another host has plausible figures. The parts must fit into
+// the cache of an engine, or else they would evict all that is known of it.
+func (c recentChoice) valid(limits Limits) bool {
+	if len(c.Hashes) == 0 || len(c.Hashes) > maxRecalledParts || len(c.Hashes) != len(c.Tokens) {
+		return false
+	}
+	left := cacheCapacity(limits)
+	for _, tokens := range c.Tokens {
+		if tokens < 0 || tokens > left {
+			return false
+		}
+		left -= tokens
+	}
+	return true
 }
 
-// maxPartTokens bounds the length of a part that another host reports.
-const maxPartTokens = 1 << 24
-
 // learn takes over choices that were made before this host chose the engines. Engines that are not listed,
 // and those whose process has changed since, have nothing cached.
 func (t *tracker) learn(all []instance.Status, limits Limits, choices []recentChoice) (learned int) {
@@ -137,7 +144,7 @@
 		i := slices.IndexFunc(all, func(s instance.Status) bool {
 			return s.ID == c.Engine && s.StartTime.UnixMilli() == c.StartMs
 		})
-		if i < 0 || !c.valid() {
+		if i < 0 || !c.valid(limits) {
 			continue
 		}
 		e := t.engine(c.Engine, limits)
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -237,9 +237,12 @@
 }
 
 func newEngineCache(limits Limits) *cache {
-	return newCache(int(cacheFraction * float64(limits.CacheTokens)))
+	return newCache(cacheCapacity(limits))
 }
 
+// cacheCapacity returns how many tokens of prompts that no longer run an engine has cached.
+func cacheCapacity(limits Limits) int { return int(cacheFraction * float64(limits.CacheTokens)) }
+
 // sharedTokens returns the length of the parts that other requests may have too: all but the
 // last.
 func sharedTokens(parts []call.PromptPart) (tokens int) {
