placement: -ignore-load turns the questions to other hosts off too

What callers saw: nothing yet, found in review. With -ignore-load, which is there to compare with the placement of before, a new scheduler still asked up to 128 hosts and preferred the engines that they named.

Cause: recallDue did not look at whether placement follows demand.

Evidence: TestOwnerThatIgnoresTheLoadDoesNotAsk fails without the change.

Change: a scheduler that ignores the load does not ask.

Before: up to 128 calls per change of scheduler with -ignore-load.

--- a/placement/demand_test.go
+++ b/placement/demand_test.go
@@ -15,6 +15,7 @@
 	"github.com/galenaseam/galenaseam/host/hosttest"
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/link"
+	"github.com/galenaseam/galenaseam/workload"
 )
 
 // Guards against engines that get many times the mean number of requests (2.0 to 2.8 times before
@@ -184,6 +185,7 @@
 			recentChoice{Engine: others[1], StartMs: started.UnixMilli(), Hashes: []uint64{1}, Tokens: []int{-1}},
 			recentChoice{Engine: others[0], StartMs: started.UnixMilli(), Hashes: []uint64{2, 3}, Tokens: []int{1, 1 << 23}})
 		config := owner.config
+		config.Workload = workload.NewTable(nil)
 		config.Fleet = hosttest.Fleet{{Info: host.Info{ID: "self"}},
 			{Info: host.Info{ID: "previous build", LinkAddr: netip.MustParseAddrPort("10.0.0.1:1")}},
 			{Info: host.Info{ID: "remembers", LinkAddr: netip.MustParseAddrPort("10.0.0.1:2")}}}
@@ -198,6 +200,15 @@
 	}
 }
 
+// Guards against hosts that ask for recent choices although the load is ignored.
+func TestOwnerThatIgnoresTheLoadDoesNotAsk(t *testing.T) {
+	_, owner, _, need := twoPlacers(t)
+	config := owner.config
+	config.Fleet, config.Caller = hosttest.Fleet{{Info: host.Info{ID: "self"}}}, recentCaller{}
+	ignoring := New(config, link.NewMux())
+	require.False(t, ignoring.recallDue(ignoring.tracker(need.Service), time.Now()))
+}
+
 func BenchmarkPlace(b *testing.B) {
 	tr, all, now := newTracker(), testEngines(140), time.Unix(1000, 0)
 	for i := range b.N {
--- a/placement/recall.go
+++ b/placement/recall.go
@@ -182,7 +182,7 @@
 // recallDue reports whether this host begins to choose the engines of a service: it has not yet, or another
 // owner has meanwhile. The caller holds mu.
 func (p *Placer) recallDue(t *tracker, now time.Time) bool {
-	if p.config.Fleet == nil || !t.recalledAt.IsZero() && (!t.ceded || now.Sub(t.recalledAt) < recallPause) {
+	if p.config.Fleet == nil || !t.byDemand || !t.recalledAt.IsZero() && (!t.ceded || now.Sub(t.recalledAt) < recallPause) {
 		return false
 	}
 	t.recalledAt, t.ceded = now, false
