placement: a scheduler that knew no other host asks once it does

What callers saw: nothing yet, found in review. A host that starts, and gets a request before it knows the other hosts, would have segments read again that engines hold for as long as it is the scheduler.

Cause: other hosts were asked once, and a recall without any host to ask counted as one.

Evidence: TestOwnerAsksOnceItKnowsOtherHosts fails without the change: the host does not ask again.

Change: a recall that had nobody to ask is due again after 2 s. It makes no calls while there is nobody.

Before: never asked. After: asked with the first request 2 s after the last try, once other hosts are known.

--- a/placement/demand_test.go
+++ b/placement/demand_test.go
@@ -209,6 +209,23 @@
 	require.False(t, ignoring.recallDue(ignoring.tracker(need.Service), time.Now()))
 }
 
+// Guards against a host that never asks because it knew no other host when it began to choose.
+func TestOwnerAsksOnceItKnowsOtherHosts(t *testing.T) {
+	_, owner, _, need := twoPlacers(t)
+	config := owner.config
+	fleet := hosttest.Fleet{{Info: host.Info{ID: "self"}}}
+	config.Fleet, config.Caller, config.Workload = fleet, recentCaller{}, workload.NewTable(nil)
+	p := New(config, link.NewMux())
+	due := func(after time.Duration) bool { return p.recallDue(p.tracker(need.Service), time.Now().Add(after)) }
+	require.True(t, due(0))
+	p.recall(need.Service)
+	require.False(t, due(0))
+	require.True(t, due(recallPause))
+	p.config.Fleet = append(fleet, host.Member{Info: host.Info{ID: "other", LinkAddr: netip.MustParseAddrPort("10.0.0.1:2")}})
+	p.recall(need.Service)
+	require.False(t, due(time.Hour))
+}
+
 func BenchmarkPlace(b *testing.B) {
 	tr, all, now := newTracker(), testEngines(140), time.Unix(1000, 0)
 	for i := range b.N {
--- a/placement/recall.go
+++ b/placement/recall.go
@@ -180,9 +180,10 @@
 }
 
 // recallDue reports whether this host begins to choose the engines of a service: it has not yet, or another
-// owner has meanwhile. The caller holds mu.
+// owner has meanwhile, or it knew no other host when it began. The caller holds mu.
 func (p *Placer) recallDue(t *tracker, now time.Time) bool {
-	if p.config.Fleet == nil || !t.byDemand || !t.recalledAt.IsZero() && (!t.ceded || now.Sub(t.recalledAt) < recallPause) {
+	again := (t.ceded || t.alone) && now.Sub(t.recalledAt) >= recallPause
+	if p.config.Fleet == nil || !t.byDemand || !t.recalledAt.IsZero() && !again {
 		return false
 	}
 	t.recalledAt, t.ceded = now, false
@@ -194,16 +195,27 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if t := p.trackers[service]; t != nil {
-		t.ceded = true
+		t.ceded, t.alone = true, false
 	}
 }
 
+// setAlone records whether there was no host to ask, and returns what was recorded before.
+func (p *Placer) setAlone(service string, alone bool) (before bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.tracker(service)
+	before, t.alone = t.alone, alone
+	return before
+}
+
 // recall asks other hosts for their recent choices and takes them over as they arrive. No
 // request waits for it.
 func (p *Placer) recall(service string) {
 	start := time.Now()
 	hosts := recallHosts(p.config.Fleet.Members(), p.config.Fleet.Self().ID, service)
-	p.learn(service, p.recent.newest(start, service))
+	if !p.setAlone(service, len(hosts) == 0) {
+		p.learn(service, p.recent.newest(start, service))
+	}
 	var pending sync.WaitGroup
 	var mu sync.Mutex // guards answered and learned
 	answered, learned := 0, 0
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -138,6 +138,8 @@
 	// has chosen since.
 	recalledAt time.Time
 	ceded      bool
+	// alone means that there was no host to ask.
+	alone bool
 }
 
 // engine is the load of one engine and what it has cached.
