placement: a choice does not search the holders of a segment for each engine

What callers saw: nothing yet, found in review. A choice took longest where there are most: a hot segment that most of 300 engines hold.

Cause: each engine was searched for twice in a list of the holders, and holders were given up one after the other, each after a pass over all.

Evidence: profile of BenchmarkPlaceHotSegment (300 engines, 2,000 segments, 195 holders of one): 39% of the time in these searches.

Change: holders are sorted, each engine is looked up once, and holders are given up in one pass.

--- a/placement/demand.go
+++ b/placement/demand.go
@@ -78,9 +78,9 @@
 
 // segment is the demand for the parts that requests share, and the engines that hold them.
 type segment struct {
-	demand  decayingRate // requests
-	wanted  int          // number of engines that the demand justifies
-	holders []instance.ID
+	demand  decayingRate  // requests
+	wanted  int           // number of engines that the demand justifies
+	holders []instance.ID // sorted: there may be as many as engines, and each choice looks up each engine
 }
 
 func newSegments() *lru.LRU[uint64, *segment] {
@@ -192,13 +192,12 @@
 
 // holding is how a segment is held while a request for it is placed.
 type holding struct {
-	holders []instance.ID
-	wanted  int
+	wanted int
 	// more means that the demand justifies another engine that holds the segment.
 	more bool
 }
 
-// holdingOf returns how a segment is held. An engine that was started anew, or has probably evicted the
+// holdingOf returns how a segment is held, and marks the engines that hold it. An engine that was started anew, or has probably evicted the
 // segment, does not hold it.
 func (t *tracker) holdingOf(hash uint64, engines []candidate, all []instance.Status, shared int) (h holding) {
 	h.wanted = 1
@@ -206,13 +205,15 @@
 	if !there || hash == 0 {
 		return h
 	}
-	for i, e := range engines {
-		if !all[i].Ejected && e.cached >= shared && slices.Contains(seg.holders, all[i].ID) {
-			h.holders = append(h.holders, all[i].ID)
+	holders := 0
+	for i := range engines {
+		if e := &engines[i]; !all[i].Ejected && e.cached >= shared && seg.isHolder(all[i].ID) {
+			e.holds = true
+			holders++
 		}
 	}
 	h.wanted = max(seg.wanted, 1)
-	h.more = len(h.holders) > 0 && len(h.holders) < h.wanted
+	h.more = holders > 0 && holders < h.wanted
 	return h
 }
 
@@ -238,28 +239,42 @@
 	})
 	seg.hold(chosen)
 	seg.wanted = t.current.wantedHolders(now, seg, sharedTokens(parts), max(len(t.engines), 1))
-	for len(seg.holders) > seg.wanted {
-		seg.giveUp(t.busiestHolder(now, seg, chosen))
+	if n := len(seg.holders) - seg.wanted; n > 0 {
+		for _, id := range t.busiestHolders(now, seg, chosen)[:n] {
+			seg.giveUp(id)
+		}
 	}
 	return len(seg.holders)
 }
 
+func (s *segment) isHolder(id instance.ID) bool {
+	_, holds := slices.BinarySearch(s.holders, id)
+	return holds
+}
+
 func (s *segment) hold(id instance.ID) {
-	if !slices.Contains(s.holders, id) {
-		s.holders = append(s.holders, id)
+	if i, holds := slices.BinarySearch(s.holders, id); !holds {
+		s.holders = slices.Insert(s.holders, i, id)
 	}
 }
 
 func (s *segment) giveUp(id instance.ID) {
-	s.holders = slices.DeleteFunc(s.holders, func(other instance.ID) bool { return other == id })
+	if i, holds := slices.BinarySearch(s.holders, id); holds {
+		s.holders = slices.Delete(s.holders, i, i+1)
+	}
 }
 
-// busiestHolder returns the holder of a segment, other than the one just chosen, that gets most
-// requests by its share.
-func (t *tracker) busiestHolder(now time.Time, seg *segment, chosen instance.ID) instance.ID {
+// busiestHolders returns the holders of a segment, other than the one just chosen. The one that
+// gets most requests by its share is first.
+func (t *tracker) busiestHolders(now time.Time, seg *segment, chosen instance.ID) []instance.ID {
 	others := slices.DeleteFunc(slices.Clone(seg.holders), func(id instance.ID) bool { return id == chosen })
-	load := func(id instance.ID) float64 { e := t.engines[id]; return e.demand.rate(now) / e.shareWeight }
-	return slices.MaxFunc(others, func(a, b instance.ID) int { return cmp.Compare(load(a), load(b)) })
+	load := make(map[instance.ID]float64, len(others))
+	for _, id := range others {
+		e := t.engines[id]
+		load[id] = e.demand.rate(now) / e.shareWeight
+	}
+	slices.SortStableFunc(others, func(a, b instance.ID) int { return cmp.Compare(load[b], load[a]) })
+	return others
 }
 
 // homeEngines returns the first homes of a prompt, the first of which is homeEngine. Schedulers
--- a/placement/demand_test.go
+++ b/placement/demand_test.go
@@ -226,6 +226,21 @@
 	require.False(t, due(time.Hour))
 }
 
+// BenchmarkPlaceHotSegment has 300 engines and 2,000 segments, one of which is in half of the requests,
+// so that most engines hold it.
+func BenchmarkPlaceHotSegment(b *testing.B) {
+	tr, all, now := newTracker(), testEngines(300), time.Unix(1000, 0)
+	for i := range b.N {
+		id, shared := fmt.Sprint(i), "hot"
+		now = now.Add(3 * time.Millisecond)
+		if i%2 == 1 {
+			shared = fmt.Sprint("c", i%2000)
+		}
+		tr.place(now, all, testLimits, summaryNeed(id, shared))
+		tr.end(fmt.Sprint(i - 300))
+	}
+}
+
 func BenchmarkPlace(b *testing.B) {
 	tr, all, now := newTracker(), testEngines(140), time.Unix(1000, 0)
 	for i := range b.N {
--- a/placement/score.go
+++ b/placement/score.go
@@ -70,7 +70,7 @@
 		if t.byDemand {
 			score.share = t.current.penalty(e)
 		}
-		if !contains(homes, s.ID) && !contains(held.holders, s.ID) {
+		if !e.holds && !contains(homes, s.ID) {
 			score.nonHome = nonHomePenalty
 		}
 		visit(s, score)
--- a/placement/tracker.go
+++ b/placement/tracker.go
@@ -212,6 +212,7 @@
 	*engine
 	cached int
 	got    float64 // requests per second lately
+	holds  bool    // it holds the segment of the request
 }
 
 // candidates returns the engines, and how many tokens of the parts that requests share the
