staging: results of a lost answer count until they expire

What callers saw: nothing yet, found in review. A server may get pieces for whose results it has no memory, and refuse them.

Cause: the results of a call that broke off count until their TTL after the expected end of the call. A slow server makes them later. When its answer is lost it gets the next call while they are still there.

Evidence: TestResultsOfALostAnswerCountUntilTheyExpire fails without the change: with a call five times as slow as expected, nothing counts at 4.8 s, and the results expire at 4.83 s.

Change: for a lost answer, the TTL counts from the end of the call, by which the results were made. Other calls that break off count as before.

--- a/staging/batch.go
+++ b/staging/batch.go
@@ -29,6 +29,8 @@
 	// retriesPaid is true if the retries of the pieces were taken from the retry budget
 	// when the call was ended.
 	retriesPaid bool
+	// answerLost is true if the call was ended because its server was idle.
+	answerLost bool
 }
 
 // start sends a batch to a server. The caller holds mu.
@@ -95,7 +97,11 @@
 	if outcome == instance.Broke && !notRun {
 		// The server may still be working. The handles of its results never
 		// arrived, so nobody can free them before they expire.
-		s.memory.abandon(b.server.ID, b.bytes, b.started.Add(b.expected+b.spec.ResultTTL))
+		made := b.started.Add(b.expected)
+		if b.answerLost {
+			made = now // at the latest: a slow server took longer than expected
+		}
+		s.memory.abandon(b.server.ID, b.bytes, made.Add(b.spec.ResultTTL))
 	} else {
 		s.memory.release(b.server.ID, b.bytes)
 	}
--- a/staging/slow.go
+++ b/staging/slow.go
@@ -36,6 +36,9 @@
 			g.metrics.lostAnswers.WithLabelValues(b.service.name).Inc()
 			g.config.Logger.Info("answer of a stage call was lost", "service", b.service.name, "upstream", string(b.server.ID),
 				"took_ms", time.Since(b.started).Milliseconds())
+			g.mu.Lock()
+			b.answerLost = true
+			g.mu.Unlock()
 			end()
 			return
 		}
--- a/staging/slow_test.go
+++ b/staging/slow_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenaseam/galenaseam/call"
+	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/retry"
 	"github.com/galenaseam/galenaseam/routing"
 )
@@ -125,3 +126,24 @@
 		require.Equal(t, took-100*time.Millisecond+166*time.Millisecond, <-queued)
 	})
 }
+
+// Guards against results of a lost answer whose memory is taken for free while the server holds them: a
+// slow server makes them later than was expected. Here they expire at 4.83 s.
+func TestResultsOfALostAnswerCountUntilTheyExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := slowServers(0)
+		f.losesAnswer, f.slowdown = true, map[instance.ID]float64{"s0": 5}
+		g := newTestGatherer(t, 1, f)
+		g.config.Retries.SetBounds(noRetries)
+		counted := func() int64 {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return g.service("pieces").memory.byServer["s0"]
+		}
+		_, took := gatherOne(t, g)
+		time.Sleep(4800*time.Millisecond - took)
+		require.EqualValues(t, 8e3, counted())
+		time.Sleep(2 * time.Second)
+		require.Zero(t, counted())
+	})
+}
