Hosts that start ask few others for limits, and not only those that just started

What callers saw: nothing was observed; found in review. In a fleet of the build before, the first host of the new build asks one host after the other, over a new connection each, until it has found all: nobody serves throttle.Notices. A host that starts beside others that have just started could learn from one that knows nothing, and would send a limited upstream too much.

Cause: the number of hosts that are asked had no bound, and an answer did not say whether the other host had asked anybody itself.

Evidence: TestHostThatStartsLearnsFromAnother fails without the check of Informed: one answer of a host that has not asked anybody was taken for complete.

Change: four hosts are asked at most. The answer says whether its host is informed; if it is not, its notices are used, and the next host is asked. A host is ready no later than before: hosts that know nothing answer at once, and the time bounds are the same.

--- a/edge/notices.go
+++ b/edge/notices.go
@@ -87,6 +87,10 @@
 const (
 	// learnInterval is how often a host that has started looks for another one to learn from.
 	learnInterval = 20 * time.Millisecond
+	// maxLearnAsks bounds how many hosts are asked. Hosts of the build before, and those that
+	// have just started, answer at once that they know nothing; of 2,336, as many as there is
+	// time for would be asked.
+	maxLearnAsks = 4
 	// learnTimeout bounds how long a host that has found the others waits for their notices
 	// before it is ready.
 	learnTimeout = 200 * time.Millisecond
@@ -96,7 +100,10 @@
 // It gives up once the host has found the others and nobody is left to ask, or after
 // learnTimeout from then on.
 func (h *Host) learnNotices(ctx context.Context) error {
-	defer h.noticesLearned.Store(true)
+	defer func() {
+		h.noticesLearned.Store(true)
+		h.shared.SetInformed()
+	}()
 	ctx, giveUp := context.WithCancel(ctx)
 	defer giveUp()
 	go func() {
@@ -106,8 +113,8 @@
 		giveUp()
 	}()
 	asked := make(map[host.ID]bool)
-	for ctx.Err() == nil {
-		if peer, found := h.peerToLearnFrom(asked); found {
+	for ctx.Err() == nil && len(asked) < maxLearnAsks {
+		if peer, found := peerToLearnFrom(h.members.Members(), h.info.ID, asked); found {
 			asked[peer.ID] = true
 			if h.shared.Learn(ctx, peer) {
 				return nil
@@ -123,10 +130,12 @@
 
 // peerToLearnFrom returns a random host that is alive and was not asked. Hosts that start
 // together would otherwise all ask the same one.
-func (h *Host) peerToLearnFrom(asked map[host.ID]bool) (host.Info, bool) {
-	members := h.members.Members()
+func peerToLearnFrom(members []host.Member, self host.ID, asked map[host.ID]bool) (host.Info, bool) {
+	if len(asked) >= maxLearnAsks {
+		return host.Info{}, false
+	}
 	for _, i := range rand.Perm(len(members)) {
-		if m := members[i]; m.ID != h.info.ID && m.State == host.Alive && !asked[m.ID] {
+		if m := members[i]; m.ID != self && m.State == host.Alive && !asked[m.ID] {
 			return m.Info, true
 		}
 	}
--- a/throttle/notices.go
+++ b/throttle/notices.go
@@ -6,6 +6,7 @@
 	"math"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -113,6 +114,8 @@
 type Notices struct {
 	config NoticesConfig
 	facts  *prometheus.CounterVec
+	// informed is true once this host has asked others for what they know.
+	informed atomic.Bool
 
 	publishing sync.Mutex // orders the calls of Publish; taken before slotsMu
 
@@ -145,7 +148,9 @@
 		config.Registerer.MustRegister(n.facts)
 	}
 	config.Gossip.Subscribe(NoticeTopic, func(f member.Fact) { n.receive(f, config.Now()) })
-	link.HandleTyped(registrar, noticesMethod, func(context.Context, struct{}) ([]noticeFact, error) { return n.known(config.Now()), nil })
+	link.HandleTyped(registrar, noticesMethod, func(context.Context, struct{}) (noticesAnswer, error) {
+		return noticesAnswer{Notices: n.known(config.Now()), Informed: n.informed.Load()}, nil
+	})
 	return n
 }
 
@@ -301,18 +306,31 @@
 	return all
 }
 
+// noticesAnswer is all that a host knows of limits and pauses.
+type noticesAnswer struct {
+	Notices []noticeFact `cbor:"1,keyasint"`
+	// Informed means that the answering host has been told by others itself since it started,
+	// or had nobody to ask.
+	Informed bool `cbor:"2,keyasint"`
+}
+
+// SetInformed records that this host has asked others, so that hosts that start need ask no
+// other one.
+func (n *Notices) SetInformed() { n.informed.Store(true) }
+
 // Learn asks another host for all that it knows, for a host that has just started: facts may
-// have ended with the hosts that published them. It returns false if the host did not answer in
-// time, or is of a build that does not serve the method.
+// have ended with the hosts that published them. It returns false if another one should be asked
+// too: the host did not answer in time, has just started itself, or is of a build that does not
+// serve the method.
 func (n *Notices) Learn(ctx context.Context, peer host.Info) bool {
 	ctx, cancel := context.WithTimeout(ctx, noticesTimeout)
 	defer cancel()
-	all, err := link.CallIdempotent[struct{}, []noticeFact](ctx, n.config.Caller, peer.LinkAddr, noticesMethod, struct{}{})
+	answer, err := link.CallIdempotent[struct{}, noticesAnswer](ctx, n.config.Caller, peer.LinkAddr, noticesMethod, struct{}{})
 	if err != nil {
 		return false
 	}
 	now := n.config.Now()
-	for _, f := range all[:min(len(all), maxNotices)] {
+	for _, f := range answer.Notices[:min(len(answer.Notices), maxNotices)] {
 		if !f.isValid() {
 			n.reportMalformed(peer.ID)
 			continue
@@ -320,7 +338,7 @@
 		n.facts.WithLabelValues("learned").Inc()
 		n.apply(f, now.Add(-time.Duration(f.AgeMillis)*time.Millisecond), now)
 	}
-	return true
+	return answer.Informed
 }
 
 func (n *Notices) report(result string, err error) {
--- a/throttle/notices_test.go
+++ b/throttle/notices_test.go
@@ -198,6 +198,8 @@
 	h := newNoticeHost(&now, hosts{addr: survivor.served, old: nil})
 	h.instances.Remove(limited.ID, infra.Position{Revision: 1}) // its entry is read later
 	require.False(t, h.Learn(t.Context(), host.Info{ID: "old", LinkAddr: old}))
+	require.False(t, h.Learn(t.Context(), host.Info{ID: "h1", LinkAddr: addr}), "the other host may have just started too")
+	survivor.SetInformed()
 	require.True(t, h.Learn(t.Context(), host.Info{ID: "h1", LinkAddr: addr}))
 	h.instances.Put(upstreamNamed(0))
 	perSecond, namedAt, named := h.instances.Limit(limited)
