Member: urgent facts no longer keep others from other data centres

What callers saw: nothing was observed; found in review. With ten urgent facts a second or more among 195 hosts, an announcement of a change in the store did not leave its data centre. Limits and pauses that upstreams name are urgent facts now, so that this rate is reached when a few upstreams refuse. Hosts that don't watch the store then learn late which upstreams have left.

Cause: records and urgent facts may overdraw the budget for gossip, other facts may not. Delegates, which send to each data centre, had used it up for good.

Evidence: TestUrgentFactsDoNotHoldUpOthers failed before: only hosts of the publisher's data centre knew after 3 s.

Change: half of the budget is kept for facts that are not urgent until 4 s of it are saved up; the rest goes on to the common budget. Urgent facts are forwarded as they arrive only while the common budget is not used up. The whole rate is as before.

The test of large fleets stops as soon as all hosts know, within the same second.

--- a/member/dissemination.go
+++ b/member/dissemination.go
@@ -171,30 +171,51 @@
 	q := &c.queue
 	m := &message{Kind: kindGossip}
 	space := itemSpace(m)
+	onReserve := q.tokens <= 0
 	for _, i := range q.sorted() {
-		if i.sends >= i.maxSends || !q.affords(i, q.tokens, c.timing.GossipBytesPerSecond) {
+		if i.sends >= i.maxSends || !q.affords(i, c.timing.GossipBytesPerSecond) {
 			continue
 		}
 		var fits bool
 		if space, fits = m.addItem(i, space); fits {
 			i.sends++
-			q.tokens -= float64(len(i.raw))
+			onReserve = q.charge(i) && onReserve
 		}
 	}
 	if len(m.Records)+len(m.Facts) == 0 && q.announceRounds == 0 {
 		return
 	}
-	q.tokens -= headerBytes
+	q.chargeHeader(onReserve)
 	c.send(p, m)
 }
 
-// affords reports whether an item may be sent with the budget that is left.
-// Records and urgent facts may overdraw it.
-func (q *gossipQueue) affords(i *item, budget, rate float64) bool {
-	if i.isFact && !i.urgent {
-		return budget > 0
+// affords reports whether an item may be sent with the budget that is left. Records and urgent
+// facts may overdraw it. Other facts have a reserve that those can't use up.
+func (q *gossipQueue) affords(i *item, rate float64) bool {
+	if i.usesReserve() {
+		return q.tokens > 0 || q.reserveTokens > 0
+	}
+	return q.tokens > -overdraftSeconds*rate
+}
+
+// charge takes an item's bytes from the budget that pays for it. It reports whether that is the
+// reserve.
+func (q *gossipQueue) charge(i *item) (reserve bool) {
+	if i.usesReserve() && q.tokens <= 0 {
+		q.reserveTokens -= float64(len(i.raw))
+		return true
+	}
+	q.tokens -= float64(len(i.raw))
+	return false
+}
+
+// chargeHeader takes a message's header from the reserve or else from the budget of all items.
+func (q *gossipQueue) chargeHeader(reserve bool) {
+	if reserve {
+		q.reserveTokens -= headerBytes
+		return
 	}
-	return budget > -overdraftSeconds*rate
+	q.tokens -= headerBytes
 }
 
 // pushUrgent forwards the urgent ones among queued facts at once instead of in the next
@@ -205,9 +226,12 @@
 	}
 	q := &c.queue
 	q.refill(c.now, c.timing.GossipBytesPerSecond)
+	if q.tokens <= 0 {
+		return // the rounds send several facts in one message
+	}
 	var urgent []*item
 	for _, key := range keys {
-		if i := q.items[key]; i != nil && i.urgent && q.affords(i, q.tokens, c.timing.GossipBytesPerSecond) {
+		if i := q.items[key]; i != nil && i.urgent {
 			urgent = append(urgent, i)
 		}
 	}
@@ -279,13 +303,14 @@
 	q := &c.queue
 	m := &message{Kind: kindGossip}
 	space := itemSpace(m)
+	onReserve := q.tokens <= 0
 	for _, i := range q.sorted() {
-		if !i.crossCentre || i.sentToCentres[centre] || !q.affords(i, q.tokens, c.timing.GossipBytesPerSecond) {
+		if !i.crossCentre || i.sentToCentres[centre] || !q.affords(i, c.timing.GossipBytesPerSecond) {
 			continue
 		}
 		var fits bool
 		if space, fits = m.addItem(i, space); fits {
-			q.tokens -= float64(len(i.raw))
+			onReserve = q.charge(i) && onReserve
 			if i.sentToCentres == nil {
 				i.sentToCentres = make(map[host.DataCentre]bool)
 			}
@@ -296,7 +321,7 @@
 		return
 	}
 	delete(q.centresToNotify, centre)
-	q.tokens -= headerBytes
+	q.chargeHeader(onReserve)
 	delegates := c.currentScope().delegates[centre]
 	c.send(delegates[c.rand.IntN(len(delegates))], m)
 }
--- a/member/queue.go
+++ b/member/queue.go
@@ -23,6 +23,7 @@
 	remoteCentresPerRound = 3   // data centres that a delegate sends to in one round
 	remoteItemLifetime    = 10 * time.Second
 	overdraftSeconds      = 1.0  // seconds of GossipBytesPerSecond that records and urgent facts may overdraw
+	reserveShare          = 0.5  // of GossipBytesPerSecond, for facts that are not urgent
 	urgentBudgetShare     = 4.0  // of GossipBytesPerSecond, in addition to it, for urgent facts of the local host
 	urgentBurstSeconds    = 30.0 // seconds of that share that may accumulate
 	smallFleetPeers       = 16   // up to this many other hosts, facts are sent directly to all
@@ -43,6 +44,9 @@
 	queuedAt        time.Time
 }
 
+// usesReserve reports whether the item may be paid for by the reserve.
+func (i *item) usesReserve() bool { return i.isFact && !i.urgent }
+
 // gossipQueue holds the items queued for gossip and the byte budget for sending
 // them, a token bucket.
 type gossipQueue struct {
@@ -53,7 +57,10 @@
 	// urgentTokens are bytes that may be sent now for urgent facts of the local
 	// host. They are a separate budget, so that urgent and other facts don't delay
 	// each other.
-	urgentTokens    float64
+	urgentTokens float64
+	// reserveTokens are bytes that may be sent now for facts that are not urgent, while records
+	// and urgent facts have used up tokens.
+	reserveTokens   float64
 	refilledAt      time.Time
 	announceRounds  int // rounds left in which a new generation forces a message
 	centresToNotify map[host.DataCentre]bool
@@ -141,7 +148,9 @@
 		elapsed = burstSeconds
 	}
 	q.refilledAt = now
-	q.tokens = min(q.tokens+elapsed*rate, burstSeconds*rate)
+	toReserve := min(elapsed*rate*reserveShare, burstSeconds*rate*reserveShare-q.reserveTokens)
+	q.reserveTokens += toReserve
+	q.tokens = min(q.tokens+elapsed*rate-toReserve, burstSeconds*rate)
 	q.urgentTokens = min(q.urgentTokens+elapsed*urgentRate, urgentBurstSeconds*urgentRate)
 }
 
--- a/member/urgent_test.go
+++ b/member/urgent_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/galenaseam/galenaseam/host"
 )
 
 // Guards against urgent facts being delayed on a fleet that has just started. A
@@ -77,12 +79,55 @@
 			for i := range facts {
 				require.NoError(t, n.nodes[i*3].publish(n.now, "urgent", fmt.Sprint(i), make([]byte, 60)))
 			}
-			n.run(time.Second)
-			missing := 0
-			for _, h := range n.nodes {
-				missing += facts - len(h.core.facts.byKey)
+			missing := func() (all int) {
+				for _, h := range n.nodes {
+					all += facts - len(h.core.facts.byKey)
+				}
+				return all
 			}
-			require.Zero(t, missing)
+			for end := n.now.Add(time.Second); n.now.Before(end) && missing() > 0; {
+				n.run(testStep)
+			}
+			require.Zero(t, missing())
 		})
 	}
 }
+
+// Guards against urgent facts, of which upstreams that refuse requests cause many, that use up the
+// budget: announcements of changes in the store then reached only the publisher's data centre.
+// Within 3 s, in which hosts learn that an upstream leaves (bounds.drain_ms), most hosts of each
+// data centre must know. Gossip alone misses single hosts; no old facts are repeated meanwhile.
+func TestUrgentFactsDoNotHoldUpOthers(t *testing.T) {
+	t.Parallel()
+	const hosts, bound = 195, 3 * time.Second
+	for _, perStep := range []int{1, 5} {
+		n := largeNetwork(t, hosts)
+		for _, h := range n.nodes {
+			h.queue.urgentTopics = map[Topic]bool{"urgent": true}
+		}
+		published := 0
+		run := func(span time.Duration) {
+			for end := n.now.Add(span); n.now.Before(end); n.run(testStep) {
+				for range perStep {
+					published++
+					require.NoError(t, n.nodes[published*7%hosts].publish(n.now, "urgent", fmt.Sprint(published%16), make([]byte, 60)))
+				}
+			}
+		}
+		run(8 * time.Second)
+		announced := factKey{from: n.nodes[0].self.Info.ID, topic: "directory", key: "revision"}
+		require.NoError(t, n.nodes[0].publish(n.now, announced.topic, announced.key, make([]byte, 20)))
+		run(bound)
+		known, all := make(map[host.DataCentre]int), make(map[host.DataCentre]int)
+		for _, h := range n.nodes {
+			centre := h.self.Info.Place.DataCentre
+			all[centre]++
+			if h.core.facts.byKey[announced] != nil {
+				known[centre]++
+			}
+		}
+		for centre := range all {
+			require.Greater(t, 2*known[centre], all[centre], "%d urgent facts in %s, data centre %s: %v", perStep, testStep, centre, known)
+		}
+	}
+}
