--- a/throttle/notices.go
+++ b/throttle/notices.go
@@ -6,6 +6,7 @@
 	"math"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -28,6 +29,13 @@
 	// noticeSlots is how many facts a host has at once. The facts of 2,336 hosts then fit into
 	// the store of facts, which holds 65,536 and keeps each for half an hour.
 	noticeSlots = 16
+	// minPublishInterval is the least time between two facts of a slot. An upstream may name
+	// another limit in every answer, and facts that follow each other faster use up the budget
+	// for gossip of all hosts. Together with NoticeInterval and the time that a fact takes, it is
+	// below the second within which all hosts are to know.
+	minPublishInterval = 250 * time.Millisecond
+	// NoticeInterval is how often Flush is to be called.
+	NoticeInterval = 100 * time.Millisecond
 	// withdrawalLifetime is how long a withdrawal is kept as a fact, well above the time that
 	// a fact takes to reach all hosts.
 	withdrawalLifetime = time.Minute
@@ -95,8 +103,10 @@
 // noticeSlot is a fact of this host.
 type noticeSlot struct {
 	noticeFact
-	publishedAt time.Time
+	changedAt   time.Time // when the notice was recorded
+	publishedAt time.Time // when a fact was last published in this slot
 	live        bool
+	pending     bool // the notice is not published yet
 }
 
 // Notices tells the other hosts what upstreams have said to this one of limits and pauses, and
@@ -104,6 +114,10 @@
 type Notices struct {
 	config NoticesConfig
 	facts  *prometheus.CounterVec
+	// informed is true once this host has asked others for what they know.
+	informed atomic.Bool
+
+	publishing sync.Mutex // orders the calls of Publish; taken before slotsMu
 
 	slotsMu sync.Mutex // guards slots; not held during Publish, taken before the lock of Instances
 	slots   [noticeSlots]noticeSlot
@@ -134,7 +148,9 @@
 		config.Registerer.MustRegister(n.facts)
 	}
 	config.Gossip.Subscribe(NoticeTopic, func(f member.Fact) { n.receive(f, config.Now()) })
-	link.HandleTyped(registrar, noticesMethod, func(context.Context, struct{}) ([]noticeFact, error) { return n.known(config.Now()), nil })
+	link.HandleTyped(registrar, noticesMethod, func(context.Context, struct{}) (noticesAnswer, error) {
+		return noticesAnswer{Notices: n.known(config.Now()), Informed: n.informed.Load()}, nil
+	})
 	return n
 }
 
@@ -163,14 +179,34 @@
 		return
 	}
 	n.slotsMu.Lock()
-	slot := n.slotFor(f)
-	n.slots[slot] = noticeSlot{noticeFact: f, publishedAt: now, live: true}
+	s := &n.slots[n.slotFor(f)]
+	s.noticeFact, s.changedAt, s.live, s.pending = f, now, true, true
 	n.slotsMu.Unlock()
-	payload, err := cbor.Marshal(f)
-	if err == nil {
-		err = n.config.Gossip.Publish(NoticeTopic, strconv.Itoa(slot), payload)
+	n.Flush(now)
+}
+
+// Flush publishes the notices whose slots may be published again.
+func (n *Notices) Flush(now time.Time) {
+	n.publishing.Lock() // otherwise an older fact could be published after a newer one in its slot
+	defer n.publishing.Unlock()
+	for slot := range n.slots {
+		n.slotsMu.Lock()
+		s := &n.slots[slot]
+		due := s.pending && now.Sub(s.publishedAt) >= minPublishInterval
+		if due {
+			s.pending, s.publishedAt = false, now
+		}
+		f := s.noticeFact
+		n.slotsMu.Unlock()
+		if !due {
+			continue
+		}
+		payload, err := cbor.Marshal(f)
+		if err == nil {
+			err = n.config.Gossip.Publish(NoticeTopic, strconv.Itoa(slot), payload)
+		}
+		n.report("published", err)
 	}
-	n.report("published", err)
 }
 
 // slotFor returns the slot of the last notice on the same, or else the one that has not been
@@ -180,7 +216,7 @@
 		if s.ID == f.ID && s.StartMillis == f.StartMillis && s.isOnLimit() == f.isOnLimit() {
 			return i
 		}
-		if s.publishedAt.Before(n.slots[slot].publishedAt) {
+		if s.changedAt.Before(n.slots[slot].changedAt) {
 			slot = i
 		}
 	}
@@ -191,11 +227,13 @@
 // take them for true.
 func (n *Notices) Expire(now time.Time) {
 	var expired []int
+	n.publishing.Lock() // otherwise a notice that gets an expired slot could be withdrawn
+	defer n.publishing.Unlock()
 	n.slotsMu.Lock()
 	for i := range n.slots {
 		s := &n.slots[i]
 		if s.live && !n.holds(*s, now) {
-			s.live = false
+			s.live, s.pending, s.changedAt = false, false, time.Time{}
 			expired = append(expired, i)
 		}
 	}
@@ -207,7 +245,7 @@
 
 // holds reports whether a fact of this host still holds as far as the host knows.
 func (n *Notices) holds(s noticeSlot, now time.Time) bool {
-	age := now.Sub(s.publishedAt)
+	age := now.Sub(s.changedAt)
 	switch s.Kind {
 	case pauseAsked:
 		return age < time.Duration(s.LeftMillis)*time.Millisecond
@@ -268,18 +306,31 @@
 	return all
 }
 
+// noticesAnswer is all that a host knows of limits and pauses.
+type noticesAnswer struct {
+	Notices []noticeFact `cbor:"1,keyasint"`
+	// Informed means that the answering host has been told by others itself since it started,
+	// or had nobody to ask.
+	Informed bool `cbor:"2,keyasint"`
+}
+
+// SetInformed records that this host has asked others, so that hosts that start need ask no
+// other one.
+func (n *Notices) SetInformed() { n.informed.Store(true) }
+
 // Learn asks another host for all that it knows, for a host that has just started: facts may
-// have ended with the hosts that published them. It returns false if the host did not answer in
-// time, or is of a build that does not serve the method.
+// have ended with the hosts that published them. It returns false if another one should be asked
+// too: the host did not answer in time, has just started itself, or is of a build that does not
+// serve the method.
 func (n *Notices) Learn(ctx context.Context, peer host.Info) bool {
 	ctx, cancel := context.WithTimeout(ctx, noticesTimeout)
 	defer cancel()
-	all, err := link.CallIdempotent[struct{}, []noticeFact](ctx, n.config.Caller, peer.LinkAddr, noticesMethod, struct{}{})
+	answer, err := link.CallIdempotent[struct{}, noticesAnswer](ctx, n.config.Caller, peer.LinkAddr, noticesMethod, struct{}{})
 	if err != nil {
 		return false
 	}
 	now := n.config.Now()
-	for _, f := range all[:min(len(all), maxNotices)] {
+	for _, f := range answer.Notices[:min(len(answer.Notices), maxNotices)] {
 		if !f.isValid() {
 			n.reportMalformed(peer.ID)
 			continue
@@ -287,7 +338,7 @@
 		n.facts.WithLabelValues("learned").Inc()
 		n.apply(f, now.Add(-time.Duration(f.AgeMillis)*time.Millisecond), now)
 	}
-	return true
+	return answer.Informed
 }
 
 func (n *Notices) report(result string, err error) {
--- a/throttle/notices_test.go
+++ b/throttle/notices_test.go
@@ -198,6 +198,8 @@
 	h := newNoticeHost(&now, hosts{addr: survivor.served, old: nil})
 	h.instances.Remove(limited.ID, infra.Position{Revision: 1}) // its entry is read later
 	require.False(t, h.Learn(t.Context(), host.Info{ID: "old", LinkAddr: old}))
+	require.False(t, h.Learn(t.Context(), host.Info{ID: "h1", LinkAddr: addr}), "the other host may have just started too")
+	survivor.SetInformed()
 	require.True(t, h.Learn(t.Context(), host.Info{ID: "h1", LinkAddr: addr}))
 	h.instances.Put(upstreamNamed(0))
 	perSecond, namedAt, named := h.instances.Limit(limited)
@@ -207,3 +209,25 @@
 	require.Len(t, h.instances.Service("s", now), 2)
 	require.Len(t, h.instances.Service("s", now.Add(2*time.Second)), 3)
 }
+
+// An upstream names another limit in each of 300 answers a second. Guards against a fact for each
+// of them, which uses up the budget for gossip of all hosts, and against hosts that miss the last
+// one.
+func TestLimitThatChangesWithEachAnswerCausesFewFacts(t *testing.T) {
+	now, p := time.Unix(1_700_000_100, 0), upstreamNamed(0).Process()
+	h, other := newNoticeHost(&now, nil), newNoticeHost(&now, nil)
+	for i := range 3000 {
+		now = now.Add(10 * time.Second / 3000)
+		h.answer(p, float64(i%7), true, now)
+	}
+	require.LessOrEqual(t, len(h.gossip.published), 40)
+	for range 5 {
+		now = now.Add(NoticeInterval)
+		h.Flush(now)
+	}
+	for _, f := range h.gossip.published {
+		other.receive(f, now)
+	}
+	perSecond, _, _ := other.instances.Limit(p)
+	require.Equal(t, float64(2999%7), perSecond)
+}
