--- a/throttle/notices.go
+++ b/throttle/notices.go
@@ -185,9 +185,12 @@
 	n.Flush(now)
 }
 
-// Flush publishes the notices whose slots may be published again.
+// Flush publishes the notices whose slots may be published again. If another goroutine is
+// publishing, what it misses is left to the next call, since requests must not wait for it.
 func (n *Notices) Flush(now time.Time) {
-	n.publishing.Lock() // otherwise an older fact could be published after a newer one in its slot
+	if !n.publishing.TryLock() { // otherwise an older fact could be published after a newer one in its slot
+		return
+	}
 	defer n.publishing.Unlock()
 	for slot := range n.slots {
 		n.slotsMu.Lock()
