--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -338,7 +338,7 @@
 	require.Equal(t, http.StatusOK, got.status)
 }
 
-// A stream must go on if the attempt that serves it breaks off soon after a silence: the other
+// A stream must continue if the attempt that serves it breaks off soon after a silence: the other
 // one, which was started after the silence or was silent itself, can continue it. Soak seeds 104 and 42004
 // had such streams cut. With stages, their results must outlive the first attempt's first event.
 func TestStreamGoesOnWhenItsAttemptBreaksOffAfterASilence(t *testing.T) {
--- a/gateway/race.go
+++ b/gateway/race.go
@@ -82,7 +82,7 @@
 // is allowed. Usually there is one attempt at a time. When its upstream falls silent, a
 // second attempt may begin, and the silent one goes on until the second has something
 // for the caller: silence is no proof that the first one's answer is lost. Of a resumable
-// stream, both go on until the one that serves the caller has shown lasting progress.
+// stream, both continue until the one that serves the caller has shown lasting progress.
 //
 // The goroutine that calls run decides everything and writes to the caller.
 type race struct {
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -10,11 +10,11 @@
 
 // maxBufferedEvents is how many events of a standby are held for the caller. Its connection is
 // read no further until the caller has got them from the serving attempt: enough to show that
-// the standby goes on, and at most as many events of maxEventBytes in the account of memory.
+// the standby continues, and at most as many events of maxEventBytes in the account of memory.
 const maxBufferedEvents = 4
 
 // A standby is a running attempt of a resumable stream that another attempt was preferred to:
-// a replacement whose silent upstream went on, or a silent attempt whose replacement went on.
+// a replacement whose silent upstream resumed, or a silent attempt whose replacement has begun.
 // It takes over if the serving attempt breaks off or falls silent.
 
 // bufferedEvent is an event of a standby that the caller does not have yet.
@@ -24,7 +24,7 @@
 }
 
 // prefer makes an attempt with an event for the caller the serving one. The other attempts
-// become standbys, or end if they can't go on with the stream.
+// become standbys, or end if they can't continue the stream.
 func (r *race) prefer(s *upstreamAttempt, now time.Time) {
 	hasBegun := r.serving != s || s.silences > 0
 	r.serving = s
@@ -42,7 +42,7 @@
 	}
 }
 
-// mayStandBy reports whether an attempt that another was preferred to may go on with the stream
+// mayStandBy reports whether an attempt that another was preferred to may continue the stream
 // later. One that was not sent to an upstream yet may not: it can be started again, and would
 // use up the route's limit. Neither may one that counts as broken.
 func (r *race) mayStandBy(s *upstreamAttempt) bool {
@@ -55,7 +55,7 @@
 // upstream.
 func (s *upstreamAttempt) countsAsBroken() bool { return s.silences > 1 || s.failedProbes > 0 }
 
-// standsBy reports whether what an attempt sends has to wait, because the serving one goes on.
+// standsBy reports whether what an attempt sends has to wait, because the serving one continues.
 func (r *race) standsBy(s *upstreamAttempt) bool {
 	return r.serving != s && r.isServed()
 }
@@ -103,7 +103,7 @@
 	}
 }
 
-// takeOver goes on with the stream from a standby if no attempt serves the caller or the
+// takeOver continues the stream from a standby if no attempt serves the caller or the
 // serving one is silent. It returns true if the request is finished.
 func (r *race) takeOver() (finished bool) {
 	if r.isServed() {
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -81,7 +81,7 @@
 }
 
 // play plays what happens: a and b send the next event, A and B break off, 1 and 2 end their
-// streams, < and > mean that they are silent, and + means that the serving one has gone on for
+// streams, < and > mean that they are silent, and + means that the serving one has continued for
 // long enough. 0 ends b's stream too early. An upstream that was ended or is not read does nothing.
 func (s *streamRace) play(script string) {
 	defer func() {
@@ -295,7 +295,7 @@
 	require.Equal(t, testEvents(7), s.w.Body.String())
 }
 
-// Guards against memory of an incomplete event that is held while another attempt goes on with
+// Guards against memory of an incomplete event that is held while another attempt continues
 // the stream.
 func TestMemoryOfAnIncompleteEventIsFreed(t *testing.T) {
 	s := newStreamRace(t, 3)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -100,7 +100,7 @@
 	if e.id == call.NoEvent && !isComment {
 		r.unnumbered = true
 	}
-	// A comment does not show which of two attempts goes on with the stream first.
+	// A comment does not show which of two attempts continues the stream first.
 	if isComment && len(r.running) > 1 && r.route.Resumable {
 		s.resumed = true
 	} else {
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -197,8 +197,8 @@
 	more bool
 }
 
-// holdingOf returns how a segment is held, and marks the engines that hold it. An engine that was started anew, or has probably evicted the
-// segment, does not hold it.
+// holdingOf returns how a segment is held, and marks the engines that hold it. An engine that
+// was restarted, or has probably evicted the segment, does not hold it.
 func (t *tracker) holdingOf(hash uint64, engines []candidate, all []instance.Status, shared int) (h holding) {
 	h.wanted = 1
 	seg, there := t.segments.Peek(hash)
--- a/placement/tracker_test.go
+++ b/placement/tracker_test.go
@@ -163,7 +163,7 @@
 	require.Equal(t, 800, c.tokens)
 }
 
-// Guards against requests that are sent for a cached segment to an engine that was started anew.
+// Guards against requests that are sent for a cached segment to an engine that was restarted.
 func TestNewProcessOfAnEngineHasNothingCached(t *testing.T) {
 	tr, now, all := newTracker(), time.Unix(1000, 0), testEngines(1)
 	tr.place(now, all, testLimits, summaryNeed("a", "contract"))
--- a/staging/runner_test.go
+++ b/staging/runner_test.go
@@ -120,7 +120,7 @@
 
 // Groups wait at an overloaded gatherer until their time is up. Guards against hosts that then
 // consider it, and the next owners, as failed: the service got several gatherers, which sent
-// its servers small calls beside each other's. A gatherer that does not respond at all is
+// its servers small calls at the same time. A gatherer that does not respond at all is
 // avoided.
 func TestGathererIsNotReplacedForGroupsWhoseTimeIsUp(t *testing.T) {
 	for name, responsive := range map[string]bool{"overloaded": true, "silent": false} {
--- a/staging/slow.go
+++ b/staging/slow.go
@@ -46,7 +46,7 @@
 }
 
 // serverIsIdle reports whether the server of a call says that it runs no call and none waits
-// there. If it does not answer, it may be silent and go on later.
+// there. If it does not answer, it may be silent and answer later.
 func (g *Gatherer) serverIsIdle(ctx context.Context, b *batchCall) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
