--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -87,9 +87,8 @@
 
 // updateStandbys drops the events of standbys that the caller has got, and ends the standbys
 // once the serving attempt has shown lasting progress: it has sent events for as long as the
-// silence after which a replacement is started between events. Upstreams that broke off after
-// a silence did so within 0.25 s in the soak. A standby has read its prompt by then; what it
-// generates after that is wasted unless it takes over.
+// silence after which a replacement is started between events. A standby has read its prompt by
+// then; what it generates after that is wasted unless it takes over.
 func (r *race) updateStandbys(s *upstreamAttempt, now time.Time) {
 	for _, other := range r.others(s) {
 		if now.Sub(r.servingSince) >= s.monitor.idleTimeout {
