--- a/review/standin2/crash.go
+++ b/review/standin2/crash.go
@@ -28,9 +28,9 @@
 	// rollGap is the time between two stops, and graceEnd when a stopped process is killed.
 	rollGap  = 1300 * time.Millisecond
 	graceEnd = graceS * time.Second
-	rolls    = 3
+	rolls    = 4
 	// betweenRolls is the time before, between and after the rolls.
-	betweenRolls = 4 * time.Second
+	betweenRolls = 3 * time.Second
 	// allowedRetries is how often the request may reach servers once it has crashed three and
 	// the stable window has passed.
 	allowedRetries = 3
