--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -24,19 +24,19 @@
 	apiKey    = "9dnn2ctnfzs989anu6ws"
 )
 
-// send sends one attempt on a connection of its own and reads the whole answer.
-func send(h *hostProcess, method, path, id, body string, deadline time.Duration, more http.Header) (a answer) {
+// send posts one attempt on a connection of its own and reads the whole answer.
+func send(h *hostProcess, path, id, body string, deadline time.Duration, more http.Header) (a answer) {
 	began := time.Now()
 	defer func() { a.took = time.Since(began) }()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+h.callers()+path, strings.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.callers()+path, strings.NewReader(body))
 	if err != nil {
 		return a
 	}
 	r.Host = routeHost
 	r.Header = http.Header{
-		"Attempt-Id": {id}, "Deadline-Ms": {strconv.FormatInt(deadline.Milliseconds(), 10)}, "Authorization": {"Bearer " + apiKey},
+		wire().RequestID: {id}, "Deadline-Ms": {strconv.FormatInt(deadline.Milliseconds(), 10)}, "Authorization": {"Bearer " + apiKey},
 	}
 	maps.Copy(r.Header, more)
 	transport := &http.Transport{DisableCompression: true}
--- a/review/standin2/crash.go
+++ b/review/standin2/crash.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/galenaseam/galenaseam/platform"
 	"github.com/galenaseam/galenaseam/platform/platformtest"
 )
 
@@ -93,12 +94,12 @@
 		}},
 		"services": []map[string]any{{"name": "hire-api", "max_conns": 192}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
-		"tenants":  []map[string]any{{"name": "bozi300", "api_keys": []string{apiKey}}},
+		"tenants":  []map[string]any{{"name": "bozi300", wire().TenantKeys: []string{apiKey}}},
 	})
 	if err != nil {
 		return 0, err
 	}
-	store.Put("op/config", config)
+	store.Put(platform.ConfigKey, config)
 	if c.hosts, err = newFleet(e.command, e.dir, store.Addr().String(), crashHosts); err != nil {
 		return 0, err
 	}
@@ -185,7 +186,7 @@
 		c.mu.Lock()
 		c.sentVia[id], c.sentAt[id] = h, time.Now()
 		c.mu.Unlock()
-		a := send(h, http.MethodPost, "/bobo563/2f", id, crashingBody, crashDeadline, nil)
+		a := send(h, "/bobo563/2f", id, crashingBody, crashDeadline, nil)
 		c.note("%s through %s, in touch: answered %d", id, h.name, a.status)
 	}
 }
@@ -205,7 +206,7 @@
 			continue
 		}
 		all.Go(func() {
-			a := send(h, http.MethodPost, "/bobo563/"+id, id, "book "+id, crashDeadline, nil)
+			a := send(h, "/bobo563/"+id, id, "book "+id, crashDeadline, nil)
 			c.mu.Lock()
 			c.bookings[a.status]++
 			c.mu.Unlock()
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/galenaseam/galenaseam/platform"
 )
 
 // Ports of a host on its own loopback address, as the platform's settings give them.
@@ -105,7 +107,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.command = exec.Command(f.command)
-	h.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.dir, "LANG=C", "GALENASEAM_BOOT=" + h.settings}
+	h.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.dir, "LANG=C", platform.SettingsVariable + "=" + h.settings}
 	h.command.Stdout, h.command.Stderr = h.log, h.log
 	// The process ends with the script.
 	h.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/standin2/pieces.go
+++ b/review/standin2/pieces.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/galenaseam/galenaseam/platform"
 	"github.com/galenaseam/galenaseam/platform/platformtest"
 )
 
@@ -83,7 +84,7 @@
 	if err != nil {
 		return 0, err
 	}
-	store.Put("op/config", config)
+	store.Put(platform.ConfigKey, config)
 	if c.hosts, err = newFleet(e.command, e.dir, store.Addr().String(), piecesHosts); err != nil {
 		return 0, err
 	}
@@ -118,11 +119,11 @@
 			{"name": "valodas-serveri", "max_conns": 720, "engine": map[string]any{"concurrency": 64, "kv_capacity": 557011}},
 			{"name": "noma-kodols", "max_conns": 192},
 			{"name": "apkope", "max_conns": 720, "segments": map[string]any{
-				"concurrency": 1, "queue": 2, "batch": 44, "call_ms": 150, "item_ms": 2.9, "headroom_mb": 36, "handle_s": 4, "link_mbps": 10000,
+				"concurrency": 1, "queue": 2, "batch": 44, "call_ms": 150, "item_ms": 2.9, wire().HostMemory: 36, "handle_s": 4, "link_mbps": 10000,
 			}},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "bozi300", "api_keys": []string{apiKey}}},
+		"tenants": []map[string]any{{"name": "bozi300", wire().TenantKeys: []string{apiKey}}},
 	})
 }
 
@@ -144,9 +145,9 @@
 		time.Sleep(betweenMany)
 		h, id := c.hosts.hosts[n%len(c.hosts.hosts)], fmt.Sprintf("pieces-%d", n)
 		c.note("%s with Chunks: %d is sent to %s", id, pieces, h.name)
-		a := send(h, http.MethodPost, "/puxa400/2f", id, "body of "+id, 15*time.Second, http.Header{
-			"Model": {"m"}, "Token-Usage": {"1460,80"}, "Prompt-Prefix": {"5c1e07a2:800,91bd3f06:410"},
-			"Chunks": {strconv.Itoa(pieces)}, "Chunk-Key": {"7c1e07a291bd"},
+		a := send(h, "/puxa400/2f", id, "body of "+id, 15*time.Second, http.Header{
+			"Model": {"m"}, wire().TokenUsage: {"1460,80"}, wire().PromptParts: {"5c1e07a2:800,91bd3f06:410"},
+			"Chunks": {strconv.Itoa(pieces)}, wire().PieceKey: {"7c1e07a291bd"},
 		})
 		c.note("%s is answered %d, complete %t", id, a.status, a.complete)
 	}
@@ -239,7 +240,7 @@
 	}
 	r.ContentLength = int64(len("book " + b.id))
 	r.Host = routeHost
-	r.Header = http.Header{"Attempt-Id": {b.id}, "Deadline-Ms": {"3000"}, "Authorization": {"Bearer " + apiKey}}
+	r.Header = http.Header{wire().RequestID: {b.id}, "Deadline-Ms": {"3000"}, "Authorization": {"Bearer " + apiKey}}
 	response, err := transport.RoundTrip(r)
 	if err != nil {
 		return 0, false
--- a/review/standin2/plain.go
+++ b/review/standin2/plain.go
@@ -88,13 +88,13 @@
 	if err != nil {
 		return // the sender has left
 	}
-	id, body := r.Header.Get("Attempt-Id"), string(raw)
+	id, body := r.Header.Get(wire().RequestID), string(raw)
 	switch {
-	case r.Header.Get("Expect-Instance") != "" && r.Header.Get("Expect-Instance") != s.id:
+	case r.Header.Get(wire().ExpectedServer) != "" && r.Header.Get(wire().ExpectedServer) != s.id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case id == "":
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(wire().NotExecuted, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -107,8 +107,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	time.Sleep(s.service.work)
-	w.Header().Set("Attempt-Id", id)
-	w.Header().Set("Server-Stamp", "stamp."+s.id)
+	w.Header().Set(wire().RequestID, id)
+	w.Header().Set(wire().Signature, "stamp."+s.id)
 	_, _ = io.WriteString(w, "answer of "+s.id+" to "+id) // if it fails, the sender has left
 }
 
