--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves
-# out the disruption. Takes about 40 s. Hosts over their memory are killed, as the platform does.
+# Writes record.txt beside this file. Exits with 1 if the rule was broken, 0 if it held, 2 if the
+# case could not run. TROUBLE=0 leaves out the disruption. Takes about 40 s. Hosts over their memory
+# are killed, as the platform does.
 cd "$(dirname "$0")/../.." || exit 2
 exec target/standin2 pieces review/6
