--- a/review/standin2/large.go
+++ b/review/standin2/large.go
@@ -57,7 +57,7 @@
 	for name, values := range whole.Header() {
 		w.Header()[name] = values
 	}
-	w.Header().Del("Content-Length") // the page may be shorter now
+	w.Header().Del("Content-Length")    // the page may be shorter now
 	_ = json.NewEncoder(w).Encode(page) // if it fails, the host has left
 }
 
