staging: Bound the pieces that a request makes hosts hold

Cause: newWorkItem, failedPieces, the answer between hosts and the requesting host make something for each piece before anything looks at their number; a gatherer that ends counts as failed, and the next one is asked. The account of memory did not know of pieces.

Change: at most 16,384 pieces a stage, and no more than the service's servers can run before the deadline; both are checked before anything is made. Pieces are in the account of memory at the requesting host, before the first stage, and at the gatherer, which refuses a group without memory as an overload. Inputs of a group, calls to servers and handles are bounded. Groups of other hosts are checked: a negative number of pieces panicked.

--- a/call/call.go
+++ b/call/call.go
@@ -157,11 +157,20 @@
 	PiecePaused
 )
 
-// String returns the lower-case name of the failure.
+var pieceFailureNames = [...]string{"done", "late", "input_gone", "no_room", "error", "refused", "overload", "moved", "paused"}
+
+// String returns the lower-case name of the failure. A host of another version may send one
+// that has no name here.
 func (f PieceFailure) String() string {
-	return [...]string{"done", "late", "input_gone", "no_room", "error", "refused", "overload", "moved", "paused"}[f]
+	if int(f) >= len(pieceFailureNames) {
+		return "unknown"
+	}
+	return pieceFailureNames[f]
 }
 
+// MaxHandleBytes is the most that a handle may have.
+const MaxHandleBytes = 128
+
 // PieceResult says where the result of a piece is held, or why there is none.
 type PieceResult struct {
 	// Handle identifies the result and the stage server that holds it.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -259,12 +259,14 @@
 	h.retries = retry.New(h.settings.Retries, h.hostCount, time.Now())
 	h.owners = ownership.New(h.members, time.Now())
 	h.throttle = throttle.New(throttle.Config{Self: h.info.ID, Owners: h.owners, Caller: h.peerClient, Logger: h.logger, Registerer: h.registry}, h.mux)
+	divided := divide(h.settings.MemoryBytes, h.settings.MaxDescriptors)
+	held := memory.New(divided.large, divided.small, h.logger, h.registry)
 	h.gatherer = staging.NewGatherer(staging.GathererConfig{
 		Servers: h.instances, Service: h.service, Owns: func(service string) bool {
 			_, own := h.owners.Owner(service, time.Now())
 			return own
 		}, Caller: h.platform.Stages(h.transport), Retries: h.retries, Workload: h.workload,
-		Logger: h.logger, Registerer: h.registry,
+		Memory: held, Logger: h.logger, Registerer: h.registry,
 	})
 	h.parts = quarantine.NewParts(quarantine.PartsConfig{
 		Gossip: h.members, Fleet: h.members, Caller: h.peerClient, Logger: h.logger, Registerer: h.registry,
@@ -288,12 +290,10 @@
 			IsMixed:   h.isMixed, Write: h.platform.KeepBriefly,
 		},
 	}, h.mux)
-	divided := divide(h.settings.MemoryBytes, h.settings.MaxDescriptors)
-	held := memory.New(divided.large, divided.small, h.logger, h.registry)
 	h.gateway = gateway.New(gateway.Config{
 		Codec: h.platform.Codec, Routes: h.directory.Routes, AwaitRoutes: h.directory.AwaitRoutes, Instances: h.instances, Transport: h.transport,
 		Stages: staging.NewRunner(staging.RunnerConfig{
-			Owners: h.owners, Caller: h.peerClient, Gatherer: h.gatherer, Service: h.service, Logger: h.logger,
+			Owners: h.owners, Caller: h.peerClient, Gatherer: h.gatherer, Memory: held, Service: h.service, Logger: h.logger,
 		}, h.mux),
 		Retries: h.retries, ResponseTimes: pace.NewTable(), Placer: h.placer, Streams: h.streams,
 		Workload: h.workload, ConfirmUpstreams: h.directory.Confirm, VersionMemory: h.settings.VersionMemory,
--- a/memory/account.go
+++ b/memory/account.go
@@ -1,5 +1,5 @@
 // Package memory keeps one account of the bytes that a host holds for its callers: heads,
-// bodies and answers. A request that needs more than is left waits for a short time, while
+// bodies, answers and the pieces of stages. A request that needs more than is left waits for a short time, while
 // requests that make no progress are ended.
 package memory
 
@@ -25,11 +25,12 @@
 	Head Kind = iota
 	Body
 	Answer
+	Pieces // of stages: queued, running, and with their results
 	kinds
 )
 
 // String returns the kind's name in metrics and logs.
-func (k Kind) String() string { return [kinds]string{"head", "body", "answer"}[k] }
+func (k Kind) String() string { return [kinds]string{"head", "body", "answer", "pieces"}[k] }
 
 const (
 	// SmallBytes is the most that a holder may have in order to use the part of the memory
--- a/staging/admission.go
+++ b/staging/admission.go
@@ -15,6 +15,8 @@
 	// refusedShare: a service is overloaded, and the request is of the part of its class that
 	// its servers can't do besides the more urgent classes.
 	refusedShare = "share"
+	// refusedMemory: the gatherer has no memory for the group.
+	refusedMemory = "memory"
 )
 
 const (
--- a/staging/batch.go
+++ b/staging/batch.go
@@ -7,6 +7,7 @@
 
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/instance"
+	"github.com/galenaseam/galenaseam/memory"
 	"github.com/galenaseam/galenaseam/routing"
 )
 
@@ -31,11 +32,18 @@
 	retriesPaid bool
 	// answerLost is true if the call was ended because its server was idle.
 	answerLost bool
+	// room is the memory of a call of more than the usual size.
+	room *memory.Holder
 }
 
 // start sends a batch to a server. The caller holds mu.
 func (g *Gatherer) start(s *serviceState, server instance.Status, spec *routing.StageServer, parts []batchPart, now time.Time) {
-	b := &batchCall{service: s, server: server, spec: spec, parts: parts, started: now}
+	b := &batchCall{service: s, server: server, spec: spec, parts: parts, started: now, room: newHolder(g.config.Memory)}
+	if bytes := sentBytes(parts); bytes > unaccountedCallBytes && !b.room.TryGrow(bytes, now) {
+		s.putBack(parts)
+		s.paused[server.ID] = now.Add(refusalPause)
+		return
+	}
 	var pieces []call.Piece
 	for _, part := range parts {
 		w := part.item
@@ -63,6 +71,7 @@
 	go g.superviseCall(ctx, cancel, b, timeout)
 	results, outcome, notRun, err := g.config.Caller.RunPieces(ctx, b.server.Entry, pieces)
 	cancel()
+	b.room.Free()
 	now := time.Now()
 	took := now.Sub(b.started)
 	b.use.End(outcome, took, now)
@@ -91,6 +100,16 @@
 	runAll(callbacks)
 }
 
+// putBack queues the pieces of a call that was not sent.
+func (s *serviceState) putBack(parts []batchPart) {
+	for _, part := range parts {
+		if len(part.item.waiting) == 0 {
+			s.queue.push(part.item)
+		}
+		part.item.waiting = append(part.item.waiting, part.pieces...)
+	}
+}
+
 // failBatch requeues the pieces of a failed call, or fails their groups.
 func (g *Gatherer) failBatch(b *batchCall, outcome instance.Outcome, notRun bool, now time.Time) (callbacks []func()) {
 	s := b.service
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -14,6 +14,7 @@
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/internal/sleep"
+	"github.com/galenaseam/galenaseam/memory"
 	"github.com/galenaseam/galenaseam/retry"
 	"github.com/galenaseam/galenaseam/routing"
 	"github.com/galenaseam/galenaseam/workload"
@@ -79,6 +80,8 @@
 	Retries *retry.Budget
 	// Workload is nil if the load that servers report is ignored.
 	Workload *workload.Table
+	// Memory bounds what queued and running groups take; nil sets no limit.
+	Memory *memory.Account
 	// Owns reports whether this host gathers for a service; nil means always.
 	Owns   func(service string) bool
 	Logger *slog.Logger
@@ -113,6 +116,9 @@
 
 // NewGatherer creates a gatherer. Timeouts and expiry need Run.
 func NewGatherer(config GathererConfig) *Gatherer {
+	if config.Memory == nil {
+		config.Memory = memory.New(0, 0, config.Logger, nil)
+	}
 	return &Gatherer{config: config, metrics: newGathererMetrics(config.Registerer), services: make(map[string]*serviceState)}
 }
 
@@ -213,10 +219,17 @@
 
 // Gather runs the pieces of a group and returns one result for each. Queued
 // pieces are dropped when ctx ends. A group that cannot meet its deadline
-// behind the queued work is refused at once.
+// behind the queued work, or for which there is no memory, is refused at once. The group must be
+// valid.
 func (g *Gatherer) Gather(ctx context.Context, group Group) []call.PieceResult {
 	answer := make(chan []call.PieceResult, 1)
 	now := time.Now()
+	room := newHolder(g.config.Memory)
+	defer room.Free()
+	if !room.TryGrow(group.bytes(), now) {
+		g.metrics.countRefused(group.Service, group.Priority, refusedMemory, "queue")
+		return failedPieces(group.Pieces, call.PieceOverload)
+	}
 	w := newWorkItem(group, now, func(results []call.PieceResult) { answer <- results })
 	g.mu.Lock()
 	s := g.service(group.Service)
--- a/staging/graph.go
+++ b/staging/graph.go
@@ -25,12 +25,16 @@
 }
 
 // newGraph creates a graph. It fails if the number of piece counts differs from
-// the number of stages, or if a stage does not come after all of its inputs.
+// the number of stages, if a stage has too many pieces, or if a stage does not come
+// after all of its inputs.
 func newGraph(stages []routing.Stage, pieces []int) (*graph, error) {
 	if len(pieces) != len(stages) {
 		return nil, Error.New("request has pieces for %d stages, route has %d", len(pieces), len(stages))
 	}
 	for i, s := range stages {
+		if pieces[i] < 0 || pieces[i] > maxPieces {
+			return nil, Error.New("stage %d of the request has %d pieces, at most %d are allowed", i, pieces[i], maxPieces)
+		}
 		for _, before := range s.DependsOn {
 			if before < 0 || before >= i {
 				return nil, Error.New("stage %d comes after stage %d", i, before)
--- a/staging/queue.go
+++ b/staging/queue.go
@@ -62,6 +62,8 @@
 	retries    int   // number of retries after failures
 	refusals   int   // number of retries after a server had no memory
 	ended      bool  // the caller has its answer or no longer waits
+	// sentInputs is what the inputs take with each piece that is sent to a server.
+	sentInputs int64
 	reply      func([]call.PieceResult)
 }
 
@@ -69,10 +71,11 @@
 func newWorkItem(g Group, now time.Time, reply func([]call.PieceResult)) *workItem {
 	w := &workItem{
 		Group: g, queued: now, deadline: now.Add(g.Remaining), target: now.Add(g.RemainingToTarget),
-		results: make([]call.PieceResult, g.Pieces), unfinished: g.Pieces, reply: reply,
+		results: make([]call.PieceResult, g.Pieces), waiting: make([]int, g.Pieces), unfinished: g.Pieces,
+		sentInputs: g.inputBytes(), reply: reply,
 	}
-	for i := range g.Pieces {
-		w.waiting = append(w.waiting, i)
+	for i := range w.waiting {
+		w.waiting[i] = i
 	}
 	return w
 }
@@ -233,7 +236,7 @@
 	fillBatch := q.runnablePieces(at, now) > spec.BatchSize
 	remaining := spec.BatchSize
 	lateMemory := freeMemory - int64((usableMemoryFraction-lateMemoryFraction)*float64(spec.ResultMemory))
-	takenBytes := int64(0)
+	takenBytes, callBytes := int64(0), int64(0)
 	var taken []batchPart
 	for _, w := range q.waiting {
 		if remaining == 0 {
@@ -257,6 +260,10 @@
 			}
 			n = int(available / w.ResultBytes)
 		}
+		if n = min(n, w.maxPiecesPerCall(callBytes)); n == 0 {
+			continue
+		}
+		callBytes += int64(n) * w.sentBytes()
 		taken = append(taken, batchPart{item: w, pieces: w.waiting[:n:n]})
 		w.waiting = w.waiting[n:]
 		remaining -= n
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -16,6 +16,7 @@
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/link"
+	"github.com/galenaseam/galenaseam/memory"
 	"github.com/galenaseam/galenaseam/ownership"
 	"github.com/galenaseam/galenaseam/routing"
 )
@@ -93,6 +94,8 @@
 	Owners   *ownership.Table
 	Caller   link.Caller
 	Gatherer *Gatherer
+	// Memory bounds what the pieces of this host's requests take; nil sets no limit.
+	Memory *memory.Account
 	// Service returns a service of the current configuration.
 	Service func(name string) (*routing.Service, bool)
 	Logger  *slog.Logger
@@ -101,8 +104,14 @@
 // NewRunner creates a runner and registers the methods by which other hosts use
 // this host's gatherer.
 func NewRunner(config RunnerConfig, registrar link.Registrar) *Runner {
+	if config.Memory == nil {
+		config.Memory = memory.New(0, 0, config.Logger, nil)
+	}
 	r := &Runner{config: config, queueWaits: make(map[string]queueWait), refused: make(map[string][]float64), shares: shareTracker{offset: rand.Float64()}}
 	link.HandleTyped(registrar, gatherMethod, func(ctx context.Context, g Group) (gatherReply, error) {
+		if err := g.check(); err != nil {
+			return gatherReply{}, err
+		}
 		results := config.Gatherer.Gather(ctx, g)
 		if failure(results) == call.PieceRefused {
 			return gatherReply{}, Error.New("service %q is not in the configuration of this host", g.Service) // another host may have it
@@ -178,6 +187,7 @@
 	// Bytes is how many bytes of the inputs each data centre holds.
 	Bytes  map[host.DataCentre]int64
 	runner *Runner
+	rooms  []*memory.Holder // memory for the pieces
 
 	mu               sync.Mutex              // guards the fields below
 	unfreed          map[string][]string     // handles by the service that made the results
@@ -213,6 +223,9 @@
 	if evacuated := r.findEvacuated(g); evacuated != nil {
 		return nil, evacuated
 	}
+	if hopeless := r.findHopeless(w, g, time.Now()); hopeless != nil {
+		return nil, hopeless
+	}
 	r.refreshWaits(ctx, g)
 	now := time.Now()
 	if overload := r.predictOverload(w, g, now); overload != nil {
@@ -223,6 +236,10 @@
 		return nil, overload
 	}
 	results := &Results{runner: r, unfreed: make(map[string][]string), stageDataCentres: make(map[int]host.DataCentre), Bytes: make(map[host.DataCentre]int64)}
+	if err := results.takeMemory(ctx, r.config.Memory, g); err != nil {
+		results.Free()
+		return nil, err
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	done := make([]chan struct{}, len(w.Stages))
 	for i := range done {
@@ -275,6 +292,9 @@
 	}
 	group.PreferredDataCentre, group.TransferBytes = results.preferredDataCentre(w, g, stage)
 	group.ScarceInputs = r.hasScarceInputs(g, stage)
+	if err := group.check(); err != nil {
+		return err
+	}
 	pieces, err := r.gather(ctx, group)
 	if err != nil {
 		return err
@@ -361,6 +381,22 @@
 	return nil
 }
 
+// findHopeless returns the failure of the first stage that can't be done before the deadline
+// even if its servers do nothing else.
+func (r *Runner) findHopeless(w Work, g *graph, now time.Time) error {
+	for i, s := range g.stages {
+		described, known := r.config.Service(s.Service)
+		if g.pieces[i] == 0 || !known || described.Stages == nil {
+			continue
+		}
+		servers := len(r.config.Gatherer.config.Servers.Service(s.Service, now))
+		if now.Add(leastTime(g.pieces[i], servers, described.Stages)).After(w.Deadline) {
+			return r.newFailure(i, s.Service, call.PieceOverload, 0)
+		}
+	}
+	return nil
+}
+
 // recentQueueWaits returns the queueing times that a service's gatherer recently
 // reported. known is false if there are none.
 func (r *Runner) recentQueueWaits(service string, now time.Time) (waits QueueWaits, known bool) {
@@ -628,6 +664,9 @@
 	unfreed := s.unfreed
 	s.unfreed = make(map[string][]string)
 	s.mu.Unlock()
+	for _, room := range s.rooms {
+		room.Free()
+	}
 	for service, handles := range unfreed {
 		s.runner.free(service, handles)
 	}
