quarantine: Keep what is known of crashing requests beyond its hosts

Cause: losses under requests were told by facts only. A fact ends with the host that published it, so a host that started later was told by nobody, and after a roll nobody knew.

Change: hosts ask each other for suspect requests, as they do for parts of prompts and by the same code, and a condemned request is in the store under a lease. Reports are bounded, prolong no condemnation and no right to run alone, and bring back no suspect that ran to its end. Hosts of the build before don't know the method and ignore the key.

--- a/build.go
+++ b/build.go
@@ -203,8 +203,9 @@
 		Gossip: h.membership, Fleet: h.membership, Caller: h.linkClient, Logger: h.logger, Registerer: h.metrics.Registry(),
 	}, h.linkMux)
 	h.quarantine, err = quarantine.New(quarantine.Config{
-		Gossip: h.membership, Registerer: h.metrics.Registry(), Settings: quarantine.Settings{Explained: h.promptParts.Explains},
-	})
+		Gossip: h.membership, Fleet: h.membership, Caller: h.linkClient, Logger: h.logger, Registerer: h.metrics.Registry(),
+		Settings: quarantine.Settings{Explained: h.promptParts.Explains},
+	}, h.linkMux)
 	if err != nil {
 		return err
 	}
--- a/edge/crashingpart_test.go
+++ b/edge/crashingpart_test.go
@@ -27,9 +27,12 @@
 // crashingPart is the ID of the part that crashes engines.
 const crashingPart = "bad0bad0"
 
-// crashingEngines are engines that crash on crashingPart and are replaced after a moment.
+// crashingEngines are upstreams of a service that crash on crashingPart or a path, and are
+// replaced after a moment.
 type crashingEngines struct {
 	*fleet
+	service string
+	path    string
 	restart time.Duration // from a crash to the replacement's registration
 
 	mu      sync.Mutex // guards the fields below
@@ -39,8 +42,13 @@
 
 // startEngines starts n engines.
 func (f *fleet) startEngines(n int, restart time.Duration) *crashingEngines {
-	e := &crashingEngines{fleet: f, restart: restart}
 	f.configure(1, withEngines)
+	return f.startCrashing(n, &crashingEngines{service: "events", restart: restart})
+}
+
+// startCrashing starts n upstreams.
+func (f *fleet) startCrashing(n int, e *crashingEngines) *crashingEngines {
+	e.fleet = f
 	for range n {
 		e.start()
 	}
@@ -51,8 +59,8 @@
 func (e *crashingEngines) start() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	u := &platformtest.Upstream{ID: fmt.Sprint("u", len(e.all)), Service: "events", Events: 8, EventPause: 10 * time.Millisecond, Zone: "riga-a"}
-	u.Crash = &platformtest.Crash{PartPrefix: crashingPart, Delay: 30 * time.Millisecond, Crashed: func(string) {
+	u := &platformtest.Upstream{ID: fmt.Sprint("u", len(e.all)), Service: e.service, Events: 8, EventPause: 10 * time.Millisecond, Zone: "riga-a"}
+	u.Crash = &platformtest.Crash{PartPrefix: crashingPart, Path: e.path, Delay: 30 * time.Millisecond, Crashed: func(string) {
 		e.mu.Lock()
 		e.crashes = append(e.crashes, time.Now())
 		e.mu.Unlock()
@@ -178,6 +186,52 @@
 	require.Equal(t, crashes, engines.crashCount())
 }
 
+// Guards against a request that crashes its upstreams again after the hosts that learned so have
+// ended: stopped in turn, so that no host is left that saw a crash, or all at once, with the store
+// at hand.
+func TestCrashingRequestStaysQuarantinedWhenHostsStartAgain(t *testing.T) {
+	const path = "/order/crash"
+	for name, replaceHosts := range map[string]func(f *fleet, n *node) *node{
+		"in turn": func(f *fleet, n *node) *node {
+			last := f.start()
+			time.Sleep(crashWindow / 2) // for the hosts to find each other and to ask
+			n.stop()
+			require.NoError(f.t, <-n.result)
+			return last
+		},
+		"all at once": func(f *fleet, n *node) *node {
+			require.Eventually(f.t, func() bool { return len(f.store.Keys("quarantined-requests/")) > 0 }, waitTimeout, 10*time.Millisecond)
+			n.stop()
+			require.NoError(f.t, <-n.result)
+			return f.start()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.configure(1, nil)
+			upstreams := f.startCrashing(4, &crashingEngines{service: "plain", path: path, restart: 300 * time.Millisecond})
+			n := f.start()
+			isRefused := func() bool {
+				return f.send(n, http.MethodPost, path, "the same", "Deadline-Ms", "1000").status == http.StatusServiceUnavailable
+			}
+			for i := 0; !isRefused() || upstreams.crashCount() < 2; i++ {
+				require.Less(t, i, 20, "the request is not found")
+				time.Sleep(600 * time.Millisecond)
+			}
+			crashes := upstreams.crashCount()
+			for range 2 {
+				n = replaceHosts(f, n)
+			}
+			for range 4 {
+				require.True(t, isRefused())
+				time.Sleep(600 * time.Millisecond)
+			}
+			require.Equal(t, crashes, upstreams.crashCount())
+		})
+	}
+}
+
 // Requests with one part in their prompts crashed engine after engine, no two of them
 // alike and at any host, and hosts kept sending them.
 func TestPromptPartThatCrashesEnginesIsQuarantined(t *testing.T) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -146,6 +146,7 @@
 	placer     *placement.Placer
 	streams    *resume.Keeper
 	parts      *quarantine.Parts
+	suspects   *quarantine.Quarantine
 	throttle   *throttle.Throttle
 	brittle    *throttle.Brittle
 	shared     *throttle.Notices
@@ -272,9 +273,11 @@
 		Gossip: h.members, Fleet: h.members, Caller: h.peerClient, Logger: h.logger, Registerer: h.registry,
 		Keep: h.keepPart, Forget: h.forgetPart,
 	}, h.mux)
-	suspects, err := quarantine.New(quarantine.Config{
-		Gossip: h.members, Registerer: h.registry, Settings: quarantine.Settings{Explained: h.parts.Explains},
-	})
+	var err error
+	h.suspects, err = quarantine.New(quarantine.Config{
+		Gossip: h.members, Fleet: h.members, Caller: h.peerClient, Logger: h.logger, Registerer: h.registry,
+		Settings: quarantine.Settings{Explained: h.parts.Explains}, Keep: h.keepRequest,
+	}, h.mux)
 	if err != nil {
 		return err
 	}
@@ -297,7 +300,7 @@
 		}, h.mux),
 		Retries: h.retries, ResponseTimes: pace.NewTable(), Placer: h.placer, Streams: h.streams,
 		Workload: h.workload, ConfirmUpstreams: h.directory.Confirm, VersionMemory: h.settings.VersionMemory,
-		Memory: held, Quarantine: suspects, Parts: h.parts,
+		Memory: held, Quarantine: h.suspects, Parts: h.parts,
 		DataCentre: h.settings.Place.DataCentre, Logger: h.logger, Metrics: gateway.NewMetrics(h.registry),
 	})
 	h.callers = newCallerServer(h.gateway, h.directory.Routes, h.logger)
--- a/edge/run.go
+++ b/edge/run.go
@@ -122,6 +122,7 @@
 		func() error { return h.gatherer.Run(ctx) },
 		func() error { return h.streams.Run(ctx) },
 		func() error { return h.parts.Run(ctx) },
+		func() error { return h.suspects.Run(ctx) },
 		func() error { return h.callers.closeExpiredPeriodically(ctx) },
 		func() error { return h.sweepTransport(ctx) },
 		func() error { return h.learnNotices(ctx) },
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"maps"
 	"slices"
 	"time"
 
@@ -119,12 +120,14 @@
 
 // suspect is the evidence against one request.
 type suspect struct {
-	losses []Loss
+	losses []Loss // none if only the condemnation is known
 	// aloneUntil is when the right to run the request alone, held by some host,
 	// expires.
 	aloneUntil time.Time
 	// condemnedAt is when the request was condemned; zero if it was not.
 	condemnedAt time.Time
+	// keptUntil is until when the store keeps the condemnation.
+	keptUntil time.Time
 }
 
 // maxLossesPerDigest bounds the losses kept for one digest. Two are enough to
@@ -138,11 +141,13 @@
 	suspects map[Digest]*suspect
 	// recent are the losses under all requests within the last SuspectTTL.
 	recent []Loss
+	// cleared is when a suspect last ran to its end without a loss.
+	cleared map[Digest]time.Time
 }
 
 // NewLedger creates an empty ledger.
 func NewLedger(settings Settings) *Ledger {
-	return &Ledger{settings: settings.withDefaults(), suspects: make(map[Digest]*suspect)}
+	return &Ledger{settings: settings.withDefaults(), suspects: make(map[Digest]*suspect), cleared: make(map[Digest]time.Time)}
 }
 
 // Check returns what may be done with a request now. RunAlone also takes the
@@ -169,23 +174,18 @@
 
 // isExplained reports whether all losses under a suspect have another cause.
 func (l *Ledger) isExplained(s *suspect) bool {
-	return !slices.ContainsFunc(s.losses, func(loss Loss) bool { return !l.settings.Explained(loss.Upstream) })
+	return len(s.losses) > 0 && !slices.ContainsFunc(s.losses, func(loss Loss) bool { return !l.settings.Explained(loss.Upstream) })
 }
 
 // RecordLoss records a loss. Recording the same loss again has no effect.
 func (l *Ledger) RecordLoss(now time.Time, loss Loss) {
-	l.prune(now)
-	s := l.suspects[loss.Digest]
-	if s == nil {
-		s = &suspect{}
-		l.evict()
-		l.suspects[loss.Digest] = s
-	}
-	for _, known := range s.losses {
-		if known.Upstream == loss.Upstream && known.At.Sub(loss.At).Abs() < l.settings.CorrelationWindow {
-			return
-		}
+	if s := l.suspects[loss.Digest]; s != nil && slices.ContainsFunc(s.losses, func(known Loss) bool {
+		return known.Upstream == loss.Upstream && known.At.Sub(loss.At).Abs() < l.settings.CorrelationWindow
+	}) {
+		return
 	}
+	l.prune(now)
+	s := l.suspect(loss.Digest)
 	l.recent = append(l.recent, loss)
 	if len(s.losses) < maxLossesPerDigest {
 		s.losses = append(s.losses, loss)
@@ -195,6 +195,33 @@
 	}
 }
 
+// suspect returns what is known of a digest, and makes room for it if it is new.
+func (l *Ledger) suspect(d Digest) *suspect {
+	s := l.suspects[d]
+	if s == nil {
+		s = &suspect{}
+		l.evict()
+		l.suspects[d] = s
+	}
+	return s
+}
+
+// Condemn records that another host, or the store, says that a request is refused until a
+// time.
+func (l *Ledger) Condemn(now time.Time, d Digest, until time.Time) {
+	if at := until.Add(-l.settings.CondemnedTTL); until.After(now) {
+		s := l.suspect(d)
+		s.condemnedAt = later(s.condemnedAt, earlier(at, now))
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 // lossesToCondemn is how many independent losses condemn a request.
 const lossesToCondemn = 2
 
@@ -207,9 +234,12 @@
 
 // Clear records that a suspect ran to its end without a loss, and drops the
 // evidence against it unless it is condemned.
-func (l *Ledger) Clear(d Digest) {
+func (l *Ledger) Clear(now time.Time, d Digest) {
 	if s := l.suspects[d]; s != nil && s.condemnedAt.IsZero() {
 		delete(l.suspects, d)
+		if len(l.cleared) < l.settings.MaxDigests {
+			l.cleared[d] = now
+		}
 	}
 }
 
@@ -323,12 +353,13 @@
 			delete(l.suspects, d)
 		}
 	}
+	maps.DeleteFunc(l.cleared, func(_ Digest, at time.Time) bool { return now.Sub(at) > l.settings.SuspectTTL })
 }
 
 // expired reports whether a suspect's losses and condemnation have expired.
 func (l *Ledger) expired(now time.Time, s *suspect) bool {
-	newest := s.losses[len(s.losses)-1].At
-	return now.Sub(newest) > l.settings.SuspectTTL && now.Sub(s.condemnedAt) > l.settings.CondemnedTTL
+	isOld := len(s.losses) == 0 || now.Sub(s.losses[len(s.losses)-1].At) > l.settings.SuspectTTL
+	return isOld && now.Sub(s.condemnedAt) > l.settings.CondemnedTTL
 }
 
 // evict makes room for a new suspect if the ledger is full. It drops one that
--- a/quarantine/parts_exchange.go
+++ b/quarantine/parts_exchange.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -37,13 +36,6 @@
 )
 
 const (
-	// pullInterval is how often a host asks another for what it knows, so that it
-	// also learns of facts that it missed or that ended with their host.
-	pullInterval = 2 * time.Second
-	// firstPullInterval is how often a host asks until it has an answer.
-	firstPullInterval = 250 * time.Millisecond
-	// pullTimeout is many round trips between data centres.
-	pullTimeout = 300 * time.Millisecond
 	// answerInterval is the least time between two publications of an answer to a
 	// part, by this host or another.
 	answerInterval = time.Second
@@ -153,17 +145,7 @@
 
 // Run asks other hosts for what they know, until ctx ends.
 func (q *Parts) Run(ctx context.Context) error {
-	answered := false
-	for {
-		interval := pullInterval
-		if !answered {
-			interval = firstPullInterval
-		}
-		if sleep.For(ctx, interval) != nil {
-			return nil
-		}
-		answered = q.pull(ctx) || answered
-	}
+	return puller[partsReport]{fleet: q.config.Fleet, caller: q.config.Caller, logger: q.config.Logger, method: partsMethod, merge: q.merge}.run(ctx)
 }
 
 // Check returns what may be done with a request that has these parts. A request that
@@ -393,26 +375,6 @@
 	return r
 }
 
-// pull asks one other host for what it knows. It returns false if there is no other
-// host or it does not answer.
-func (q *Parts) pull(ctx context.Context) bool {
-	self := q.config.Fleet.Self().ID
-	others := slices.DeleteFunc(q.config.Fleet.Members(), func(m host.Member) bool { return m.ID == self || m.State != host.Alive })
-	if len(others) == 0 {
-		return false
-	}
-	other := others[rand.IntN(len(others))]
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	r, err := link.CallIdempotent[struct{}, partsReport](ctx, q.config.Caller, other.LinkAddr, partsMethod, struct{}{})
-	if err != nil {
-		q.config.Logger.Debug("quarantine not fetched from another host", "peer", string(other.ID), "error", err.Error())
-		return false
-	}
-	q.merge(r, string(other.ID))
-	return true
-}
-
 // merge takes over what another host knows.
 func (q *Parts) merge(r partsReport, from string) {
 	now := q.config.Now()
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
+	"context"
 	"encoding/hex"
+	"log/slog"
 	"strings"
 	"sync"
 	"time"
@@ -9,6 +11,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/member"
 	"github.com/galenaseam/galenaseam/upstream"
 )
@@ -64,17 +68,24 @@
 	return d, upstream.ID(lostUpstream), true
 }
 
-// Config configures a Quarantine. Now and Registerer are optional.
+// Config configures a Quarantine. Now, Registerer and Keep are optional.
 type Config struct {
 	Gossip     member.Gossip
+	Fleet      host.View
+	Caller     link.Caller
+	Logger     *slog.Logger
 	Now        func() time.Time
 	Registerer prometheus.Registerer
 	Settings   Settings
+	// Keep has a condemned request kept in the store for a time. Hosts that read it there pass
+	// name and value to Kept. It must return at once.
+	Keep func(name string, value []byte, ttl time.Duration)
 }
 
 // Quarantine is this host's part in detecting requests that crash upstreams. It
 // is safe for concurrent use.
 type Quarantine struct {
+	config   Config
 	gossip   member.Gossip
 	now      func() time.Time
 	verdicts *prometheus.CounterVec
@@ -86,9 +97,14 @@
 	alone map[Digest]bool
 }
 
-// New creates a quarantine and subscribes to the facts of other hosts.
-func New(cfg Config) (*Quarantine, error) {
+// New creates a quarantine, subscribes to the facts of other hosts and registers the method
+// that they call.
+func New(cfg Config, registrar link.Registrar) (*Quarantine, error) {
+	if cfg.Keep == nil {
+		cfg.Keep = func(string, []byte, time.Duration) {}
+	}
 	q := &Quarantine{
+		config: cfg,
 		gossip: cfg.Gossip,
 		now:    cfg.Now,
 		verdicts: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -111,6 +127,7 @@
 		}
 	}
 	cfg.Gossip.Subscribe(Topic, q.receive)
+	link.HandleTyped(registrar, requestsMethod, func(context.Context, struct{}) (requestsReport, error) { return q.report(), nil })
 	return q, nil
 }
 
@@ -126,8 +143,11 @@
 	}
 	q.mu.Unlock()
 	q.verdicts.WithLabelValues(v.String()).Inc()
-	if v == RunAlone {
+	switch v {
+	case RunAlone:
 		q.publish(d, "", gossipRecord{Alone: true})
+	case Refuse:
+		q.keepCondemned(now, d)
 	}
 	return v
 }
@@ -156,13 +176,14 @@
 	} else if lost {
 		q.ledger.RecordLoss(now, loss)
 	} else if alone {
-		q.ledger.Clear(d)
+		q.ledger.Clear(now, d)
 	}
 	q.mu.Unlock()
 	switch {
 	case lost:
 		q.losses.Inc()
 		q.publish(d, id, gossipRecord{AtMilli: now.UnixMilli(), Alone: alone})
+		q.keepCondemned(now, d)
 	case alone:
 		q.publish(d, "", gossipRecord{Cleared: true})
 	}
@@ -207,6 +228,6 @@
 	case record.Alone:
 		q.ledger.MarkRunningAlone(now, d)
 	case record.Cleared:
-		q.ledger.Clear(d)
+		q.ledger.Clear(now, d)
 	}
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/member"
 	"github.com/galenaseam/galenaseam/upstream"
 )
@@ -64,7 +66,7 @@
 	b := &fakeGossip{now: time.Unix(1_000_000, 0), delay: delay}
 	var fleet []*Quarantine
 	for i := range hosts {
-		q, err := New(Config{Gossip: fakeGossipPeer{b, i}, Now: func() time.Time { return b.now }})
+		q, err := New(Config{Gossip: fakeGossipPeer{b, i}, Now: func() time.Time { return b.now }}, link.NewMux())
 		require.NoError(t, err)
 		fleet = append(fleet, q)
 	}
@@ -209,3 +211,99 @@
 	}
 	require.Equal(t, Refuse, l.Check(now.Add(time.Second), crashing))
 }
+
+// Guards against a host that starts after all that saw the crashes have stopped and runs the
+// request again, against a sound request that becomes a suspect again by a host that has not
+// learned that it ran to its end, and against a right to run alone that hosts prolong for each
+// other for ever.
+func TestStartingHostLearnsOfSuspectRequests(t *testing.T) {
+	b, fleet := newFleet(t, 2, time.Second)
+	learn := func(from *Quarantine) *Quarantine {
+		_, started := newFleet(t, 1, time.Second)
+		started[0].now = func() time.Time { return b.now }
+		started[0].merge(from.report(), "host")
+		return started[0]
+	}
+	condemned, suspect := Digest{1}, Digest{2}
+	fleet[0].Ended(condemned, "u0", true)
+	b.advance(time.Second)
+	fleet[0].Ended(condemned, "u1", true)
+	b.advance(5 * time.Second)
+	fleet[0].Ended(suspect, "u2", true)
+	b.advance(time.Second)
+	third := learn(learn(fleet[1]))
+	require.Equal(t, Refuse, third.Check(b.now, condemned))
+	require.Equal(t, RunAlone, third.Check(b.now, suspect))
+	held := learn(third)
+	for range 9 {
+		b.advance(DefaultSettings().AloneLease / 10)
+		held.merge(third.report(), "host")
+		third.merge(held.report(), "host")
+	}
+	require.Equal(t, Refuse, held.Check(b.now, suspect))
+	b.advance(DefaultSettings().AloneLease / 10)
+	require.Equal(t, RunAlone, held.Check(b.now, suspect))
+	held.Ended(suspect, "", false)
+	held.merge(fleet[1].report(), "host")
+	require.Equal(t, Allow, held.Check(b.now, suspect))
+	require.Equal(t, Refuse, held.Check(b.now, condemned))
+	b.advance(DefaultSettings().CondemnedTTL)
+	held.merge(third.report(), "host")
+	require.NotEqual(t, Refuse, held.Check(b.now, condemned), "it is not refused for longer than by the host that condemned it")
+}
+
+// Load: the store has a condemned request, an odd value and an odd name; no host is left. Guards
+// against a request that crashes upstreams again after a loss of all hosts, one that is refused
+// though a part of its prompt explains the losses, and a key that is written for each refusal.
+func TestCondemnedRequestIsKeptInTheStore(t *testing.T) {
+	now, kept := time.Unix(1_000_000, 0), make(map[string][]byte)
+	writes, explained := 0, false
+	start := func() *Quarantine {
+		q, err := New(Config{
+			Gossip: fakeGossipPeer{&fakeGossip{}, 0}, Now: func() time.Time { return now }, Logger: slog.New(slog.DiscardHandler),
+			Settings: Settings{Explained: func(upstream.ID) bool { return explained }},
+			Keep: func(name string, value []byte, ttl time.Duration) {
+				require.LessOrEqual(t, ttl, 10*time.Minute)
+				kept[name], writes = value, writes+1
+			},
+		}, link.NewMux())
+		require.NoError(t, err)
+		return q
+	}
+	q, d := start(), Digest{7}
+	for _, id := range []upstream.ID{"u0", "u1"} {
+		q.Ended(d, id, true)
+		now = now.Add(time.Second)
+	}
+	require.Equal(t, Refuse, q.Check(now, d))
+	require.Equal(t, 1, writes)
+	restarted := start()
+	for name, value := range kept {
+		require.NoError(t, restarted.Kept(name, value))
+		require.ErrorContains(t, restarted.Kept(name, []byte("odd")), "is malformed")
+		require.ErrorContains(t, restarted.Kept("odd", value), "has no digest")
+	}
+	require.Equal(t, Refuse, restarted.Check(now, d))
+	require.Equal(t, 1, writes)
+	explained = true
+	require.Equal(t, Allow, restarted.Check(now, d))
+	explained = false
+	now = now.Add(6 * time.Minute)
+	require.Equal(t, Refuse, restarted.Check(now, d))
+	require.Equal(t, 2, writes, "the store forgets after ten minutes, so that it is written again")
+}
+
+// Guards against reports that grow with the losses of a rack, and that leave out what is condemned.
+func TestReportIsBounded(t *testing.T) {
+	b, fleet := newFleet(t, 1, time.Second)
+	for _, id := range []upstream.ID{"a", "b"} {
+		fleet[0].Ended(Digest{1}, id, true)
+		b.advance(time.Second)
+	}
+	for i := range 1000 {
+		fleet[0].Ended(Digest{2, byte(i), byte(i >> 8)}, upstream.ID(fmt.Sprint("u", i)), true)
+	}
+	r := fleet[0].report()
+	require.Len(t, r.Suspects, maxReported)
+	require.Equal(t, byte(1), r.Suspects[0].Digest[0])
+}
--- a/run.go
+++ b/run.go
@@ -71,6 +71,7 @@
 		h.claims.Run,
 		h.planners.run,
 		h.promptParts.Run,
+		h.quarantine.Run,
 		h.publishReadiness,
 	}
 	for _, component := range components {
