--- a/cmd/seamedge/main.go
+++ b/cmd/seamedge/main.go
@@ -97,7 +97,7 @@
 	logger := slog.New(slog.NewJSONHandler(logOutput, &slog.HandlerOptions{Level: f.logLevel})).With("host", settings.Name)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	host, err := edge.New(f.hostSettings(settings), edgePlatform(settings), logger, registry)
+	host, err := edge.New(f.hostSettings(settings), edgePlatform(settings, logger), logger, registry)
 	if err != nil {
 		logger.Error("host could not be built", "error", err.Error())
 		return exitFailed
@@ -133,8 +133,9 @@
 }
 
 // edgePlatform returns the edge host's view of the platform's services and formats.
-func edgePlatform(s platform.Settings) edge.Platform {
+func edgePlatform(s platform.Settings, logger *slog.Logger) edge.Platform {
 	store := platform.NewStore(s.Store, 0)
+	store.LogTo(logger)
 	return edge.Platform{
 		Codec:    platform.HTTPCodec{},
 		Source:   platform.Source{Store: store},
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -42,17 +42,20 @@
 	Era      int64 // of the store's answer
 	Revision int64
 	Removed  bool
+	// Omitted is about the size in bytes of a value that was too large to be held. Value is empty then.
+	Omitted int
 }
 
 func (i Item) position() infra.Position { return infra.Position{Era: i.Era, Revision: i.Revision} }
 
 // Source reads the platform's store.
 type Source interface {
-	// Read returns all items and the position that they reflect.
+	// Read returns all items and the position that they reflect. ErrUnreadable means that there
+	// are too many.
 	Read(ctx context.Context) ([]Item, infra.Position, error)
 	// Changes waits for changes after a position, in the same era. It returns
 	// them and the position from which to continue. ErrHistoryGone means that
-	// Read is needed again, also because the store's era rose. ErrWatchCut means that
+	// Read is needed again, also because the store's era rose, as does ErrUnreadable. ErrWatchCut means that
 	// the store closed the connection before the wait was over.
 	Changes(ctx context.Context, after infra.Position, wait time.Duration) ([]Item, infra.Position, error)
 }
@@ -60,6 +63,10 @@
 // ErrHistoryGone means that the store no longer holds the requested changes.
 var ErrHistoryGone = errs.New("history gone")
 
+// ErrUnreadable means that what the store has answered can't be read or held. The same call
+// would get the same answer. After Changes, Read is needed.
+var ErrUnreadable = errs.New("answer of the store can't be read")
+
 // ErrWatchCut means that the store ended a waiting call without an answer, as it may at
 // any time. It is no sign of an outage.
 var ErrWatchCut = errs.New("watch cut")
@@ -338,6 +345,9 @@
 		return
 	}
 	entry, err := d.config.Format.DecodeUpstream(id, item.Value)
+	if item.Omitted > 0 {
+		err = Error.New("value of about %d bytes is too large for an entry", item.Omitted)
+	}
 	if err != nil {
 		d.config.Logger.Warn("upstream entry ignored", "upstream", string(id), "revision", item.Revision, "error", err.Error())
 		d.config.Instances.Discard(id, item.position())
@@ -397,11 +407,11 @@
 }
 
 // maxHostEntries is the number of host entries above which recorded removals
-// are dropped.
+// are dropped, and then new entries are ignored.
 const maxHostEntries = 16_384
 
-// putHost stores a host's entry unless a newer one is known. The caller holds
-// mu.
+// putHost stores a host's entry unless a newer one is known, or there are too many. The
+// caller holds mu.
 func (d *Directory) putHost(entry hostEntry) {
 	old, known := d.hosts[entry.Key]
 	if known && !entry.position().After(old.position()) {
@@ -409,6 +419,9 @@
 	}
 	if !known && len(d.hosts) >= maxHostEntries {
 		maps.DeleteFunc(d.hosts, func(_ string, h hostEntry) bool { return h.Removed })
+		if len(d.hosts) >= maxHostEntries {
+			return
+		}
 	}
 	d.hosts[entry.Key] = entry
 }
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -23,6 +23,9 @@
 	// maxRetryDelay, so that a returning store is not flooded.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
+	// unreadableRetryDelay is the delay after a read of the whole store that has more than this
+	// host can hold. Another one is as long, and fails until somebody removes items.
+	unreadableRetryDelay = 5 * time.Second
 	// followerRetryFraction of Config.MaxPropagationDelay is the maximum for the followers
 	// of a large fleet: the watchers find out first that the store is back.
 	followerRetryFraction = 0.5
@@ -63,6 +66,9 @@
 		default:
 			d.recordFailure(err, time.Now())
 			next = nextCall{readAll: next.readAll, confirm: true}
+			if errors.Is(err, ErrUnreadable) {
+				delay = unreadableRetryDelay
+			}
 			_ = sleep.For(ctx, delay)
 			delay = d.nextRetryDelay(delay, rand.Float64())
 		}
@@ -155,6 +161,11 @@
 		d.config.Logger.Warn("store no longer holds the changes to follow, reading everything", "era", at.Era, "as_of", at.Revision)
 		*next = nextCall{readAll: true}
 		return nil
+	case errors.Is(err, ErrUnreadable):
+		at := d.position()
+		d.config.Logger.Warn("changes of the store can't be read, reading everything", "era", at.Era, "as_of", at.Revision, "error", err.Error())
+		*next = nextCall{readAll: true}
+		return sleep.For(ctx, minRetryDelay)
 	case errors.Is(err, ErrWatchCut) && !next.confirm:
 		d.recordCutWatch(now.Sub(sent), now)
 		*next = nextCall{confirm: true}
--- a/directory/outage_test.go
+++ b/directory/outage_test.go
@@ -95,3 +95,26 @@
 	require.Zero(t, d.outages.failedAt)
 	require.True(t, d.confirmedAt.After(begun), "the store keeps confirming that nothing changed")
 }
+
+// Guards against a host that asks again for changes that it can't read, and against one that takes
+// this for an outage of the store, in which removed upstreams are kept.
+func TestUnreadableChangesAreReplacedByAReadOfEverything(t *testing.T) {
+	t.Parallel()
+	store := &testStore{changed: make(chan struct{}), unreadable: true}
+	d := newLoneDirectory(store, nil)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() { _ = d.Run(ctx) }()
+	const changes = 4
+	for revision := range int64(changes) {
+		store.put("odd", instance.Entry{}, false)
+		require.Eventually(t, func() bool { return d.Revision() == revision+1 }, 5*time.Second, time.Millisecond)
+	}
+	store.mu.Lock()
+	calls := store.calls
+	store.mu.Unlock()
+	require.LessOrEqual(t, calls, 2*changes+2, "the first read, then a watch and a read for each change, and a watch that waits")
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	require.Zero(t, d.outages.failedAt)
+}
--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -65,6 +65,7 @@
 	rejectCalls bool
 	silent      bool // waiting watches receive nothing until they time out
 	cutsWatches bool // ends watches at once instead of letting them wait
+	unreadable  bool // answers watches with changes that can't be read
 }
 
 // put records a change.
@@ -157,6 +158,9 @@
 		if newest.Era != after.Era {
 			return nil, infra.Position{}, ErrHistoryGone
 		}
+		if len(items) > 0 && s.unreadable {
+			return nil, infra.Position{}, ErrUnreadable
+		}
 		if len(items) > 0 {
 			return items, newest, nil
 		}
--- a/edge/store_test.go
+++ b/edge/store_test.go
@@ -46,6 +46,26 @@
 	}
 }
 
+// Load: 14 entries of another writer, of the largest size that the store takes, and at once a
+// configuration that takes a key away. Guards against hosts that follow nothing any more, since
+// they ask again and again for changes that are too many bytes at once.
+func TestHostFollowsTheStorePastLargeEntries(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(5, nil)
+	f.upstream(&platformtest.Upstream{ID: "u1", Service: "plain"})
+	n := f.start()
+	for i := range 14 {
+		f.store.Put("servers/large-"+strconv.Itoa(i), make([]byte, 1<<20))
+	}
+	f.configure(9, func(c map[string]any) {
+		c["tenants"] = []map[string]any{{"name": "welders", "api_keys": []string{"new"}}}
+	})
+	require.Eventually(t, func() bool {
+		return f.send(n, http.MethodGet, "/read/1", "r").status == http.StatusUnauthorized
+	}, waitTimeout, 10*time.Millisecond)
+}
+
 // Guards against hosts that can't tell each other what is in the store, or send requests to
 // themselves, because another client of the store wrote an odd entry among the upstreams'.
 func TestOddUpstreamEntriesStopNoHost(t *testing.T) {
