edge, gateway: Answer what a stopping host has read, refuse what it can't finish

Cause: http.Server.Shutdown drops each request whose head is complete only after the call, and nothing that takes requests asked how much of the grace period is left.

Change: the host closes connections itself, each when nothing has arrived on it that is not answered. A request that is not to be expected to end in the time left is refused with 503 before anything runs. The end of the grace period ends the wait for bodies and for the first configuration.

TestStoppingHostRefusesWhatComesTooLate: all eight cases failed before, with a connection closed without an answer.

Measured: the eight cases pass; the tests of edge, gateway and platform pass under the race detector.

--- a/edge/callerconn.go
+++ b/edge/callerconn.go
@@ -73,7 +73,7 @@
 	for {
 		accepted, err := l.Listener.Accept()
 		if err != nil {
-			return nil, err
+			return nil, l.server.acceptError(err)
 		}
 		now := time.Now()
 		if !l.server.makeRoom(now) {
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -54,6 +54,8 @@
 	closed   *prometheus.CounterVec
 
 	mu       sync.Mutex // guards the fields below; taken before that of a callerConn
+	listener net.Listener
+	stopped  bool // no further connections are accepted
 	open     map[*callerConn]struct{}
 	loggedAt map[string]time.Time // of each reason
 	fullAt   time.Time            // when no connection could be closed for another
--- a/edge/drain_test.go
+++ b/edge/drain_test.go
@@ -101,6 +101,74 @@
 	}
 }
 
+// Guards against requests that a stopping host takes late, passes on and then ends, and against
+// bodies that it waits for until it closes their connections without an answer. The grace period is
+// 3 s, of which requests are served for 2.4 s; the load balancer sends connections for one more
+// second.
+func TestStoppingHostRefusesWhatComesTooLate(t *testing.T) {
+	t.Parallel()
+	const whole, part = "content-length: 4\r\n\r\nbody", "content-length: 4\r\n\r\nbo"
+	for name, c := range map[string]struct {
+		path, rest string
+		after      time.Duration // from SIGTERM to the request, on a connection that was in use before
+		status     int
+		runs       int
+	}{
+		"stream":                       {"/talk/1", whole, 1400 * time.Millisecond, http.StatusServiceUnavailable, 0},
+		"stream that may run once":     {"/tell/1", whole, 1400 * time.Millisecond, http.StatusServiceUnavailable, 0},
+		"call that may run once":       {"/order/1", whole, 2200 * time.Millisecond, http.StatusServiceUnavailable, 0},
+		"repeatable call":              {"/read/1", whole, 2200 * time.Millisecond, http.StatusServiceUnavailable, 0},
+		"call that ends in time":       {"/order/1", whole, 1400 * time.Millisecond, http.StatusOK, 1},
+		"body that has not arrived":    {"/order/1", part, -200 * time.Millisecond, http.StatusServiceUnavailable, 0},
+		"body of a stream, likewise":   {"/tell/1", part, 500 * time.Millisecond, http.StatusServiceUnavailable, 0},
+		"chunks that have not arrived": {"/order/1", "transfer-encoding: chunked\r\n\r\n2\r\nbo\r\n", 500 * time.Millisecond, http.StatusServiceUnavailable, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.configure(1, func(config map[string]any) {
+				for _, r := range config["routes"].([]map[string]any) {
+					r["timeout_ms"] = 20_000
+				}
+			})
+			upstreams := []*platformtest.Upstream{
+				f.upstream(&platformtest.Upstream{ID: "u1", Service: "events", Events: 30, EventPause: 100 * time.Millisecond}),
+				f.upstream(&platformtest.Upstream{ID: "u2", Service: "plain", Work: 300 * time.Millisecond}),
+			}
+			n := f.startWith(f.store.Addr(), func(s *edge.Settings) { s.Grace, s.DrainDelay = 3*time.Second, time.Second })
+			require.NoError(t, n.waitReady())
+			conn, err := net.Dial("tcp4", n.settings.CallerAddr.String())
+			require.NoError(t, err)
+			defer conn.Close()
+			// A connection on which a head has begun is not closed as an idle one.
+			_, err = io.WriteString(conn, "PO")
+			require.NoError(t, err)
+			time.Sleep(100 * time.Millisecond)
+			request := func() {
+				_, err := fmt.Fprintf(conn, "ST %s HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: a\r\nDeadline-Ms: 15000\r\nAuthorization: Bearer key-of-welders\r\n%s", c.path, c.rest)
+				require.NoError(t, err)
+			}
+			if c.after < 0 {
+				request()
+				time.Sleep(-c.after)
+			}
+			n.stop()
+			if c.after > 0 {
+				time.Sleep(c.after)
+				request()
+			}
+			got, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err, "the connection is closed without an answer")
+			_, err = io.Copy(io.Discard, got.Body)
+			require.NoError(t, err)
+			require.Equal(t, c.status, got.StatusCode)
+			require.True(t, got.Close)
+			require.NoError(t, <-n.result)
+			require.Len(t, append(upstreams[0].Runs(), upstreams[1].Runs()...), c.runs)
+		})
+	}
+}
+
 func TestDrainingHostServesRequestsAndClosesConnections(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
--- a/edge/run.go
+++ b/edge/run.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenaseam/galenaseam/directory"
+	"github.com/galenaseam/galenaseam/gateway"
 	"github.com/galenaseam/galenaseam/internal/sleep"
 	"github.com/galenaseam/galenaseam/internal/sockopt"
 	"github.com/galenaseam/galenaseam/throttle"
@@ -111,9 +112,7 @@
 		ReadHeaderTimeout: defaultHeaderTimeout,
 	}
 	for _, run := range []func() error{
-		func() error {
-			return serve(ctx, h.callers.server, callerListener{Listener: s.callers, server: h.callers})
-		},
+		func() error { return h.callers.serveOn(ctx, s.callers) },
 		func() error { return serve(ctx, readiness, s.readiness) },
 		func() error { return serve(ctx, metrics, s.metrics) },
 		func() error { return h.peerServer.Serve(ctx, s.peers) },
@@ -189,7 +188,8 @@
 	start := time.Now()
 	grace := h.grace()
 	h.draining.Store(true)
-	h.gateway.Drain()
+	stopAt := start.Add(grace - shutdownMargin)
+	h.gateway.Drain(gateway.Drain{RoutedUntil: start.Add(h.settings.DrainDelay), StopAt: stopAt})
 	h.tunnels.Drain()
 	h.unregister() // now, since the store may take longer to answer than there is time at the end
 	h.logger.Info("draining", "grace_ms", grace.Milliseconds())
@@ -199,9 +199,9 @@
 		h.logger.Warn("failed to announce leaving the fleet", "error", err.Error())
 	}
 	time.Sleep(time.Until(start.Add(h.settings.DrainDelay)))
-	shutdownCtx, cancelShutdown := context.WithDeadline(context.Background(), start.Add(grace-shutdownMargin))
+	shutdownCtx, cancelShutdown := context.WithDeadline(context.Background(), stopAt)
 	defer cancelShutdown()
-	if err := h.callers.server.Shutdown(shutdownCtx); err != nil {
+	if err := h.callers.shutdown(shutdownCtx); err != nil {
 		h.logger.Warn("requests ended at the end of the grace period", "requests", h.callers.inProgress.Load(), "error", err.Error())
 		h.gateway.Stop()
 		h.callers.awaitRequests()
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -86,7 +86,11 @@
 	if !x.bodyRead && x.r.ContentLength != 0 {
 		// Before it answers, net/http reads up to 256 KiB of a body that was not read. This
 		// fails only if the connection is closed.
-		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(maxRefusedBodyTime))
+		until := time.Now().Add(maxRefusedBodyTime)
+		if x.hostStops() {
+			until = longAgo
+		}
+		_ = http.NewResponseController(x.w).SetReadDeadline(until)
 	}
 	x.config.Codec.EncodeRefusal(x.w.Header(), x.request.ID, f.retryAfter)
 	x.w.Header().Set("Content-Length", "0")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,8 +83,8 @@
 
 // Gateway serves callers. It is safe for concurrent use.
 type Gateway struct {
-	config   Config
-	draining atomic.Bool
+	config Config
+	drain  atomic.Pointer[Drain] // nil unless the host stops
 	// stopped is done when Stop was called.
 	stopped context.Context
 	stop    context.CancelFunc
@@ -97,9 +97,6 @@
 	return g
 }
 
-// Drain makes every further answer close its connection.
-func (g *Gateway) Drain() { g.draining.Store(true) }
-
 // Stop ends the requests in progress. Those whose answer has not begun are refused with what
 // is known of them, the others are cut.
 func (g *Gateway) Stop() { g.stop() }
@@ -195,7 +192,7 @@
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if g.draining.Load() {
+	if g.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{Gateway: g, w: w, r: r, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
@@ -284,6 +281,10 @@
 	defer cancel()
 	defer context.AfterFunc(x.stopped, cancel)()
 	x.ctx = ctx
+	if refused, late := x.refuseLate(); late {
+		x.refuse(refused)
+		return
+	}
 	if refused, ok := x.checkQuarantine(); !ok {
 		x.refuse(refused)
 		return
--- a/gateway/prepare.go
+++ b/gateway/prepare.go
@@ -38,6 +38,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), wait)
 	defer cancel()
+	defer context.AfterFunc(x.stopped, cancel)()
 	return x.config.AwaitRoutes(ctx)
 }
 
@@ -62,11 +63,19 @@
 	// without one.
 	_ = control.SetReadDeadline(x.request.Arrived.Add(bodyTimeout))
 	limited := http.MaxBytesReader(x.w, x.r.Body, limit)
-	x.bodyRoom.Init(x.config.Memory, memory.Body, func() { _ = control.SetReadDeadline(longAgo) })
+	endReading := func() { _ = control.SetReadDeadline(longAgo) }
+	x.bodyRoom.Init(x.config.Memory, memory.Body, endReading)
+	keepReading := context.AfterFunc(x.stopped, endReading)
 	body, err := readBodyHeld(x.r.Context(), &x.bodyRoom, x.config.Memory.Large(), limited, x.r.ContentLength, limit)
+	if !keepReading() {
+		// The connection can't be read any more, also if the last bytes have just arrived.
+		x.w.Header().Set("Connection", "close")
+		return x.stopRefusal(), false
+	}
 	if errors.Is(err, errNoRoom) {
 		x.w.Header().Set("Connection", "close")
 		if !x.bodyRoom.Evicted() {
+			defer context.AfterFunc(x.stopped, endReading)()
 			_ = control.SetReadDeadline(time.Now().Add(maxDiscardTime))
 			discardBody(limited)
 		}
