policy: Attempts that were not sent don't use up a stage's attempts

Cause: a stage has three attempts, also if an attempt reached no upstream. A host that has not been told yet of crashes under other hosts' requests may choose three dead engines in a row, while 11 live.

Change: an attempt that was not sent is not counted; at most eight of them are made for a stage, and as before none is started that can't end in time.

TestAttemptsThatWereNotSentDoNotUseUpTheAttempts failed before (3 attempts where 9 and 4 are allowed).

--- a/policy/admit.go
+++ b/policy/admit.go
@@ -43,6 +43,7 @@
 		docIndex:  c.docs.indexOf(a.Document),
 		admitted:  now,
 		attempts:  make([]int, len(a.Stages)),
+		unsent:    make([]int, len(a.Stages)),
 		committed: make([]time.Duration, len(a.Stages)),
 	}
 }
--- a/policy/hedge.go
+++ b/policy/hedge.go
@@ -38,7 +38,7 @@
 func (c *Core) mayHedge(call *Call) bool {
 	p := call.pool
 	r := call.Request
-	if !c.settings.Hedges || !r.Idempotent || r.attempts[call.Stage] >= c.settings.MaxAttempts {
+	if !c.settings.Hedges || !r.Idempotent || r.sent(call.Stage) >= c.settings.MaxAttempts {
 		return false
 	}
 	if !c.settings.Queueing {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -200,6 +200,28 @@
 	require.Greater(t, retries, firstAttempts/10)
 }
 
+// Guards against a request that is refused while most upstreams live, since the three that it was
+// given had died and its host had not been told yet, and against tries without end.
+func TestAttemptsThatWereNotSentDoNotUseUpTheAttempts(t *testing.T) {
+	doc := testDoc(document.KindRerank, 4)
+	settings := Defaults()
+	settings.RetryBudgets = false
+	c := newTestCore(settings, doc, 4, 1)
+	tries := func(first, others Failure) int {
+		r, refusal := c.Admit(epoch, testArrival(doc, "r", "w", document.Class{Name: "c", RetryBudget: 1}))
+		require.Nil(t, refusal)
+		for failure := first; ; failure = others {
+			r.attempts[0]++
+			if _, again := c.MayRetry(epoch, r, 0, failure); !again {
+				return r.attempts[0]
+			}
+		}
+	}
+	require.Equal(t, maxUnsent+1, tries(NotSent, NotSent))
+	require.Equal(t, c.settings.MaxAttempts, tries(RefusedByUpstream, RefusedByUpstream))
+	require.Equal(t, c.settings.MaxAttempts+1, tries(NotSent, RefusedByUpstream))
+}
+
 // Attempts are priced from the document, the work of late requests and failed
 // attempts counts as wasted, and only large workspaces are named.
 func TestCostsFollowPricesAndCountWaste(t *testing.T) {
--- a/policy/request.go
+++ b/policy/request.go
@@ -11,8 +11,8 @@
 	Arrival
 	docIndex *documentIndex
 	admitted time.Time
-	// attempts counts the attempts by stage.
-	attempts []int
+	// attempts counts the attempts by stage, unsent those of them that reached no upstream.
+	attempts, unsent []int
 	// committed is the expected upstream time by stage that still counts in the
 	// pool's committed work.
 	committed []time.Duration
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -87,14 +87,24 @@
 	return true
 }
 
+// maxUnsent bounds the attempts of one stage that reached no upstream. When upstreams fail one
+// after the other, a host learns of each a little later than it chooses it.
+const maxUnsent = 8
+
+// sent returns how many attempts of a stage may have reached an upstream.
+func (r *Request) sent(stage int) int { return r.attempts[stage] - r.unsent[stage] }
+
 // MayRetry reports whether to repeat a stage after a failure, and how long to
-// wait first. A retry is charged to the budgets unless the failed attempt was
-// not sent.
+// wait first. A retry is charged to the budgets, and the failed attempt counts
+// towards MaxAttempts, unless it was not sent.
 func (c *Core) MayRetry(now time.Time, r *Request, stage int, f Failure) (time.Duration, bool) {
 	if !f.blamesUpstream() || (f.mayHaveRun() && !r.Idempotent) {
 		return 0, false
 	}
-	if r.attempts[stage] >= c.settings.MaxAttempts {
+	if f == NotSent {
+		r.unsent[stage]++
+	}
+	if r.sent(stage) >= c.settings.MaxAttempts || r.unsent[stage] > maxUnsent {
 		return 0, false
 	}
 	wait := c.backoff(r.attempts[stage])
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -55,7 +55,8 @@
 	// Fallbacks uses a stage's declared fallback when time runs short.
 	Fallbacks bool `yaml:"fallbacks"`
 
-	// MaxAttempts bounds the attempts of one stage, including the first.
+	// MaxAttempts bounds the attempts of one stage that may have reached an upstream, including
+	// the first.
 	MaxAttempts int `yaml:"max_attempts"`
 	// PoolRetryShare is the ratio of retries and hedges to first attempts that
 	// a pool's budget allows over all classes.
