staging: Follow the share that each class gets over less than half a burst

Cause: the measure that grants the guarantee forgot over 5 s, about a burst. What was served before the burst hid for its first 3 to 4 s that the class got nothing; the order of events at one instant then decided whether the rest made up for it.

Change: 2.5 s, and the guarantee aims at 0.35 of the share of all instead of 0.4. The bounds of the test are as they were.

--- a/staging/admission.go
+++ b/staging/admission.go
@@ -24,7 +24,7 @@
 	// share of all requests that are served, below which further requests of the class are
 	// served like those of the most urgent class. It is above the quarter that each class and
 	// workspace must get.
-	guaranteedShare = 0.4
+	guaranteedShare = 0.35
 	// guaranteedDraw is the part of the requests that would be refused which then get the
 	// guarantee, so that it does not go to the first ones only.
 	guaranteedDraw = 0.5
@@ -165,8 +165,9 @@
 }
 
 const (
-	// shareMemory is the time constant with which requests are forgotten: about a burst.
-	shareMemory = 5 * time.Second
+	// shareMemory is the time constant with which requests are forgotten, less than half of a
+	// burst: what was served before it would hide for too long that a class gets little.
+	shareMemory = 2500 * time.Millisecond
 	// sharePrior is how many served requests of each class are assumed at first. With less
 	// than one, a host with few requests of a class grants the guarantee after two refusals.
 	sharePrior = 0.5
