quarantine: Test that hosts of the build before are passed over

What was seen: nothing; the method quarantine.Requests is new, and hosts of the build before answer that they don't know it.

Change: a test with such a host beside a new one. A puller no longer edits the list that the membership returns, which the test's fixed list showed.

--- a/quarantine/pull.go
+++ b/quarantine/pull.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/galenaseam/galenaseam/host"
@@ -52,11 +51,16 @@
 // chooseOther returns another host at random; false if there is none.
 func (p puller[R]) chooseOther() (host.Info, bool) {
 	self := p.fleet.Self().ID
-	others := slices.DeleteFunc(p.fleet.Members(), func(m host.Member) bool { return m.ID == self || m.State != host.Alive })
+	var others []host.Info
+	for _, m := range p.fleet.Members() {
+		if m.ID != self && m.State == host.Alive {
+			others = append(others, m.Info)
+		}
+	}
 	if len(others) == 0 {
 		return host.Info{}, false
 	}
-	return others[rand.IntN(len(others))].Info, true
+	return others[rand.IntN(len(others))], true
 }
 
 // ask takes over what another host knows. It returns false if the host does not answer, or
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -1,15 +1,19 @@
 package quarantine
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenaseam/galenaseam/host"
+	"github.com/galenaseam/galenaseam/host/hosttest"
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/member"
 	"github.com/galenaseam/galenaseam/upstream"
@@ -307,3 +311,47 @@
 	require.Len(t, r.Suspects, maxReported)
 	require.Equal(t, byte(1), r.Suspects[0].Digest[0])
 }
+
+// Guards against a host that takes the error of a host of the build before, which does not know the
+// method, for an answer, and then learns nothing from newer ones for long.
+func TestHostsOfTheBuildBeforeAreAskedNoLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := hosttest.Fleet{
+			{Info: host.Info{ID: "self"}},
+			{Info: host.Info{ID: "old", LinkAddr: netip.MustParseAddrPort("10.0.0.1:1")}},
+			{Info: host.Info{ID: "new", LinkAddr: netip.MustParseAddrPort("10.0.0.2:1")}},
+		}
+		asked := make(map[netip.AddrPort]int)
+		_, known := newFleet(t, 1, time.Second)
+		condemned := Digest{1}
+		now := time.Now()
+		known[0].now = func() time.Time { return now }
+		known[0].Ended(condemned, "u0", true)
+		now = now.Add(time.Second)
+		known[0].Ended(condemned, "u1", true)
+		q, err := New(Config{
+			Gossip: fakeGossipPeer{&fakeGossip{}, 0}, Fleet: fleet, Logger: slog.New(slog.DiscardHandler),
+			Caller: callerFunc(func(peer netip.AddrPort, out any) error {
+				if asked[peer]++; peer == fleet[1].LinkAddr {
+					return link.ErrUnknownMethod
+				}
+				*out.(*requestsReport) = known[0].report()
+				return nil
+			}),
+		}, link.NewMux())
+		require.NoError(t, err)
+		ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+		defer stop()
+		require.NoError(t, q.Run(ctx))
+		require.Equal(t, Refuse, q.Check(time.Now(), condemned))
+		require.Positive(t, asked[fleet[1].LinkAddr])
+		require.Greater(t, asked[fleet[1].LinkAddr]+asked[fleet[2].LinkAddr], 25)
+	})
+}
+
+// callerFunc answers calls between hosts.
+type callerFunc func(peer netip.AddrPort, out any) error
+
+func (f callerFunc) Call(_ context.Context, peer netip.AddrPort, _ link.Method, _, out any) error {
+	return f(peer, out)
+}
