--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins and the harness of the scripted cases 11 to 15, after the build of the
+# deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -trimpath -o target/harness3 ./review/harness3
