--- a/review/harness3/staleconfig.go
+++ b/review/harness3/staleconfig.go
@@ -91,7 +91,7 @@
 	acknowledgedAt := time.Now()
 	r.record.note("the store has acknowledged version 3: /moved/ goes to the service after, /added/ is new")
 
-	probes := observe(f, acknowledgedAt.Add(observeTime))
+	probes := observe(f, []string{"/moved/x", "/added/x"}, acknowledgedAt.Add(observeTime))
 	boundAt := acknowledgedAt.Add(configApply)
 	if inTouch := silencedAt.Add(stableWindow); inTouch.After(boundAt) {
 		boundAt = inTouch
@@ -117,15 +117,15 @@
 	return p.status == http.StatusOK && strings.Contains(p.body, "i-before-")
 }
 
-// observe sends requests to each host on both routes until a time.
-func observe(f *fleet, until time.Time) []probe {
+// observe sends requests with some paths to each host until a time.
+func observe(f *fleet, paths []string, until time.Time) []probe {
 	var (
 		mu  sync.Mutex
 		all []probe
 		wg  sync.WaitGroup
 	)
 	for n, h := range f.hosts {
-		for m, path := range []string{"/moved/x", "/added/x"} {
+		for m, path := range paths {
 			client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 4}}
 			wg.Go(func() {
 				defer client.CloseIdleConnections()
