review: case 14, a piece of a stage after an omitted one is given no inputs

Cause: an omitted stage leaves the stages after it without inputs, and the pieces are sent all the same. Change: a scripted case; cases 11 and 13 run on twelve hosts, as the site has.

--- a/review/harness3/fleet.go
+++ b/review/harness3/fleet.go
@@ -23,6 +23,9 @@
 	metricsPort   = 9464 // as the deploy file says
 )
 
+// siteHosts is the number of machines of the site.
+const siteHosts = 12
+
 // program is what the deploy file starts on each machine.
 const program = "target/seamedge"
 
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -30,9 +30,10 @@
 
 // cases are the cases by name. Each reports whether the rule held.
 var cases = map[string]func(*run) (held bool, err error){
-	"stale-config": staleConfig,
-	"stale-entry":  staleEntry,
-	"retry-storm":  retryStorm,
+	"omitted-stage": omittedStage,
+	"stale-config":  staleConfig,
+	"stale-entry":   staleEntry,
+	"retry-storm":   retryStorm,
 }
 
 func main() {
--- a/review/harness3/retrystorm.go
+++ b/review/harness3/retrystorm.go
@@ -23,7 +23,6 @@
 
 // The service, and the requests for it.
 const (
-	stormHosts    = 12
 	stormServers  = 4
 	stormWork     = 600 * time.Millisecond
 	usualInterval = time.Second / 6
@@ -61,7 +60,7 @@
 		defer s.close()
 	}
 	store.Configure(1, []platformtest.Route{{Prefix: "/orders/", Type: "unsafe", Service: "orders"}}, []string{"key-0"})
-	f, err := newFleet(r.dir, stormHosts, store.Addr().String())
+	f, err := newFleet(r.dir, siteHosts, store.Addr().String())
 	if err != nil {
 		return false, err
 	}
--- a/review/harness3/staleconfig.go
+++ b/review/harness3/staleconfig.go
@@ -65,7 +65,7 @@
 	keys := []string{"key-0"}
 	moved, added := platformtest.Route{Prefix: "/moved/", Type: "unsafe", Service: "before"}, platformtest.Route{Prefix: "/added/", Type: "unsafe", Service: "after"}
 	store.Configure(1, []platformtest.Route{moved}, keys)
-	f, err := newFleet(r.dir, 3, proxy.addr())
+	f, err := newFleet(r.dir, siteHosts, proxy.addr())
 	if err != nil {
 		return false, err
 	}
--- a/review/harness3/staleentry.go
+++ b/review/harness3/staleentry.go
@@ -32,7 +32,7 @@
 	const leaving = "i-orders-2"
 	route := []platformtest.Route{{Prefix: "/orders/", Type: "unsafe", Service: "orders"}}
 	store.Configure(1, route, []string{"key-0"})
-	f, err := newFleet(r.dir, 3, proxy.addr())
+	f, err := newFleet(r.dir, siteHosts, proxy.addr())
 	if err != nil {
 		return false, err
 	}
