review: case 11, a stream is cut while its draining server is at work

Cause: after 1.2 s of silence hosts probe the server, and end the stream when it accepts no connection, though the kept one is sound.

--- /dev/null
+++ b/review/harness3/modelserver.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/galenaseam/galenaseam/platform/platformtest"
+)
+
+// modelServer streams events. It can leave as a server does that shuts down in order: it reports
+// that it is draining, goes on for a while, accepts no further connections, and ends what it has.
+type modelServer struct {
+	id, zone   string
+	events     int
+	eventPause time.Duration
+	record     *record
+	listener   net.Listener
+
+	mu      sync.Mutex // guards the fields below
+	holdTo  time.Time  // events wait until then: the streams are preempted
+	streams map[string]*modelStream
+}
+
+// modelStream is a stream as its server saw it.
+type modelStream struct {
+	id       string
+	server   string
+	startAt  time.Time
+	endAt    time.Time
+	events   int
+	complete bool
+}
+
+func (m *modelServer) start() error {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	m.listener, m.streams = listener, make(map[string]*modelStream)
+	go func() { _ = http.Serve(listener, http.HandlerFunc(m.serve)) }() //nolint:gosec // callers are the case's own hosts
+	return nil
+}
+
+// report writes the server's entry.
+func (m *modelServer) report(store *platformtest.Store, state string) error {
+	entry, err := json.Marshal(map[string]any{
+		"service": modelService, "address": m.listener.Addr().String(), "zone": m.zone, "version": "v1", "concurrency": 64,
+		"state": state, "warmup_left_ms": 0, "seq": 1, "born": 1_780_000_000_000,
+	})
+	if err != nil {
+		return err
+	}
+	store.Put("servers/"+m.id, entry)
+	return nil
+}
+
+// stopAccepting closes the listener. What is in progress goes on.
+func (m *modelServer) stopAccepting() { _ = m.listener.Close() }
+
+// preempt makes the streams in progress send nothing for a time.
+func (m *modelServer) preempt(length time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.holdTo = time.Now().Add(length)
+}
+
+// list returns the streams that the server has run.
+func (m *modelServer) list() []modelStream {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make([]modelStream, 0, len(m.streams))
+	for _, s := range m.streams {
+		all = append(all, *s)
+	}
+	return all
+}
+
+func (m *modelServer) serve(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // the body does not matter
+	id := r.Header.Get("Attempt-Id")
+	s := &modelStream{id: id, server: m.id, startAt: time.Now()}
+	m.mu.Lock()
+	m.streams[id] = s
+	m.mu.Unlock()
+	defer func() {
+		m.mu.Lock()
+		s.endAt = time.Now()
+		m.mu.Unlock()
+	}()
+	w.Header().Set("Attempt-Id", id)
+	w.Header().Set("Server-Stamp", "stamp-of-"+m.id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := range m.events {
+		m.mu.Lock()
+		pause := max(time.Until(m.holdTo), 0) + m.eventPause
+		m.mu.Unlock()
+		select {
+		case <-time.After(pause):
+		case <-r.Context().Done():
+			return
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: event %s\n\n", i, strconv.Itoa(i)); err != nil {
+			return
+		}
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		m.mu.Lock()
+		s.events++
+		s.complete = s.events == m.events
+		m.mu.Unlock()
+	}
+}
