--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -30,11 +30,12 @@
 
 // cases are the cases by name. Each reports whether the rule held.
 var cases = map[string]func(*run) (held bool, err error){
-	"draining-server": drainingServer,
-	"omitted-stage":   omittedStage,
-	"stale-config":    staleConfig,
-	"stale-entry":     staleEntry,
-	"retry-storm":     retryStorm,
+	"draining-server":   drainingServer,
+	"restarting-server": restartingServers,
+	"omitted-stage":     omittedStage,
+	"stale-config":      staleConfig,
+	"stale-entry":       staleEntry,
+	"retry-storm":       retryStorm,
 }
 
 func main() {
--- a/review/harness3/staleconfig.go
+++ b/review/harness3/staleconfig.go
@@ -91,7 +91,7 @@
 	acknowledgedAt := time.Now()
 	r.record.note("the store has acknowledged version 3: /moved/ goes to the service after, /added/ is new")
 
-	probes := observe(f, []string{"/moved/x", "/added/x"}, acknowledgedAt.Add(observeTime))
+	probes := observe(f, []string{"/moved/x", "/added/x"}, probeInterval, acknowledgedAt.Add(observeTime))
 	boundAt := acknowledgedAt.Add(configApply)
 	if inTouch := silencedAt.Add(stableWindow); inTouch.After(boundAt) {
 		boundAt = inTouch
@@ -117,8 +117,9 @@
 	return p.status == http.StatusOK && strings.Contains(p.body, "i-before-")
 }
 
-// observe sends requests with some paths to each host until a time.
-func observe(f *fleet, paths []string, until time.Time) []probe {
+// observe sends requests with some paths to each host until a time, with pauses between those of
+// one client.
+func observe(f *fleet, paths []string, pause time.Duration, until time.Time) []probe {
 	var (
 		mu  sync.Mutex
 		all []probe
@@ -134,7 +135,7 @@
 					mu.Lock()
 					all = append(all, p)
 					mu.Unlock()
-					time.Sleep(probeInterval)
+					time.Sleep(pause)
 				}
 			})
 		}
--- a/review/harness3/staleentry.go
+++ b/review/harness3/staleentry.go
@@ -56,7 +56,7 @@
 	acknowledgedAt := time.Now()
 	r.record.note("the store has removed the entry of %s, which goes on serving for a while", leaving)
 
-	probes := observe(f, []string{"/orders/1"}, acknowledgedAt.Add(observeTime))
+	probes := observe(f, []string{"/orders/1"}, probeInterval, acknowledgedAt.Add(observeTime))
 	boundAt := acknowledgedAt.Add(drainTime)
 	if inTouch := silencedAt.Add(stableWindow); inTouch.After(boundAt) {
 		boundAt = inTouch
