--- a/review/harness3/drainingserver.go
+++ b/review/harness3/drainingserver.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/galenaseam/galenaseam/platform"
 	"github.com/galenaseam/galenaseam/platform/platformtest"
 )
 
@@ -52,7 +53,7 @@
 			"priority": 0, "service": modelService, "max_attempts": 1, "itl_target_ms": 200, "stages": []any{}, "resumable": false,
 		}},
 		"limits":  map[string]any{"max_body_bytes": 1 << 20, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "welders", "api_keys": []string{"key-0"}}},
+		"tenants": []map[string]any{{"name": "welders", wire.TenantKeys: []string{"key-0"}}},
 	})
 }
 
@@ -77,7 +78,7 @@
 	if err != nil {
 		return false, err
 	}
-	store.Put("op/config", config)
+	store.Put(platform.ConfigKey, config)
 	f, err := newFleet(r.dir, siteHosts, store.Addr().String())
 	if err != nil {
 		return false, err
@@ -181,7 +182,7 @@
 	}
 	request.Host = routeHost
 	for name, value := range map[string]string{
-		"Attempt-Id": id, "Deadline-Ms": "10000", "Authorization": "Bearer key-0", "Model": "m", "Token-Usage": "600,180", "Prompt-Prefix": "91bd3f06" + id[8:] + ":600",
+		wire.RequestID: id, "Deadline-Ms": "10000", "Authorization": "Bearer key-0", "Model": "m", wire.Tokens: "600,180", wire.PromptParts: "91bd3f06" + id[8:] + ":600",
 	} {
 		request.Header.Set(name, value)
 	}
--- a/review/harness3/fleet.go
+++ b/review/harness3/fleet.go
@@ -13,6 +13,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/galenaseam/galenaseam/platform"
 )
 
 // Ports of a host, the same on all hosts. Hosts have loopback addresses of their own.
@@ -153,7 +155,7 @@
 	}
 	defer log.Close()
 	h.command = exec.Command(program)
-	h.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "GALENASEAM_BOOT=" + h.settings}
+	h.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", platform.SettingsVariable + "=" + h.settings}
 	h.command.Stdout, h.command.Stderr = log, log
 	// The host ends with the thread that starts it, which is that of main.
 	h.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/harness3/modelserver.go
+++ b/review/harness3/modelserver.go
@@ -83,7 +83,7 @@
 
 func (m *modelServer) serve(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body) // the body does not matter
-	id := r.Header.Get("Attempt-Id")
+	id := r.Header.Get(wire.RequestID)
 	s := &modelStream{id: id, server: m.id, startAt: time.Now()}
 	m.mu.Lock()
 	m.streams[id] = s
@@ -93,8 +93,8 @@
 		s.endAt = time.Now()
 		m.mu.Unlock()
 	}()
-	w.Header().Set("Attempt-Id", id)
-	w.Header().Set("Server-Stamp", "stamp-of-"+m.id)
+	w.Header().Set(wire.RequestID, id)
+	w.Header().Set(wire.Stamp, "stamp-of-"+m.id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := range m.events {
 		m.mu.Lock()
--- a/review/harness3/omittedstage.go
+++ b/review/harness3/omittedstage.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/galenaseam/galenaseam/platform"
 	"github.com/galenaseam/galenaseam/platform/platformtest"
 )
 
@@ -50,8 +51,8 @@
 	}
 	s.listener = listener
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/stage-run", s.run)
-	mux.HandleFunc("POST /v1/stage-free", func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	mux.HandleFunc("POST "+platform.StageRunPath, s.run)
+	mux.HandleFunc("POST "+platform.StageFreePath, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
 	mux.HandleFunc("GET /v1/report", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, `{"queued":0,"busy":false,"free_mb":30}`)
 	})
@@ -99,7 +100,7 @@
 		}
 		stages = append(stages, map[string]any{"service": name, "after": after, "bytes": 8000})
 		services = append(services, map[string]any{"name": name, "max_conns": 720, "segments": map[string]any{
-			"concurrency": 1, "queue": 2, "batch": 8, "call_ms": 20, "item_ms": 1, "headroom_mb": 36, "handle_s": 4, "link_mbps": 10000,
+			"concurrency": 1, "queue": 2, "batch": 8, "call_ms": 20, "item_ms": 1, wire.ResultMemory: 36, "handle_s": 4, "link_mbps": 10000,
 		}})
 	}
 	services = append(services, map[string]any{"name": modelService, "max_conns": 720, "engine": map[string]any{"concurrency": 64, "kv_capacity": 557011}})
@@ -110,7 +111,7 @@
 			"priority": 0, "service": modelService, "max_attempts": 1, "itl_target_ms": 200, "stages": stages, "resumable": false,
 		}},
 		"limits":  map[string]any{"max_body_bytes": 1 << 20, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "welders", "api_keys": []string{"key-0"}}},
+		"tenants": []map[string]any{{"name": "welders", wire.TenantKeys: []string{"key-0"}}},
 	})
 }
 
@@ -158,7 +159,7 @@
 	if err != nil {
 		return false, err
 	}
-	store.Put("op/config", config)
+	store.Put(platform.ConfigKey, config)
 	f, err := newFleet(r.dir, 3, store.Addr().String())
 	if err != nil {
 		return false, err
@@ -210,8 +211,8 @@
 	}
 	request.Host = routeHost
 	for name, value := range map[string]string{
-		"Attempt-Id": id, "Deadline-Ms": "5000", "Authorization": "Bearer key-0", "Chunks": pieces, "Chunk-Key": "7c1e07a291bd",
-		"Model": "m", "Token-Usage": "600,80", "Prompt-Prefix": "5c1e07a2:400,91bd3f06:200",
+		wire.RequestID: id, "Deadline-Ms": "5000", "Authorization": "Bearer key-0", "Chunks": pieces, wire.PieceKey: "7c1e07a291bd",
+		"Model": "m", wire.Tokens: "600,80", wire.PromptParts: "5c1e07a2:400,91bd3f06:200",
 	} {
 		request.Header.Set(name, value)
 	}
--- a/review/harness3/restartingserver.go
+++ b/review/harness3/restartingserver.go
@@ -100,9 +100,9 @@
 
 func (s *restartingServer) serve(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body) // the body does not matter
-	id, now := r.Header.Get("Attempt-Id"), time.Now()
-	if expected := r.Header.Get("Expect-Instance"); expected != s.id {
-		w.Header().Set("Not-Executed", "1")
+	id, now := r.Header.Get(wire.RequestID), time.Now()
+	if expected := r.Header.Get(wire.ExpectedServer); expected != s.id {
+		w.Header().Set(wire.NotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -110,16 +110,16 @@
 	refused := now.Before(s.refuseUntil)
 	s.seen = append(s.seen, seenRequest{id: id, at: now, refused: refused})
 	s.mu.Unlock()
-	w.Header().Set("Attempt-Id", id)
+	w.Header().Set(wire.RequestID, id)
 	if refused {
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(wire.NotRun, "1")
 		w.Header().Set("Retry-After", strconv.Itoa(int(askedPause/time.Second)))
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	time.Sleep(15 * time.Millisecond)
 	body := fmt.Sprintf("answer of %s to %s", s.id, id)
-	w.Header().Set("Server-Stamp", "stamp-of-"+s.id)
+	w.Header().Set(wire.Stamp, "stamp-of-"+s.id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = io.WriteString(w, body) // the host may have left
 }
--- a/review/harness3/retrystorm.go
+++ b/review/harness3/retrystorm.go
@@ -136,7 +136,7 @@
 		return 0, 0
 	}
 	request.Host = platformtest.Host
-	request.Header.Set("Attempt-Id", id)
+	request.Header.Set(wire.RequestID, id)
 	request.Header.Set("Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
 	request.Header.Set("Authorization", "Bearer key-0")
 	at := time.Now()
--- a/review/harness3/slotserver.go
+++ b/review/harness3/slotserver.go
@@ -81,14 +81,14 @@
 
 func (s *slotServer) serve(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body) // the body does not matter
-	id := r.Header.Get("Attempt-Id")
+	id := r.Header.Get(wire.RequestID)
 	index := s.arrivals.add(id, s.id)
-	w.Header().Set("Attempt-Id", id)
+	w.Header().Set(wire.RequestID, id)
 	select {
 	case s.queue <- struct{}{}:
 		defer func() { <-s.queue }()
 	default:
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(wire.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -101,7 +101,7 @@
 	s.arrivals.setRan(index)
 	time.Sleep(s.work)
 	body := fmt.Sprintf("answer of %s to %s", s.id, id)
-	w.Header().Set("Server-Stamp", "stamp-of-"+s.id)
+	w.Header().Set(wire.Stamp, "stamp-of-"+s.id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = io.WriteString(w, body) // the host may have left
 }
--- a/review/harness3/staleconfig.go
+++ b/review/harness3/staleconfig.go
@@ -153,7 +153,7 @@
 		return p
 	}
 	request.Host = platformtest.Host
-	request.Header.Set("Attempt-Id", id)
+	request.Header.Set(wire.RequestID, id)
 	request.Header.Set("Deadline-Ms", strconv.Itoa(3000))
 	request.Header.Set("Authorization", "Bearer key-0")
 	answer, err := client.Do(request)
