--- a/review/harness3/fleet.go
+++ b/review/harness3/fleet.go
@@ -154,16 +154,16 @@
 		return err
 	}
 	defer log.Close()
-	h.command = exec.Command(program)
-	h.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", platform.SettingsVariable + "=" + h.settings}
-	h.command.Stdout, h.command.Stderr = log, log
+	command := exec.Command(program)
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", platform.SettingsVariable + "=" + h.settings}
+	command.Stdout, command.Stderr = log, log
 	// The host ends with the thread that starts it, which is that of main.
-	h.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := h.command.Start(); err != nil {
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
 		return err
 	}
-	command, exited := h.command, make(chan struct{})
-	h.exited = exited
+	exited := make(chan struct{})
+	h.command, h.exited = command, exited
 	go func() {
 		_ = command.Wait() // how the process ended is in its log
 		close(exited)
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"os"
-	"path/filepath"
 	"runtime"
 	"time"
 )
@@ -46,7 +45,7 @@
 
 func runCase() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		_, _ = fmt.Fprintln(os.Stderr, "usage: harness3 CASE FOLDER")
+		_, _ = fmt.Fprintln(os.Stderr, "usage: harness3 CASE RECORD")
 		return exitNotRun
 	}
 	held, err := prepare(os.Args[1], os.Args[2])
@@ -60,7 +59,7 @@
 	return exitHeld
 }
 
-func prepare(name, folder string) (held bool, err error) {
+func prepare(name, recordPath string) (held bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), maxCaseTime)
 	defer cancel()
 	dir, err := os.MkdirTemp("", "harness3-")
@@ -72,7 +71,7 @@
 	} else {
 		_, _ = fmt.Fprintln(os.Stderr, "logs in", dir)
 	}
-	record, err := newRecord(filepath.Join(folder, "record.txt"))
+	record, err := newRecord(recordPath)
 	if err != nil {
 		return false, err
 	}
--- a/review/harness3/staleconfig.go
+++ b/review/harness3/staleconfig.go
@@ -130,6 +130,7 @@
 			client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 4}}
 			wg.Go(func() {
 				defer client.CloseIdleConnections()
+				time.Sleep(time.Duration(n) * pause / time.Duration(len(f.hosts)))
 				for i := 0; time.Now().Before(until); i++ {
 					p := send(client, h, path, fmt.Sprintf("%02x%02x%012x", n, m, i))
 					mu.Lock()
--- a/review/harness3/wire.go
+++ b/review/harness3/wire.go
@@ -17,6 +17,8 @@
 	PieceKey       string `json:"piece_key"`
 	TenantKeys     string `json:"tenant_keys"`
 	ResultMemory   string `json:"result_memory"`
+	Leaving        string `json:"leaving"`
+	Load           string `json:"load"`
 }
 
 //go:embed wire.json
