--- a/review/harness3/drainingserver.go
+++ b/review/harness3/drainingserver.go
@@ -64,7 +64,7 @@
 	defer store.Close()
 	var models []*modelServer
 	for i := range 4 {
-		m := &modelServer{id: fmt.Sprintf("i-model-%d", i), zone: zones[i], events: streamEvents, eventPause: streamPause, record: r.record}
+		m := &modelServer{id: fmt.Sprintf("i-model-%d", i), zone: zones[i], events: streamEvents, eventPause: streamPause}
 		if err := m.start(); err != nil {
 			return false, err
 		}
@@ -142,8 +142,9 @@
 	return checkStreams(r, sent, leaving.list(), hupAt), nil
 }
 
-// checkStreams reports whether each stream that was sent around the planned work to the leaving
-// server was answered whole, unless the server broke it off.
+// checkStreams reports whether the connection of each stream that was sent around the planned work
+// to the leaving server ended with a complete answer, unless the server broke it off or the
+// deadline, which is the route's timeout too, was reached.
 func checkStreams(r *run, sent []sentStream, ran []modelStream, hupAt time.Time) (held bool) {
 	bySent := make(map[string]sentStream)
 	for _, s := range sent {
@@ -152,10 +153,10 @@
 	held = true
 	for _, m := range ran {
 		s := bySent[m.id]
-		whole := s.status == http.StatusOK && s.events == streamEvents && s.err == nil
+		aroundWork := s.sentAt.After(hupAt) && s.sentAt.Before(hupAt.Add(configApply))
 		verdict := "allowed"
-		if !whole && s.sentAt.After(hupAt) && s.sentAt.Before(hupAt.Add(configApply)) {
-			held, verdict = false, "BROKEN: the server was still at work, the deadline not reached"
+		if s.err != nil && m.cut && aroundWork && s.endAt.Sub(s.sentAt) < streamDeadline {
+			held, verdict = false, "BROKEN: no complete answer; the server was at work, its connection was closed by the host, the deadline not reached"
 		}
 		r.record.noteAt(s.sentAt, "%s sent to %s, run by %s: the client got status %d and %d of %d events, ended at %.3f s, error %v; the server sent %d and ended at %.3f s; %s",
 			s.id, s.host, m.server, s.status, s.events, streamEvents, r.record.since(s.endAt), s.err, m.events, r.record.since(m.endAt), verdict)
--- a/review/harness3/modelserver.go
+++ b/review/harness3/modelserver.go
@@ -19,22 +19,22 @@
 	id, zone   string
 	events     int
 	eventPause time.Duration
-	record     *record
 	listener   net.Listener
 
 	mu      sync.Mutex // guards the fields below
 	holdTo  time.Time  // events wait until then: the streams are preempted
+	leaving bool       // all answers say so
 	streams map[string]*modelStream
 }
 
 // modelStream is a stream as its server saw it.
 type modelStream struct {
-	id       string
-	server   string
-	startAt  time.Time
-	endAt    time.Time
-	events   int
-	complete bool
+	id      string
+	server  string
+	startAt time.Time
+	endAt   time.Time
+	events  int
+	cut     bool // the host closed the connection before the end
 }
 
 func (m *modelServer) start() error {
@@ -57,6 +57,9 @@
 		return err
 	}
 	store.Put("servers/"+m.id, entry)
+	m.mu.Lock()
+	m.leaving = state != "ready"
+	m.mu.Unlock()
 	return nil
 }
 
@@ -70,6 +73,13 @@
 	m.holdTo = time.Now().Add(length)
 }
 
+// markCut records that a host closed the connection of a stream before its end.
+func (m *modelServer) markCut(s *modelStream) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s.cut = true
+}
+
 // list returns the streams that the server has run.
 func (m *modelServer) list() []modelStream {
 	m.mu.Lock()
@@ -83,6 +93,16 @@
 
 func (m *modelServer) serve(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body) // the body does not matter
+	m.mu.Lock()
+	if m.leaving {
+		w.Header().Set(wire.Leaving, "1")
+	}
+	m.mu.Unlock()
+	if expected := r.Header.Get(wire.ExpectedServer); expected != "" && expected != m.id {
+		w.Header().Set(wire.NotRun, "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	id := r.Header.Get(wire.RequestID)
 	s := &modelStream{id: id, server: m.id, startAt: time.Now()}
 	m.mu.Lock()
@@ -103,17 +123,16 @@
 		select {
 		case <-time.After(pause):
 		case <-r.Context().Done():
+			m.markCut(s)
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: event %s\n\n", i, strconv.Itoa(i)); err != nil {
-			return
-		}
-		if http.NewResponseController(w).Flush() != nil {
+		_, err := fmt.Fprintf(w, "id: %d\ndata: event %s\n\n", i, strconv.Itoa(i))
+		if err != nil || http.NewResponseController(w).Flush() != nil {
+			m.markCut(s)
 			return
 		}
 		m.mu.Lock()
 		s.events++
-		s.complete = s.events == m.events
 		m.mu.Unlock()
 	}
 }
