--- a/review/harness3/slotserver.go
+++ b/review/harness3/slotserver.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenaseam/galenaseam/platform/platformtest"
@@ -23,6 +24,7 @@
 	born              time.Time
 	listener          net.Listener
 	arrivals          *arrivals
+	leaving           atomic.Bool // all answers say so
 }
 
 // arrivals are the requests that reached a service. It is safe for concurrent use.
@@ -84,6 +86,9 @@
 	id := r.Header.Get(wire.RequestID)
 	index := s.arrivals.add(id, s.id)
 	w.Header().Set(wire.RequestID, id)
+	if s.leaving.Load() {
+		w.Header().Set(wire.Leaving, "1")
+	}
 	select {
 	case s.queue <- struct{}{}:
 		defer func() { <-s.queue }()
