--- a/review/harness3/omittedstage.go
+++ b/review/harness3/omittedstage.go
@@ -69,6 +69,11 @@
 }
 
 func (s *stageServer) run(w http.ResponseWriter, r *http.Request) {
+	if expected := r.Header.Get(wire.ExpectedServer); expected != "" && expected != s.id {
+		w.Header().Set(wire.NotRun, "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	var call struct {
 		Items []askedPiece `json:"items"`
 	}
@@ -87,6 +92,7 @@
 		results = append(results, map[string]string{"handle": fmt.Sprintf("%s/%s%d%d", s.listener.Addr(), i.ID, i.Phase, i.Segment)})
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(wire.Load, "1,0,1")
 	_ = json.NewEncoder(w).Encode(map[string]any{"items": results}) // the host may have left
 }
 
