Review cases 11 and 12: the records hold all that was sent and answered

Cause: case 11 recorded the streams of the leaving server only, case 12 only those answers that were no 200.

Change: all streams and all answers are recorded. The checks are as they were.

--- a/review/harness3/drainingserver.go
+++ b/review/harness3/drainingserver.go
@@ -139,9 +139,25 @@
 	time.Sleep(time.Second)
 	stopSending()
 	clients.Wait()
+	for _, m := range models[1:] {
+		recordStreams(r, sent, m.list())
+	}
 	return checkStreams(r, sent, leaving.list(), hupAt), nil
 }
 
+// recordStreams records streams of a server that stays.
+func recordStreams(r *run, sent []sentStream, ran []modelStream) {
+	bySent := make(map[string]sentStream)
+	for _, s := range sent {
+		bySent[s.id] = s
+	}
+	for _, m := range ran {
+		s := bySent[m.id]
+		r.record.noteAt(s.sentAt, "%s sent to %s, run by %s, which stays: the client got status %d and %d of %d events, error %v; the server sent %d",
+			s.id, s.host, m.server, s.status, s.events, streamEvents, s.err, m.events)
+	}
+}
+
 // checkStreams reports whether the connection of each stream that was sent around the planned work
 // to the leaving server ended with a complete answer, unless the server broke it off or the
 // deadline, which is the route's timeout too, was reached.
--- a/review/harness3/staleentry.go
+++ b/review/harness3/staleentry.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/galenaseam/galenaseam/platform/platformtest"
@@ -76,9 +75,7 @@
 	sentAt := make(map[string]probe)
 	for _, p := range probes {
 		sentAt[p.id] = p
-		if p.status != http.StatusOK {
-			r.record.noteAt(p.sentAt, "%s sent to %s: status %d, error %v", p.id, p.host, p.status, p.err)
-		}
+		r.record.noteAt(p.sentAt, "%s sent to %s: status %d after %d ms, error %v", p.id, p.host, p.status, p.took.Milliseconds(), p.err)
 	}
 	held = true
 	for _, a := range reached.list() {
