routing: A route whose stages can't run is refused as a whole, and operators are told

What callers saw: on a route whose stage names a service that does not exist, the first stage ran and the caller got 503 after 1.0 s, with a time to come back, at each try; where a result is larger than a server's memory, 503 after 1.75 s, at its deadline; where stages come after each other, 503 at each try. Nobody told the operators.

Cause: services and sizes of stages were looked at when the stage was reached, and the graph for each request.

Change: the table of a configuration checks the services of each route's stages beside their graph. Such a route's requests get 400 with the reason before anything runs; the directory logs each of them when the configuration comes into force. The other routes are served: a host that refused the whole configuration would go on with the one before, with keys that were taken away. The part of a server's memory that is used moved to routing, which decides whether a result fits, unchanged (0.92).

Tests: TestRouteWhoseStagesCantRunIsRefused fails on (503 for 400); TestRoutesWhoseStagesCantRunAreInvalid is of the new check.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -384,6 +384,9 @@
 	if newer {
 		d.config.Logger.Info("configuration in force", "version", uint64(table.Version()), "revision", revision,
 			"routes", len(decoded.Routes), "services", len(decoded.Services), "workspaces", len(decoded.Workspaces))
+		for _, route := range table.InvalidRoutes() {
+			d.config.Logger.Error("route can't be served", "route", route.Name, "version", uint64(table.Version()), "error", route.Err.Error())
+		}
 		d.config.OnConfig(table)
 	}
 }
--- a/edge/stages_test.go
+++ b/edge/stages_test.go
@@ -172,3 +172,27 @@
 			"a route without stages ignores the header")
 	}
 }
+
+// Guards against a configuration whose stages can't run and that is served half, or that keeps its
+// other routes from being served, and against operators who are not told.
+func TestRouteWhoseStagesCantRunIsRefused(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	stage := func(service string, after ...int) map[string]any {
+		return map[string]any{"service": service, "after": after, "bytes": 100}
+	}
+	f.configureStages(map[string][]map[string]any{
+		"cycle":   {stage("pieces", 1), stage("pieces", 0)},
+		"unknown": {stage("pieces"), stage("nowhere", 0)},
+		"beyond":  {stage("pieces"), stage("pieces", 2)},
+	})
+	f.upstream(&platformtest.Upstream{ID: "e", Service: "events", Events: 3})
+	server := f.upstream(&platformtest.Upstream{ID: "p", Service: "pieces"})
+	n := f.start()
+	for path, detail := range map[string]string{"cycle": "stage 0 comes after itself", "unknown": `service "nowhere" of stage 1`, "beyond": "after stage 2"} {
+		requireRefusedForGood(t, f.send(n, http.MethodPost, "/"+path+"/1", "r", "Chunks", "1,1", "Chunk-Key", "k"), "route_invalid", detail)
+		require.Equal(t, 1, n.log.count(`"route can't be served"`, path))
+	}
+	require.Empty(t, server.Asked())
+	require.Equal(t, http.StatusOK, f.send(n, http.MethodPost, "/staged/1", "s", "Chunks", "1,1", "Chunk-Key", "k").status)
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -132,6 +132,15 @@
 	ResultTTL time.Duration
 }
 
+// usableMemoryFraction is the fraction of a stage server's memory that is filled with results.
+// The rest is a reserve because results vary in size.
+const usableMemoryFraction = 0.92
+
+// UsableResultMemory returns how many bytes of results a stage server is filled with at the most.
+func (s *StageServer) UsableResultMemory() int64 {
+	return int64(usableMemoryFraction * float64(s.ResultMemory))
+}
+
 // FullBatchTime returns the duration of a call with a full batch.
 func (s *StageServer) FullBatchTime() time.Duration {
 	return s.CallTime + time.Duration(s.BatchSize)*s.PieceTime
--- a/routing/stagegraph.go
+++ b/routing/stagegraph.go
@@ -74,11 +74,28 @@
 func (g *StageGraph) Order() []int { return g.order }
 
 // StageGraph returns the graph of a route of the table; nil if it has no stages. It fails if
-// NewStageGraph does.
+// the configuration describes stages that no request can run.
 func (t *Table) StageGraph(r *Route) (*StageGraph, error) {
 	return t.stageGraphs[r].graph, t.stageGraphs[r].err
 }
 
+// InvalidRoute is a route that can't be served, with the reason.
+type InvalidRoute struct {
+	Name string
+	Err  error
+}
+
+// InvalidRoutes returns the routes whose StageGraph fails, in the order of the configuration.
+func (t *Table) InvalidRoutes() (all []InvalidRoute) {
+	for i := range t.config.Routes {
+		r := &t.config.Routes[i]
+		if _, err := t.StageGraph(r); err != nil {
+			all = append(all, InvalidRoute{Name: r.Name, Err: err})
+		}
+	}
+	return all
+}
+
 // tableStageGraph is the result of Table.StageGraph.
 type tableStageGraph struct {
 	graph *StageGraph
@@ -88,15 +105,42 @@
 // indexStageGraphs builds the graphs of the routes with stages.
 func (t *Table) indexStageGraphs() {
 	t.stageGraphs = make(map[*Route]tableStageGraph)
+	descriptions := make(map[string]int)
+	for i := range t.config.Services {
+		descriptions[t.config.Services[i].Name]++
+	}
 	for i := range t.config.Routes {
 		r := &t.config.Routes[i]
 		if len(r.Stages) == 0 {
 			continue
 		}
 		graph, err := NewStageGraph(r.Stages)
+		if err == nil {
+			err = t.checkStageServices(r.Stages, descriptions)
+		}
 		if err != nil {
 			graph = nil
 		}
 		t.stageGraphs[r] = tableStageGraph{graph, err}
 	}
 }
+
+// checkStageServices returns an error if the service of a stage can't run it. descriptions is how
+// often the configuration describes each service.
+func (t *Table) checkStageServices(stages []Stage, descriptions map[string]int) error {
+	for i, s := range stages {
+		service, known := t.services[s.Service]
+		switch {
+		case !known:
+			return Error.New("service %q of stage %d is not in the configuration", s.Service, i)
+		case descriptions[s.Service] > 1:
+			return Error.New("service %q of stage %d is described twice", s.Service, i)
+		case service.Stages == nil:
+			return Error.New("service %q of stage %d runs no stages", s.Service, i)
+		case s.ResultBytes > service.Stages.UsableResultMemory():
+			return Error.New("a result of stage %d has %d bytes, servers of %q take at most %d",
+				i, s.ResultBytes, s.Service, service.Stages.UsableResultMemory())
+		}
+	}
+	return nil
+}
--- a/routing/stagegraph_test.go
+++ b/routing/stagegraph_test.go
@@ -47,3 +47,33 @@
 		require.Equal(t, n, len(slices.Compact(slices.Sorted(slices.Values(g.Order())))))
 	})
 }
+
+// Guards against a route that is half served, and against one that takes the others with it.
+func TestRoutesWhoseStagesCantRunAreInvalid(t *testing.T) {
+	routes := []routing.Route{{Name: "sound", Prefix: "/sound/", Stages: []routing.Stage{{Service: "stages", ResultBytes: 90}}}, {Name: "plain", Prefix: "/plain/"}}
+	for text, stage := range map[string]routing.Stage{
+		"after itself":             {Service: "stages", DependsOn: []int{0}},
+		"not in the configuration": {},
+		"runs no stages":           {Service: "plain"},
+		"described twice":          {Service: "twice"},
+		"has 95 bytes":             {Service: "stages", ResultBytes: 95},
+	} {
+		routes = append(routes, routing.Route{Name: text, Prefix: "/" + text + "/", Stages: []routing.Stage{stage}})
+	}
+	runs := &routing.StageServer{BatchSize: 1, Concurrency: 1, ResultMemory: 100}
+	table, err := routing.NewTable(routing.Config{Routes: routes, Services: []routing.Service{
+		{Name: "stages", Stages: runs}, {Name: "plain"}, {Name: "twice", Stages: runs}, {Name: "twice", Stages: runs},
+	}})
+	require.NoError(t, err)
+	require.Len(t, table.InvalidRoutes(), len(routes)-2)
+	for _, invalid := range table.InvalidRoutes() {
+		require.ErrorContains(t, invalid.Err, invalid.Name)
+	}
+	for path, staged := range map[string]bool{"/sound/": true, "/plain/": false} {
+		route, found := table.Match("", path)
+		require.True(t, found)
+		graph, err := table.StageGraph(route)
+		require.NoError(t, err)
+		require.Equal(t, staged, graph != nil)
+	}
+}
--- a/staging/contention.go
+++ b/staging/contention.go
@@ -91,7 +91,7 @@
 			queued.add(w)
 		}
 	}
-	if rate <= 0 || queued.pieces <= float64(spec.BatchSize) && queued.bytes <= usableMemoryFraction*float64(spec.ResultMemory) {
+	if rate <= 0 || queued.pieces <= float64(spec.BatchSize) && queued.bytes <= float64(spec.UsableResultMemory()) {
 		return false
 	}
 	slices.SortStableFunc(inTime, func(a, b *workItem) int { return a.target.Compare(b.target) })
--- a/staging/explain.go
+++ b/staging/explain.go
@@ -31,7 +31,7 @@
 
 // freeResultMemory returns how many bytes of results a server takes if some are used.
 func freeResultMemory(spec *routing.StageServer, used int64) int64 {
-	return int64(usableMemoryFraction*float64(spec.ResultMemory)) - used
+	return spec.UsableResultMemory() - used
 }
 
 // Explain returns what this host chooses the server of a call with some pieces by: the servers
--- a/staging/gatherer.go
+++ b/staging/gatherer.go
@@ -32,9 +32,6 @@
 	timeoutFactor = 4
 	// timeoutSlack is added to the timeout to allow for queueing at the server.
 	timeoutSlack = 400 * time.Millisecond
-	// usableMemoryFraction is the fraction of a server's memory that is
-	// allocated. The rest is a reserve because results vary in size.
-	usableMemoryFraction = 0.92
 	// tickInterval is how often queues and held results are checked for expiry.
 	tickInterval = 50 * time.Millisecond
 	// freeInterval is how long handles are collected before one request frees
--- a/staging/queue.go
+++ b/staging/queue.go
@@ -235,7 +235,7 @@
 	// the call completely.
 	fillBatch := q.runnablePieces(at, now) > spec.BatchSize
 	remaining := spec.BatchSize
-	lateMemory := freeMemory - int64((usableMemoryFraction-lateMemoryFraction)*float64(spec.ResultMemory))
+	lateMemory := freeMemory - spec.UsableResultMemory() + int64(lateMemoryFraction*float64(spec.ResultMemory))
 	takenBytes, callBytes := int64(0), int64(0)
 	var taken []batchPart
 	for _, w := range q.waiting {
--- a/staging/queue_test.go
+++ b/staging/queue_test.go
@@ -97,7 +97,7 @@
 	late := testGroup("late", 8, 0)
 	late.ResultBytes = 3e6
 	q, _ := newTestQueue(now, late)
-	usable := int64(usableMemoryFraction * float64(testSpec.ResultMemory))
+	usable := testSpec.UsableResultMemory()
 	used := int64(0)
 	for {
 		parts := q.takeBatch(now, testSpec, usable-used, locality{})
--- a/staging/rate.go
+++ b/staging/rate.go
@@ -117,7 +117,7 @@
 	total := 0.0
 	for _, server := range servers {
 		if !server.Ejected {
-			total += usableMemoryFraction * float64(spec.ResultMemory)
+			total += float64(spec.UsableResultMemory())
 		}
 	}
 	return total / (spec.CallTime + held).Seconds()
--- a/staging/shortage.go
+++ b/staging/shortage.go
@@ -34,7 +34,7 @@
 		if !known {
 			used = s.memory.byServer[server.ID]
 		}
-		free += max(usableMemoryFraction*float64(spec.ResultMemory)-float64(used), 0)
+		free += max(float64(freeResultMemory(spec, used)), 0)
 	}
 	return free
 }
