staging: Gatherers run no pieces without a key or inputs for hosts of the build before

Cause: the plan is checked where the request arrives. A gatherer checked the size of a group only.

Change: a gatherer fails a group that has neither a key nor inputs, both, or an input that is empty or listed twice. It answers with failed pieces: an error would have the other host take it for failed and ask the next one. The requesting host checks its own groups too.

Test: TestGathererRunsNoPiecesOfMalformedGroups sends the bytes of the build before; with the check taken out it fails, as the pieces run.

--- a/staging/footprint.go
+++ b/staging/footprint.go
@@ -47,6 +47,22 @@
 // bytes returns what a group takes at the host that requests it, and at its gatherer.
 func (g *Group) bytes() int64 { return int64(g.Pieces)*pieceBytes + g.inputBytes() }
 
+// checkInputs returns an error if the pieces of a group are not given either a key or distinct
+// inputs. A host of a build that did not check the plans of requests may have sent it.
+func (g *Group) checkInputs() error {
+	if (g.Key == "") == (len(g.Inputs) == 0) {
+		return Error.New("group of stage %d of request %q must have either a key or inputs", g.Stage, g.RequestID)
+	}
+	known := make(map[string]bool, len(g.Inputs))
+	for _, handle := range g.Inputs {
+		if handle == "" || known[handle] {
+			return Error.New("group of stage %d of request %q has the input %q, which is empty or listed twice", g.Stage, g.RequestID, handle)
+		}
+		known[handle] = true
+	}
+	return nil
+}
+
 // check returns an error if a group is not one that a host sends. Another host, or another
 // version of the software, may have sent it.
 func (g *Group) check() error {
--- a/staging/footprint_test.go
+++ b/staging/footprint_test.go
@@ -1,6 +1,7 @@
 package staging
 
 import (
+	"encoding/hex"
 	"fmt"
 	"log/slog"
 	"net"
@@ -12,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenaseam/galenaseam/call"
@@ -51,23 +53,52 @@
 	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(1<<20))
 }
 
-// Guards against groups that end a gatherer: of a negative number of pieces, of millions, or with
-// inputs that are sent with every piece. Another version of the software may send them.
-func TestGathererRefusesGroupsOverTheBounds(t *testing.T) {
+// serveGatherer serves a gatherer to other hosts, and returns a function that sends it a group.
+func serveGatherer(t *testing.T, servers *fakeServers) (send func(group any) (gatherReply, error)) {
 	mux := link.NewMux()
-	NewRunner(RunnerConfig{Gatherer: newTestGatherer(t, 1, &fakeServers{spec: footprintSpec})}, mux)
+	NewRunner(RunnerConfig{Gatherer: newTestGatherer(t, 1, servers), Logger: slog.New(slog.DiscardHandler)}, mux)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	key := []byte("0123456789abcdef0123456789abcdef")
 	go func() { _ = link.NewServer(link.ServerConfig{Mux: mux, Key: key}).Serve(t.Context(), listener) }()
 	client := link.NewClient(link.ClientConfig{Key: key})
+	return func(group any) (gatherReply, error) {
+		return link.CallTyped[any, gatherReply](t.Context(), client, netip.MustParseAddrPort(listener.Addr().String()), gatherMethod, group)
+	}
+}
+
+// Guards against groups of a host of the build before, which does not check its requests: their
+// pieces ran without a key or inputs. An error would have that host take the gatherer for failed.
+func TestGathererRunsNoPiecesOfMalformedGroups(t *testing.T) {
+	servers := &fakeServers{spec: footprintSpec}
+	send := serveGatherer(t, servers)
+	// Service "pieces", request "r", stage 2, 3 pieces, no key, no inputs, 1 s.
+	formerBytes, err := hex.DecodeString("ae016670696563657302617203020403056006f6071a3b9aca00081a3b9aca00091917700a000b600c000df40ef4")
+	require.NoError(t, err)
+	for name, group := range map[string]any{
+		"neither, from the build before": cbor.RawMessage(formerBytes),
+		"both":                           Group{Service: "pieces", Pieces: 3, Remaining: time.Second, Key: "k", Inputs: []string{"a"}},
+		"one twice":                      Group{Service: "pieces", Pieces: 3, Remaining: time.Second, Inputs: []string{"a", "b", "a"}},
+		"one empty":                      Group{Service: "pieces", Pieces: 3, Remaining: time.Second, Inputs: []string{""}},
+	} {
+		reply, err := send(group)
+		require.NoError(t, err, name)
+		require.Equal(t, failedPieces(3, call.PieceError), reply.Results, name)
+	}
+	require.Zero(t, servers.calls)
+}
+
+// Guards against groups that end a gatherer: of a negative number of pieces, of millions, or with
+// inputs that are sent with every piece. Another version of the software may send them.
+func TestGathererRefusesGroupsOverTheBounds(t *testing.T) {
+	send := serveGatherer(t, &fakeServers{spec: footprintSpec})
 	for text, group := range map[string]Group{
 		"has -1 pieces":      {Pieces: -1},
 		"has 6000000 pieces": {Pieces: 6_000_000},
 		"inputs of stage 0":  {Pieces: 1, Inputs: make([]string, 100_000)},
 	} {
 		group.Service, group.Remaining = "pieces", time.Second
-		_, err := link.CallTyped[Group, gatherReply](t.Context(), client, netip.MustParseAddrPort(listener.Addr().String()), gatherMethod, group)
+		_, err := send(group)
 		require.ErrorContains(t, err, text)
 	}
 }
--- a/staging/runner.go
+++ b/staging/runner.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
 
@@ -111,6 +112,10 @@
 		if err := g.check(); err != nil {
 			return gatherReply{}, err
 		}
+		if err := g.checkInputs(); err != nil {
+			config.Logger.Warn("malformed group of another host refused", "service", g.Service, "error", err.Error())
+			return gatherReply{Results: failedPieces(g.Pieces, call.PieceError)}, nil // an error would have the host ask others
+		}
 		results := config.Gatherer.Gather(ctx, g)
 		if failure(results) == call.PieceRefused {
 			return gatherReply{}, Error.New("service %q is not in the configuration of this host", g.Service) // another host may have it
@@ -287,7 +292,7 @@
 	}
 	group.PreferredDataCentre, group.TransferBytes = results.preferredDataCentre(w, g, stage)
 	group.ScarceInputs = r.hasScarceInputs(g, stage)
-	if err := group.check(); err != nil {
+	if err := errs.Combine(group.check(), group.checkInputs()); err != nil {
 		return err
 	}
 	pieces, err := r.gather(ctx, group)
