seamctl where: the stages of a route, and why a request is refused for good

A caller that gets stages_invalid or route_invalid asks the operators what its request should state. "where" listed nothing of a route's stages.

The new fields of the answer are left out where there is nothing to say.

Test: TestRouteWhoseStagesCantRunIsRefused.

--- a/edge/explain.go
+++ b/edge/explain.go
@@ -10,12 +10,14 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/galenaseam/galenaseam/balance"
+	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/internal/explain"
 	"github.com/galenaseam/galenaseam/link"
 	"github.com/galenaseam/galenaseam/placement"
 	"github.com/galenaseam/galenaseam/problem"
 	"github.com/galenaseam/galenaseam/routing"
+	"github.com/galenaseam/galenaseam/staging"
 	"github.com/galenaseam/galenaseam/workload"
 )
 
@@ -88,6 +90,7 @@
 		return report, problem.New(http.StatusNotFound, "no_route", `parameters "host" and "path": no route matches`, problem.No)
 	}
 	report.Route, report.Rank = route.Name, table.Rank(route, nil)
+	report.Stages, report.Refused = explainStages(table, route, q.StagePieces)
 	for _, target := range route.Targets {
 		service, known := table.Service(target.Service)
 		if !known || target.Weight <= 0 {
@@ -108,6 +111,32 @@
 	return report, nil
 }
 
+// explainStages describes the stages of a route, and says why a request with numbers of pieces, nil
+// if they are not stated, is refused for good. It assumes that the request states a key.
+func explainStages(table *routing.Table, route *routing.Route, pieces []int) (stages []explain.Stage, refused string) {
+	graph, err := table.StageGraph(route)
+	if err != nil {
+		return nil, err.Error()
+	}
+	if graph == nil {
+		return nil, ""
+	}
+	for i, s := range graph.Stages() {
+		stage := explain.Stage{Service: s.Service, Reads: graph.Inputs(i), ReadBy: graph.Readers(i)}
+		if i < len(pieces) {
+			stage.Pieces = &pieces[i]
+		}
+		stages = append(stages, stage)
+	}
+	if pieces == nil {
+		return stages, ""
+	}
+	if _, err := staging.NewPlan(graph, &call.Request{Pieces: pieces, PiecesKey: "key"}); err != nil {
+		refused = err.Error()
+	}
+	return stages, refused
+}
+
 // explainPlain answers for a service whose upstreams each host chooses by itself.
 func (h *Host) explainPlain(route *routing.Route, service, version string) explain.Service {
 	now := time.Now()
--- a/edge/stages_test.go
+++ b/edge/stages_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenaseam/galenaseam/internal/ctl"
 	"github.com/galenaseam/galenaseam/platform/platformtest"
 	"github.com/galenaseam/galenaseam/problem"
 )
@@ -192,7 +193,16 @@
 	for path, detail := range map[string]string{"cycle": "stage 0 comes after itself", "unknown": `service "nowhere" of stage 1`, "beyond": "after stage 2"} {
 		requireRefusedForGood(t, f.send(n, http.MethodPost, "/"+path+"/1", "r", "Chunks", "1,1", "Chunk-Key", "k"), "route_invalid", detail)
 		require.Equal(t, 1, n.log.count(`"route can't be served"`, path))
+		out, code := where(t, n, "table", "-route-host", "shop.example", "-path", "/"+path+"/")
+		require.Equal(t, ctl.ExitOK, code, out)
+		require.Contains(t, out, "refused by every host: routing: ")
+		require.Contains(t, out, detail)
 	}
 	require.Empty(t, server.Asked())
 	require.Equal(t, http.StatusOK, f.send(n, http.MethodPost, "/staged/1", "s", "Chunks", "1,1", "Chunk-Key", "k").status)
+	out, code := where(t, n, "table", "-route-host", "shop.example", "-path", "/graph/", "-pieces", "0,0,1,0,0,0")
+	require.Equal(t, ctl.ExitOK, code, out)
+	require.Contains(t, out, "refused by every host: staging: stage 2 of the request")
+	require.Regexp(t, `0 +pieces +0 +stages 3 4 +stages 2`, out)
+	require.Regexp(t, `1 +pieces +0 +key +request`, out)
 }
--- a/internal/ctl/where.go
+++ b/internal/ctl/where.go
@@ -19,6 +19,7 @@
 
 Examples:
   seamctl -host http://10.0.0.1:9464 where -route-host shop.example -path /talk/ -parts contract:13300,own:3700 -output-tokens 120
+  seamctl -host http://10.0.0.1:9464 where -route-host shop.example -path /talk/ -pieces 1,0,16
   seamctl -host http://10.0.0.1:9464 where -service pieces -pieces 12`
 
 func (t *tool) whereCommand() *ffcli.Command {
@@ -31,7 +32,7 @@
 		explain.ParamParts:        flags.String("parts", "", "parts of the prompt: ID:TOKENS,ID:TOKENS,…"),
 		explain.ParamVersion:      flags.String("version", "", "software version of a stream that is taken up"),
 		explain.ParamService:      flags.String("service", "", "stage service, instead of a request"),
-		explain.ParamPieces:       flags.String("pieces", "", "number of pieces for the stage service; 1 by default"),
+		explain.ParamPieces:       flags.String("pieces", "", "number of pieces for the stage service, 1 by default; for a request the numbers of all stages: N,N,…"),
 	}
 	return &ffcli.Command{
 		Name:       "where",
@@ -73,6 +74,14 @@
 	if report.Route != "" {
 		_, _ = fmt.Fprintf(t.out, "route %s, rank %d\n", report.Route, report.Rank)
 	}
+	if report.Refused != "" {
+		_, _ = fmt.Fprintln(t.out, "refused by every host: "+report.Refused)
+	}
+	if len(report.Stages) > 0 {
+		if err := t.print(report, stageTable(report.Stages)); err != nil {
+			return err
+		}
+	}
 	for _, s := range report.Services {
 		if err := t.printService(s); err != nil {
 			return err
@@ -81,6 +90,25 @@
 	return nil
 }
 
+// stageTable has a row for each stage of a route.
+func stageTable(stages []explain.Stage) table {
+	list := func(stages []int, otherwise string) string {
+		if len(stages) == 0 {
+			return otherwise
+		}
+		return "stages " + strings.Trim(fmt.Sprint(stages), "[]")
+	}
+	tab := table{head: []string{"STAGE", "SERVICE", "PIECES", "GIVEN", "READ BY"}}
+	for i, s := range stages {
+		pieces := "-"
+		if s.Pieces != nil {
+			pieces = strconv.Itoa(*s.Pieces)
+		}
+		tab.rows = append(tab.rows, []string{strconv.Itoa(i), s.Service, pieces, list(s.Reads, "key"), list(s.ReadBy, "request")})
+	}
+	return tab
+}
+
 func (t *tool) printService(s explain.Service) error {
 	facts := []string{"service " + s.Service, s.Kind}
 	if s.Weight > 0 {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -25,8 +25,10 @@
 	Host string `json:"host,omitempty"`
 	Path string `json:"path,omitempty"`
 	// Service and Pieces describe work for a stage service.
-	Service      string            `json:"service,omitempty"`
-	Pieces       int               `json:"pieces,omitempty"`
+	Service string `json:"service,omitempty"`
+	Pieces  int    `json:"pieces,omitempty"`
+	// StagePieces is the number of pieces of each stage of the route; nil if the query states none.
+	StagePieces  []int             `json:"stage_pieces,omitempty"`
 	PromptTokens int               `json:"prompt_tokens,omitempty"`
 	OutputTokens int               `json:"output_tokens,omitempty"`
 	Parts        []call.PromptPart `json:"parts,omitempty"`
@@ -46,7 +48,7 @@
 )
 
 var (
-	requestParams = []string{ParamHost, ParamPath, ParamPromptTokens, ParamOutputTokens, ParamParts, ParamVersion}
+	requestParams = []string{ParamHost, ParamPath, ParamPieces, ParamPromptTokens, ParamOutputTokens, ParamParts, ParamVersion}
 	stageParams   = []string{ParamService, ParamPieces}
 )
 
@@ -55,6 +57,7 @@
 	maxTokens = 1 << 30
 	maxPieces = 1 << 20
 	maxParts  = 4096
+	maxStages = 4096
 )
 
 // Parse reads a query from its parameters. The error names the parameter that is wrong.
@@ -79,9 +82,6 @@
 		}
 		return q, err
 	}
-	if values.Has(ParamPieces) {
-		return Query{}, Error.New("parameter %q needs %q", ParamPieces, ParamService)
-	}
 	q.Host, q.Path, q.Version = values.Get(ParamHost), values.Get(ParamPath), values.Get(ParamVersion)
 	if q.Host == "" {
 		return Query{}, Error.New("parameter %q is missing; a stage piece needs %q instead", ParamHost, ParamService)
@@ -89,9 +89,30 @@
 	if !strings.HasPrefix(q.Path, "/") {
 		return Query{}, Error.New("parameter %q must begin with a slash", ParamPath)
 	}
+	if values.Has(ParamPieces) {
+		if q.StagePieces, err = parseStagePieces(values.Get(ParamPieces)); err != nil {
+			return q, err
+		}
+	}
 	return q, q.parsePrompt(values)
 }
 
+// parseStagePieces reads a list of the number of pieces of each stage.
+func parseStagePieces(text string) (pieces []int, err error) {
+	list := strings.Split(text, ",")
+	if len(list) > maxStages {
+		return nil, Error.New("parameter %q has more than %d stages", ParamPieces, maxStages)
+	}
+	for _, item := range list {
+		n, err := number(ParamPieces, item, 0, maxPieces)
+		if err != nil {
+			return nil, err
+		}
+		pieces = append(pieces, n)
+	}
+	return pieces, nil
+}
+
 // parsePrompt reads the size and the parts of the prompt.
 func (q *Query) parsePrompt(values url.Values) (err error) {
 	if text := values.Get(ParamParts); text != "" {
@@ -153,10 +174,25 @@
 	// Route and Rank are those of a request; rank 0 is the most urgent.
 	Route string `json:"route,omitempty"`
 	Rank  int    `json:"rank"`
+	// Refused is why no host serves such a request, whenever it comes; "" if hosts do.
+	Refused string `json:"refused,omitempty"`
+	// Stages are those of the route.
+	Stages []Stage `json:"stages,omitempty"`
 	// Services are the targets of the route, or the stage service.
 	Services []Service `json:"services"`
 }
 
+// Stage is a stage of a route.
+type Stage struct {
+	Service string `json:"service"`
+	// Pieces is how many the request has; 0 if it omits the stage, nil if the query states none.
+	Pieces *int `json:"pieces,omitempty"`
+	// Reads are the stages whose results each piece is given; without any it is given the key.
+	Reads []int `json:"reads,omitempty"`
+	// ReadBy are the stages that are given the results; without any the request itself is.
+	ReadBy []int `json:"read_by,omitempty"`
+}
+
 // Service is the part of the answer about one service.
 type Service struct {
 	Service string `json:"service"`
