document: New pipelines use the result of each stage

What callers saw: a document with the pipeline [rerank, generate] was accepted, and its rerank stage was called with an empty list; with all rerankers down the request failed with 503. An embedding that no stage reads, or passages that a second retrieve stage replaces, were made and lost.

Cause: the check of a pipeline looked at names and at the place of the generate stage, not at what each kind of stage reads.

Change: a change is refused if a new pipeline, or one with other stages than before, has such a stage. Accepted pipelines stay in force, and are no reason to refuse another team's change. A rerank stage without passages is skipped.

Tests: TestRerankWithoutPassagesIsSkipped fails on ("no upstream took the call"); TestNewPipelinesUseEachStage is of the new check.

--- a/config/change.go
+++ b/config/change.go
@@ -220,7 +220,7 @@
 
 // parse parses a document and returns its faults as an InvalidError.
 func parse(bodies document.Bodies, previous *document.Document) (*document.Document, error) {
-	parsed, err := document.ParseBodies(bodies, previous)
+	parsed, err := document.ParseChange(bodies, previous)
 	var invalid *document.InvalidError
 	if errors.As(err, &invalid) {
 		return nil, Error.Wrap(&InvalidError{Cause: invalid})
--- a/document/check_sections.go
+++ b/document/check_sections.go
@@ -155,11 +155,36 @@
 		chatModelAllowed = chatModelAllowed || (last && stage.Kind == KindGenerate)
 		total += stage.TypicalDuration
 	}
+	if c.isNew != nil && c.isNew(pipeline) {
+		c.checkFlow(pipeline, list)
+	}
 	c.require(chatModelAllowed, ref.field("chat_model"), "chat_model needs a generate stage at the end")
 	c.require(pipeline.Deadline == 0 || total <= pipeline.Deadline, list,
 		"the stages' typical times are %s, over the deadline %s", total.Std(), pipeline.Deadline.Std())
 }
 
+// checkFlow checks that each stage of a pipeline is given what it works on, and that another stage
+// or the answer uses its result.
+func (c *checker) checkFlow(pipeline Pipeline, list nodeRef) {
+	unused, retriever := -1, -1 // the stage whose embedding no stage has used, and the one whose passages are in use
+	for j, name := range pipeline.Stages {
+		stage, _ := c.document.Stage(name)
+		switch stage.Kind {
+		case KindEncode:
+			c.require(unused < 0, list.element(j), "stage %q replaces an embedding that no retrieve stage has used", name)
+			unused = j
+		case KindRetrieve:
+			c.require(retriever < 0, list.element(j), "stage %q replaces the passages of an earlier retrieve stage", name)
+			unused, retriever = -1, j
+		case KindRerank:
+			c.require(retriever >= 0, list.element(j), "stage %q is given no passages: no retrieve stage stands before it", name)
+		}
+	}
+	if unused >= 0 {
+		c.report(list.element(unused), "no retrieve stage uses the embedding of stage %q", pipeline.Stages[unused])
+	}
+}
+
 func (c *checker) checkServices() {
 	for i, service := range c.document.Services {
 		ref := c.entry(SectionServices, i)
--- a/document/parse.go
+++ b/document/parse.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"reflect"
+	"slices"
 
 	"go.yaml.in/yaml/v3"
 
@@ -11,8 +12,17 @@
 
 // Parse parses a whole document strictly, sets defaults and validates it. The
 // error wraps an *InvalidError with all problems.
-func Parse(data []byte) (*Document, error) {
+func Parse(data []byte) (*Document, error) { return parseWhole(newParser(false), data) }
+
+// ParseNew is Parse for a document that nobody has accepted yet. It also reports pipelines with a
+// stage that is given nothing to work on, or whose result nothing uses.
+func ParseNew(data []byte) (*Document, error) {
 	p := newParser(false)
+	p.isNew = func(Pipeline) bool { return true }
+	return parseWhole(p, data)
+}
+
+func parseWhole(p *parser, data []byte) (*Document, error) {
 	p.document.bodies = splitAtSections(data, p.parseDocument(data))
 	return p.finish()
 }
@@ -22,8 +32,28 @@
 // be nil. It returns the same errors as Parse, but positions are relative to the
 // section's body.
 func ParseBodies(bodies Bodies, previous *Document) (*Document, error) {
+	return parseBodies(bodies, previous, nil)
+}
+
+// ParseChange is ParseBodies for a document that is to replace previous, nil for none. It reports
+// what ParseNew does for the pipelines that previous does not have with the same stages: those
+// were accepted, and their section may belong to another team.
+func ParseChange(bodies Bodies, previous *Document) (*Document, error) {
+	return parseBodies(bodies, previous, func(p Pipeline) bool { return !previous.hasStages(p) })
+}
+
+// hasStages reports whether a document has a pipeline with the same stages.
+func (d *Document) hasStages(p Pipeline) bool {
+	if d == nil {
+		return false
+	}
+	same, known := d.Pipeline(p.Name)
+	return known && slices.Equal(same.Stages, p.Stages)
+}
+
+func parseBodies(bodies Bodies, previous *Document, isNew func(Pipeline) bool) (*Document, error) {
 	p := newParser(true)
-	p.document.bodies = bodies
+	p.document.bodies, p.isNew = bodies, isNew
 	for _, body := range bodies {
 		if !p.reuseSection(body, previous) && !p.reuseWorkspaces(body, previous) {
 			p.parseBody(body)
@@ -33,7 +63,7 @@
 	// A reused section has no nodes, so that problems in it have no position. Parse
 	// every section to find the positions.
 	if err != nil && previous != nil {
-		return ParseBodies(bodies, nil)
+		return parseBodies(bodies, nil, isNew)
 	}
 	return document, err
 }
@@ -58,6 +88,8 @@
 	// body.
 	positionsPerSection bool
 	nodes               map[Section]*yaml.Node
+	// isNew selects the pipelines whose flow is checked; nil selects none.
+	isNew func(Pipeline) bool
 }
 
 func newParser(positionsPerSection bool) *parser {
--- a/document/parse_test.go
+++ b/document/parse_test.go
@@ -100,6 +100,37 @@
 	}
 }
 
+// Guards against pipelines with a stage that is called with nothing to work on, or whose result is
+// lost, and against changes that are refused for a pipeline which was accepted before the check.
+func TestNewPipelinesUseEachStage(t *testing.T) {
+	original := string(example(t, "cylinder"))
+	const stages = "stages: [encode-question, retrieve-stock, rerank-passages, answer]"
+	require.Equal(t, 1, strings.Count(original, stages))
+	sound, err := document.ParseNew([]byte(original))
+	require.NoError(t, err)
+	for changed, message := range map[string]string{
+		"encode-question, answer":                                     `no retrieve stage uses the embedding of stage "encode-question"`,
+		"rerank-passages, answer":                                     `stage "rerank-passages" is given no passages`,
+		"rerank-passages, retrieve-stock, answer":                     `stage "rerank-passages" is given no passages`,
+		"retrieve-stock, encode-question, answer":                     `no retrieve stage uses the embedding`,
+		"encode-question, retrieve-stock, retrieve-contracts, answer": `stage "retrieve-contracts" replaces the passages`,
+	} {
+		text := []byte(strings.Replace(original, stages, "stages: ["+changed+"]", 1))
+		accepted, err := document.Parse(text)
+		require.NoError(t, err, changed)
+		_, err = document.ParseNew(text)
+		require.ErrorContains(t, err, message)
+		_, err = document.ParseChange(accepted.Bodies(), sound)
+		require.ErrorContains(t, err, message)
+		_, err = document.ParseChange(accepted.Bodies(), accepted)
+		require.NoError(t, err, changed)
+	}
+	for _, changed := range []string{"answer", "retrieve-stock, answer", "encode-question, retrieve-stock, answer"} {
+		_, err := document.ParseNew([]byte(strings.Replace(original, stages, "stages: ["+changed+"]", 1)))
+		require.NoError(t, err, changed)
+	}
+}
+
 func TestInvalidDocumentsAreRejected(t *testing.T) {
 	valid := string(example(t, "yardline"))
 	for name, text := range map[string]string{
--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -48,7 +48,7 @@
 			if err != nil {
 				return err
 			}
-			doc, err := document.Parse(text)
+			doc, err := document.ParseNew(text)
 			if err != nil {
 				return err
 			}
--- a/request/request_test.go
+++ b/request/request_test.go
@@ -160,6 +160,19 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m, goleak.IgnoreCurrent()) }
 
+// Guards against a rerank stage that is called without passages, in a document that was accepted
+// before such pipelines were refused.
+func TestRerankWithoutPassagesIsSkipped(t *testing.T) {
+	b := newFixture(t)
+	b.inject("rerankers", fault.Fault{Kind: fault.Down}, len(b.standins.Pool("rerankers")))
+	job := b.job("r", "question", &collector{})
+	job.Pipeline.Stages = []string{"rerank-passages", "answer"}
+	result, err := b.runner.RunPipeline(context.Background(), job)
+	require.NoError(t, err)
+	require.NotEmpty(t, result.Output)
+	require.True(t, result.Stages[0].Skipped)
+}
+
 func TestPipelineAnswerIsCompleteUnderEachFault(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/request/runner.go
+++ b/request/runner.go
@@ -178,6 +178,10 @@
 		}
 		need = p.stageNeed(need.Fallback.Stage)
 	}
+	if need.Kind == document.KindRerank && len(p.state.passages) == 0 {
+		p.reports = append(p.reports, StageReport{Stage: need.Name, Skipped: true}) // there is nothing to order
+		return nil
+	}
 	run := newStageRun(p, index, need)
 	started := time.Now()
 	err := run.run(ctx)
