directory: Ask the store on a new connection when an answer is overdue

Cause: a watch waits for 2.5 s, its answer was awaited for another second, and the call after it took another silent connection of the pool and waited for one more. The failed calls then looked like an outage of the store, in which entries of living upstreams expire, so that the removed upstream was kept for 2.3 s.

Change: an answer that is 150 ms overdue makes the host ask for the changes up to now on a new connection, beside the call that waits; the first answer counts. No call has failed then, and nothing looks like an outage. Idle connections are closed after each failed call too.

--- a/directory/confirm.go
+++ b/directory/confirm.go
@@ -45,11 +45,10 @@
 
 // readChanges makes one call to the store for the changes up to now and applies them.
 func (d *Directory) readChanges(ctx context.Context) error {
-	position := d.position()
-	if position == (infra.Position{}) {
+	if d.position() == (infra.Position{}) {
 		return Error.New("the store was not read yet")
 	}
-	items, asOf, err := d.config.Source.Changes(ctx, position, confirmWait)
+	items, asOf, err := d.awaitChanges(ctx, confirmWait)
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -58,6 +58,9 @@
 	// Read is needed again, also because the store's era rose, as does ErrUnreadable. ErrWatchCut means that
 	// the store closed the connection before the wait was over.
 	Changes(ctx context.Context, after infra.Position, wait time.Duration) ([]Item, infra.Position, error)
+	// Reconnect makes later calls on connections that are opened after it. Calls that wait are
+	// not ended.
+	Reconnect()
 }
 
 // ErrHistoryGone means that the store no longer holds the requested changes.
@@ -146,6 +149,7 @@
 	avoidedWatchers ownership.Avoided // watchers that did not answer or had stale data
 	eraMetrics      eraMetrics
 	cutWatches      prometheus.Counter
+	overdueAnswers  prometheus.Counter
 	// unknownEvacuations counts evacuations of data centres that are not known.
 	unknownEvacuations prometheus.Counter
 
@@ -175,16 +179,17 @@
 // New returns an empty directory and registers its handler for other hosts.
 func New(config Config, registrar link.Registrar) *Directory {
 	d := &Directory{
-		config:      config,
-		hosts:       make(map[string]hostEntry),
-		evacuations: make(evacuations),
-		expiries:    make(map[instance.ID]expiry),
-		outages:     newOutageTracker(config.HeartbeatInterval, config.EntryTTL),
-		changed:     make(chan struct{}),
-		wake:        make(chan struct{}, 1),
-		confirmer:   newConfirmer(),
-		eraMetrics:  newEraMetrics(config.Registerer),
-		cutWatches:  newCutWatchCounter(config.Registerer),
+		config:         config,
+		hosts:          make(map[string]hostEntry),
+		evacuations:    make(evacuations),
+		expiries:       make(map[instance.ID]expiry),
+		outages:        newOutageTracker(config.HeartbeatInterval, config.EntryTTL),
+		changed:        make(chan struct{}),
+		wake:           make(chan struct{}, 1),
+		confirmer:      newConfirmer(),
+		eraMetrics:     newEraMetrics(config.Registerer),
+		cutWatches:     newCutWatchCounter(config.Registerer),
+		overdueAnswers: newOverdueCounter(config.Registerer),
 
 		unknownEvacuations: newUnknownEvacuationCounter(config.Registerer),
 		lastStateCalls:     newLastStateCalls(config.Registerer),
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -15,9 +15,8 @@
 
 const (
 	// smallFleetWatchWait is how long one watch waits for changes in a small
-	// fleet. A silent watch is noticed one second later. With a wait of 4 s,
-	// hosts noticed it only after the store had counted as stable again for
-	// 0.6 s, and refused requests by an old configuration.
+	// fleet. With overdueMargin it is below 3 s, after which a host whose connections
+	// fell silent counts as in touch again.
 	smallFleetWatchWait = 2500 * time.Millisecond
 	// minRetryDelay is the delay after a failed store call. It doubles up to
 	// maxRetryDelay, so that a returning store is not flooded.
@@ -65,6 +64,7 @@
 			delay = minRetryDelay
 		default:
 			d.recordFailure(err, time.Now())
+			d.config.Source.Reconnect()
 			next = nextCall{readAll: next.readAll, confirm: true}
 			if errors.Is(err, ErrUnreadable) {
 				delay = unreadableRetryDelay
@@ -153,7 +153,7 @@
 		wait = confirmWait
 	}
 	sent := time.Now()
-	items, asOf, err := d.config.Source.Changes(ctx, d.position(), wait)
+	items, asOf, err := d.awaitChanges(ctx, wait)
 	now := time.Now()
 	switch {
 	case errors.Is(err, ErrHistoryGone):
--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -134,6 +134,8 @@
 	return all, infra.Position{Era: s.era, Revision: int64(len(s.items))}, nil
 }
 
+func (source) Reconnect() {}
+
 func (s source) Changes(ctx context.Context, after infra.Position, wait time.Duration) ([]Item, infra.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
 	defer cancel()
