gateway: A leaving upstream that refuses connections is waited for

Cause: a silent upstream is probed by opening a connection, and given up after two failed probes if nothing may take its place. A process that has closed its listener looked like one that is out of reach. The error of the probe did not tell either: it was that of the last way tried, through another host.

Change: a refused connection says nothing about a process that is leaving or has left. The probe of a slow stage call has the same cause and the same change: its results were thrown away and its request refused when the retry budget was empty. A connection that can be opened in neither way fails with the errors of both. Upstreams that are not known to be leaving are given up as before.

Tests: TestLeavingUpstreamThatAcceptsNoConnectionCompletesItsAnswers fails on ("unexpected EOF"); TestLeavingServerIsWaitedForThoughItAcceptsNoConnection fails without its change.

--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -373,3 +373,32 @@
 		}
 	}
 }
+
+// Guards against answers that are cut while their leaving upstream is at work: it has closed its
+// listener, and is silent for a while on the connection that it serves.
+func TestLeavingUpstreamThatAcceptsNoConnectionCompletesItsAnswers(t *testing.T) {
+	t.Parallel()
+	for _, leave := range []func(f *fleet, u *platformtest.Upstream){
+		func(f *fleet, u *platformtest.Upstream) { u.Register(f.store, "draining") },
+		func(f *fleet, u *platformtest.Upstream) { f.store.Delete("servers/" + u.ID) },
+	} {
+		for path, u := range map[string]*platformtest.Upstream{
+			"/tell/1":  {ID: "u", Service: "events", Events: 4, Silence: 1900 * time.Millisecond},
+			"/order/1": {ID: "u", Service: "plain", Silence: 1900 * time.Millisecond},
+		} {
+			f := newFleet(t)
+			f.configure(1, nil)
+			f.upstream(u).QueueFaults(map[string]platformtest.UpstreamFault{"/tell/1": platformtest.FallSilentMidway, "/order/1": platformtest.FallSilent}[path])
+			n := f.start()
+			answer := make(chan callerResponse, 1)
+			go func() { answer <- f.send(n, http.MethodPost, path, "r") }()
+			require.Eventually(t, func() bool { return len(u.Runs()) == 1 }, waitTimeout, time.Millisecond)
+			leave(f, u)
+			u.StopAccepting()
+			got := <-answer
+			require.NoError(t, got.err, path)
+			require.Equal(t, http.StatusOK, got.status, path)
+			require.Len(t, u.Runs(), 1)
+		}
+	}
+}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -49,6 +49,7 @@
 type silenceMonitor struct {
 	attempt      *upstreamAttempt
 	addr         netip.AddrPort
+	process      instance.Process
 	firstTimeout time.Duration // the longest silence before the first activity
 	idleTimeout  time.Duration // the longest silence after it
 
@@ -64,7 +65,7 @@
 
 // newSilenceMonitor returns a monitor for an attempt on an upstream.
 func (s *upstreamAttempt) newSilenceMonitor(chosen instance.Status) *silenceMonitor {
-	m := &silenceMonitor{attempt: s, addr: chosen.Addr}
+	m := &silenceMonitor{attempt: s, addr: chosen.Addr, process: chosen.Process()}
 	if s.route.Kind == routing.Stream {
 		m.firstTimeout, m.idleTimeout = s.streamSilenceLimits()
 	} else {
@@ -162,6 +163,7 @@
 
 // probe checks whether a silent upstream accepts connections in the way that the attempt's
 // goes, and reports each probe that fails. It stops once a probe succeeds or the upstream sends something.
+// A leaving upstream may refuse connections while it completes its work.
 func (m *silenceMonitor) probe() {
 	if !m.probing.CompareAndSwap(false, true) {
 		return
@@ -172,7 +174,7 @@
 		ctx, cancel := context.WithTimeout(m.attempt.ctx, crashCheckTimeout)
 		peer, err := m.attempt.config.Transport.Probe(ctx, m.addr)
 		cancel()
-		sound := err == nil && !m.attempt.hasLostPath(peer)
+		sound := err == nil && !m.attempt.hasLostPath(peer) || m.attempt.config.Instances.RefusesAsLeaving(m.process, err)
 		if sound || m.attempt.ctx.Err() != nil || m.activityCount() != activity {
 			return
 		}
--- a/instance/notices.go
+++ b/instance/notices.go
@@ -1,9 +1,11 @@
 package instance
 
 import (
+	"errors"
 	"maps"
 	"net/netip"
 	"slices"
+	"syscall"
 	"time"
 )
 
@@ -134,6 +136,19 @@
 	return all
 }
 
+// RefusesAsLeaving reports whether err, of a connection to a process, is a refusal, and the process
+// is leaving or has left, as far as this host knows. It then says nothing about the process: it may
+// have closed its listener and complete the work that it has.
+func (t *Table) RefusesAsLeaving(p Process, err error) bool {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i := t.listed(p)
+	return i == nil || i.isLeaving()
+}
+
 // isLeaving reports whether the entry or an answer says that the upstream is
 // leaving.
 func (i *Instance) isLeaving() bool { return i.Leaving || i.leaving }
--- a/staging/slow.go
+++ b/staging/slow.go
@@ -73,9 +73,11 @@
 	return b.retriesPaid
 }
 
-// acceptsConnections reports whether the server of a call can be reached.
+// acceptsConnections reports whether the server of a call can be reached, or accepts no connection
+// because it is leaving.
 func (g *Gatherer) acceptsConnections(ctx context.Context, b *batchCall) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	return g.config.Caller.Probe(ctx, b.server.Entry) == nil
+	err := g.config.Caller.Probe(ctx, b.server.Entry)
+	return err == nil || g.config.Servers.RefusesAsLeaving(b.server.Process(), err)
 }
--- a/staging/slow_test.go
+++ b/staging/slow_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenaseam/galenaseam/call"
+	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/retry"
 	"github.com/galenaseam/galenaseam/routing"
@@ -87,6 +88,28 @@
 	})
 }
 
+// Guards against results that are thrown away, and a request that is refused, since the server that
+// works on them has closed its listener: it is leaving.
+func TestLeavingServerIsWaitedForThoughItAcceptsNoConnection(t *testing.T) {
+	for _, removed := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := slowServers(3 * time.Second)
+			f.unreachable = true
+			g := newTestGatherer(t, 1, f)
+			g.config.Retries.SetBounds(noRetries)
+			time.AfterFunc(time.Second, func() {
+				g.config.Servers.Put(instance.Entry{ID: "s0", Service: "pieces", Revision: 2, Leaving: true})
+				if removed {
+					g.config.Servers.Remove("s0", infra.Position{Revision: 3})
+				}
+			})
+			result, took := gatherOne(t, g)
+			require.Equal(t, call.PieceDone, result)
+			require.Equal(t, 3166*time.Millisecond, took)
+		})
+	}
+}
+
 // A call to a server that hangs ends after the requests that it was for, or else the
 // server's slot stays taken.
 func TestCallEndsAfterItsRequests(t *testing.T) {
--- a/tunnel/dialer.go
+++ b/tunnel/dialer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/zeebo/errs"
 
 	"github.com/galenaseam/galenaseam/host"
 	"github.com/galenaseam/galenaseam/link"
@@ -105,6 +106,7 @@
 
 	directBegun  time.Time // zero if no direct connection was begun
 	directErr    error
+	tunnelErr    error
 	cancelDirect context.CancelFunc
 	tunnelBegun  bool
 	cancelTunnel context.CancelFunc
@@ -135,11 +137,13 @@
 				r.won(got)
 				return got.conn, nil
 			}
-			if !got.tunnelled {
+			if got.tunnelled {
+				r.tunnelErr = got.err
+			} else {
 				r.directErr = got.err
 			}
 			if !r.beginOther(got.tunnelled) && r.pending == 0 {
-				return nil, got.err
+				return nil, errs.Combine(r.directErr, r.tunnelErr)
 			}
 		}
 	}
