instance: A pause that an upstream asks for in its first second holds

Cause: until the entry arrives, what the process says is recorded for the one before it, and inherited only if it was said more than 1 s after the start, since clocks may differ. An upstream that starts turns requests away in that second.

Change: a pause is inherited from the start on, taking the clocks to agree: one that is counted for the wrong process ends. The margin stays for leaving and for limits.

Test: TestPauseOfAStartingProcessHolds fails without the change ("said 50ms after the start, listed first: false").

--- a/instance/notices.go
+++ b/instance/notices.go
@@ -172,20 +172,31 @@
 )
 
 // ranUnlisted reports whether the process already ran at a time at which the host did
-// not know its entry yet.
-func (e Entry) ranUnlisted(at time.Time) bool {
+// not know its entry yet, by more than margin.
+func (e Entry) ranUnlisted(at time.Time, margin time.Duration) bool {
 	age := at.Sub(e.StartTime)
-	return age > maxClockError && age < maxUnlistedTime
+	return age > margin && age < maxUnlistedTime
 }
 
 // sender returns the listed upstream whose answer to a call for process p arrived now,
 // nil if it is not listed. Answers state an ID at most, so it is the successor of p
 // under its ID if that has started since. The caller holds mu.
 func (t *Table) sender(p Process, now time.Time) *Instance {
+	return t.senderByClock(p, now, maxClockError)
+}
+
+// pausingSender is sender for an answer that asks for a pause. A process that starts may ask for
+// one at once, and a pause that is counted for the wrong process ends: clocks are taken to agree.
+// The caller holds mu.
+func (t *Table) pausingSender(p Process, now time.Time) *Instance {
+	return t.senderByClock(p, now, 0)
+}
+
+func (t *Table) senderByClock(p Process, now time.Time, clockError time.Duration) *Instance {
 	if i := t.listed(p); i != nil {
 		return i
 	}
-	if i := t.byID[p.ID]; i != nil && i.StartTime.After(p.StartTime) && i.ranUnlisted(now) {
+	if i := t.byID[p.ID]; i != nil && i.StartTime.After(p.StartTime) && i.ranUnlisted(now, clockError) {
 		return i
 	}
 	return nil
@@ -196,11 +207,14 @@
 // predecessor. The caller holds mu.
 func (t *Table) inherit(i *Instance, predecessor Process) {
 	former, found := t.kept[predecessor.key()]
-	if !found || !i.isEmpty() || !i.StartTime.After(predecessor.StartTime) || !i.ranUnlisted(former.saidAt) {
-		return
+	switch {
+	case !found || !i.isEmpty() || !i.StartTime.After(predecessor.StartTime):
+	case i.ranUnlisted(former.saidAt, maxClockError):
+		i.notice = former.notice
+		delete(t.kept, predecessor.key())
+	case i.ranUnlisted(former.saidAt, 0):
+		i.pausedUntil, i.saidAt = former.pausedUntil, former.saidAt // see pausingSender
 	}
-	i.notice = former.notice
-	delete(t.kept, predecessor.key())
 }
 
 // keep remembers the notice of a process that is not listed. The caller holds mu.
--- a/instance/pauses.go
+++ b/instance/pauses.go
@@ -19,7 +19,7 @@
 	_, known := t.noticeOf(p, now)
 	isNews = until.Sub(later(later(known.pausedUntil, known.reportedUntil), now)) >= pauseReportStep ||
 		until.After(now) && !now.Before(known.pausedUntil) && !now.Before(known.reportedUntil)
-	if i := t.sender(p, now); i != nil {
+	if i := t.pausingSender(p, now); i != nil {
 		if until.Sub(later(i.pausedUntil, now)) >= pauseReportStep || !now.Before(i.pausedUntil) && until.After(now) {
 			change = &Change{Entry: i.Entry, Kind: "paused", Source: SourceAnswer, Until: until}
 		}
@@ -143,7 +143,7 @@
 func (t *Table) IsPaused(p Process, addr netip.AddrPort, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch i := t.sender(p, now); {
+	switch i := t.pausingSender(p, now); {
 	case !now.Before(t.lastPauseEnd):
 		return false
 	case i != nil:
--- a/instance/successor_test.go
+++ b/instance/successor_test.go
@@ -47,6 +47,26 @@
 	}
 }
 
+// Guards against requests within a pause that a process asked for in its first second, before its
+// entry arrived or in the answer to a call for the process before it; one that was asked for before
+// it started is not its own.
+func TestPauseOfAStartingProcessHolds(t *testing.T) {
+	for _, said := range []time.Duration{-time.Millisecond, 50 * time.Millisecond, 900 * time.Millisecond} {
+		for _, listedFirst := range []bool{false, true} {
+			s := newSuccessor()
+			if listedFirst {
+				s.table.Put(s.now)
+			}
+			at := s.now.StartTime.Add(said)
+			s.table.Pause(s.former.Process(), at.Add(3*time.Second), at)
+			s.table.Put(s.now)
+			free := len(s.table.Service("s", at.Add(2*time.Second))) == 1
+			require.Equal(t, said < 0, free, "said %s after the start, listed first: %t", said, listedFirst)
+			require.Len(t, s.table.Service("s", at.Add(3*time.Second)), 1)
+		}
+	}
+}
+
 // Guards against new work for an upstream that said it is leaving while a copy of the
 // store listed the process before it, and against one limit too few.
 func TestLeavingAndLimitHoldWhenTheProcessIsListedLater(t *testing.T) {
