routingtest: The users' rule on stages, written once for the tests that check by it

The generated test of plans and the test over hosts had the rule and the names of pieces twice, once for any graph and once worked out by hand for one. Both now check by routingtest.StageRule, which shares no code with the plan. Nothing is checked less: the test over hosts now names the request of each piece.

--- a/edge/stages_test.go
+++ b/edge/stages_test.go
@@ -15,6 +15,7 @@
 	"github.com/galenaseam/galenaseam/internal/ctl"
 	"github.com/galenaseam/galenaseam/platform/platformtest"
 	"github.com/galenaseam/galenaseam/problem"
+	"github.com/galenaseam/galenaseam/routing/routingtest"
 )
 
 // stagesAfter are the stages that each stage of /graph/ comes after: several first and last ones,
@@ -39,27 +40,6 @@
 	})
 }
 
-// namesOf returns the names of all pieces of some stages of a request, sorted.
-func namesOf(id string, pieces []int, stages ...int) (names []string) {
-	for _, stage := range stages {
-		for i := range pieces[stage] {
-			names = append(names, platformtest.AskedPiece{ID: id, Phase: stage, Segment: i}.Name())
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
-// namesIn returns the names in handles, sorted.
-func namesIn(handles []string) (names []string) {
-	for _, h := range handles {
-		_, name, _ := strings.Cut(h, "/")
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // requireRefusedForGood requires that a caller is told why its request can't be served, and not
 // to come back.
 func requireRefusedForGood(t *testing.T, got callerResponse, cause, detail string) {
@@ -86,16 +66,14 @@
 	hosts := []*node{f.start(), f.start()}
 	const stream = "first"
 	require.Equal(t, http.StatusOK, f.send(hosts[0], http.MethodPost, "/graph/1", stream, "Chunks", "0,0,0,0,0,0").status)
-	served, refused := 0, 0
+	served, refused, rule := 0, 0, routingtest.StageRule{After: stagesAfter}
 	for set := range 1 << len(stagesAfter) {
 		pieces, list := make([]int, len(stagesAfter)), make([]string, len(stagesAfter))
 		for i := range pieces {
 			pieces[i] = set >> i & 1 * (1 + i%2)
 			list[i] = strconv.Itoa(pieces[i])
 		}
-		has := func(stage int) bool { return pieces[stage] > 0 }
-		sound := (!has(0) || has(3) || has(4)) && (!has(2) || has(0)) && (!has(5) || has(4)) &&
-			(!has(3) || has(0)) && (!has(4) || has(0) || has(5)) && (!has(0) || has(2))
+		sound := rule.Sound(pieces)
 		id, header := fmt.Sprint("r", set), []string{"Chunks", strings.Join(list, ","), "Chunk-Key", "k"}
 		restarts := sound && set%3 == 0 && set > 0
 		if restarts {
@@ -118,11 +96,12 @@
 		require.Equal(t, http.StatusOK, got.status, header)
 		var names []string
 		for _, p := range asked {
-			names = append(names, p.Name())
-			require.Equal(t, namesOf(id, pieces, slices.Compact(slices.Clone(stagesAfter[p.Phase]))...), namesIn(p.Inputs))
+			require.Equal(t, id, p.ID)
+			names = append(names, routingtest.Name(p.Phase, p.Segment))
+			require.Equal(t, rule.Given(pieces, p.Phase), routingtest.NamesOf(id, p.Inputs))
 			require.Equal(t, len(p.Inputs) == 0, p.Key == "k")
 		}
-		want := namesOf(id, pieces, 0, 1, 2, 3, 4, 5)
+		want := rule.All(pieces)
 		if restarts {
 			want = append(want, want...)
 			slices.Sort(want)
@@ -133,7 +112,7 @@
 		if h := engine.Runs()[runs].Header.Get("Inputs"); h != "" {
 			inputs = strings.Split(h, ",")
 		}
-		require.Equal(t, namesOf(id, pieces, 1, 2, 5), namesIn(inputs), header)
+		require.Equal(t, rule.Request(pieces), routingtest.NamesOf(id, inputs), header)
 	}
 	require.Greater(t, served, 10)
 	require.Greater(t, refused, 10)
--- a/staging/plan_test.go
+++ b/staging/plan_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/galenaseam/galenaseam/call"
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/routing"
+	"github.com/galenaseam/galenaseam/routing/routingtest"
 )
 
 // testGraph returns the graph of a request with numbers of pieces, at servers as testSpec has.
@@ -40,51 +40,6 @@
 	return s.pathServers.RunPieces(ctx, server, pieces)
 }
 
-// pieceNames returns the names of all pieces of some stages, sorted.
-func pieceNames(pieces []int, stages ...int) (names []string) {
-	for _, stage := range stages {
-		for i := range pieces[stage] {
-			names = append(names, fmt.Sprint(stage, "-", i))
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
-// givenNames returns the names of the pieces that handles belong to, sorted.
-func givenNames(handles []string) (names []string) {
-	for _, h := range handles {
-		names = append(names, strings.Join(strings.Split(h, "-")[2:], "-")) // after the server
-	}
-	slices.Sort(names)
-	return names
-}
-
-// planRule is the users' rule, in the words of their pages: a piece of a stage without "after" is
-// given the key, another one all pieces of all stages in "after", and the request all pieces of the
-// stages that no other stage follows. ok is false if a stage would be given none, or its results
-// would reach neither a stage nor the request.
-func planRule(stages []routing.Stage, pieces []int) (given map[int][]string, request []string, ok bool) {
-	given, ok = make(map[int][]string), true
-	for i, s := range stages {
-		after := slices.Compact(slices.Sorted(slices.Values(s.DependsOn)))
-		given[i] = pieceNames(pieces, after...)
-		followed, reached := false, false
-		for j, other := range stages {
-			follows := slices.Contains(other.DependsOn, i)
-			followed, reached = followed || follows, reached || follows && pieces[j] > 0
-		}
-		if pieces[i] > 0 && (len(after) > 0 && len(given[i]) == 0 || followed && !reached) {
-			ok = false
-		}
-		if !followed {
-			request = append(request, pieceNames(pieces, i)...)
-		}
-	}
-	slices.Sort(request)
-	return given, request, ok
-}
-
 // drawStages draws a graph without cycles. Stages may come after later ones and list a stage
 // twice.
 func drawStages(t *rapid.T) []routing.Stage {
@@ -126,12 +81,15 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		stages := drawStages(rt)
 		pieces := rapid.SliceOfN(rapid.SampledFrom([]int{0, 0, 1, 3}), len(stages), len(stages)).Draw(rt, "pieces")
-		given, request, ok := planRule(stages, pieces)
+		var rule routingtest.StageRule
+		for _, stage := range stages {
+			rule.After = append(rule.After, stage.DependsOn)
+		}
 		stageGraph, err := routing.NewStageGraph(stages)
 		require.NoError(rt, err)
 		q := &call.Request{ID: "r", Pieces: pieces, PiecesKey: "k"}
 		plan, err := NewPlan(stageGraph, q)
-		require.Equal(rt, ok, err == nil, "%v", err)
+		require.Equal(rt, rule.Sound(pieces), err == nil, "%v", err)
 		if err != nil {
 			return
 		}
@@ -139,14 +97,14 @@
 		require.NoError(rt, err)
 		var ran []string
 		for _, p := range asked {
-			ran = append(ran, fmt.Sprint(p.Stage, "-", p.Index))
-			require.Equal(rt, given[p.Stage], givenNames(p.Inputs))
+			ran = append(ran, routingtest.Name(p.Stage, p.Index))
+			require.Equal(rt, rule.Given(pieces, p.Stage), routingtest.NamesOf(q.ID, p.Inputs))
 			require.Equal(rt, len(stages[p.Stage].DependsOn) == 0, p.Key == "k")
 			require.Equal(rt, p.Key == "", len(p.Inputs) > 0)
 		}
 		slices.Sort(ran)
-		require.Equal(rt, pieceNames(pieces, stageGraph.Order()...), ran)
-		require.Equal(rt, request, givenNames(inputs))
+		require.Equal(rt, rule.All(pieces), ran)
+		require.Equal(rt, rule.Request(pieces), routingtest.NamesOf(q.ID, inputs))
 		served++
 	})
 	require.Greater(t, served, 10)
