--- a/edge/silentstore_test.go
+++ b/edge/silentstore_test.go
@@ -13,8 +13,8 @@
 )
 
 // Open connections to the store fall silent while new ones work. Guards against hosts that still
-// use an old configuration when they count as in touch again, 3 s later, and against a removed
-// upstream that is taken for one whose entry expired during an outage and gets new work.
+// use an old configuration when they count as in touch again, 3 s later, and against new work for a
+// removed upstream, as if its entry had expired during an outage.
 func TestHostsFollowTheStorePastSilentConnections(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
--- a/edge/stages_test.go
+++ b/edge/stages_test.go
@@ -40,7 +40,7 @@
 	})
 }
 
-// requireRefusedForGood requires that a caller is told why its request can't be served, and not
+// requireRefusedForGood requires an answer that says why the request can't be served, and not when
 // to come back.
 func requireRefusedForGood(t *testing.T, got callerResponse, cause, detail string) {
 	t.Helper()
--- a/instance/notices.go
+++ b/instance/notices.go
@@ -185,9 +185,9 @@
 	return t.senderByClock(p, now, maxClockError)
 }
 
-// pausingSender is sender for an answer that asks for a pause. A process that starts may ask for
-// one at once, and a pause that is counted for the wrong process ends: clocks are taken to agree.
-// The caller holds mu.
+// pausingSender is sender for an answer that asks for a pause, without a margin for clocks that
+// differ: a process that starts may ask for a pause at once, and one that is counted for the wrong
+// process ends. The caller holds mu.
 func (t *Table) pausingSender(p Process, now time.Time) *Instance {
 	return t.senderByClock(p, now, 0)
 }
