directory: Tell how old a host's copy of the store is

The lines 'upstream leaving' and 'upstream removed' carry copy_age_ms, the longest time for which the host can have missed the change, and last_request_ms_ago. The line 'configuration in force' tells the size and the time to decode it. TestEraIsCounted lists every metric of the package; the new ones are added to it, the age apart, as it is no constant.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -150,6 +150,7 @@
 	eraMetrics      eraMetrics
 	cutWatches      prometheus.Counter
 	overdueAnswers  prometheus.Counter
+	relayMetrics    relayMetrics
 	// unknownEvacuations counts evacuations of data centres that are not known.
 	unknownEvacuations prometheus.Counter
 
@@ -190,10 +191,12 @@
 		eraMetrics:     newEraMetrics(config.Registerer),
 		cutWatches:     newCutWatchCounter(config.Registerer),
 		overdueAnswers: newOverdueCounter(config.Registerer),
+		relayMetrics:   newRelayMetrics(config.Registerer),
 
 		unknownEvacuations: newUnknownEvacuationCounter(config.Registerer),
 		lastStateCalls:     newLastStateCalls(config.Registerer),
 	}
+	registerAge(config.Registerer, d.Age)
 	config.Gossip.Subscribe(revisionTopic, d.handleRevision)
 	link.HandleTyped(registrar, followMethod, d.serveFollow)
 	link.HandleTyped(registrar, lastStatesMethod, d.serveLastStates)
@@ -231,6 +234,17 @@
 	return d.asOf
 }
 
+// Age returns the time since the store last confirmed that this host lacked no changes, to
+// this host or to the one that it follows; 0 before the first read.
+func (d *Directory) Age(now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.confirmedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(d.confirmedAt)
+}
+
 // List returns the hosts that have an entry in the store, the newest for each address:
 // a process that ended without notice has one until its lease ends.
 func (d *Directory) List(context.Context) ([]infra.Listing, error) {
@@ -368,6 +382,7 @@
 // applyConfig applies a configuration unless the one in force has the same or
 // a later version.
 func (d *Directory) applyConfig(raw []byte, revision int64) {
+	started := time.Now()
 	decoded, err := d.config.Format.DecodeConfig(raw)
 	if err != nil {
 		d.config.Logger.Error("configuration ignored", "revision", revision, "error", err.Error())
@@ -378,6 +393,7 @@
 		d.config.Logger.Error("configuration ignored", "version", uint64(decoded.Version), "revision", revision, "error", err.Error())
 		return
 	}
+	decodeTime := time.Since(started)
 	d.mu.Lock()
 	current := d.routes.Load()
 	newer := current == nil || table.Version() > current.Version()
@@ -388,7 +404,8 @@
 	d.mu.Unlock()
 	if newer {
 		d.config.Logger.Info("configuration in force", "version", uint64(table.Version()), "revision", revision,
-			"routes", len(decoded.Routes), "services", len(decoded.Services), "workspaces", len(decoded.Workspaces))
+			"routes", len(decoded.Routes), "services", len(decoded.Services), "workspaces", len(decoded.Workspaces),
+			"bytes", len(raw), "decode_ms", decodeTime.Milliseconds())
 		for _, route := range table.InvalidRoutes() {
 			d.config.Logger.Error("route can't be served", "route", route.Name, "version", uint64(table.Version()), "error", route.Err.Error())
 		}
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -227,5 +227,7 @@
 		m := family.GetMetric()[0]
 		values[family.GetName()] = m.GetGauge().GetValue() + m.GetCounter().GetValue()
 	}
-	require.Equal(t, map[string]float64{"seam_store_era": 4, "seam_store_era_rises_total": 1, "seam_store_watches_cut_total": 0, "seam_store_answers_overdue_total": 0, "seam_evacuations_of_unknown_data_centres_total": 0}, values)
+	require.Less(t, values["seam_store_copy_age_seconds"], 60.0)
+	delete(values, "seam_store_copy_age_seconds")
+	require.Equal(t, map[string]float64{"seam_configuration_sent_bytes_total": 0, "seam_store_era": 4, "seam_store_era_rises_total": 1, "seam_store_watches_cut_total": 0, "seam_store_answers_overdue_total": 0, "seam_evacuations_of_unknown_data_centres_total": 0}, values)
 }
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -179,7 +179,7 @@
 	d.mu.Unlock()
 	defer stale.Stop()
 	if answer := d.changesSince(request); ahead || behind && !answer.isEmpty() {
-		return answer, nil
+		return d.countSent(answer), nil
 	}
 	select {
 	case <-changed:
@@ -188,7 +188,13 @@
 	case <-ctx.Done():
 		return followAnswer{}, Error.Wrap(ctx.Err())
 	}
-	return d.changesSince(request), nil
+	return d.countSent(d.changesSince(request)), nil
+}
+
+// countSent counts what is sent to another host.
+func (d *Directory) countSent(answer followAnswer) followAnswer {
+	d.relayMetrics.sentConfigBytes.Add(float64(len(answer.Config)))
+	return answer
 }
 
 // changesSince returns what the requesting host lacks.
@@ -228,22 +234,23 @@
 	wait := d.fractionOfMaxDelay(followFraction)
 	answer, err := d.askPeer(ctx, watcher.LinkAddr, wait, wait+d.fractionOfMaxDelay(answerFraction))
 	d.awaitLastStatesForAnswer(ctx, answer)
-	reason := ""
+	reason, text := "", ""
 	switch {
 	case ctx.Err() != nil:
 		return true
 	case err != nil:
-		reason = err.Error()
+		reason, text = watcherSilent, err.Error()
 	case answer.Age >= d.fractionOfMaxDelay(maxAgeFraction):
-		reason = "out of touch with the store"
+		reason, text = watcherStale, "out of touch with the store"
 	case !d.applyAnswer(answer):
-		reason = "in a former era of the store"
+		reason, text = watcherOldEra, "in a former era of the store"
 	default:
 		return true
 	}
 	d.avoidedWatchers.Add(watcher.ID, time.Now())
+	d.relayMetrics.avoidedWatchers.WithLabelValues(reason).Inc()
 	d.config.Logger.Warn("store watcher avoided", "watcher", string(watcher.ID), "as_of", d.Revision(),
-		"watcher_era", answer.Era, "watcher_as_of", answer.AsOf, "age_ms", answer.Age.Milliseconds(), "reason", reason)
+		"watcher_era", answer.Era, "watcher_as_of", answer.AsOf, "age_ms", answer.Age.Milliseconds(), "reason", text)
 	return false
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -365,6 +365,12 @@
 		attrs = append(attrs, "until", c.Until)
 	case "limited":
 		attrs = append(attrs, "limit", c.Limit)
+	case "leaving", "removed":
+		now := time.Now()
+		attrs = append(attrs, "copy_age_ms", h.directory.Age(now).Milliseconds())
+		if !c.BegunAt.IsZero() {
+			attrs = append(attrs, "last_request_ms_ago", now.Sub(c.BegunAt).Milliseconds())
+		}
 	}
 	h.logger.Info("upstream "+c.Kind, attrs...)
 	if c.Kind == "added" || c.Kind == "cold" {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -80,6 +80,7 @@
 	Entry
 	notice
 	cold         coldness
+	begunAt      time.Time // when this host last began to send a request there
 	inFlight     int
 	tokens       int // prompt and output tokens in flight
 	failures     int // calls that broke since the last answered one
@@ -165,6 +166,9 @@
 	Until time.Time
 	// Limit is a limit that the upstream names, in requests a second.
 	Limit float64
+	// BegunAt is when this host last began to send a request to an upstream that is leaving or was
+	// removed; zero if never.
+	BegunAt time.Time
 	// Upstreams and InFlight are how many upstreams a data centre has that is evacuated or
 	// restored, and how many requests of this host run there.
 	Upstreams, InFlight int
@@ -206,8 +210,11 @@
 func (t *Table) Put(e Entry) {
 	t.mu.Lock()
 	kind := t.put(e)
-	t.mu.Unlock()
 	change := Change{Entry: e, Kind: kind, Source: SourceEntry}
+	if i := t.byID[e.ID]; i != nil && kind == "leaving" {
+		change.BegunAt = i.begunAt
+	}
+	t.mu.Unlock()
 	if kind == "cold" {
 		change.Until = t.now().Add(e.WarmupLeft)
 	}
@@ -282,7 +289,7 @@
 // removalDone tells the table's owner of a removal. removed may be nil.
 func (t *Table) removalDone(removed *Instance) {
 	if removed != nil {
-		t.changed(Change{Entry: removed.Entry, Kind: "removed", Source: SourceEntry})
+		t.changed(Change{Entry: removed.Entry, Kind: "removed", Source: SourceEntry, BegunAt: removed.begunAt})
 	}
 }
 
@@ -465,6 +472,7 @@
 		return nil, false
 	}
 	t.requests[i.Service]++
+	i.begunAt = t.now()
 	i.inFlight++
 	i.tokens += tokens
 	return &Use{table: t, instance: i, tokens: tokens}, true
