--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"fmt"
 	"log/slog"
 	"net/netip"
@@ -98,6 +99,16 @@
 type source struct {
 	*testStore
 	host int
+	link *testLink // of the host, nil if its bandwidth does not matter
+}
+
+// send passes the store's answer with items over the host's link.
+func (s source) send(ctx context.Context, items []Item) error {
+	bytes := 0
+	for _, i := range items {
+		bytes += base64.StdEncoding.EncodedLen(len(i.Value))
+	}
+	return s.link.pass(ctx, bytes)
 }
 
 func (s source) startCall(ctx context.Context) error {
@@ -119,25 +130,30 @@
 	if err := s.startCall(ctx); err != nil {
 		return nil, infra.Position{}, err
 	}
+	all, asOf := s.listing()
+	return all, asOf, s.send(ctx, all)
+}
+
+// listing returns what the store holds.
+func (s *testStore) listing() (all []Item, asOf infra.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	newest := make(map[string]Item)
 	for _, i := range s.items {
 		newest[i.Key] = i
 	}
-	var all []Item
 	for _, i := range newest {
 		if !i.Removed {
 			all = append(all, i)
 		}
 	}
-	return all, infra.Position{Era: s.era, Revision: int64(len(s.items))}, nil
+	return all, infra.Position{Era: s.era, Revision: int64(len(s.items))}
 }
 
 func (source) Reconnect() {}
 
-func (s source) Changes(ctx context.Context, after infra.Position, wait time.Duration) ([]Item, infra.Position, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+time.Second)
+func (s source) Changes(caller context.Context, after infra.Position, wait time.Duration) ([]Item, infra.Position, error) {
+	ctx, cancel := context.WithTimeout(caller, wait+time.Second)
 	defer cancel()
 	if err := s.startCall(ctx); err != nil {
 		return nil, infra.Position{}, err
@@ -164,7 +180,7 @@
 			return nil, infra.Position{}, ErrUnreadable
 		}
 		if len(items) > 0 {
-			return items, newest, nil
+			return items, newest, s.send(caller, items)
 		}
 		select {
 		case <-changed:
@@ -184,6 +200,7 @@
 	index    int
 	handlers map[link.Method]link.Handler
 	frozen   atomic.Bool
+	in, out  *testLink // nil if the bandwidth does not matter
 }
 
 func (h *testHost) Handle(method link.Method, handler link.Handler) { h.handlers[method] = handler }
@@ -217,6 +234,9 @@
 	if raw, err = cbor.Marshal(answer); err != nil {
 		return err
 	}
+	if err := passBoth(ctx, to.out, h.in, len(raw)); err != nil {
+		return err
+	}
 	return cbor.Unmarshal(raw, out)
 }
 
@@ -229,22 +249,30 @@
 }
 
 func newTestFleet(t *testing.T, size int) *testFleet {
+	return newLinkedFleet(t, make([]float64, size), testFormat{})
+}
+
+// newLinkedFleet returns a fleet of a host for each given bandwidth in Mbit/s. A bandwidth of 0
+// does not matter.
+func newLinkedFleet(t *testing.T, megabits []float64, format Format) *testFleet {
 	f := &testFleet{
 		store: &testStore{changed: make(chan struct{}), hangs: make(map[int]bool)}, byAddr: make(map[netip.AddrPort]*testHost),
 	}
-	for i := range size {
+	for i, bandwidth := range megabits {
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
-		f.infos = append(f.infos, host.Info{ID: host.ID(fmt.Sprint("h", i)), LinkAddr: addr})
+		f.infos = append(f.infos, host.Info{ID: host.ID(fmt.Sprint("h", i)), LinkAddr: addr, Capacity: bandwidth / 250})
 	}
 	for i := range 20 {
 		f.store.put(fmt.Sprint("up/u", i), instance.Entry{Service: "s"}, false)
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	var running sync.WaitGroup
-	for i := range size {
-		h := &testHost{testFleet: f, index: i, handlers: make(map[link.Method]link.Handler)}
+	for i, bandwidth := range megabits {
+		h := &testHost{
+			testFleet: f, index: i, handlers: make(map[link.Method]link.Handler), in: newTestLink(bandwidth), out: newTestLink(bandwidth),
+		}
 		h.Directory = New(Config{
-			Source: source{f.store, i}, Format: testFormat{}, Instances: instance.NewTable(nil), Fleet: h, Gossip: h, Caller: h,
+			Source: source{f.store, i, h.in}, Format: format, Instances: instance.NewTable(nil), Fleet: h, Gossip: h, Caller: h,
 			MaxPropagationDelay: testMaxDelay, Logger: slog.New(slog.DiscardHandler), OnConfig: func(*routing.Table) {},
 		}, h)
 		f.hosts = append(f.hosts, h)
--- a/directory/start_test.go
+++ b/directory/start_test.go
@@ -32,7 +32,7 @@
 func newLoneDirectory(store *testStore, onHosts func()) *Directory {
 	fleet := loneHost{hosttest.Fleet{{Info: host.Info{ID: "self"}}}}
 	return New(Config{
-		Source: source{store, 0}, Format: testFormat{}, Instances: instance.NewTable(nil), Fleet: fleet, Gossip: fleet, Caller: fleet,
+		Source: source{testStore: store}, Format: testFormat{}, Instances: instance.NewTable(nil), Fleet: fleet, Gossip: fleet, Caller: fleet,
 		MaxPropagationDelay: testMaxDelay, Logger: slog.New(slog.DiscardHandler), OnConfig: func(*routing.Table) {}, OnHosts: onHosts,
 	}, fleet)
 }
