edge: No call to an upstream that has left since it was chosen

What callers would see: DRAIN. A stage call, or a request whose connection is being opened, is sent to an upstream of which the host has learned meanwhile that it is leaving or was removed.

Cause: the check before a call is written looked for evacuations and pauses only. Requests looked for leaving upstreams before the connection is opened, stage calls ignored that Begin failed.

Change: admitCall asks instance.Table.MayGetCall, before the connection is opened and once more before the first byte. Calls beside the slots, which free results and read reports, are sent as before.

--- a/edge/notices.go
+++ b/edge/notices.go
@@ -225,7 +225,8 @@
 }
 
 // admitCall reports whether a call may be sent: not to an upstream that has asked
-// this host for a pause or is at its limit, or whose data centre is evacuated.
+// this host for a pause or is at its limit, that is leaving or was removed, or whose data centre is
+// evacuated. Calls that take no slot serve work that has run there already.
 func (h *Host) admitCall(c *transport.Call) bool {
-	return !h.isEvacuated(c) && !h.instances.IsPaused(c.Upstream, c.Addr, time.Now())
+	return (c.TakesNoSlot || h.instances.MayGetCall(c.Upstream)) && !h.isEvacuated(c) && !h.instances.IsPaused(c.Upstream, c.Addr, time.Now())
 }
--- a/instance/exclusion.go
+++ b/instance/exclusion.go
@@ -71,3 +71,15 @@
 	}
 	return all
 }
+
+// MayGetCall reports whether a call to a process may be sent: not if it is leaving or was removed
+// since it was chosen. A process that was never listed may get calls.
+func (t *Table) MayGetCall(p Process) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if i := t.byID[p.ID]; i != nil {
+		return !i.isLeaving()
+	}
+	_, removed := t.tombstones[p.ID]
+	return !removed
+}
