directory: Configurations are fetched apart from changes

Stages and requests were sent to upstreams over 3 s after the store had acknowledged that they leave, and 404 was given for routes of versions acknowledged over 3 s before, while versions with 1,400 routes more were sent.

Cause: a change waits behind the bytes of a configuration, in the same answer of the store, in the same answer of a watcher, and on the watcher's link. A watcher sent each version whole to some 20 followers: 42 Mbit at 262 kB, over 10 Mbit/s, because watchers were chosen by hash alone. Followers timed out after 1.35 s, threw away what had arrived, and asked the store and the next watcher, which had such a link too. On slow links, the store was asked for an answer that was arriving once more. The changes in an answer also waited, 0.17 s, until its configuration was decoded.

Change: answers to followers tell the version in force and hold no body. The body is fetched by a call of its own, compressed, from a host whose link has room for a copy; others are named to hosts that have asked before, in a tree. The store is the last resort. Watchers are strong hosts as far as there are any. On a link that is slow for the configuration, hosts that watch the store watch upstreams apart, and hosts that fall back to the store read upstreams first. Configurations are decoded after the other changes, without the lock. An answer that arrives is not asked for again (TestLargeAnswerIsAskedForOnce fails before). Hosts whose copy is old ask others.

--- a/cmd/seamedge/main.go
+++ b/cmd/seamedge/main.go
@@ -126,7 +126,7 @@
 		Name: s.Name, Place: s.Place, CallerAddr: s.CallerAddr, ReadinessAddr: s.ReadinessAddr, PeerAddr: s.PeerAddr,
 		MetricsPort: uint16(f.metricsPort), Seeds: s.Seeds, FleetKey: key[:], MemoryBytes: s.MemoryBytes, MaxDescriptors: s.MaxDescriptors, Grace: s.Grace, MaxPropagationDelay: s.MaxPropagationDelay,
 		HeartbeatInterval: s.HeartbeatInterval, EntryTTL: s.EntryTTL,
-		Capacity:  min(s.CPUShare, s.LinkMegabits/megabitsPerCore),
+		Capacity: min(s.CPUShare, s.LinkMegabits/megabitsPerCore), LinkMegabits: s.LinkMegabits,
 		Retries:   retry.Bounds{Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window},
 		StoreAddr: s.Store.Addr, IgnoreLoad: f.ignoreLoad,
 	}
--- a/directory/bandwidth_test.go
+++ b/directory/bandwidth_test.go
@@ -158,3 +158,30 @@
 		})
 	}
 }
+
+// Guards against an answer of the store that is asked for again, and takes the link twice, because
+// it takes long to arrive.
+func TestLargeAnswerIsAskedForOnce(t *testing.T) {
+	for phase := time.Duration(0); phase < smallFleetWatchWait; phase += 300 * time.Millisecond {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				h := newLinkedFleet(t, links(0, 1), versionedFormat{}).hosts[0]
+				time.Sleep(phase)
+				h.store.putConfig(1, manyRoutes(2850))
+				synctest.Wait()
+				calls := func() int {
+					h.store.mu.Lock()
+					defer h.store.mu.Unlock()
+					return h.store.calls
+				}
+				before := calls()
+				time.Sleep(400 * time.Millisecond)
+				require.Nil(t, h.Routes(), "the answer arrives")
+				require.Equal(t, before, calls())
+				time.Sleep(200 * time.Millisecond)
+				require.NotNil(t, h.Routes())
+			})
+		})
+	}
+}
--- /dev/null
+++ b/directory/configurations.go
@@ -0,0 +1,274 @@
+package directory
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/galenaseam/galenaseam/internal/sleep"
+	"github.com/galenaseam/galenaseam/link"
+	"github.com/galenaseam/galenaseam/routing"
+)
+
+// A configuration may take a host's link for seconds. So hosts tell each other which version is
+// in force, with the changes of upstreams and hosts, and fetch it by a call of its own: first
+// from the host that told, which passes on few copies at a time and names hosts that have asked
+// before; then from the store.
+
+const configurationMethod link.Method = "directory.Configuration"
+
+const (
+	// maxConfigurationBytes bounds a configuration that is unpacked. It is several times the
+	// largest value that the store holds.
+	maxConfigurationBytes = 8 << 20
+	// copiesWaitFraction of Config.MaxPropagationDelay is how long hosts are asked for a copy until
+	// the store is asked. Each is asked for fetchTimeout at the most.
+	copiesWaitFraction = 0.4
+	// fetchRetryDelay is the delay after a version could be had neither from hosts nor from the
+	// store.
+	fetchRetryDelay = time.Second
+)
+
+// configurationRequest asks for a version of the configuration or a later one.
+type configurationRequest struct {
+	Version routing.Version `cbor:"1,keyasint"`
+	// Asker is the address at which the asking host can pass the version on.
+	Asker netip.AddrPort `cbor:"2,keyasint"`
+	// Wait is how long the asking host waits for an answer.
+	Wait time.Duration `cbor:"3,keyasint"`
+	// Here means that the asking host is not to be sent to another one.
+	Here bool `cbor:"4,keyasint,omitempty"`
+}
+
+// configurationAnswer holds a configuration, or names a host to ask for it.
+type configurationAnswer struct {
+	Body     []byte         `cbor:"1,keyasint,omitempty"`
+	Packed   bool           `cbor:"2,keyasint,omitempty"` // Body is compressed with gzip
+	Revision int64          `cbor:"3,keyasint,omitempty"`
+	Other    netip.AddrPort `cbor:"4,keyasint"`
+}
+
+// announcement is the newest version that another host has announced.
+type announcement struct {
+	version routing.Version
+	from    netip.AddrPort
+}
+
+// packedConfig is a version of the configuration in the form in which it is sent to other hosts.
+type packedConfig struct {
+	version  routing.Version
+	revision int64
+	body     []byte
+	packed   bool // body is compressed with gzip
+}
+
+// pack returns a configuration in the form in which it is sent.
+func pack(version routing.Version, revision int64, raw []byte) *packedConfig {
+	var packed bytes.Buffer
+	w, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
+	if err == nil {
+		_, err = w.Write(raw)
+	}
+	if err == nil {
+		err = w.Close()
+	}
+	if err != nil || packed.Len() >= len(raw) {
+		return &packedConfig{version: version, revision: revision, body: raw}
+	}
+	return &packedConfig{version: version, revision: revision, body: packed.Bytes(), packed: true}
+}
+
+// unpack returns the configuration of an answer.
+func (a configurationAnswer) unpack() ([]byte, error) {
+	if !a.Packed {
+		return a.Body, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(a.Body))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	raw, err := io.ReadAll(io.LimitReader(r, maxConfigurationBytes+1))
+	if err == nil && len(raw) > maxConfigurationBytes {
+		return nil, Error.New("configuration of over %d bytes", maxConfigurationBytes)
+	}
+	return raw, Error.Wrap(err)
+}
+
+// announce records that a host has a version of the configuration in force, and wakes
+// followConfigurations if this host has an earlier one.
+func (d *Directory) announce(version routing.Version, from netip.AddrPort) {
+	if current := d.routes.Load(); current != nil && current.Version() >= version || version == 0 {
+		return
+	}
+	d.mu.Lock()
+	isNew := version > d.announced.version
+	if version >= d.announced.version {
+		d.announced = announcement{version, from} // the last host that told is the likeliest to respond
+	}
+	d.mu.Unlock()
+	if isNew {
+		select {
+		case d.announcements <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// lacking returns the newest announcement if this host has an earlier version in force.
+func (d *Directory) lacking() (a announcement, lacks bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	current := d.routes.Load()
+	return d.announced, d.announced.version > 0 && (current == nil || current.Version() < d.announced.version)
+}
+
+// followConfigurations fetches versions of the configuration that other hosts announce.
+func (d *Directory) followConfigurations(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.announcements:
+		}
+		for ctx.Err() == nil {
+			wanted, lacks := d.lacking()
+			if !lacks {
+				break
+			}
+			if d.fetchFromHosts(ctx, wanted) {
+				continue
+			}
+			if err := d.fetchFromStore(ctx); err != nil {
+				d.config.Logger.Warn("configuration not fetched from the store", "version", uint64(wanted.version), "error", err.Error())
+			}
+			if _, lacks := d.lacking(); lacks {
+				_ = sleep.For(ctx, fetchRetryDelay)
+			}
+		}
+	}
+}
+
+// fetchFromHosts fetches a version from the host that has announced it, or from those that it
+// names. It returns false if none has sent it in time.
+func (d *Directory) fetchFromHosts(ctx context.Context, wanted announcement) bool {
+	ctx, cancel := context.WithTimeout(ctx, max(d.fractionOfMaxDelay(copiesWaitFraction), fetchTimeout))
+	defer cancel()
+	peer, here := wanted.from, false
+	for ctx.Err() == nil {
+		answer, err := d.askConfiguration(ctx, peer, configurationRequest{Version: wanted.version, Here: here || peer != wanted.from})
+		switch {
+		case err == nil && answer.Other.IsValid() && !here:
+			peer = answer.Other
+		case err == nil && len(answer.Body) > 0:
+			return d.applyCopy(answer, wanted.version, peer)
+		case peer != wanted.from:
+			peer, here = wanted.from, true
+		default:
+			d.config.Logger.Info("configuration not fetched from another host", "version", uint64(wanted.version), "peer", peer.String(), "error", errorText(err))
+			return false
+		}
+	}
+	return false
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "it sent none"
+	}
+	return err.Error()
+}
+
+// askConfiguration asks one host for a version.
+func (d *Directory) askConfiguration(ctx context.Context, peer netip.AddrPort, request configurationRequest) (configurationAnswer, error) {
+	request.Wait, request.Asker = fetchTimeout, d.config.Fleet.Self().LinkAddr
+	ctx, cancel := context.WithTimeout(ctx, request.Wait)
+	defer cancel()
+	return link.CallIdempotent[configurationRequest, configurationAnswer](ctx, d.config.Caller, peer, configurationMethod, request)
+}
+
+// applyCopy applies another host's copy of the configuration. It returns false if that does not
+// bring the wanted version into force.
+func (d *Directory) applyCopy(answer configurationAnswer, wanted routing.Version, peer netip.AddrPort) bool {
+	raw, err := answer.unpack()
+	if err != nil {
+		d.config.Logger.Warn("configuration of another host can't be read", "version", uint64(wanted), "peer", peer.String(), "error", err.Error())
+		return false
+	}
+	version, valid := d.applyConfig(raw, answer.Revision)
+	if !valid || version < wanted {
+		return false
+	}
+	d.packingMu.Lock()
+	defer d.packingMu.Unlock()
+	if d.packed == nil || d.packed.version < version {
+		d.packed = &packedConfig{version: version, revision: answer.Revision, body: answer.Body, packed: answer.Packed}
+	}
+	return true
+}
+
+// fetchFromStore reads the configuration from the store.
+func (d *Directory) fetchFromStore(ctx context.Context) error {
+	item, found, err := d.config.Source.ReadConfig(ctx)
+	if err == nil && found {
+		d.applyConfig(item.Value, item.Revision)
+	}
+	return err
+}
+
+// serveConfiguration answers a host that asks for a version of the configuration. It waits until
+// this host has it and its link has room, or names another host.
+func (d *Directory) serveConfiguration(ctx context.Context, request configurationRequest) (configurationAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, max(request.Wait, 0))
+	defer cancel()
+	for {
+		d.mu.Lock()
+		changed := d.changed
+		d.mu.Unlock()
+		if current := d.routes.Load(); current != nil && current.Version() >= request.Version {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return configurationAnswer{}, Error.New("version %d is not in force here", request.Version)
+		}
+	}
+	for {
+		config := d.packedConfig()
+		d.mu.Lock()
+		d.spread.asked(config.version, request.Asker)
+		wait := d.uplink.reserve(len(config.body), time.Now())
+		var other netip.AddrPort
+		if wait > 0 && !request.Here {
+			other, _ = d.spread.next(request.Asker)
+		}
+		d.mu.Unlock()
+		switch {
+		case wait == 0:
+			d.relayMetrics.sentConfigBytes.Add(float64(len(config.body)))
+			return configurationAnswer{Body: config.body, Packed: config.packed, Revision: config.revision}, nil
+		case other.IsValid():
+			return configurationAnswer{Other: other}, nil
+		}
+		if err := sleep.For(ctx, wait); err != nil {
+			return configurationAnswer{}, Error.New("too many copies of version %d are asked for", config.version)
+		}
+	}
+}
+
+// packedConfig returns the configuration in force in the form in which it is sent. There must be
+// one.
+func (d *Directory) packedConfig() *packedConfig {
+	d.packingMu.Lock()
+	defer d.packingMu.Unlock()
+	d.mu.Lock()
+	version, revision, raw := d.routes.Load().Version(), d.configRevision, d.rawConfig
+	d.mu.Unlock()
+	if d.packed == nil || d.packed.version != version {
+		d.packed = pack(version, revision, raw)
+	}
+	return d.packed
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -6,6 +6,7 @@
 package directory
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"maps"
@@ -56,8 +57,14 @@
 	// Changes waits for changes after a position, in the same era. It returns
 	// them and the position from which to continue. ErrHistoryGone means that
 	// Read is needed again, also because the store's era rose, as does ErrUnreadable. ErrWatchCut means that
-	// the store closed the connection before the wait was over.
-	Changes(ctx context.Context, after infra.Position, wait time.Duration) ([]Item, infra.Position, error)
+	// the store closed the connection before the wait was over. It calls begun at most once, when
+	// the answer begins to arrive.
+	Changes(ctx context.Context, after infra.Position, wait time.Duration, begun func()) ([]Item, infra.Position, error)
+	// UpstreamChanges is Changes for upstreams only. Other changes, such as a large
+	// configuration, are not sent.
+	UpstreamChanges(ctx context.Context, after infra.Position, wait time.Duration) ([]Item, infra.Position, error)
+	// ReadConfig reads the operators' configuration. found is false if there is none.
+	ReadConfig(ctx context.Context) (config Item, found bool, err error)
 	// Reconnect makes later calls on connections that are opened after it. Calls that wait are
 	// not ended.
 	Reconnect()
@@ -99,6 +106,8 @@
 	// MaxPropagationDelay is the time within which every host must have applied
 	// a change.
 	MaxPropagationDelay time.Duration
+	// LinkMegabits is the bandwidth of this host's link in Mbit/s; 0 if it is unknown.
+	LinkMegabits float64
 	// HeartbeatInterval is about how often each upstream writes its entry, and EntryTTL how
 	// long after the last write the store removes it. If both are 0, a removal after any
 	// failed call may be due to an outage.
@@ -122,24 +131,37 @@
 	config Config
 	routes atomic.Pointer[routing.Table]
 	// applying serializes the application of news of the store and of other
-	// hosts, so that no news of a former era is applied. It is locked before mu.
+	// hosts, so that no news of a former era is applied. It is locked before mu, and not held
+	// while a configuration is decoded, except for that of a complete read.
 	applying sync.Mutex
+	// putting serializes the replacement of the configuration in force. It is locked after
+	// applying and before mu.
+	putting sync.Mutex
 
 	mu             sync.Mutex // guards the fields down to changed; locked before the instance table's mutex
 	rawConfig      []byte
 	configRevision int64          // the store's revision of rawConfig
 	asOf           infra.Position // changes up to this position are applied
-	hosts          map[string]hostEntry
-	evacuations    evacuations
-	expiries       map[instance.ID]expiry // upstreams whose entries expired during an outage
-	outages        outageTracker
-	eraRoseAt      time.Time      // when the host noticed that the store had come back from a copy
-	heard          infra.Position // the newest position that another host announced
-	heardFrom      host.ID
-	published      infra.Position
+	// upstreamsAsOf is the position up to which changes of upstreams are applied, if it is later
+	// than asOf.
+	upstreamsAsOf infra.Position
+	announced     announcement
+	uplink        uplink
+	spread        spread
+	// formerFollowerAt is when a host of the build before last followed this one.
+	formerFollowerAt time.Time
+	hosts            map[string]hostEntry
+	evacuations      evacuations
+	expiries         map[instance.ID]expiry // upstreams whose entries expired during an outage
+	outages          outageTracker
+	eraRoseAt        time.Time      // when the host noticed that the store had come back from a copy
+	heard            infra.Position // the newest position that another host announced
+	heardFrom        host.ID
+	published        infra.Position
 	// confirmedAt is when the store last confirmed, here or to the host that
 	// this one follows, that there were no further changes.
 	confirmedAt time.Time
+	receiving   int // answers of the store with changes that are arriving
 	// askedAtStart is true once the inquiry for last states of a start has begun, and informed
 	// once it has ended.
 	askedAtStart, informed bool
@@ -154,6 +176,12 @@
 	// unknownEvacuations counts evacuations of data centres that are not known.
 	unknownEvacuations prometheus.Counter
 
+	packingMu sync.Mutex // guards packed; locked before mu
+	// packed is the configuration that was last sent or received, nil if there is none.
+	packed *packedConfig
+	// announcements tells followConfigurations that another host has a newer configuration.
+	announcements chan struct{}
+
 	// wake tells followPeers that another host has a newer position.
 	wake chan struct{}
 
@@ -187,6 +215,8 @@
 		outages:        newOutageTracker(config.HeartbeatInterval, config.EntryTTL),
 		changed:        make(chan struct{}),
 		wake:           make(chan struct{}, 1),
+		announcements:  make(chan struct{}, 1),
+		uplink:         newUplink(config.LinkMegabits),
 		confirmer:      newConfirmer(),
 		eraMetrics:     newEraMetrics(config.Registerer),
 		cutWatches:     newCutWatchCounter(config.Registerer),
@@ -199,6 +229,7 @@
 	registerAge(config.Registerer, d.Age)
 	config.Gossip.Subscribe(revisionTopic, d.handleRevision)
 	link.HandleTyped(registrar, followMethod, d.serveFollow)
+	link.HandleTyped(registrar, configurationMethod, d.serveConfiguration)
 	link.HandleTyped(registrar, lastStatesMethod, d.serveLastStates)
 	return d
 }
@@ -281,6 +312,7 @@
 		listedKeys[item.Key] = true
 		d.apply(item, now)
 	}
+	config, hasConfig := d.newestConfig(items)
 	d.removeUnlisted(listedUpstreams, asOf, now)
 	d.config.Instances.MarkGap(now)
 	d.mu.Lock()
@@ -291,6 +323,9 @@
 	}
 	d.mu.Unlock()
 	d.reportUnknownEvacuations()
+	if hasConfig { // before the position tells that everything is applied
+		d.applyConfig(config.Value, config.Revision)
+	}
 	d.advancePosition(asOf, now)
 	d.wakeFollowers()
 	d.hostsChanged()
@@ -313,18 +348,37 @@
 }
 
 // applyChanges applies changes up to a position. It returns false, and applies
-// none, if they are of another era than what they would be applied to.
+// none, if they are of another era than what they would be applied to. Other changes do not wait
+// until a configuration among them is decoded.
 func (d *Directory) applyChanges(items []Item, asOf infra.Position, now time.Time) bool {
+	config, hasConfig := d.newestConfig(items)
+	if !hasConfig {
+		return d.applyItems(items, asOf, asOf, now)
+	}
+	if !d.applyItems(items, asOf, infra.Position{}, now) {
+		return false
+	}
+	d.applyConfig(config.Value, config.Revision)
+	return d.applyItems(nil, asOf, asOf, now)
+}
+
+// applyItems applies changes other than of the configuration. upstreamsAsOf is the position up to
+// which changes of upstreams are complete with them, and asOf that for all changes if it is not
+// zero. It returns false, and applies nothing, if they are of another era.
+func (d *Directory) applyItems(items []Item, upstreamsAsOf, asOf infra.Position, now time.Time) bool {
 	d.applying.Lock()
 	defer d.applying.Unlock()
-	if asOf.Era != d.position().Era {
+	if upstreamsAsOf.Era != d.position().Era {
 		return false
 	}
 	for _, item := range items {
 		d.apply(item, now)
 	}
 	d.reportUnknownEvacuations()
-	d.advancePosition(asOf, now)
+	d.advanceUpstreams(upstreamsAsOf)
+	if asOf != (infra.Position{}) {
+		d.advancePosition(asOf, now)
+	}
 	if len(items) > 0 {
 		d.wakeFollowers()
 	}
@@ -334,7 +388,17 @@
 	return true
 }
 
-// apply applies one item.
+// newestConfig returns the last configuration among changes in order, or in a listing.
+func (d *Directory) newestConfig(items []Item) (config Item, found bool) {
+	for _, item := range slices.Backward(items) {
+		if item.Key == d.config.Format.ConfigKey() && !item.Removed {
+			return item, true
+		}
+	}
+	return Item{}, false
+}
+
+// apply applies one item, unless it is the configuration.
 func (d *Directory) apply(item Item, now time.Time) {
 	if id, ok := d.config.Format.UpstreamID(item.Key); ok {
 		d.applyUpstream(id, item, now)
@@ -346,9 +410,6 @@
 	}
 	switch {
 	case item.Key == d.config.Format.ConfigKey():
-		if !item.Removed {
-			d.applyConfig(item.Value, item.Revision)
-		}
 	case isHostKey(item.Key):
 		d.applyHost(item)
 	case d.config.OnItem != nil:
@@ -380,20 +441,25 @@
 }
 
 // applyConfig applies a configuration unless the one in force has the same or
-// a later version.
-func (d *Directory) applyConfig(raw []byte, revision int64) {
+// a later version. It returns its version, and false if it is not valid.
+func (d *Directory) applyConfig(raw []byte, revision int64) (version routing.Version, valid bool) {
+	if current, same := d.inForce(raw); same {
+		return current, true
+	}
 	started := time.Now()
 	decoded, err := d.config.Format.DecodeConfig(raw)
 	if err != nil {
 		d.config.Logger.Error("configuration ignored", "revision", revision, "error", err.Error())
-		return
+		return 0, false
 	}
 	table, err := routing.NewTable(decoded)
 	if err != nil {
 		d.config.Logger.Error("configuration ignored", "version", uint64(decoded.Version), "revision", revision, "error", err.Error())
-		return
+		return 0, false
 	}
 	decodeTime := time.Since(started)
+	d.putting.Lock()
+	defer d.putting.Unlock()
 	d.mu.Lock()
 	current := d.routes.Load()
 	newer := current == nil || table.Version() > current.Version()
@@ -410,7 +476,20 @@
 			d.config.Logger.Error("route can't be served", "route", route.Name, "version", uint64(table.Version()), "error", route.Err.Error())
 		}
 		d.config.OnConfig(table)
+		d.wakeFollowers()
+	}
+	return table.Version(), true
+}
+
+// inForce returns the version of the configuration in force if raw is that one.
+func (d *Directory) inForce(raw []byte) (version routing.Version, same bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	current := d.routes.Load()
+	if current == nil || !bytes.Equal(raw, d.rawConfig) {
+		return 0, false
 	}
+	return current.Version(), true
 }
 
 func isHostKey(key string) bool {
@@ -465,6 +544,15 @@
 	}
 }
 
+// advanceUpstreams records the position up to which changes of upstreams are applied.
+func (d *Directory) advanceUpstreams(asOf infra.Position) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if asOf.Era == d.asOf.Era && asOf.After(d.upstreamsAsOf) {
+		d.upstreamsAsOf = asOf
+	}
+}
+
 // wakeFollowers wakes the calls of hosts that wait for changes.
 func (d *Directory) wakeFollowers() {
 	d.mu.Lock()
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -135,7 +136,7 @@
 		AsOf: 95, Config: []byte("123"), Complete: true, Entries: []instance.Entry{{ID: "late", Service: "s", Revision: 90}},
 		Removals: []instance.Removal{{ID: "u3", Revision: 91}},
 		Expiries: map[instance.ID]wireExpiry{"u4": {Left: -time.Second, Revision: 92}},
-	}))
+	}, netip.AddrPort{}))
 	require.Equal(t, routing.Version(3), h.Routes().Version())
 	time.Sleep(2 * expiryCheckInterval)
 	for id, wanted := range map[instance.ID]bool{"late": false, "u3": true, "u4": true} {
--- a/directory/evacuation_test.go
+++ b/directory/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -37,14 +38,14 @@
 	step("first read", true, listing(0, 10, evacuationItem(0, 5, false)))
 	step("older removal", true, change(0, 4, true))
 	step("older listing without the key", true, listing(0, 4))
-	step("a host of the build before", true, func() { d.applyAnswer(followAnswer{AsOf: 12}) })
+	step("a host of the build before", true, func() { d.applyAnswer(followAnswer{AsOf: 12}, netip.AddrPort{}) })
 	step("removal", false, change(0, 13, true))
 	step("older beginning", false, change(0, 11, false))
 	step("another host that is behind", false, func() {
-		d.applyAnswer(followAnswer{AsOf: 12, Evacuations: []wireEvacuation{{DataCentre: "x", Revision: 11}}})
+		d.applyAnswer(followAnswer{AsOf: 12, Evacuations: []wireEvacuation{{DataCentre: "x", Revision: 11}}}, netip.AddrPort{})
 	})
 	step("the next one", true, change(0, 14, false))
-	step("another host knows its end", false, func() { d.applyAnswer(followAnswer{AsOf: 15, Evacuations: []wireEvacuation{}}) })
+	step("another host knows its end", false, func() { d.applyAnswer(followAnswer{AsOf: 15, Evacuations: []wireEvacuation{}}, netip.AddrPort{}) })
 	step("a copy that has the key", true, listing(1, 6, evacuationItem(1, 5, false)))
 	step("former era", true, change(0, 20, true))
 	step("a copy that lacks the key", false, listing(2, 3))
@@ -55,7 +56,7 @@
 func TestHostThatStartedLaterIgnoresOlderAnswers(t *testing.T) {
 	d := newLoneDirectory(&testStore{}, nil)
 	d.applySnapshot(nil, infra.Position{Revision: 14}, time.Now())
-	d.applyAnswer(followAnswer{AsOf: 12, Evacuations: []wireEvacuation{{DataCentre: "x", Revision: 11}}})
+	d.applyAnswer(followAnswer{AsOf: 12, Evacuations: []wireEvacuation{{DataCentre: "x", Revision: 11}}}, netip.AddrPort{})
 	require.False(t, d.config.Instances.IsEvacuated("x"))
 }
 
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -43,6 +43,8 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return d.followStore(ctx) })
 	group.Go(func() error { return d.followPeers(ctx) })
+	group.Go(func() error { return d.followConfigurations(ctx) })
+	group.Go(func() error { return d.followUpstreams(ctx) })
 	group.Go(func() error { return sleep.Every(ctx, expiryCheckInterval, d.removeExpired) })
 	return group.Wait()
 }
@@ -56,6 +58,9 @@
 		if w, follows := d.chooseWatcher(time.Now()); follows && d.Revision() > 0 && d.followWatcher(ctx, w) {
 			continue
 		}
+		if d.needsUpstreamsApart() && !next.readAll {
+			_, _ = d.readUpstreams(ctx, confirmWait) // the call for all changes gets them too
+		}
 		err := d.callStore(ctx, &next)
 		switch {
 		case ctx.Err() != nil:
@@ -115,9 +120,9 @@
 }
 
 // batchDelay is the pause after changes, so that changes close together are
-// read in one call.
+// read in one call. Configurations that take long on the link are not to come together.
 func (d *Directory) batchDelay() time.Duration {
-	if d.isLarge() {
+	if d.isLarge() && !d.needsUpstreamsApart() {
 		return d.fractionOfMaxDelay(batchFraction)
 	}
 	return smallFleetBatchDelay
--- a/directory/laststates_test.go
+++ b/directory/laststates_test.go
@@ -82,7 +82,7 @@
 					apply(nil, infra.Position{Revision: 9})
 				}
 				if listing == "after an answer" {
-					require.True(t, d.applyAnswer(followAnswer{Era: 1, AsOf: 6, Complete: true}))
+					require.True(t, d.applyAnswer(followAnswer{Era: 1, AsOf: 6, Complete: true}, netip.AddrPort{}))
 				}
 				raw, err := cbor.Marshal(instance.Entry{Service: "s"})
 				require.NoError(t, err)
--- a/directory/overdue.go
+++ b/directory/overdue.go
@@ -15,6 +15,10 @@
 // asked on a new connection as well. A slow store answers within it.
 const overdueMargin = 150 * time.Millisecond
 
+// arrivalFraction of Config.MaxPropagationDelay is how long an answer that has begun to arrive may
+// take. A second one would share the link with it.
+const arrivalFraction = 0.33
+
 // changesAnswer is the result of Source.Changes.
 type changesAnswer struct {
 	items []Item
@@ -35,11 +39,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan changesAnswer, 2) // of the call and the one on a new connection
-	ask := func(wait time.Duration) {
-		items, asOf, err := d.config.Source.Changes(ctx, d.position(), wait)
+	begun := make(chan struct{}, 1)
+	ask := func(wait time.Duration, begun func()) {
+		items, asOf, err := d.config.Source.Changes(ctx, d.position(), wait, begun)
 		answers <- changesAnswer{items, asOf, err}
 	}
-	go ask(wait)
+	go ask(wait, func() { begun <- struct{}{} })
 	overdue := time.NewTimer(wait + overdueMargin)
 	defer overdue.Stop()
 	for asked := 1; ; {
@@ -48,16 +53,27 @@
 			if asked--; a.isFinal() || asked == 0 {
 				return a.items, a.asOf, a.err
 			}
+		case <-begun:
+			d.countReceiving(1)
+			defer d.countReceiving(-1)
+			overdue.Reset(max(d.fractionOfMaxDelay(arrivalFraction), overdueMargin))
 		case <-overdue.C:
 			d.overdueAnswers.Inc()
 			d.config.Logger.Info("answer of the store is overdue, asking on a new connection", "wait_ms", wait.Milliseconds())
 			d.config.Source.Reconnect()
 			asked++
-			go ask(confirmWait)
+			go ask(confirmWait, func() {})
 		}
 	}
 }
 
+// countReceiving counts the answers of the store that have begun to arrive and have not ended.
+func (d *Directory) countReceiving(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.receiving += n
+}
+
 func newOverdueCounter(registerer prometheus.Registerer) prometheus.Counter {
 	return promauto.With(registerer).NewCounter(prometheus.CounterOpts{
 		Name: "seam_store_answers_overdue_total", Help: "Calls for changes whose answer was overdue, so that the store was asked on a new connection.",
--- a/directory/peers.go
+++ b/directory/peers.go
@@ -133,12 +133,18 @@
 	return peer.LinkAddr, behind && known
 }
 
-// storeUnreliable reports whether a store call failed recently or no
-// configuration is known yet.
+// oldCopyFraction of Config.MaxPropagationDelay is the age from which on the copy of a host in a
+// large fleet is old: its watcher has not answered twice in a row.
+const oldCopyFraction = 0.8
+
+// storeUnreliable reports whether a store call failed recently, no configuration is known yet, or
+// this host's copy is old.
 func (d *Directory) storeUnreliable(now time.Time) bool {
+	isLarge := d.isLarge()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.routes.Load() == nil || now.Sub(d.outages.failedAt) < outageWindow
+	isOld := isLarge && now.Sub(d.confirmedAt) > d.fractionOfMaxDelay(oldCopyFraction)
+	return d.routes.Load() == nil || now.Sub(d.outages.failedAt) < outageWindow || isOld
 }
 
 // fetchFromRandomPeer fetches from a live host selected at random.
@@ -163,7 +169,7 @@
 		return
 	}
 	d.awaitLastStatesForAnswer(ctx, answer)
-	if d.applyAnswer(answer) && answer.position().After(before) {
+	if d.applyAnswer(answer, peer) && answer.position().After(before) {
 		d.config.Logger.Info("directory fetched from another host", "peer", peer.String(),
 			"era", answer.Era, "as_of", answer.AsOf, "was_era", before.Era, "was", before.Revision)
 	}
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -13,6 +13,7 @@
 	"github.com/galenaseam/galenaseam/infra"
 	"github.com/galenaseam/galenaseam/instance"
 	"github.com/galenaseam/galenaseam/link"
+	"github.com/galenaseam/galenaseam/ownership"
 	"github.com/galenaseam/galenaseam/routing"
 )
 
@@ -41,7 +42,10 @@
 	followFraction = 0.33 // wait of one call to a watcher, or of a watcher's call to the store
 	answerFraction = 0.12 // network time of a call and its answer
 	maxAgeFraction = 0.6  // age of the store's last confirmation to a watcher
-	batchFraction  = 0.2  // pause after changes, so that followers get them in one answer
+	// maxReceivingAgeFraction is maxAgeFraction for a watcher that is receiving changes: on links
+	// that are as slow, other hosts don't get them any earlier.
+	maxReceivingAgeFraction = 1
+	batchFraction           = 0.2 // pause after changes, so that followers get them in one answer
 )
 
 // fractionOfMaxDelay returns a fraction of Config.MaxPropagationDelay.
@@ -49,29 +53,46 @@
 	return time.Duration(fraction * float64(d.config.MaxPropagationDelay))
 }
 
-// watchers returns the hosts that watch the store, ordered by rank in a large
-// fleet. All hosts with the same view of the fleet compute the same watchers.
+// watchers returns the hosts that watch the store, ordered by rank in a large fleet: hosts
+// that are strong enough to work for others, as far as there are any. All hosts with the same
+// view of the fleet compute the same watchers.
 func watchers(members []host.Member) []host.Info {
 	var alive []host.Info
+	strongest := 0.0
 	for _, m := range members {
 		if m.State == host.Alive {
 			alive = append(alive, m.Info)
+			strongest = max(strongest, m.Capacity)
 		}
 	}
 	if len(alive) <= maxSmallFleet {
 		return alive
 	}
+	isWeak := make(map[host.ID]int, len(alive)) // 1 for weak hosts
 	rank := make(map[host.ID]uint64, len(alive))
 	for _, h := range alive {
+		if h.Capacity < ownership.MinCapacityFraction*strongest {
+			isWeak[h.ID] = 1
+		}
 		rank[h.ID] = xxh3.HashString("watcher\x00" + h.LinkAddr.String())
 	}
-	slices.SortFunc(alive, func(a, b host.Info) int { return cmp.Compare(rank[a.ID], rank[b.ID]) })
+	slices.SortFunc(alive, func(a, b host.Info) int {
+		return cmp.Or(cmp.Compare(isWeak[a.ID], isWeak[b.ID]), cmp.Compare(rank[a.ID], rank[b.ID]))
+	})
 	return alive[:minWatchers+len(alive)/hostsPerWatcher]
 }
 
+// formerFollowerMemory is how long after a call of a follower of the build before a host
+// watches the store itself. Hosts of that build choose other watchers, which would otherwise
+// follow hosts that follow them.
+const formerFollowerMemory = 5 * time.Second
+
 // chooseWatcher returns the watcher that this host follows, or false if this
 // host must watch the store itself.
 func (d *Directory) chooseWatcher(now time.Time) (chosen host.Info, found bool) {
+	if d.hasFormerFollowers(now) {
+		return host.Info{}, false
+	}
 	self := d.config.Fleet.Self().ID
 	best := uint64(0)
 	for _, w := range watchers(d.config.Fleet.Members()) {
@@ -94,6 +115,13 @@
 	return slices.ContainsFunc(watchers(d.config.Fleet.Members()), func(w host.Info) bool { return w.ID == self })
 }
 
+// hasFormerFollowers reports whether hosts of the build before follow this one.
+func (d *Directory) hasFormerFollowers(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.formerFollowerAt.IsZero() && now.Sub(d.formerFollowerAt) < formerFollowerMemory
+}
+
 // isLarge reports whether the fleet is large enough for hosts to follow
 // watchers.
 func (d *Directory) isLarge() bool { return len(d.config.Fleet.Members()) > maxSmallFleet }
@@ -108,13 +136,21 @@
 
 // followRequest describes what the requesting host has.
 type followRequest struct {
-	AsOf    int64           `cbor:"1,keyasint"`
+	AsOf int64 `cbor:"1,keyasint"`
+	// Version is the newest configuration that the requesting host knows of; without Apart, the
+	// one in force there.
 	Version routing.Version `cbor:"2,keyasint"`
 	// Wait is how long the answering host may wait for a change.
 	Wait time.Duration `cbor:"3,keyasint"`
 	// Era is the era of AsOf. It is nil from hosts of the build before, which
 	// know no eras.
 	Era *int64 `cbor:"4,keyasint,omitempty"`
+	// Apart means that the requesting host fetches configurations by calls of their own. It is
+	// false from hosts of the build before, which are sent them in the answer.
+	Apart bool `cbor:"5,keyasint,omitempty"`
+	// UpstreamsAsOf is the revision up to which changes of upstreams are applied, in the same era,
+	// if it is later than AsOf. It is 0 from hosts of the build before.
+	UpstreamsAsOf int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // position returns what the requesting host has. If the request states no era,
@@ -126,9 +162,19 @@
 	return infra.Position{Era: era, Revision: r.AsOf}
 }
 
+// upstreamsPosition returns the position up to which the requesting host has changes of
+// upstreams.
+func (r followRequest) upstreamsPosition(era int64) infra.Position {
+	position := r.position(era)
+	position.Revision = max(position.Revision, r.UpstreamsAsOf)
+	return position
+}
+
 // followAnswer holds the changes that the requesting host lacks.
 type followAnswer struct {
-	AsOf           int64            `cbor:"1,keyasint"`
+	AsOf int64 `cbor:"1,keyasint"`
+	// Config is the configuration, for requests without Apart. It is not sent together with
+	// other changes.
 	Config         []byte           `cbor:"2,keyasint"`
 	ConfigRevision int64            `cbor:"3,keyasint"`
 	Entries        []instance.Entry `cbor:"4,keyasint"`
@@ -148,9 +194,20 @@
 	// Evacuations are all evacuations in effect. It is nil from hosts of the build before,
 	// which know none.
 	Evacuations []wireEvacuation `cbor:"11,keyasint"`
+	// ConfigVersion is the version in force at the answering host. It is 0 from hosts of the
+	// build before, which send Config.
+	ConfigVersion routing.Version `cbor:"12,keyasint,omitempty"`
+	// UpstreamsAsOf is the revision up to which Entries and Removals are complete, if it is later
+	// than AsOf. It is 0 from hosts of the build before.
+	UpstreamsAsOf int64 `cbor:"13,keyasint,omitempty"`
+	// Receiving means that the answering host is receiving changes from the store, which may take
+	// long on its link. It is false from hosts of the build before.
+	Receiving bool `cbor:"14,keyasint,omitempty"`
 	// evacuationsChanged is true if an evacuation has begun or ended since AsOf of the
 	// request.
 	evacuationsChanged bool
+	// announces is true if ConfigVersion is new to the requesting host.
+	announces bool
 }
 
 func (a *followAnswer) position() infra.Position {
@@ -172,23 +229,36 @@
 	timeout := time.NewTimer(request.Wait)
 	defer timeout.Stop()
 	d.mu.Lock()
+	if !request.Apart && request.Wait > 0 {
+		d.formerFollowerAt = time.Now()
+	}
 	changed := d.changed
-	position := request.position(d.asOf.Era)
-	behind, ahead := d.asOf.After(position), position.Era > d.asOf.Era
-	stale := time.NewTimer(time.Until(d.confirmedAt.Add(d.fractionOfMaxDelay(maxAgeFraction))))
+	position, upstreams := request.position(d.asOf.Era), request.upstreamsPosition(d.asOf.Era)
+	behind := d.asOf.After(position) || d.upstreamsAsOf.After(upstreams)
+	ahead := position.Era > d.asOf.Era
+	stale := time.NewTimer(time.Until(d.confirmedAt.Add(d.maxAge(d.receiving > 0))))
 	d.mu.Unlock()
 	defer stale.Stop()
-	if answer := d.changesSince(request); ahead || behind && !answer.isEmpty() {
+	answer, configIn := d.changesSince(request)
+	if ahead || behind && !answer.isEmpty() || len(answer.Config) > 0 || answer.announces {
 		return d.countSent(answer), nil
 	}
+	var configTurn <-chan time.Time
+	if configIn > 0 {
+		turn := time.NewTimer(configIn)
+		defer turn.Stop()
+		configTurn = turn.C
+	}
 	select {
 	case <-changed:
+	case <-configTurn:
 	case <-timeout.C:
 	case <-stale.C:
 	case <-ctx.Done():
 		return followAnswer{}, Error.Wrap(ctx.Err())
 	}
-	return d.countSent(d.changesSince(request)), nil
+	answer, _ = d.changesSince(request)
+	return d.countSent(answer), nil
 }
 
 // countSent counts what is sent to another host.
@@ -197,19 +267,29 @@
 	return answer
 }
 
-// changesSince returns what the requesting host lacks.
-func (d *Directory) changesSince(request followRequest) followAnswer {
+// maxAge returns the age of the store's last confirmation from which on a watcher is stale.
+func (d *Directory) maxAge(receiving bool) time.Duration {
+	if receiving {
+		return d.fractionOfMaxDelay(maxReceivingAgeFraction)
+	}
+	return d.fractionOfMaxDelay(maxAgeFraction)
+}
+
+// changesSince returns what the requesting host lacks. A host that does not fetch configurations
+// apart gets one with an answer that holds nothing else; configIn is the time until then if this
+// host's link is busy with others.
+func (d *Directory) changesSince(request followRequest) (answer followAnswer, configIn time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	since := request.position(d.asOf.Era)
-	answer := followAnswer{Era: d.asOf.Era, AsOf: d.asOf.Revision, Age: now.Sub(d.confirmedAt), Expiries: make(map[instance.ID]wireExpiry)}
+	since, upstreamsSince := request.position(d.asOf.Era), request.upstreamsPosition(d.asOf.Era)
+	answer = followAnswer{Era: d.asOf.Era, AsOf: d.asOf.Revision, Age: now.Sub(d.confirmedAt), Receiving: d.receiving > 0, Expiries: make(map[instance.ID]wireExpiry)}
+	if d.upstreamsAsOf.After(d.asOf) {
+		answer.UpstreamsAsOf = d.upstreamsAsOf.Revision
+	}
 	for id, pending := range d.expiries {
 		answer.Expiries[id] = wireExpiry{Left: pending.removeAt.Sub(now), Era: pending.position.Era, Revision: pending.position.Revision}
 	}
-	if current := d.routes.Load(); current != nil && current.Version() > request.Version {
-		answer.Config, answer.ConfigRevision = d.rawConfig, d.configRevision
-	}
 	for _, h := range d.hosts {
 		if h.position().After(since) {
 			answer.Hosts = append(answer.Hosts, h)
@@ -217,10 +297,22 @@
 	}
 	answer.Evacuations, answer.evacuationsChanged = d.evacuations.inEffect(), d.evacuations.changedSince(since)
 	var recorded bool
-	if answer.Entries, answer.Removals, recorded = d.config.Instances.ChangesSince(since); !recorded || since.Era < d.asOf.Era {
+	if answer.Entries, answer.Removals, recorded = d.config.Instances.ChangesSince(upstreamsSince); !recorded || since.Era < d.asOf.Era {
 		answer.Entries, answer.Complete = d.config.Instances.Entries(), true
 	}
-	return answer
+	current := d.routes.Load()
+	if current == nil {
+		return answer, 0
+	}
+	answer.ConfigVersion = current.Version()
+	isNewer := current.Version() > request.Version
+	answer.announces = isNewer && request.Apart
+	if isNewer && !request.Apart && answer.isEmpty() {
+		if configIn = d.uplink.reserve(len(d.rawConfig), now); configIn == 0 {
+			answer.Config, answer.ConfigRevision = d.rawConfig, d.configRevision
+		}
+	}
+	return answer, configIn
 }
 
 func (a *followAnswer) isEmpty() bool {
@@ -240,9 +332,9 @@
 		return true
 	case err != nil:
 		reason, text = watcherSilent, err.Error()
-	case answer.Age >= d.fractionOfMaxDelay(maxAgeFraction):
+	case answer.Age >= d.maxAge(answer.Receiving):
 		reason, text = watcherStale, "out of touch with the store"
-	case !d.applyAnswer(answer):
+	case !d.applyAnswer(answer, watcher.LinkAddr):
 		reason, text = watcherOldEra, "in a former era of the store"
 	default:
 		return true
@@ -257,10 +349,15 @@
 // askPeer asks another host for what this one lacks. The answer may wait for a
 // change.
 func (d *Directory) askPeer(ctx context.Context, peer netip.AddrPort, wait, timeout time.Duration) (followAnswer, error) {
-	at := d.position()
-	request := followRequest{Era: &at.Era, AsOf: at.Revision, Wait: wait}
+	d.mu.Lock()
+	at := d.asOf
+	request := followRequest{Era: &at.Era, AsOf: at.Revision, Wait: wait, Apart: true, Version: d.announced.version}
+	if d.upstreamsAsOf.After(at) {
+		request.UpstreamsAsOf = d.upstreamsAsOf.Revision
+	}
+	d.mu.Unlock()
 	if current := d.routes.Load(); current != nil {
-		request.Version = current.Version()
+		request.Version = max(request.Version, current.Version())
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -270,12 +367,20 @@
 // applyAnswer applies another host's answer. It returns false if that host is in
 // a former era of the store: only its configuration is applied then, because
 // configurations are ordered by their versions.
-func (d *Directory) applyAnswer(answer followAnswer) bool {
-	d.applying.Lock()
-	defer d.applying.Unlock()
+func (d *Directory) applyAnswer(answer followAnswer, from netip.AddrPort) bool {
+	current := d.applyRelayedChanges(answer)
 	if len(answer.Config) > 0 {
 		d.applyConfig(answer.Config, answer.ConfigRevision)
 	}
+	d.announce(answer.ConfigVersion, from)
+	return current
+}
+
+// applyRelayedChanges applies another host's answer, apart from the configuration. It returns
+// false, and applies nothing, if that host is in a former era of the store.
+func (d *Directory) applyRelayedChanges(answer followAnswer) bool {
+	d.applying.Lock()
+	defer d.applying.Unlock()
 	now := time.Now()
 	asOf := answer.position()
 	before := d.position()
@@ -313,6 +418,7 @@
 	d.mu.Unlock()
 	d.reportUnknownEvacuations()
 	d.advancePosition(asOf, now.Add(-answer.Age))
+	d.advanceUpstreams(infra.Position{Era: asOf.Era, Revision: answer.UpstreamsAsOf})
 	if !answer.isEmpty() {
 		d.wakeFollowers()
 	}
--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -152,7 +152,27 @@
 
 func (source) Reconnect() {}
 
-func (s source) Changes(caller context.Context, after infra.Position, wait time.Duration) ([]Item, infra.Position, error) {
+func (s source) ReadConfig(ctx context.Context) (config Item, found bool, err error) {
+	if err := s.startCall(ctx); err != nil {
+		return Item{}, false, err
+	}
+	all, _ := s.listing()
+	i := slices.IndexFunc(all, func(i Item) bool { return i.Key == "config" })
+	if i < 0 {
+		return Item{}, false, nil
+	}
+	return all[i], true, s.send(ctx, all[i:i+1])
+}
+
+func (s source) Changes(ctx context.Context, after infra.Position, wait time.Duration, begun func()) ([]Item, infra.Position, error) {
+	return s.changes(ctx, "", after, wait, begun)
+}
+
+func (s source) UpstreamChanges(ctx context.Context, after infra.Position, wait time.Duration) ([]Item, infra.Position, error) {
+	return s.changes(ctx, "up/", after, wait, func() {})
+}
+
+func (s source) changes(caller context.Context, prefix string, after infra.Position, wait time.Duration, begun func()) ([]Item, infra.Position, error) {
 	ctx, cancel := context.WithTimeout(caller, wait+time.Second)
 	defer cancel()
 	if err := s.startCall(ctx); err != nil {
@@ -162,7 +182,8 @@
 	defer timeout.Stop()
 	for {
 		s.mu.Lock()
-		items, changed := s.items[min(int(after.Revision), len(s.items)):], s.changed
+		items, changed := slices.Clone(s.items[min(int(after.Revision), len(s.items)):]), s.changed
+		items = slices.DeleteFunc(items, func(i Item) bool { return !strings.HasPrefix(i.Key, prefix) })
 		newest := infra.Position{Era: s.era, Revision: int64(len(s.items))}
 		silent, cut := s.silent && wait > confirmWait, s.cutsWatches && wait > confirmWait
 		s.mu.Unlock()
@@ -180,6 +201,7 @@
 			return nil, infra.Position{}, ErrUnreadable
 		}
 		if len(items) > 0 {
+			begun()
 			return items, newest, s.send(caller, items)
 		}
 		select {
@@ -273,7 +295,7 @@
 		}
 		h.Directory = New(Config{
 			Source: source{f.store, i, h.in}, Format: format, Instances: instance.NewTable(nil), Fleet: h, Gossip: h, Caller: h,
-			MaxPropagationDelay: testMaxDelay, Logger: slog.New(slog.DiscardHandler), OnConfig: func(*routing.Table) {},
+			MaxPropagationDelay: testMaxDelay, LinkMegabits: bandwidth, Logger: slog.New(slog.DiscardHandler), OnConfig: func(*routing.Table) {},
 		}, h)
 		f.hosts = append(f.hosts, h)
 		f.byAddr[h.Self().LinkAddr] = h
@@ -411,7 +433,7 @@
 	require.True(t, known)
 	h.store.put("up/u3", instance.Entry{Service: "s"}, false)
 	time.Sleep(testMaxDelay)
-	h.applyAnswer(followAnswer{Expiries: map[instance.ID]wireExpiry{"u3": {Left: time.Second, Revision: before.Revision}}})
+	h.applyAnswer(followAnswer{Expiries: map[instance.ID]wireExpiry{"u3": {Left: time.Second, Revision: before.Revision}}}, netip.AddrPort{})
 	time.Sleep(testMaxDelay)
 	_, known = h.config.Instances.Lookup("u3")
 	require.True(t, known)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -89,6 +89,8 @@
 	// Capacity is the host's capacity for work on behalf of other hosts, in
 	// cores.
 	Capacity float64
+	// LinkMegabits is the bandwidth of the host's link in Mbit/s; 0 if it is unknown.
+	LinkMegabits float64
 	// Grace is the time from the request to stop until the process must have
 	// exited.
 	Grace time.Duration
@@ -221,7 +223,7 @@
 	}, h.mux)
 	h.directory = directory.New(directory.Config{
 		Source: h.platform.Source, Format: h.platform.Format, Instances: h.instances, Fleet: h.members,
-		Gossip: h.members, Caller: h.peerClient, MaxPropagationDelay: h.settings.MaxPropagationDelay,
+		Gossip: h.members, Caller: h.peerClient, MaxPropagationDelay: h.settings.MaxPropagationDelay, LinkMegabits: h.settings.LinkMegabits,
 		HeartbeatInterval: h.settings.HeartbeatInterval, EntryTTL: h.settings.EntryTTL, Logger: h.logger,
 		Registerer: h.registry, OnConfig: h.onConfig, OnHosts: h.members.HostListChanged, OnItem: h.onStoreItem,
 	}, h.mux)
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -13,9 +13,9 @@
 	"github.com/galenaseam/galenaseam/host"
 )
 
-// minCapacityFraction is the fraction of the strongest host's capacity that a
-// host needs to own tasks. Owned tasks would take up all of a weaker host.
-const minCapacityFraction = 0.6
+// MinCapacityFraction is the fraction of the strongest host's capacity that a
+// host needs to work for other hosts. That work would take up all of a weaker host.
+const MinCapacityFraction = 0.6
 
 // Table looks up the owners of tasks. It is safe for concurrent use.
 type Table struct {
@@ -71,7 +71,7 @@
 		if needConfiguration && m.Generation == 0 && !m.Listed {
 			continue // the host can't read the store
 		}
-		if m.State != host.Alive || m.Capacity < minCapacityFraction*strongest || avoided(m.ID) {
+		if m.State != host.Alive || m.Capacity < MinCapacityFraction*strongest || avoided(m.ID) {
 			continue
 		}
 		if rank := xxh3.HashString(task + "\x00" + m.LinkAddr.String()); rank >= bestRank {
