directory: A version that can't be read is fetched once

Found by reading: a host that can't read a version which another one has announced, as in a fleet of two builds, would fetch it twice a second, and from the store too. It now gives up until the next version is announced; other failures are tried again after 0.5 s, doubling up to 8 s. On a slow link, the call for changes of upstreams runs beside the full one, which it delayed by up to a second when the store was silent.

Test: TestVersionThatCannotBeReadIsFetchedOnce (on the code before: it lacks the version after the copy).

--- a/directory/configurations.go
+++ b/directory/configurations.go
@@ -27,9 +27,10 @@
 	// copiesWaitFraction of Config.MaxPropagationDelay is how long hosts are asked for a copy until
 	// the store is asked. Each is asked for fetchTimeout at the most.
 	copiesWaitFraction = 0.4
-	// fetchRetryDelay is the delay after a version could be had neither from hosts nor from the
-	// store.
-	fetchRetryDelay = time.Second
+	// minFetchDelay is the delay after a version could be had neither from hosts nor from the
+	// store. It doubles up to maxFetchDelay.
+	minFetchDelay = 500 * time.Millisecond
+	maxFetchDelay = 8 * time.Second
 )
 
 // configurationRequest asks for a version of the configuration or a later one.
@@ -55,6 +56,8 @@
 type announcement struct {
 	version routing.Version
 	from    netip.AddrPort
+	// unusable is true once this host has received the version and can't read it.
+	unusable bool
 }
 
 // packedConfig is a version of the configuration in the form in which it is sent to other hosts.
@@ -105,8 +108,11 @@
 	}
 	d.mu.Lock()
 	isNew := version > d.announced.version
-	if version >= d.announced.version {
-		d.announced = announcement{version, from} // the last host that told is the likeliest to respond
+	switch {
+	case isNew:
+		d.announced = announcement{version: version, from: from}
+	case version == d.announced.version:
+		d.announced.from = from // the last host that told is the likeliest to respond
 	}
 	d.mu.Unlock()
 	if isNew {
@@ -122,7 +128,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	current := d.routes.Load()
-	return d.announced, d.announced.version > 0 && (current == nil || current.Version() < d.announced.version)
+	isNewer := d.announced.version > 0 && (current == nil || current.Version() < d.announced.version)
+	return d.announced, isNewer && !d.announced.unusable
+}
+
+// giveUp ends the search for a version that this host has received and can't read.
+func (d *Directory) giveUp(version routing.Version) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.announced.version == version {
+		d.announced.unusable = true
+	}
 }
 
 // followConfigurations fetches versions of the configuration that other hosts announce.
@@ -133,20 +149,14 @@
 			return nil
 		case <-d.announcements:
 		}
-		for ctx.Err() == nil {
-			wanted, lacks := d.lacking()
-			if !lacks {
-				break
-			}
-			if d.fetchFromHosts(ctx, wanted) {
+		delay := minFetchDelay
+		for wanted, lacks := d.lacking(); lacks && ctx.Err() == nil; wanted, lacks = d.lacking() {
+			if d.fetchFromHosts(ctx, wanted) || d.fetchFromStore(ctx, wanted.version) {
+				delay = minFetchDelay
 				continue
 			}
-			if err := d.fetchFromStore(ctx); err != nil {
-				d.config.Logger.Warn("configuration not fetched from the store", "version", uint64(wanted.version), "error", err.Error())
-			}
-			if _, lacks := d.lacking(); lacks {
-				_ = sleep.For(ctx, fetchRetryDelay)
-			}
+			_ = sleep.For(ctx, delay)
+			delay = min(2*delay, maxFetchDelay)
 		}
 	}
 }
@@ -198,6 +208,9 @@
 		return false
 	}
 	version, valid := d.applyConfig(raw, answer.Revision)
+	if !valid {
+		d.giveUp(wanted)
+	}
 	if !valid || version < wanted {
 		return false
 	}
@@ -209,13 +222,19 @@
 	return true
 }
 
-// fetchFromStore reads the configuration from the store.
-func (d *Directory) fetchFromStore(ctx context.Context) error {
+// fetchFromStore reads the configuration from the store. It returns false if that does not bring
+// the wanted version into force.
+func (d *Directory) fetchFromStore(ctx context.Context, wanted routing.Version) bool {
+	if _, lacks := d.lacking(); !lacks || ctx.Err() != nil {
+		return !lacks
+	}
 	item, found, err := d.config.Source.ReadConfig(ctx)
-	if err == nil && found {
-		d.applyConfig(item.Value, item.Revision)
+	if err != nil || !found {
+		d.config.Logger.Warn("configuration not fetched from the store", "version", uint64(wanted), "error", errorText(err))
+		return false
 	}
-	return err
+	version, _ := d.applyConfig(item.Value, item.Revision)
+	return version >= wanted
 }
 
 // serveConfiguration answers a host that asks for a version of the configuration. It waits until
--- a/directory/configurations_test.go
+++ b/directory/configurations_test.go
@@ -201,6 +201,30 @@
 	require.ErrorContains(t, err, "over 8388608 bytes")
 }
 
+// Guards against a host that fetches a version that it can't read again and again, and against one
+// that misses the next version because of that.
+func TestVersionThatCannotBeReadIsFetchedOnce(t *testing.T) {
+	t.Parallel()
+	d, peer := newTestDirectory(), netip.MustParseAddrPort("10.0.0.9:1")
+	lacks := func() bool {
+		_, lacks := d.lacking()
+		return lacks
+	}
+	d.announce(7, peer)
+	require.False(t, lacks(), "in force")
+	d.announce(8, peer)
+	require.True(t, lacks())
+	require.False(t, d.applyCopy(configurationAnswer{Body: []byte("unreadable")}, 8, peer))
+	require.False(t, lacks())
+	d.announce(8, peer)
+	require.False(t, lacks())
+	d.announce(9, peer)
+	require.True(t, lacks())
+	require.True(t, d.applyCopy(configurationAnswer{Body: []byte("9 body"), Revision: 30}, 9, peer))
+	require.False(t, lacks())
+	require.Equal(t, routing.Version(9), d.Routes().Version())
+}
+
 // Guards against a version that stays away because the host that announced it, or those that it
 // names, have stopped.
 func TestConfigurationIsFetchedPastHostsThatStopped(t *testing.T) {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -187,7 +187,7 @@
 
 	confirmer confirmer
 
-	inquiries      sync.WaitGroup // runs the inquiries for last states and their calls
+	background     sync.WaitGroup // runs inquiries for last states and calls beside others
 	lastStateCalls *prometheus.CounterVec
 }
 
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -39,7 +39,7 @@
 
 // Run follows the store and the other hosts until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
-	defer d.inquiries.Wait()
+	defer d.background.Wait()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return d.followStore(ctx) })
 	group.Go(func() error { return d.followPeers(ctx) })
@@ -59,7 +59,7 @@
 			continue
 		}
 		if d.needsUpstreamsApart() && !next.readAll {
-			_, _ = d.readUpstreams(ctx, confirmWait) // the call for all changes gets them too
+			d.background.Go(func() { _, _ = d.readUpstreams(ctx, confirmWait) }) // the other call gets them too
 		}
 		err := d.callStore(ctx, &next)
 		switch {
--- a/directory/laststates.go
+++ b/directory/laststates.go
@@ -168,7 +168,7 @@
 	for {
 		now := time.Now()
 		if peer, found := q.next(d.livePeers(listed), now, rand.IntN); found {
-			d.inquiries.Go(func() { answers <- d.askLastStates(ctx, peer, q.lastStatesRequest) })
+			d.background.Go(func() { answers <- d.askLastStates(ctx, peer, q.lastStatesRequest) })
 			continue
 		}
 		if q.isSettled() {
@@ -272,7 +272,7 @@
 	}
 	settled := make(chan struct{})
 	var once sync.Once
-	d.inquiries.Go(func() {
+	d.background.Go(func() {
 		d.inquire(ctx, newInquiry(request, urgent, now), hosts, func() { once.Do(func() { close(settled) }) })
 		if isFirst {
 			d.mu.Lock()
--- a/directory/laststates_test.go
+++ b/directory/laststates_test.go
@@ -72,7 +72,7 @@
 				}
 				d.config.Fleet, d.config.Caller = fleet, c.others
 				ctx, stop := context.WithCancel(t.Context())
-				defer d.inquiries.Wait()
+				defer d.background.Wait()
 				defer stop()
 				apply := func(items []Item, asOf infra.Position) {
 					d.awaitLastStatesForStore(ctx, items, asOf)
