directory: Test large configurations in a fleet that is upgraded host by host

Two more cases of TestChangesArriveInTimeBesideLargeConfigurations: every second and every fifth host is of the build before, whose messages lack the new fields, which does not know the new call and chooses watchers by address alone.

--- a/directory/bandwidth_test.go
+++ b/directory/bandwidth_test.go
@@ -125,8 +125,9 @@
 func TestChangesArriveInTimeBesideLargeConfigurations(t *testing.T) {
 	const versions, interval = 8, 500 * time.Millisecond
 	for name, c := range map[string]struct {
-		links []float64
-		body  string
+		links    []float64
+		body     string
+		formerOf int
 	}{
 		"most links narrow":              {links: links(10, 110), body: manyRoutes(2850)},
 		"all links narrow":               {links: links(0, 60), body: manyRoutes(2850)},
@@ -134,11 +135,13 @@
 		"body that can't be compressed":  {links: links(10, 110), body: noise(200 << 10)},
 		"small body, most links narrow":  {links: links(10, 110), body: manyRoutes(50)},
 		"large body, all links are wide": {links: links(60, 0), body: manyRoutes(2850)},
+		"every second host is former":    {links: links(10, 50), body: manyRoutes(100), formerOf: 2},
+		"every fifth host is former":     {links: links(10, 50), body: manyRoutes(100), formerOf: 5},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				f := newLinkedFleet(t, c.links, versionedFormat{})
+				f := newLinkedFleet(t, c.links, versionedFormat{}, c.formerOf)
 				var checks sync.WaitGroup
 				wrong, behind := make([]int, versions), make([]int, versions)
 				for v := range versions {
@@ -166,7 +169,7 @@
 		t.Run(fmt.Sprint(phase), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				h := newLinkedFleet(t, links(0, 1), versionedFormat{}).hosts[0]
+				h := newLinkedFleet(t, links(0, 1), versionedFormat{}, 0).hosts[0]
 				time.Sleep(phase)
 				h.store.putConfig(1, manyRoutes(2850))
 				synctest.Wait()
--- a/directory/configurations_test.go
+++ b/directory/configurations_test.go
@@ -238,7 +238,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				f := newLinkedFleet(t, links(6, 60), versionedFormat{})
+				f := newLinkedFleet(t, links(6, 60), versionedFormat{}, 0)
 				f.store.putConfig(1, noise(60<<10))
 				time.Sleep(c.after)
 				stopped := make(map[*testHost]bool)
--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -223,6 +224,7 @@
 	handlers map[link.Method]link.Handler
 	frozen   atomic.Bool
 	in, out  *testLink // nil if the bandwidth does not matter
+	isFormer bool      // whether the host is of the build before
 }
 
 func (h *testHost) Handle(method link.Method, handler link.Handler) { h.handlers[method] = handler }
@@ -234,6 +236,9 @@
 func (h *testHost) Members() []host.Member {
 	var all []host.Member
 	for _, info := range h.infos {
+		if h.isFormer {
+			info.Capacity = 0 // that build chooses watchers by address alone
+		}
 		all = append(all, host.Member{Info: info})
 	}
 	return all
@@ -249,6 +254,12 @@
 	if err != nil {
 		return err
 	}
+	if h.isFormer || to.isFormer {
+		if method == configurationMethod {
+			return link.ErrUnknownMethod
+		}
+		raw = withoutNewFields(raw, 4)
+	}
 	answer, err := to.handlers[method](ctx, func(into any) error { return cbor.Unmarshal(raw, into) })
 	if err != nil {
 		return err
@@ -256,12 +267,30 @@
 	if raw, err = cbor.Marshal(answer); err != nil {
 		return err
 	}
+	if h.isFormer || to.isFormer {
+		raw = withoutNewFields(raw, 11)
+	}
 	if err := passBoth(ctx, to.out, h.in, len(raw)); err != nil {
 		return err
 	}
 	return cbor.Unmarshal(raw, out)
 }
 
+// withoutNewFields returns a message without its fields after the last one that the build before
+// knows.
+func withoutNewFields(raw []byte, last int) []byte {
+	var fields map[int]cbor.RawMessage
+	if err := cbor.Unmarshal(raw, &fields); err != nil {
+		panic(err)
+	}
+	maps.DeleteFunc(fields, func(key int, _ cbor.RawMessage) bool { return key > last })
+	raw, err := cbor.Marshal(fields)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
 // testFleet is a set of hosts that share one store.
 type testFleet struct {
 	store  *testStore
@@ -271,12 +300,12 @@
 }
 
 func newTestFleet(t *testing.T, size int) *testFleet {
-	return newLinkedFleet(t, make([]float64, size), testFormat{})
+	return newLinkedFleet(t, make([]float64, size), testFormat{}, 0)
 }
 
 // newLinkedFleet returns a fleet of a host for each given bandwidth in Mbit/s. A bandwidth of 0
-// does not matter.
-func newLinkedFleet(t *testing.T, megabits []float64, format Format) *testFleet {
+// does not matter. Of formerOf hosts, one is of the build before; of 0, none.
+func newLinkedFleet(t *testing.T, megabits []float64, format Format, formerOf int) *testFleet {
 	f := &testFleet{
 		store: &testStore{changed: make(chan struct{}), hangs: make(map[int]bool)}, byAddr: make(map[netip.AddrPort]*testHost),
 	}
@@ -292,6 +321,7 @@
 	for i, bandwidth := range megabits {
 		h := &testHost{
 			testFleet: f, index: i, handlers: make(map[link.Method]link.Handler), in: newTestLink(bandwidth), out: newTestLink(bandwidth),
+			isFormer: formerOf > 0 && i%formerOf == 0,
 		}
 		h.Directory = New(Config{
 			Source: source{f.store, i, h.in}, Format: format, Instances: instance.NewTable(nil), Fleet: h, Gossip: h, Caller: h,
