directory: Removals before a listing reach followers

Cause: a host answers its followers with the changes since their position, removals among them, and said that it had recorded all of them. One that has just started, or has read everything again, knows no removals from before its listing. A follower that was behind that took over its position and kept what had been removed in between.

Change: a listing raises the position from which on removals are recorded. Followers behind it get all entries, as they did when old removals had been dropped, and pass on that they have a gap.

TestFollowerOfTheBuildBeforeIsServedByRevision asked for changes from before the listing and wanted one entry alone. That answer hid removals; it now asks from the listing on for that, and from before it for everything.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -317,7 +317,7 @@
 	}
 	config, hasConfig := d.newestConfig(items)
 	d.removeUnlisted(listedUpstreams, asOf, now)
-	d.config.Instances.MarkGap(now)
+	d.config.Instances.MarkGap(asOf, now)
 	d.mu.Lock()
 	for key, h := range d.hosts {
 		if !listedKeys[key] && !h.Removed && asOf.After(h.position()) {
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -190,9 +190,14 @@
 	answer := follow(oldRequest{AsOf: listedAtStart, Wait: wait})
 	require.GreaterOrEqual(t, time.Since(start), wait)
 	require.True(t, answer.isEmpty())
-	answer = follow(oldRequest{AsOf: listedAtStart - 1, Wait: wait})
+	f.store.put("up/new", instance.Entry{Service: "s"}, false)
+	require.Eventually(t, func() bool { return h.position().Revision > listedAtStart }, 10*time.Second, 5*time.Millisecond)
+	answer = follow(oldRequest{AsOf: listedAtStart, Wait: wait})
 	require.Len(t, answer.Entries, 1)
 	require.False(t, answer.Complete)
+	answer = follow(oldRequest{AsOf: listedAtStart - 1, Wait: wait})
+	require.Greater(t, len(answer.Entries), 1)
+	require.True(t, answer.Complete, "removals before the listing are not known")
 }
 
 // Guards against a follower that waits for a watcher which is still in the former
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -390,7 +390,7 @@
 	answer.evacuationsChanged = d.applyRelayedEvacuations(answer, now)
 	if answer.Complete && asOf.After(before) {
 		d.replaceUpstreams(answer.Entries, asOf, rose, now)
-		d.config.Instances.MarkGap(now)
+		d.config.Instances.MarkGap(asOf, now)
 	}
 	for _, r := range answer.Removals {
 		d.config.Instances.Remove(r.ID, r.Position())
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -293,12 +293,15 @@
 	}
 }
 
-// MarkGap records that the table was brought up to date from a listing, so that upstreams
-// that came and went before it may be missing.
-func (t *Table) MarkGap(now time.Time) {
+// MarkGap records that the table was brought up to date from a listing as of a position, so that
+// upstreams that came and went before it, and removals, may be missing.
+func (t *Table) MarkGap(asOf infra.Position, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.completeSince, t.gotListing = now, true
+	if asOf.After(t.tombstoneFloor) {
+		t.tombstoneFloor = asOf
+	}
 }
 
 // pruneTombstones drops the older half of the removals. Updates arrive within
