directory: A complete list counts up to the revision of its upstreams

Test: TestRemovalsBeforeAListingReachFollowers, the case of a host at the same position, fails before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -279,6 +279,13 @@
 	return now.Sub(d.confirmedAt)
 }
 
+// upstreamsPosition returns the store's position up to which changes of upstreams are applied.
+func (d *Directory) upstreamsPosition() infra.Position {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return laterOf(d.asOf, d.upstreamsAsOf)
+}
+
 // List returns the hosts that have an entry in the store, the newest for each address:
 // a process that ended without notice has one until its lease ends.
 func (d *Directory) List(context.Context) ([]infra.Listing, error) {
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -388,9 +388,10 @@
 		return false
 	}
 	answer.evacuationsChanged = d.applyRelayedEvacuations(answer, now)
-	if answer.Complete && asOf.After(before) {
-		d.replaceUpstreams(answer.Entries, asOf, rose, now)
-		d.config.Instances.MarkGap(asOf, now)
+	upstreamsAsOf := infra.Position{Era: asOf.Era, Revision: max(asOf.Revision, answer.UpstreamsAsOf)}
+	if answer.Complete && upstreamsAsOf.After(d.upstreamsPosition()) {
+		d.replaceUpstreams(answer.Entries, upstreamsAsOf, rose, now)
+		d.config.Instances.MarkGap(upstreamsAsOf, now)
 	}
 	for _, r := range answer.Removals {
 		d.config.Instances.Remove(r.ID, r.Position())
@@ -414,7 +415,7 @@
 	d.mu.Unlock()
 	d.reportUnknownEvacuations()
 	d.advancePosition(asOf, now.Add(-answer.Age))
-	d.advanceUpstreams(infra.Position{Era: asOf.Era, Revision: answer.UpstreamsAsOf})
+	d.advanceUpstreams(upstreamsAsOf)
 	if !answer.isEmpty() {
 		d.wakeFollowers()
 	}
--- a/directory/restarted_test.go
+++ b/directory/restarted_test.go
@@ -28,7 +28,9 @@
 		return d
 	}
 	follow := func(follower, followed *Directory) {
-		answer, err := followed.serveFollow(t.Context(), followRequest{AsOf: follower.Revision(), Era: new(int64), Apart: true})
+		answer, err := followed.serveFollow(t.Context(), followRequest{
+			AsOf: follower.Revision(), UpstreamsAsOf: follower.upstreamsAsOf.Revision, Era: new(int64), Apart: true,
+		})
 		require.NoError(t, err)
 		require.True(t, follower.applyAnswer(answer, netip.AddrPort{}))
 	}
@@ -44,6 +46,15 @@
 	require.False(t, knows(second, "removed"), "by one that has got everything from it")
 	require.True(t, knows(first, "stays") && knows(second, "stays"))
 
+	ahead := listing(9, "stays", "removed") // and is ahead with changes of upstreams
+	require.True(t, ahead.applyItems([]Item{{Key: "up/removed", Revision: 12, Removed: true}}, infra.Position{Revision: 12}, infra.Position{}, time.Now()))
+	behind, same := listing(5, "stays", "removed"), listing(9, "stays", "removed")
+	follow(behind, ahead)
+	require.False(t, knows(behind, "removed"))
+	follow(same, behind)
+	require.False(t, knows(same, "removed"), "from one at the same position that has a gap")
+	require.True(t, knows(same, "stays"))
+
 	reread := listing(4, "stays")
 	reread.applySnapshot([]Item{{Key: "up/stays", Value: entry, Revision: 3}}, infra.Position{Revision: 10}, time.Now())
 	third := listing(6, "stays", "removed")
--- a/directory/upstreams.go
+++ b/directory/upstreams.go
@@ -58,10 +58,7 @@
 // readUpstreams waits up to wait for changes of upstreams and applies them. The call for all
 // changes deals with a store that fails.
 func (d *Directory) readUpstreams(ctx context.Context, wait time.Duration) (changes int, err error) {
-	d.mu.Lock()
-	after := laterOf(d.asOf, d.upstreamsAsOf)
-	d.mu.Unlock()
-	items, asOf, err := d.config.Source.UpstreamChanges(ctx, after, wait)
+	items, asOf, err := d.config.Source.UpstreamChanges(ctx, d.upstreamsPosition(), wait)
 	if err != nil {
 		return 0, err
 	}
