--- a/directory/directory.go
+++ b/directory/directory.go
@@ -57,9 +57,9 @@
 	// Changes waits for changes after a position, in the same era. It returns
 	// them and the position from which to continue. ErrHistoryGone means that
 	// Read is needed again, also because the store's era rose, as does ErrUnreadable. ErrWatchCut means that
-	// the store closed the connection before the wait was over. It calls begun at most once, when
-	// the answer begins to arrive.
-	Changes(ctx context.Context, after infra.Position, wait time.Duration, begun func()) ([]Item, infra.Position, error)
+	// the store closed the connection before the wait was over. It calls onArrival at most once,
+	// with the first byte of the answer.
+	Changes(ctx context.Context, after infra.Position, wait time.Duration, onArrival func()) ([]Item, infra.Position, error)
 	// UpstreamChanges is Changes for upstreams only. Other changes, such as a large
 	// configuration, are not sent.
 	UpstreamChanges(ctx context.Context, after infra.Position, wait time.Duration) ([]Item, infra.Position, error)
@@ -130,8 +130,8 @@
 type Directory struct {
 	config Config
 	routes atomic.Pointer[routing.Table]
-	// applying serializes the application of news of the store and of other
-	// hosts, so that no news of a former era is applied. It is locked before mu, and not held
+	// applying serializes the application of changes from the store and from other
+	// hosts, so that none of a former era is applied. It is locked before mu, and not held
 	// while a configuration is decoded, except for that of a complete read.
 	applying sync.Mutex
 	// putting serializes the replacement of the configuration in force. It is locked after
--- a/directory/overdue.go
+++ b/directory/overdue.go
@@ -15,8 +15,8 @@
 // asked on a new connection as well. A slow store answers within it.
 const overdueMargin = 150 * time.Millisecond
 
-// arrivalFraction of Config.MaxPropagationDelay is how long an answer that has begun to arrive may
-// take. A second one would share the link with it.
+// arrivalFraction of Config.MaxPropagationDelay is how long an answer may take from its first byte
+// on until another one is asked for, which would share the link with it.
 const arrivalFraction = 0.33
 
 // changesAnswer is the result of Source.Changes.
@@ -39,12 +39,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan changesAnswer, 2) // of the call and the one on a new connection
-	begun := make(chan struct{}, 1)
-	ask := func(wait time.Duration, begun func()) {
-		items, asOf, err := d.config.Source.Changes(ctx, d.position(), wait, begun)
+	arriving := make(chan struct{}, 1)
+	ask := func(wait time.Duration, onArrival func()) {
+		items, asOf, err := d.config.Source.Changes(ctx, d.position(), wait, onArrival)
 		answers <- changesAnswer{items, asOf, err}
 	}
-	go ask(wait, func() { begun <- struct{}{} })
+	go ask(wait, func() { arriving <- struct{}{} })
 	overdue := time.NewTimer(wait + overdueMargin)
 	defer overdue.Stop()
 	for asked := 1; ; {
@@ -53,7 +53,7 @@
 			if asked--; a.isFinal() || asked == 0 {
 				return a.items, a.asOf, a.err
 			}
-		case <-begun:
+		case <-arriving:
 			d.countReceiving(1)
 			defer d.countReceiving(-1)
 			overdue.Reset(max(d.fractionOfMaxDelay(arrivalFraction), overdueMargin))
@@ -67,7 +67,7 @@
 	}
 }
 
-// countReceiving counts the answers of the store that have begun to arrive and have not ended.
+// countReceiving adds to the number of answers of the store that are arriving.
 func (d *Directory) countReceiving(n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/directory/relay_test.go
+++ b/directory/relay_test.go
@@ -165,15 +165,15 @@
 	return all[i], true, s.send(ctx, all[i:i+1])
 }
 
-func (s source) Changes(ctx context.Context, after infra.Position, wait time.Duration, begun func()) ([]Item, infra.Position, error) {
-	return s.changes(ctx, "", after, wait, begun)
+func (s source) Changes(ctx context.Context, after infra.Position, wait time.Duration, onArrival func()) ([]Item, infra.Position, error) {
+	return s.changes(ctx, "", after, wait, onArrival)
 }
 
 func (s source) UpstreamChanges(ctx context.Context, after infra.Position, wait time.Duration) ([]Item, infra.Position, error) {
 	return s.changes(ctx, "up/", after, wait, func() {})
 }
 
-func (s source) changes(caller context.Context, prefix string, after infra.Position, wait time.Duration, begun func()) ([]Item, infra.Position, error) {
+func (s source) changes(caller context.Context, prefix string, after infra.Position, wait time.Duration, onArrival func()) ([]Item, infra.Position, error) {
 	ctx, cancel := context.WithTimeout(caller, wait+time.Second)
 	defer cancel()
 	if err := s.startCall(ctx); err != nil {
@@ -202,7 +202,7 @@
 			return nil, infra.Position{}, ErrUnreadable
 		}
 		if len(items) > 0 {
-			begun()
+			onArrival()
 			return items, newest, s.send(caller, items)
 		}
 		select {
--- a/directory/spread.go
+++ b/directory/spread.go
@@ -7,8 +7,7 @@
 	"github.com/galenaseam/galenaseam/routing"
 )
 
-// fanOut is how many hosts each host that asked for a version is named to, besides those that it
-// is asked by for other reasons.
+// fanOut is how many askers are sent to each host that has asked before.
 const fanOut = 2
 
 // spread decides which of the hosts that ask one host for a version are sent to others that have
